--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+PACKAGES := packages/core packages/node packages/client packages/standins
+export PYTHONPATH := $(subst $(eval) ,:,$(PACKAGES:%=$(CURDIR)/%))
+SEED ?= 1
+STEPS ?= 2000
+
+.PHONY: setup demo test lint types unit format scenarios bench capacity
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: constraints.txt $(PACKAGES:%=%/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt setuptools wheel
+	$(VENV)/bin/pip install -q -c constraints.txt --no-build-isolation \
+		$(PACKAGES:%=-e %) pytest hypothesis ruff hacking mypy
+	touch $@
+
+demo: setup
+	$(PY) -m celeryshift_standins.demo
+
+test: lint types unit
+
+lint: setup
+	$(VENV)/bin/ruff format --check packages tests bench
+	$(VENV)/bin/ruff check packages tests bench
+	$(VENV)/bin/flake8 packages tests bench
+
+types: setup
+	$(VENV)/bin/mypy $(PACKAGES:%=%/celeryshift_*)
+
+unit: setup
+	$(VENV)/bin/pytest
+
+format: setup
+	-$(VENV)/bin/ruff check --fix packages tests bench
+	$(VENV)/bin/ruff format packages tests bench
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/packages/core/celeryshift_core/_config.py
@@ -0,0 +1,197 @@
+"""The configuration that operators hand in, and its checks."""
+
+import enum
+import hashlib
+import hmac
+from typing import Any
+
+import attrs
+import cattrs
+
+from celeryshift_core import _errors
+from celeryshift_core import _size
+
+MAX_TIMEOUT_S = 3600.0
+MAX_RUN_S = 30 * 86400.0
+
+
+class Policy(enum.Enum):
+    """Name how the tasks of a kind are placed."""
+
+    REQUEST = 'request'
+    BATCH = 'batch'
+    GANG = 'gang'
+    SERVICE = 'service'
+
+
+class Access(enum.Enum):
+    """Say who may put work into a queue."""
+
+    OPEN = 'open'
+    KEY = 'key'
+
+
+class UpstreamState(enum.Enum):
+    """Say whether an upstream takes new work."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@attrs.frozen(slots=True)
+class Team:
+    """Hold the share and the upper limit of a team."""
+
+    share: float = 1.0
+    limit_slots: int = 1_000_000
+
+
+@attrs.frozen(slots=True)
+class Key:
+    """Hold what is needed to check a key; the secret is not kept."""
+
+    team: str
+    sha256: str
+
+
+@attrs.frozen(slots=True)
+class Queue:
+    """Describe a queue; an open one names the team that its work is for."""
+
+    access: Access = Access.KEY
+    team: str | None = None
+
+
+@attrs.frozen(slots=True)
+class Upstream:
+    """Describe a back end that runs the tasks of some kinds."""
+
+    state: UpstreamState = UpstreamState.LIVE
+
+
+@attrs.frozen(slots=True)
+class Kind:
+    """Describe one kind of work and its policy."""
+
+    upstream: str
+    policy: Policy = Policy.BATCH
+    urgent: bool = False
+    repeatable: bool = True
+    size: _size.Size = _size.ONE_SLOT
+    timeout_s: float = 10.0
+    max_run_s: float = 3600.0
+    max_attempts: int = 3
+
+
+@attrs.frozen
+class Config:
+    """Hold one version of the configuration."""
+
+    version: int = 0
+    teams: dict[str, Team] = attrs.field(factory=dict)
+    keys: dict[str, Key] = attrs.field(factory=dict)
+    withdrawn_keys: list[str] = attrs.field(factory=list)
+    queues: dict[str, Queue] = attrs.field(factory=dict)
+    upstreams: dict[str, Upstream] = attrs.field(factory=dict)
+    kinds: dict[str, Kind] = attrs.field(factory=dict)
+
+    def takes_work(self, upstream: str) -> bool:
+        """Tell whether an upstream takes new work."""
+        found = self.upstreams.get(upstream)
+        return found is not None and found.state is UpstreamState.LIVE
+
+
+_converter = cattrs.Converter(forbid_extra_keys=True)
+
+
+def _strict(value: Any, kind: Any) -> Any:
+    # JSON has its own numbers and strings, so a coerced value is a mistake.
+    if kind is float and type(value) is int:
+        return float(value)
+    if type(value) is not kind:
+        raise TypeError(f'expected {kind.__name__}, got {value!r}')
+    return value
+
+
+for _kind in (bool, int, float, str):
+    _converter.register_structure_hook(_kind, _strict)
+
+
+def structure(document: Any, kind: type) -> Any:
+    """Build a checked object of the kind from decoded JSON.
+
+    Raises DocumentError, which lists every mistake with its path.
+    """
+    try:
+        return _converter.structure(document, kind)
+    except cattrs.BaseValidationError as error:
+        mistakes = cattrs.transform_error(error, path='$')
+        raise _errors.DocumentError(kind.__name__, mistakes) from error
+    except (TypeError, ValueError) as error:
+        raise _errors.DocumentError(kind.__name__, [f'{error} @ $']) from error
+
+
+def unstructure(value: Any) -> Any:
+    """Turn an object into what JSON can encode."""
+    return _converter.unstructure(value)
+
+
+def parse(document: Any) -> Config:
+    """Check a configuration and build it.
+
+    Raises ConfigurationError, which lists every mistake with its path.
+    """
+    try:
+        config = structure(document, Config)
+    except _errors.DocumentError as error:
+        raise _errors.ConfigurationError(
+            'configuration', error.mistakes
+        ) from error
+    mistakes = list(_mistakes(config))
+    if mistakes:
+        raise _errors.ConfigurationError('configuration', mistakes)
+    return config
+
+
+def team_of_key(config: Config, key_id: str, secret: str) -> str | None:
+    """Name the team whose key this is, or None for a wrong key."""
+    key = config.keys.get(key_id)
+    given = hashlib.sha256(secret.encode()).hexdigest()
+    kept = key.sha256 if key else hashlib.sha256(b'').hexdigest()
+    same = hmac.compare_digest(given, kept)
+    return key.team if key and same else None
+
+
+def _mistakes(config: Config) -> Any:
+    for name, team in config.teams.items():
+        if not team.share > 0:
+            yield f'share must be above 0 @ $.teams.{name}.share'
+        if team.limit_slots < 0:
+            yield f'limit must be 0 or more @ $.teams.{name}.limit_slots'
+    for name, key in config.keys.items():
+        if key.team not in config.teams:
+            yield f'unknown team {key.team!r} @ $.keys.{name}.team'
+        if len(key.sha256) != hashlib.sha256().digest_size * 2:
+            yield f'not a SHA-256 in hexadecimal @ $.keys.{name}.sha256'
+    for name, queue in config.queues.items():
+        if queue.access is Access.OPEN and queue.team not in config.teams:
+            yield f'unknown team {queue.team!r} @ $.queues.{name}.team'
+        if queue.access is Access.KEY and queue.team is not None:
+            yield f'only an open queue names a team @ $.queues.{name}.team'
+    for name, kind in config.kinds.items():
+        yield from _kind_mistakes(config, name, kind)
+
+
+def _kind_mistakes(config: Config, name: str, kind: Kind) -> Any:
+    path = f'$.kinds.{name}'
+    if kind.upstream not in config.upstreams:
+        yield f'unknown upstream {kind.upstream!r} @ {path}.upstream'
+    if not 0 < kind.timeout_s <= MAX_TIMEOUT_S:
+        yield f'must be above 0, {MAX_TIMEOUT_S} at most @ {path}.timeout_s'
+    if not 0 < kind.max_run_s <= MAX_RUN_S:
+        yield f'must be above 0, {MAX_RUN_S} at most @ {path}.max_run_s'
+    if kind.max_attempts < 1:
+        yield f'must be 1 or more @ {path}.max_attempts'
+    for field in attrs.asdict(kind.size):
+        if getattr(kind.size, field) < (1 if field == 'slots' else 0):
+            yield f'is too small @ {path}.size.{field}'
--- /dev/null
+++ b/packages/core/celeryshift_core/_explain.py
@@ -0,0 +1,68 @@
+"""Why work waits, ran where it did, or was refused."""
+
+from celeryshift_core import _state
+from celeryshift_core import _tasks
+
+MAX_REMEMBERED = 2000
+MAX_TASKS_SHOWN = 20
+
+
+def remember(state: _state.State, task: _tasks.Task) -> None:
+    """Keep the decisions of a task that has ended, for a while."""
+    state.ended_by_id[task.id] = task
+    state.ended_by_id.move_to_end(task.id)
+    if len(state.ended_by_id) > MAX_REMEMBERED:
+        state.ended_by_id.popitem(last=False)
+
+
+def explain_task(state: _state.State, task: _tasks.Task) -> dict:
+    """Write down the decisions about a task, with the age of each."""
+    return {
+        'task': task.id,
+        'state': task.state.value,
+        'decisions': [
+            {
+                'ago_s': round(state.now - decision.at, 3),
+                'what': decision.what,
+                'why': decision.why,
+                'worker': decision.worker,
+            }
+            for decision in task.decisions
+        ],
+    }
+
+
+def find(state: _state.State, task_id: str) -> _tasks.Task | None:
+    """Give a task that this node holds, or remembers."""
+    for held in state.slices_by_number.values():
+        task = held.tasks_by_id.get(task_id)
+        if task is not None:
+            return task
+    return state.ended_by_id.get(task_id)
+
+
+def explain_job(
+    state: _state.State, held: _state.Slice, job: _tasks.Job
+) -> dict:
+    """Write down the decisions about the tasks of a job."""
+    shown = []
+    for index in range(min(job.tasks, MAX_TASKS_SHOWN)):
+        task = find(state, job.task_id(index))
+        if task is not None:
+            shown.append(explain_task(state, task))
+    return {**describe_job(job), 'slice': held.number, 'explained': shown}
+
+
+def describe_job(job: _tasks.Job) -> dict:
+    """Write down how far a job has come."""
+    return {
+        'id': job.id.partition(':')[2],
+        'team': job.team,
+        'kind': job.kind,
+        'state': job.state,
+        'tasks': job.tasks,
+        'running': len(job.running),
+        'done': len(job.done),
+        'failed': len(job.failed),
+        'unknown': len(job.unknown),
+    }
--- /dev/null
+++ b/packages/core/celeryshift_core/_jobs.py
@@ -0,0 +1,370 @@
+"""Jobs: acceptance, the ends of their tasks, cancellation and records."""
+
+import attrs
+
+from celeryshift_core import _config
+from celeryshift_core import _explain
+from celeryshift_core import _ledger
+from celeryshift_core import _size
+from celeryshift_core import _state
+from celeryshift_core import _store
+from celeryshift_core import _tasks
+from celeryshift_core import _timers
+from celeryshift_core import events
+from celeryshift_core import schema
+
+REQUEUE_S = 1.0
+MAX_FINISHED = 1000
+
+TaskState = _tasks.TaskState
+
+
+@attrs.frozen(slots=True)
+class RecordPurpose:
+    """Say that a write records what became of some jobs of a slice."""
+
+    slice: int
+    epoch: int
+    jobs: tuple[str, ...]
+    ended_runs_by_job: dict[str, dict[str, str]]
+
+
+def to_row(job: _tasks.Job) -> dict:
+    """Write a job as the value of its row."""
+    return {
+        'id': job.id,
+        'team': job.team,
+        'kind': job.kind,
+        'tasks': job.tasks,
+        'payload': job.payload,
+        'size': _config.unstructure(job.size),
+        'done': _tasks.to_ranges(job.done),
+        'failed': _tasks.to_ranges(job.failed),
+        'unknown': _tasks.to_ranges(job.unknown),
+        'cancelled': job.cancelled,
+    }
+
+
+def from_row(row: schema.Row) -> _tasks.Job:
+    """Read a job from its row."""
+    value = row.value
+    return _tasks.Job(
+        value['id'],
+        value['team'],
+        value['kind'],
+        value['tasks'],
+        value['payload'],
+        _config.structure(value['size'], _size.Size),
+        row.version,
+        _tasks.from_ranges(value['done']),
+        _tasks.from_ranges(value['failed']),
+        _tasks.from_ranges(value['unknown']),
+        value['cancelled'],
+    )
+
+
+def install(
+    state: _state.State,
+    held: _state.Slice,
+    job: _tasks.Job,
+    task_state: TaskState,
+) -> list[_tasks.Task]:
+    """Make the tasks of a job that have not ended yet."""
+    held.jobs_by_id[job.id] = job
+    kind = state.config.kinds.get(job.kind, _config.Kind(upstream=''))
+    made = []
+    for index in range(job.tasks):
+        if index in job.done or index in job.failed or index in job.unknown:
+            continue
+        task = _tasks.Task(
+            job.task_id(index),
+            job.team,
+            job.kind,
+            kind.upstream,
+            job.size,
+            kind.urgent,
+            state.now,
+            job=job.id,
+            index=index,
+            state=task_state,
+        )
+        held.tasks_by_id[task.id] = task
+        made.append(task)
+    return made
+
+
+def restore(state: _state.State, held: _state.Slice, row: schema.Row) -> None:
+    """Take over a job from the row that an earlier owner wrote."""
+    job = from_row(row)
+    for task in install(state, held, job, TaskState.UNACCOUNTED):
+        held.unaccounted.add(task.id)
+
+
+def accept(state: _state.State, held: _state.Slice, job: _tasks.Job) -> None:
+    """Queue the tasks of a job whose row has been written."""
+    for task in install(state, held, job, TaskState.QUEUED):
+        task.note(state.now, 'queued', f'slice {held.number}')
+        held.queue.push(task)
+    state.touched[held.number] = None
+
+
+def resume(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    out: _state.Out,
+) -> None:
+    """Queue a task again that surely runs nowhere."""
+    job = held.jobs_by_id[task.job]
+    if job.cancelled:
+        task.state = TaskState.CANCELLED
+        _changed(state, held, job)
+        return
+    held.queue.push(task, front=True)
+    state.touched[held.number] = None
+
+
+def adopted(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    out: _state.Out,
+) -> None:
+    """Note that a task of an earlier owner is running."""
+    held.jobs_by_id[task.job].running.add(task.id)
+
+
+def task_ended(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    worker: _ledger.Worker,
+    phase: events.TaskPhase,
+    out: _state.Out,
+) -> None:
+    """Take in the end of a task that its worker reported."""
+    job = held.jobs_by_id[task.job]
+    kind = state.config.kinds.get(task.kind)
+    service = kind is not None and kind.policy is _config.Policy.SERVICE
+    if phase is events.TaskPhase.DONE and not (service or job.cancelled):
+        job.done.add(task.index)
+        job.ended_runs[task.run_id] = worker.name
+        _end(state, held, job, task, TaskState.DONE, 'done')
+        return
+    worker.to_acknowledge.add(task.run_id)
+    if job.cancelled:
+        _end(state, held, job, task, TaskState.CANCELLED, 'stopped')
+    elif phase is events.TaskPhase.FAILED and not service:
+        _task_failed(state, held, job, task, worker, kind, out)
+    else:
+        task_lost(state, held, task, f'worker ended it: {phase.value}', out)
+
+
+def task_lost(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    why: str,
+    out: _state.Out,
+) -> None:
+    """Run a task again that ended without a result, if it may be."""
+    job = held.jobs_by_id[task.job]
+    kind = state.config.kinds.get(task.kind)
+    state.counters['tasks.lost'] += 1
+    if job.cancelled:
+        _end(state, held, job, task, TaskState.CANCELLED, why)
+    elif kind is not None and not kind.repeatable:
+        job.unknown.add(task.index)
+        _end(state, held, job, task, TaskState.FAILED, f'not repeated: {why}')
+    else:
+        task.note(state.now, 'queued again', why)
+        resume(state, held, task, out)
+
+
+def not_started(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    why: str,
+    refused: bool,
+    out: _state.Out,
+) -> None:
+    """Queue a task again that was surely not started."""
+    if refused:
+        task.failed_on += (task.worker,)
+    task.note(state.now, 'queued again', why)
+    resume(state, held, task, out)
+
+
+def not_claimed(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    found: schema.Row | None,
+    out: _state.Out,
+) -> None:
+    """End a task that was started before, or try its claim later."""
+    job = held.jobs_by_id[task.job]
+    if found is None:
+        task.state = TaskState.UNACCOUNTED
+        task.note(state.now, 'waits', 'its claim could not be written')
+        key = _timers.RequeueTask(held.number, held.epoch, task.id)
+        state.timers.set(key, state.now + REQUEUE_S)
+        return
+    job.unknown.add(task.index)
+    _end(state, held, job, task, TaskState.FAILED, 'it was started before')
+
+
+def requeue(
+    state: _state.State, timer: _timers.RequeueTask, out: _state.Out
+) -> None:
+    """Queue a task whose claim is to be tried again."""
+    held = state.slices_by_number.get(timer.slice)
+    if held is None or held.epoch != timer.epoch:
+        return
+    task = held.tasks_by_id.get(timer.task)
+    if task is not None and task.state is TaskState.UNACCOUNTED:
+        resume(state, held, task, out)
+
+
+def cancel(
+    state: _state.State, held: _state.Slice, job: _tasks.Job
+) -> list[_tasks.Task]:
+    """Cancel a job; give the tasks that have to be stopped."""
+    job.cancelled = True
+    running = []
+    for index in range(job.tasks):
+        task = held.tasks_by_id.get(job.task_id(index))
+        if task is None:
+            continue
+        if task.state is TaskState.QUEUED:
+            held.queue.leave(task, TaskState.CANCELLED)
+            task.note(state.now, 'cancelled')
+        elif task.state in (TaskState.STARTING, TaskState.RUNNING):
+            running.append(task)
+    _changed(state, held, job)
+    return running
+
+
+def flush(state: _state.State, out: _state.Out) -> None:
+    """Write the jobs that have changed, many in one write."""
+    for held in state.slices_by_number.values():
+        if held.dirty_jobs and not held.writing_jobs:
+            _write(state, held, out)
+
+
+def recorded(
+    state: _state.State,
+    purpose: RecordPurpose,
+    answer: _store.Written,
+    out: _state.Out,
+) -> None:
+    """Take in the outcome of a write of job records."""
+    held = state.slices_by_number.get(purpose.slice)
+    if held is None or held.epoch != purpose.epoch:
+        return
+    held.writing_jobs = False
+    for job_id in purpose.jobs:
+        job = held.jobs_by_id.get(job_id)
+        if job is None:
+            continue
+        if not answer.ok:
+            held.dirty_jobs[job_id] = None
+            continue
+        job.row_version = answer.version
+        runs = purpose.ended_runs_by_job[job_id]
+        for run_id, worker_name in runs.items():
+            job.ended_runs.pop(run_id, None)
+            worker = held.ledger.workers_by_name.get(worker_name)
+            if worker is not None:
+                worker.to_acknowledge.add(run_id)
+        if job.finished and job_id not in held.dirty_jobs:
+            _forget(state, held, job)
+    if held.dirty_jobs:
+        _schedule(state, REQUEUE_S if not answer.ok else None)
+
+
+def _write(state: _state.State, held: _state.Slice, out: _state.Out) -> None:
+    data_centre = state.options.data_centre
+    row_key = schema.slice_(data_centre, held.number)
+    checks = {row_key: held.row_version}
+    puts: dict[str, dict] = {}
+    deletes = []
+    job_ids = tuple(held.dirty_jobs)[: state.options.rows_per_write]
+    ended = {}
+    for job_id in job_ids:
+        del held.dirty_jobs[job_id]
+        job = held.jobs_by_id[job_id]
+        key = schema.job(data_centre, held.number, job_id)
+        checks[key] = job.row_version
+        ended[job_id] = dict(job.ended_runs)
+        if job.finished:
+            deletes.append(key)
+            place = {'data_centre': data_centre, 'slice': held.number}
+            place['result'] = _explain.describe_job(job)
+            puts[schema.job_place(job_id)] = place
+        else:
+            puts[key] = to_row(job)
+    held.writing_jobs = True
+    purpose = RecordPurpose(held.number, held.epoch, job_ids, ended)
+    _store.write(state, out, purpose, checks, puts, tuple(deletes))
+
+
+def _task_failed(
+    state: _state.State,
+    held: _state.Slice,
+    job: _tasks.Job,
+    task: _tasks.Task,
+    worker: _ledger.Worker,
+    kind: _config.Kind | None,
+    out: _state.Out,
+) -> None:
+    task.failed_on += (worker.name,)
+    may_retry = (
+        kind is not None
+        and kind.repeatable
+        and len(task.failed_on) < kind.max_attempts
+    )
+    if may_retry:
+        task.note(state.now, 'queued again', f'failed on {worker.name}')
+        resume(state, held, task, out)
+    else:
+        job.failed.add(task.index)
+        why = f'failed on {", ".join(task.failed_on)}'
+        _end(state, held, job, task, TaskState.FAILED, why)
+
+
+def _end(
+    state: _state.State,
+    held: _state.Slice,
+    job: _tasks.Job,
+    task: _tasks.Task,
+    task_state: TaskState,
+    why: str,
+) -> None:
+    task.state = task_state
+    task.note(state.now, task_state.value, why)
+    held.tasks_by_id.pop(task.id, None)
+    _explain.remember(state, task)
+    state.counters[f'tasks.{task_state.value}'] += 1
+    _changed(state, held, job)
+
+
+def _changed(state: _state.State, held: _state.Slice, job: _tasks.Job) -> None:
+    held.dirty_jobs[job.id] = None
+    _schedule(state, None)
+
+
+def _schedule(state: _state.State, delay_s: float | None) -> None:
+    delay_s = delay_s or state.options.flush_s
+    state.timers.set_once(_timers.FlushRecords(), state.now + delay_s)
+
+
+def _forget(state: _state.State, held: _state.Slice, job: _tasks.Job) -> None:
+    del held.jobs_by_id[job.id]
+    for index in range(job.tasks):
+        held.tasks_by_id.pop(job.task_id(index), None)
+    held.finished_by_id[job.id] = job
+    while len(held.finished_by_id) > MAX_FINISHED:
+        oldest = next(iter(held.finished_by_id))
+        del held.finished_by_id[oldest]
--- /dev/null
+++ b/packages/core/celeryshift_core/_launch.py
@@ -0,0 +1,96 @@
+"""Sending placed tasks to their workers, and taking bookings back."""
+
+from celeryshift_core import _ledger
+from celeryshift_core import _rights
+from celeryshift_core import _shares
+from celeryshift_core import _state
+from celeryshift_core import _tasks
+from celeryshift_core import effects
+
+
+def send(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    out: _state.Out,
+) -> None:
+    """Ask the worker that was chosen to run a task."""
+    worker = held.ledger.workers_by_name[task.worker]
+    kind = state.config.kinds[task.kind]
+    if task.is_request:
+        _send_request(state, task, worker, out)
+        return
+    job = held.jobs_by_id[task.job]
+    job.running.add(task.id)
+    out.append(
+        effects.StartTask(
+            held.number,
+            held.epoch,
+            worker.name,
+            worker.address,
+            task.run_id,
+            task.team,
+            task.kind,
+            task.size,
+            job.payload,
+            state.options.task_lease_s,
+            kind.max_run_s,
+            _rights.until(state),
+        )
+    )
+
+
+def _send_request(
+    state: _state.State,
+    task: _tasks.Task,
+    worker: _ledger.Worker,
+    out: _state.Out,
+) -> None:
+    request = state.requests_by_id[task.request]
+    request.sent = True
+    out.append(
+        effects.SendRequest(
+            request.id,
+            task.attempt,
+            task.run_id,
+            worker.name,
+            worker.address,
+            task.team,
+            task.kind,
+            task.size,
+            state.config.kinds[task.kind].repeatable,
+            request.deadline - state.now,
+            min(_rights.until(state), request.deadline),
+        )
+    )
+
+
+def adopt(
+    state: _state.State,
+    held: _state.Slice,
+    worker: _ledger.Worker,
+    run_id: str,
+    hold: _ledger.Hold,
+) -> None:
+    """Count what a worker runs already, whoever started it."""
+    if held.ledger.adopt(worker.name, run_id, hold):
+        _shares.charge(state, held, hold.team, hold.size.slots)
+
+
+def free(
+    state: _state.State, held: _state.Slice, worker: str, run_id: str
+) -> None:
+    """Free what a run held, after it ended or was surely not started."""
+    state.touched[held.number] = None
+    held.unconfirmed.discard(run_id)
+    hold = held.ledger.release(worker, run_id)
+    if hold is not None:
+        _shares.charge(state, held, hold.team, -hold.size.slots)
+
+
+def unbook(state: _state.State, held: _state.Slice, task: _tasks.Task) -> None:
+    """Free what the latest run of a task held."""
+    free(state, held, task.worker, task.run_id)
+    job = held.jobs_by_id.get(task.job)
+    if job is not None:
+        job.running.discard(task.id)
--- /dev/null
+++ b/packages/core/celeryshift_core/_once.py
@@ -0,0 +1,82 @@
+"""Claims of work that must not be repeated.
+
+The owner inserts a claim under the name of the request or task before it is
+sent for the first time. Whoever finds a claim that is not its own never sends.
+"""
+
+import attrs
+
+from celeryshift_core import _jobs
+from celeryshift_core import _launch
+from celeryshift_core import _requests
+from celeryshift_core import _state
+from celeryshift_core import _store
+from celeryshift_core import _tasks
+from celeryshift_core import schema
+
+
+@attrs.frozen(slots=True)
+class ClaimPurpose:
+    """Say that a write claims the only run of a request or task."""
+
+    slice: int
+    epoch: int
+    task: str
+
+
+@attrs.frozen(slots=True)
+class UnclaimPurpose:
+    """Say that a write gives back a claim that was never used."""
+
+
+def claim(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    out: _state.Out,
+) -> None:
+    """Claim the only run of a task that is placed."""
+    key = schema.once(task.id)
+    value = {'node': state.node, 'worker': task.worker, 'run': task.run_id}
+    purpose = ClaimPurpose(held.number, held.epoch, task.id)
+    _store.write(state, out, purpose, {key: 0}, {key: value})
+
+
+def claimed(
+    state: _state.State,
+    purpose: ClaimPurpose,
+    answer: _store.Written,
+    out: _state.Out,
+) -> None:
+    """Take in the outcome of a claim: send only if it is ours."""
+    held = state.slices_by_number.get(purpose.slice)
+    task = None
+    if held is not None and held.epoch == purpose.epoch:
+        task = held.tasks_by_id.get(purpose.task)
+    wanted = (
+        task is not None
+        and task.state is _tasks.TaskState.STARTING
+        and (not task.request or task.request in state.requests_by_id)
+    )
+    if held is None or task is None or not wanted:
+        if answer.ok:
+            unclaim(state, purpose.task, answer.version, out)
+        return
+    if answer.ok:
+        _launch.send(state, held, task, out)
+        return
+    _launch.unbook(state, held, task)
+    found = answer.rows.get(schema.once(task.id))
+    if task.is_request:
+        _requests.not_claimed(state, held, task, found, out)
+    else:
+        _jobs.not_claimed(state, held, task, found, out)
+
+
+def unclaim(
+    state: _state.State, task_id: str, version: int, out: _state.Out
+) -> None:
+    """Give back a claim under which nothing was sent."""
+    key = schema.once(task_id)
+    checks = {key: version}
+    _store.write(state, out, UnclaimPurpose(), checks, {}, (key,))
--- /dev/null
+++ b/packages/core/celeryshift_core/_options.py
@@ -0,0 +1,40 @@
+"""Options of a node: where it is, and its times and bounds."""
+
+import attrs
+
+
+@attrs.frozen(slots=True)
+class Options:
+    """Hold what a node is told at its start; times are in seconds."""
+
+    address: str
+    data_centre: str
+    slices: int = 4
+    node_lease_s: float = 4.0
+    node_renew_s: float = 1.2
+    clock_margin: float = 0.05
+    task_lease_s: float = 15.0
+    sync_wait_s: float = 4.0
+    sync_retry_s: float = 0.5
+    vm_poll_s: float = 2.0
+    config_poll_s: float = 1.0
+    config_stale_s: float = 15.0
+    nodes_poll_s: float = 5.0
+    summary_s: float = 0.25
+    flush_s: float = 0.05
+    settle_s: float = 0.5
+    reply_s: float = 5.0
+    retry_after_s: float = 1.0
+    max_hops: int = 2
+    max_waiting: int = 60_000
+    rows_per_write: int = 200
+
+    @property
+    def takeover_s(self) -> float:
+        """Give the wait after which another node's lease has lapsed."""
+        return self.node_lease_s * (1 + self.clock_margin)
+
+    @property
+    def tasks_end_s(self) -> float:
+        """Give the wait after which task leases not renewed have ended."""
+        return self.task_lease_s * (1 + self.clock_margin)
--- /dev/null
+++ b/packages/core/celeryshift_core/_peers.py
@@ -0,0 +1,145 @@
+"""What nodes tell each other, and which peer has room."""
+
+from collections.abc import Callable
+from typing import Any
+
+from celeryshift_core import _ownership
+from celeryshift_core import _state
+from celeryshift_core import _timers
+from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_core import messages
+
+SOON_S = 0.2
+
+
+def summarize(state: _state.State, out: _state.Out) -> None:
+    """Tell every live peer what this node has."""
+    at = state.now + state.options.summary_s
+    state.timers.set(_timers.Summarize(), at)
+    if state.phase is _state.NodePhase.STARTING:
+        return
+    confirmed_at = state.config_confirmed_at
+    summary = messages.Summary(
+        state.node,
+        sorted(state.slices_by_number),
+        _state.total_free(state),
+        state.config.version,
+        state.now - confirmed_at if confirmed_at is not None else -1.0,
+        state.phase is _state.NodePhase.DRAINING,
+    )
+    broadcast(state, summary, out)
+
+
+def broadcast(
+    state: _state.State, message: messages.Message, out: _state.Out
+) -> None:
+    """Send a message to every live peer."""
+    for peer in list(_ownership.live_peers(state)):
+        out.append(effects.SendPeer(peer.id, peer.address, message))
+
+
+def arrived(
+    state: _state.State, event: events.PeerMessageArrived, out: _state.Out
+) -> None:
+    """Take in a message from another node."""
+    handler = _HANDLERS_BY_TYPE[type(event.message)]
+    handler(state, event.message, out)
+
+
+def unreachable(
+    state: _state.State, event: events.PeerUnreachable, out: _state.Out
+) -> None:
+    """Forget what a peer said that no longer answers."""
+    peer = state.membership.peers_by_id.get(event.peer)
+    if peer is not None:
+        peer.heard_at = None
+        peer.free_slots_by_upstream = {}
+
+
+def with_room(
+    state: _state.State,
+    upstream: str,
+    tried: tuple[str, ...],
+    may_wait: bool,
+) -> _state.Peer | None:
+    """Choose a peer with room, one of this data centre if there is any.
+
+    Where work may wait at the peer, one that merely has workers will do.
+
+    Source: Mitzenmacher, The power of two choices, 2001.
+    """
+    near: list[_state.Peer] = []
+    far: list[_state.Peer] = []
+    full: list[_state.Peer] = []
+    for peer in _ownership.live_peers(state):
+        if peer.id in tried or peer.heard_at is None:
+            continue
+        if peer.free_slots_by_upstream.get(upstream, 0) > 0:
+            is_near = peer.data_centre == state.options.data_centre
+            (near if is_near else far).append(peer)
+        elif may_wait and upstream in peer.free_slots_by_upstream:
+            full.append(peer)
+    among = near or far or full
+    if not among:
+        return None
+    pair = state.rng.sample(among, min(2, len(among)))
+    return max(pair, key=lambda peer: peer.free_slots_by_upstream[upstream])
+
+
+def with_workers(state: _state.State, upstream: str) -> _state.Peer | None:
+    """Choose the peer with the most room among those with workers."""
+    able = [
+        peer
+        for peer in _ownership.live_peers(state)
+        if upstream in peer.free_slots_by_upstream
+    ]
+    if not able:
+        return None
+    return max(
+        able,
+        key=lambda peer: (
+            peer.data_centre == state.options.data_centre,
+            peer.free_slots_by_upstream[upstream],
+        ),
+    )
+
+
+def charge(peer: _state.Peer | None, upstream: str, slots: int) -> None:
+    """Count room of a peer as used, or free again, until its summary."""
+    if peer is not None and upstream in peer.free_slots_by_upstream:
+        free = peer.free_slots_by_upstream[upstream] - slots
+        peer.free_slots_by_upstream[upstream] = max(0, free)
+
+
+def _take_summary(
+    state: _state.State, message: messages.Summary, out: _state.Out
+) -> None:
+    peer = state.membership.peers_by_id.get(message.node)
+    if peer is None:
+        # A node that has just registered: read the registrations soon.
+        at = state.now + SOON_S
+        if (state.timers.at(_timers.PollNodes()) or at) >= at:
+            state.timers.set(_timers.PollNodes(), at)
+        return
+    peer.heard_at = state.now
+    peer.slices = tuple(message.slices)
+    peer.free_slots_by_upstream = dict(message.free_slots_by_upstream)
+    peer.draining = message.draining
+
+
+def _take_withdrawn(
+    state: _state.State, message: messages.KeysWithdrawn, out: _state.Out
+) -> None:
+    new = set(message.key_ids) - state.withdrawn_keys
+    if new:
+        state.withdrawn_keys.update(new)
+        fields = {'keys': sorted(new)}
+        out.append(effects.LogChange('keys-withdrawn', fields))
+
+
+_HANDLERS_BY_TYPE: dict[type, Callable[[_state.State, Any, _state.Out], None]]
+_HANDLERS_BY_TYPE = {
+    messages.Summary: _take_summary,
+    messages.KeysWithdrawn: _take_withdrawn,
+}
--- /dev/null
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -0,0 +1,187 @@
+"""The reducer: one entry for every event, with effects as data."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+from celeryshift_core import _configuration
+from celeryshift_core import _errors
+from celeryshift_core import _jobs
+from celeryshift_core import _once
+from celeryshift_core import _ownership
+from celeryshift_core import _peers
+from celeryshift_core import _placement
+from celeryshift_core import _requests
+from celeryshift_core import _slices
+from celeryshift_core import _state
+from celeryshift_core import _store
+from celeryshift_core import _submission
+from celeryshift_core import _timers
+from celeryshift_core import _workers
+from celeryshift_core import effects
+from celeryshift_core import events
+
+Handler = Callable[[_state.State, Any, _state.Out], Any]
+WriteHandler = Callable[[_state.State, Any, _store.Written, _state.Out], None]
+ReadHandler = Callable[[_state.State, Any, Any, _state.Out], None]
+
+
+def reduce(state: _state.State, event: events.Event) -> list[effects.Effect]:
+    """Take in an event: change the state, and give what has to be done."""
+    handler = _HANDLERS_BY_EVENT.get(type(event))
+    if handler is None:
+        raise _errors.UnknownEventError(type(event).__name__)
+    state.now = max(state.now, event.now)
+    out: _state.Out = []
+    handler(state, event, out)
+    _run_timers(state, out)
+    _placement.pump_touched(state, out)
+    if state.phase is _state.NodePhase.DRAINING:
+        for number in list(state.slices_by_number):
+            _ownership.try_release(state, number, out)
+        _ownership.stop_if_drained(state, out)
+    return out
+
+
+def _run_timers(state: _state.State, out: _state.Out) -> None:
+    for timer in state.timers.pop_due(state.now):
+        _HANDLERS_BY_TIMER[type(timer)](state, timer, out)
+
+
+def _start(
+    state: _state.State, event: events.Started, out: _state.Out
+) -> None:
+    state.node = f'{state.options.address}/{event.incarnation}'
+    state.rng = random.Random(event.incarnation)
+    state.membership.stable_since = state.now
+    _poll_vms(state, None, out)
+    _configuration.poll(state, out)
+    _ownership.renew(state, out)
+    _ownership.poll_nodes(state, out)
+    _peers.summarize(state, out)
+
+
+def _pass(state: _state.State, event: events.Tick, out: _state.Out) -> None:
+    """Only time has passed."""
+
+
+def _poll_vms(state: _state.State, timer: Any, out: _state.Out) -> None:
+    at = state.now + state.options.vm_poll_s
+    state.timers.set(_timers.PollVms(), at)
+    out.append(effects.FetchVms(state.vm_revision))
+
+
+def _drain(
+    state: _state.State, event: events.DrainRequested, out: _state.Out
+) -> None:
+    if state.phase is _state.NodePhase.SERVING:
+        state.phase = _state.NodePhase.DRAINING
+        out.append(effects.LogChange('draining', {'node': state.node}))
+        _peers.summarize(state, out)
+        _ownership.balance(state, out)
+    elif state.phase is _state.NodePhase.STARTING:
+        state.phase = _state.NodePhase.STOPPED
+        out.append(effects.StopNode())
+
+
+def _store_written(
+    state: _state.State, event: events.StoreWritten, out: _state.Out
+) -> None:
+    sure = _store.written(state, event, out)
+    if sure is not None:
+        purpose, answer = sure
+        handler = _HANDLERS_BY_WRITE.get(type(purpose))
+        if handler is not None:
+            handler(state, purpose, answer, out)
+
+
+def _store_read(
+    state: _state.State, event: events.StoreRead, out: _state.Out
+) -> None:
+    purpose = _store.take_read(state, event, out)
+    if purpose is not None:
+        _HANDLERS_BY_READ[type(purpose)](state, purpose, event.rows, out)
+
+
+def _worker_synced(
+    state: _state.State, event: events.WorkerSynced, out: _state.Out
+) -> None:
+    if _workers.synced(state, event, out):
+        held = state.slices_by_number[event.slice]
+        _slices.check_accounted(state, held, out)
+
+
+def _recovery_ends(
+    state: _state.State, timer: _timers.RecoveryEnds, out: _state.Out
+) -> None:
+    held = _workers.owned(state, timer.slice, timer.epoch)
+    if held is not None:
+        _slices.open_slice(state, held, out)
+
+
+def _flush_records(
+    state: _state.State, timer: _timers.FlushRecords, out: _state.Out
+) -> None:
+    _submission.flush(state, out)
+    _jobs.flush(state, out)
+
+
+_HANDLERS_BY_EVENT: dict[type, Handler] = {
+    events.Started: _start,
+    events.Tick: _pass,
+    events.StoreWritten: _store_written,
+    events.StoreRead: _store_read,
+    events.VmsFetched: _slices.vms_fetched,
+    events.WorkerSynced: _worker_synced,
+    events.TaskStarted: _workers.started,
+    events.TaskStopped: _pass,
+    events.RequestArrived: _requests.arrived,
+    events.RequestAbandoned: _requests.abandoned,
+    events.RequestAnswered: _requests.answered,
+    events.RequestForwarded: _requests.forwarded,
+    events.JobSubmitted: _submission.submitted,
+    events.JobAsked: _submission.asked,
+    events.CallForwarded: _submission.forwarded,
+    events.ConfigHandedIn: _configuration.handed_in,
+    events.KeyWithdrawn: _configuration.key_withdrawn,
+    events.PeerMessageArrived: _peers.arrived,
+    events.PeerUnreachable: _peers.unreachable,
+    events.DrainRequested: _drain,
+}
+
+_HANDLERS_BY_TIMER: dict[type, Handler] = {
+    _timers.RenewNode: lambda state, _, out: _ownership.renew(state, out),
+    _timers.PollVms: _poll_vms,
+    _timers.PollConfig: lambda state, _, out: _configuration.poll(state, out),
+    _timers.PollNodes: lambda state, _, out: _ownership.poll_nodes(state, out),
+    _timers.Summarize: lambda state, _, out: _peers.summarize(state, out),
+    _timers.FlushRecords: _flush_records,
+    _timers.SettleWrite: lambda state, timer, out: _store.settle(
+        state, timer.op_id, out
+    ),
+    _timers.SyncDue: _workers.retry,
+    _timers.LeasesEnd: _workers.leases_end,
+    _timers.RecoveryEnds: _recovery_ends,
+    _timers.HoldEnds: _workers.hold_ends,
+    _timers.RequeueTask: _jobs.requeue,
+    _timers.RequestDue: _requests.due,
+    _timers.ReplyDue: _submission.reply_due,
+}
+
+_HANDLERS_BY_WRITE: dict[type, WriteHandler] = {
+    _ownership.RenewPurpose: _ownership.renewed,
+    _ownership.TakePurpose: _ownership.taken,
+    _ownership.ReleasePurpose: _ownership.released,
+    _once.ClaimPurpose: _once.claimed,
+    _jobs.RecordPurpose: _jobs.recorded,
+    _submission.SubmitPurpose: _submission.written,
+    _configuration.HandInPurpose: _configuration.written,
+}
+
+_HANDLERS_BY_READ: dict[type, ReadHandler] = {
+    _ownership.NodesPurpose: _ownership.nodes_read,
+    _submission.PlacePurpose: _submission.place_read,
+    _configuration.HeadPurpose: _configuration.head_read,
+    _configuration.DocumentPurpose: _configuration.document_read,
+    _configuration.BasePurpose: _configuration.base_read,
+}
--- /dev/null
+++ b/packages/core/celeryshift_core/_size.py
@@ -0,0 +1,42 @@
+"""Sizes of tasks and capacities of workers."""
+
+import attrs
+
+
+@attrs.frozen(slots=True)
+class Size:
+    """Hold an amount of each resource that a worker offers."""
+
+    slots: int = 1
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: 'Size') -> 'Size':
+        return Size(
+            self.slots + other.slots,
+            self.cpu_milli + other.cpu_milli,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: 'Size') -> 'Size':
+        return Size(
+            self.slots - other.slots,
+            self.cpu_milli - other.cpu_milli,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits(self, room: 'Size') -> bool:
+        """Tell whether this amount fits into the room given."""
+        return (
+            self.slots <= room.slots
+            and self.cpu_milli <= room.cpu_milli
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+
+ZERO = Size(0, 0, 0, 0)
+ONE_SLOT = Size()
--- /dev/null
+++ b/packages/core/celeryshift_core/_state.py
@@ -0,0 +1,187 @@
+"""The state of a node: all that the reducer reads and changes."""
+
+import collections
+import enum
+import random
+from typing import Any
+
+import attrs
+
+from celeryshift_core import _config
+from celeryshift_core import _ledger
+from celeryshift_core import _options
+from celeryshift_core import _queue
+from celeryshift_core import _size
+from celeryshift_core import _tasks
+from celeryshift_core import _timers
+from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_core import schema
+
+Out = list[effects.Effect]
+
+
+class NodePhase(enum.Enum):
+    """Say how far a node is in its life."""
+
+    STARTING = 'starting'
+    SERVING = 'serving'
+    DRAINING = 'draining'
+    STOPPED = 'stopped'
+
+
+class SlicePhase(enum.Enum):
+    """Say how far a node is in owning a slice."""
+
+    RECOVERING = 'recovering'
+    READY = 'ready'
+    RELEASING = 'releasing'
+
+
+@attrs.define(eq=False)
+class Slice:
+    """Hold a slice that this node owns."""
+
+    number: int
+    epoch: int
+    row_version: int
+    queue: _queue.Queue
+    phase: SlicePhase = SlicePhase.RECOVERING
+    ledger: _ledger.Ledger = attrs.field(factory=_ledger.Ledger)
+    jobs_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
+    tasks_by_id: dict[str, _tasks.Task] = attrs.field(factory=dict)
+    slots_by_team: dict[str, int] = attrs.field(factory=dict)
+    unaccounted: set[str] = attrs.field(factory=set)
+    unconfirmed: set[str] = attrs.field(factory=set)
+    dirty_jobs: dict[str, None] = attrs.field(factory=dict)
+    writing_jobs: bool = False
+    finished_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
+
+
+@attrs.define(eq=False)
+class Peer:
+    """Hold what this node knows of another node."""
+
+    id: str
+    address: str
+    data_centre: str
+    row_version: int
+    changed_at: float
+    draining: bool = False
+    config_version: int = 0
+    slices: tuple[int, ...] = ()
+    free_slots_by_upstream: dict[str, int] = attrs.field(factory=dict)
+    heard_at: float | None = None
+
+
+@attrs.define(eq=False)
+class Membership:
+    """Hold the registration of this node and those of its peers."""
+
+    row_version: int = 0
+    lease_until: float = 0.0
+    renewing: bool = False
+    peers_by_id: dict[str, Peer] = attrs.field(factory=dict)
+    slice_rows_by_number: dict[int, schema.Row] = attrs.field(factory=dict)
+    taking: set[int] = attrs.field(factory=set)
+    stable_since: float = 0.0
+
+
+@attrs.define(eq=False)
+class Request:
+    """Hold a request whose caller waits."""
+
+    id: str
+    name: str
+    kind: str
+    team: str
+    arrived: float
+    deadline: float
+    hops: int
+    task: _tasks.Task | None = None
+    slice: int = -1
+    sent: bool = False
+    asked: bool = False
+    forwarding: bool = False
+    forwarded_to: tuple[str, ...] = ()
+
+
+@attrs.frozen(slots=True)
+class Submission:
+    """Hold a job that waits to be written."""
+
+    reply_id: str
+    slice: int
+    job: _tasks.Job
+
+
+@attrs.define(eq=False)
+class PendingWrite:
+    """Hold a write until its outcome is known for sure."""
+
+    purpose: Any
+    sent_at: float
+    dropped_markers: tuple[str, ...]
+
+
+@attrs.define(eq=False)
+class Store:
+    """Hold what is outstanding at the store."""
+
+    op_count: int = 0
+    writes_by_op: dict[str, PendingWrite] = attrs.field(factory=dict)
+    reads_by_op: dict[str, Any] = attrs.field(factory=dict)
+    settled_markers: list[str] = attrs.field(factory=list)
+    failing_since: float | None = None
+
+
+@attrs.define(eq=False)
+class State:
+    """Hold everything that a node knows."""
+
+    options: _options.Options
+    now: float = 0.0
+    node: str = ''
+    phase: NodePhase = NodePhase.STARTING
+    rng: random.Random = attrs.field(factory=lambda: random.Random(0))
+    timers: _timers.Timers = attrs.field(factory=_timers.Timers)
+    store: Store = attrs.field(factory=Store)
+    membership: Membership = attrs.field(factory=Membership)
+    config: _config.Config = attrs.field(factory=_config.Config)
+    config_row_version: int = 0
+    config_confirmed_at: float | None = None
+    withdrawn_keys: set[str] = attrs.field(factory=set)
+    vms_by_name: dict[str, events.Vm] = attrs.field(factory=dict)
+    vm_revision: int = 0
+    slices_by_number: dict[int, Slice] = attrs.field(factory=dict)
+    touched: dict[int, None] = attrs.field(factory=dict)
+    requests_by_id: dict[str, Request] = attrs.field(factory=dict)
+    replies_due: set[str] = attrs.field(factory=set)
+    submissions: list[Submission] = attrs.field(factory=list)
+    submitting: bool = False
+    job_acts_by_reply: dict[str, Any] = attrs.field(factory=dict)
+    ended_by_id: collections.OrderedDict[str, _tasks.Task] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    run_s_by_kind: dict[str, float] = attrs.field(factory=dict)
+    counters: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+
+
+def total_free(state: State) -> dict[str, int]:
+    """Sum the free slots of this node's slices by upstream."""
+    free: collections.Counter[str] = collections.Counter()
+    for held in state.slices_by_number.values():
+        for upstream in held.ledger.upstreams:
+            free[upstream] += held.ledger.free_slots(upstream)
+    return dict(free)
+
+
+def biggest(state: State, upstream: str) -> list[_size.Size]:
+    """List the capacities of the workers of an upstream that are not gone."""
+    return [
+        vm.capacity
+        for vm in state.vms_by_name.values()
+        if vm.upstream == upstream and vm.state is not events.VmState.GONE
+    ]
--- /dev/null
+++ b/packages/core/celeryshift_core/_store.py
@@ -0,0 +1,163 @@
+"""Writes to the store whose outcome is always found out.
+
+Every write inserts a marker row of its own. When the answer to a write is
+lost, the marker is inserted by itself: if that succeeds, the write can never
+take effect any more; if it conflicts, the row found tells which came first.
+"""
+
+from typing import Any
+
+import attrs
+
+from celeryshift_core import _state
+from celeryshift_core import _timers
+from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_core import schema
+
+MARKERS_PER_WRITE = 32
+SETTLE = '!settle'
+
+
+@attrs.frozen(slots=True)
+class Written:
+    """Tell the outcome of a write that is now known for sure."""
+
+    ok: bool
+    version: int
+    rows: dict[str, schema.Row]
+    sent_at: float
+    settled_late: bool = False
+    reached: bool = True
+
+
+def write(
+    state: _state.State,
+    out: _state.Out,
+    purpose: Any,
+    checks: dict[str, int],
+    puts: dict[str, dict],
+    deletes: tuple[str, ...] = (),
+    prefixes: tuple[str, ...] = (),
+) -> str:
+    """Write rows; the purpose comes back with the outcome."""
+    store = state.store
+    op_id = _next_op(state)
+    marker = schema.marker(op_id)
+    dropped = tuple(store.settled_markers[:MARKERS_PER_WRITE])
+    del store.settled_markers[:MARKERS_PER_WRITE]
+    store.writes_by_op[op_id] = _state.PendingWrite(
+        purpose, state.now, dropped
+    )
+    out.append(
+        effects.WriteStore(
+            op_id,
+            {**checks, marker: 0},
+            {**puts, marker: {'took_effect': True}},
+            deletes + dropped,
+            prefixes,
+        )
+    )
+    state.counters['store.writes'] += 1
+    return op_id
+
+
+def read(
+    state: _state.State,
+    out: _state.Out,
+    purpose: Any,
+    keys: tuple[str, ...] = (),
+    prefixes: tuple[str, ...] = (),
+) -> None:
+    """Read rows; the purpose comes back with them."""
+    op_id = _next_op(state)
+    state.store.reads_by_op[op_id] = purpose
+    out.append(effects.ReadStore(op_id, keys, prefixes))
+    state.counters['store.reads'] += 1
+
+
+def written(
+    state: _state.State, event: events.StoreWritten, out: _state.Out
+) -> tuple[Any, Written] | None:
+    """Take in an outcome; give the purpose once the outcome is sure."""
+    op_id, _, settling = event.op_id.partition('!')
+    pending = state.store.writes_by_op.get(op_id)
+    if pending is None:
+        return None
+    _note_health(state, event.outcome, out)
+    if event.outcome is events.Outcome.UNKNOWN or (
+        settling and event.outcome is events.Outcome.UNSENT
+    ):
+        at = state.now + state.options.settle_s
+        state.timers.set(_timers.SettleWrite(op_id), at)
+        return None
+    del state.store.writes_by_op[op_id]
+    marker = schema.marker(op_id)
+    if settling:
+        answer = _settled(event, marker, pending)
+        state.store.settled_markers.append(marker)
+    else:
+        ok = event.outcome is events.Outcome.OK
+        reached = event.outcome is not events.Outcome.UNSENT
+        if ok:
+            state.store.settled_markers.append(marker)
+        else:
+            state.store.settled_markers.extend(pending.dropped_markers)
+        answer = Written(
+            ok, event.version, event.rows, pending.sent_at, reached=reached
+        )
+    return pending.purpose, answer
+
+
+def settle(state: _state.State, op_id: str, out: _state.Out) -> None:
+    """Ask again whether a write took effect."""
+    if op_id in state.store.writes_by_op:
+        marker = schema.marker(op_id)
+        puts = {marker: {'took_effect': False}}
+        out.append(effects.WriteStore(op_id + SETTLE, {marker: 0}, puts))
+
+
+def take_read(
+    state: _state.State, event: events.StoreRead, out: _state.Out
+) -> Any:
+    """Give the purpose of a read that was answered."""
+    outcome = (
+        events.Outcome.OK if event.rows is not None else events.Outcome.UNSENT
+    )
+    _note_health(state, outcome, out)
+    return state.store.reads_by_op.pop(event.op_id, None)
+
+
+def _settled(
+    event: events.StoreWritten, marker: str, pending: _state.PendingWrite
+) -> Written:
+    found = event.rows.get(marker)
+    took_effect = bool(found and found.value['took_effect'])
+    version = found.version if found else 0
+    return Written(
+        took_effect,
+        version,
+        {},
+        pending.sent_at,
+        settled_late=True,
+        reached=took_effect,
+    )
+
+
+def _next_op(state: _state.State) -> str:
+    state.store.op_count += 1
+    return f'{state.node}/{state.store.op_count}'
+
+
+def _note_health(
+    state: _state.State, outcome: events.Outcome, out: _state.Out
+) -> None:
+    failing = outcome in (events.Outcome.UNKNOWN, events.Outcome.UNSENT)
+    store = state.store
+    if failing and store.failing_since is None:
+        store.failing_since = state.now
+        out.append(effects.LogChange('store-failing'))
+    elif not failing and store.failing_since is not None:
+        lasted = round(state.now - store.failing_since, 3)
+        store.failing_since = None
+        out.append(effects.LogChange('store-back', {'lasted_s': lasted}))
--- /dev/null
+++ b/packages/core/celeryshift_core/_submission.py
@@ -0,0 +1,358 @@
+"""Submission of jobs, and questions about them from any node."""
+
+import attrs
+
+from celeryshift_core import _admission
+from celeryshift_core import _config
+from celeryshift_core import _explain
+from celeryshift_core import _ids
+from celeryshift_core import _jobs
+from celeryshift_core import _ownership
+from celeryshift_core import _peers
+from celeryshift_core import _refusals
+from celeryshift_core import _state
+from celeryshift_core import _store
+from celeryshift_core import _tasks
+from celeryshift_core import _timers
+from celeryshift_core import _workers
+from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_core import schema
+
+MAX_TASKS = 10_000
+
+Outcome = events.Outcome
+Ran = _refusals.Ran
+Reason = _refusals.Reason
+Refusal = _refusals.Refusal
+
+
+@attrs.frozen(slots=True)
+class SubmitPurpose:
+    """Say that a write accepts jobs."""
+
+    submissions: tuple[_state.Submission, ...]
+
+
+@attrs.frozen(slots=True)
+class PlacePurpose:
+    """Say that a read finds the slice of a job."""
+
+    reply_id: str
+    job: str
+    act: events.JobAct
+    team: str
+    hops: int
+
+
+def submitted(
+    state: _state.State, event: events.JobSubmitted, out: _state.Out
+) -> None:
+    """Let a job in and write it, or hand it to a peer with workers."""
+    spec = event.spec
+    team = _team(state, event.credentials, spec.team)
+    if isinstance(team, Refusal):
+        _refuse(state, event.reply_id, team, out)
+        return
+    kind = state.config.kinds.get(spec.kind)
+    refusal = _check(state, kind, spec)
+    if kind is None or refusal is not None:
+        refusal = refusal or Refusal(Reason.UNKNOWN_KIND)
+        _refuse(state, event.reply_id, refusal, out)
+        return
+    held = _choose(state, kind)
+    if held is None:
+        _hand_over(state, event, kind, team, out)
+        return
+    size = spec.size or kind.size
+    job = _tasks.Job(
+        _ids.scoped(team, spec.id),
+        team,
+        spec.kind,
+        spec.tasks,
+        spec.payload,
+        size,
+    )
+    submission = _state.Submission(event.reply_id, held.number, job)
+    state.submissions.append(submission)
+    _await_reply(state, event.reply_id)
+    key = _timers.FlushRecords()
+    state.timers.set_once(key, state.now + state.options.flush_s)
+
+
+def flush(state: _state.State, out: _state.Out) -> None:
+    """Write the jobs that wait to be accepted, many in one write."""
+    if state.submitting or not state.submissions:
+        return
+    most = state.options.rows_per_write // 2
+    batch = tuple(state.submissions[:most])
+    del state.submissions[:most]
+    data_centre = state.options.data_centre
+    checks: dict[str, int] = {}
+    puts: dict[str, dict] = {}
+    ready = []
+    for submission in batch:
+        held = state.slices_by_number.get(submission.slice)
+        place_key = schema.job_place(submission.job.id)
+        if held is None or place_key in puts:
+            _give_up(state, submission, Reason.NOT_READY, out)
+            continue
+        checks[schema.slice_(data_centre, held.number)] = held.row_version
+        checks[place_key] = 0
+        puts[place_key] = {'data_centre': data_centre, 'slice': held.number}
+        row_key = schema.job(data_centre, held.number, submission.job.id)
+        puts[row_key] = _jobs.to_row(submission.job)
+        ready.append(submission)
+    if ready:
+        state.submitting = True
+        purpose = SubmitPurpose(tuple(ready))
+        _store.write(state, out, purpose, checks, puts)
+
+
+def written(
+    state: _state.State,
+    purpose: SubmitPurpose,
+    answer: _store.Written,
+    out: _state.Out,
+) -> None:
+    """Take in the outcome of a write that accepts jobs."""
+    state.submitting = False
+    for submission in purpose.submissions:
+        held = state.slices_by_number.get(submission.slice)
+        place = answer.rows.get(schema.job_place(submission.job.id))
+        if answer.ok:
+            submission.job.row_version = answer.version
+            if held is not None:
+                _jobs.accept(state, held, submission.job)
+            _accepted(state, submission, False, out)
+        elif place is not None:
+            _accepted(state, submission, True, out)
+        elif answer.reached and submission.reply_id in state.replies_due:
+            # Another job of the same write stood in the way.
+            state.submissions.append(submission)
+        else:
+            _give_up(state, submission, Reason.STORE_DOWN, out)
+    if state.submissions:
+        flush(state, out)
+
+
+def reply_due(
+    state: _state.State, timer: _timers.ReplyDue, out: _state.Out
+) -> None:
+    """Tell a caller that the fate of its job is not known yet."""
+    if timer.reply_id in state.replies_due:
+        detail = 'the store has not answered; send the same job id again'
+        retry_s = state.options.retry_after_s
+        refusal = Refusal(Reason.STORE_DOWN, Ran.UNKNOWN, retry_s, detail)
+        _refuse(state, timer.reply_id, refusal, out)
+
+
+def forwarded(
+    state: _state.State, event: events.CallForwarded, out: _state.Out
+) -> None:
+    """Pass on what a peer replied."""
+    state.replies_due.discard(event.reply_id)
+    refusal = event.refusal
+    if event.outcome is not Outcome.OK and refusal is None:
+        unsent = event.outcome is Outcome.UNSENT
+        ran = Ran.NO if unsent else Ran.UNKNOWN
+        retry_s = state.options.retry_after_s
+        refusal = Refusal(Reason.NOT_READY, ran, retry_s, 'a peer is silent')
+    document = event.document if refusal is None else None
+    out.append(effects.Reply(event.reply_id, document, refusal))
+
+
+def asked(
+    state: _state.State, event: events.JobAsked, out: _state.Out
+) -> None:
+    """Answer a question about a job, here or where it is held."""
+    team = _team(state, event.credentials, event.team)
+    if isinstance(team, Refusal):
+        _refuse(state, event.reply_id, team, out)
+        return
+    job_id = _ids.scoped(team, event.job)
+    document = _act(state, job_id, event.act, out)
+    if document is not None:
+        out.append(effects.Reply(event.reply_id, document))
+        return
+    purpose = PlacePurpose(
+        event.reply_id, event.job, event.act, team, event.hops
+    )
+    state.replies_due.add(event.reply_id)
+    _store.read(state, out, purpose, (schema.job_place(job_id),))
+
+
+def place_read(
+    state: _state.State,
+    purpose: PlacePurpose,
+    rows: dict[str, schema.Row] | None,
+    out: _state.Out,
+) -> None:
+    """Ask the owner of the slice that a job is in."""
+    retry_s = state.options.retry_after_s
+    job_id = _ids.scoped(purpose.team, purpose.job)
+    if rows is None:
+        refusal = Refusal(Reason.STORE_DOWN, Ran.NO, retry_s)
+        _refuse(state, purpose.reply_id, refusal, out)
+        return
+    row = rows.get(schema.job_place(job_id))
+    if row is None:
+        refusal = Refusal(Reason.UNKNOWN_JOB, detail=purpose.job)
+        _refuse(state, purpose.reply_id, refusal, out)
+        return
+    if 'result' in row.value:
+        state.replies_due.discard(purpose.reply_id)
+        out.append(effects.Reply(purpose.reply_id, row.value['result']))
+        return
+    peer = _holder(state, row.value['data_centre'], row.value['slice'])
+    if peer is None or purpose.hops >= state.options.max_hops:
+        detail = 'the owner of its slice is not known yet'
+        refusal = Refusal(Reason.NOT_READY, Ran.NO, retry_s, detail)
+        _refuse(state, purpose.reply_id, refusal, out)
+        return
+    out.append(
+        effects.ForwardJobAct(
+            purpose.reply_id,
+            peer.id,
+            peer.address,
+            purpose.job,
+            purpose.act,
+            purpose.team,
+            purpose.hops + 1,
+        )
+    )
+
+
+def _act(
+    state: _state.State, job_id: str, act: events.JobAct, out: _state.Out
+) -> dict | None:
+    for held in state.slices_by_number.values():
+        job = held.jobs_by_id.get(job_id) or held.finished_by_id.get(job_id)
+        if job is None:
+            continue
+        if act is events.JobAct.CANCEL and job_id in held.jobs_by_id:
+            for task in _jobs.cancel(state, held, job):
+                _workers.stop(state, held, task, out)
+        if act is events.JobAct.EXPLAIN:
+            return _explain.explain_job(state, held, job)
+        return _explain.describe_job(job)
+    return None
+
+
+def _team(
+    state: _state.State,
+    credentials: events.Credentials | None,
+    team: str,
+) -> str | Refusal:
+    if credentials is None:
+        return team
+    return _admission.team_of(state, credentials)
+
+
+def _check(
+    state: _state.State, kind: _config.Kind | None, spec: events.JobSpec
+) -> Refusal | None:
+    if kind is None:
+        return Refusal(Reason.UNKNOWN_KIND, detail=f'kind {spec.kind!r}')
+    if kind.policy is _config.Policy.REQUEST:
+        detail = f'kind {spec.kind!r} is for requests'
+        return Refusal(Reason.BAD_REQUEST, detail=detail)
+    if not 1 <= spec.tasks <= MAX_TASKS:
+        detail = f'a job has 1 to {MAX_TASKS} tasks, not {spec.tasks}'
+        return Refusal(Reason.BAD_REQUEST, detail=detail)
+    return _admission.check_kind(state, kind, spec.size or kind.size)
+
+
+def _choose(state: _state.State, kind: _config.Kind) -> _state.Slice | None:
+    able = [
+        held
+        for held in state.slices_by_number.values()
+        if held.phase is not _state.SlicePhase.RELEASING
+        and kind.upstream in held.ledger.upstreams
+    ]
+    if not able:
+        return None
+    return max(
+        able,
+        key=lambda held: (
+            held.ledger.free_slots(kind.upstream) - held.queue.length
+        ),
+    )
+
+
+def _hand_over(
+    state: _state.State,
+    event: events.JobSubmitted,
+    kind: _config.Kind,
+    team: str,
+    out: _state.Out,
+) -> None:
+    peer = None
+    if event.hops < state.options.max_hops:
+        peer = _peers.with_workers(state, kind.upstream)
+    if peer is None:
+        retry_s = state.options.retry_after_s
+        detail = 'no node that owns workers of the upstream is known yet'
+        refusal = Refusal(Reason.NOT_READY, Ran.NO, retry_s, detail)
+        _refuse(state, event.reply_id, refusal, out)
+        return
+    spec = attrs.evolve(event.spec, team=team)
+    state.replies_due.add(event.reply_id)
+    out.append(
+        effects.ForwardJob(
+            event.reply_id, peer.id, peer.address, spec, event.hops + 1
+        )
+    )
+
+
+def _holder(
+    state: _state.State, data_centre: str, number: int
+) -> _state.Peer | None:
+    for peer in _ownership.live_peers(state):
+        if peer.data_centre == data_centre and number in peer.slices:
+            return peer
+    return None
+
+
+def _await_reply(state: _state.State, reply_id: str) -> None:
+    state.replies_due.add(reply_id)
+    at = state.now + state.options.reply_s
+    state.timers.set(_timers.ReplyDue(reply_id), at)
+
+
+def _accepted(
+    state: _state.State,
+    submission: _state.Submission,
+    existed: bool,
+    out: _state.Out,
+) -> None:
+    if submission.reply_id not in state.replies_due:
+        return
+    _replied(state, submission.reply_id)
+    name = submission.job.id.partition(':')[2]
+    document = {'id': name, 'accepted': True, 'existed': existed}
+    out.append(effects.Reply(submission.reply_id, document))
+
+
+def _give_up(
+    state: _state.State,
+    submission: _state.Submission,
+    reason: Reason,
+    out: _state.Out,
+) -> None:
+    if submission.reply_id in state.replies_due:
+        refusal = Refusal(reason, Ran.NO, state.options.retry_after_s)
+        _refuse(state, submission.reply_id, refusal, out)
+
+
+def _refuse(
+    state: _state.State, reply_id: str, refusal: Refusal, out: _state.Out
+) -> None:
+    _replied(state, reply_id)
+    state.counters[f'refused.{refusal.reason.value}'] += 1
+    out.append(effects.Reply(reply_id, None, refusal))
+
+
+def _replied(state: _state.State, reply_id: str) -> None:
+    state.replies_due.discard(reply_id)
+    state.timers.cancel(_timers.ReplyDue(reply_id))
--- /dev/null
+++ b/packages/core/celeryshift_core/_tasks.py
@@ -0,0 +1,151 @@
+"""Tasks and jobs as the owner of their slice holds them."""
+
+import enum
+from typing import Any
+
+import attrs
+
+from celeryshift_core import _ids
+from celeryshift_core import _size
+
+MAX_DECISIONS = 16
+
+
+class TaskState(enum.Enum):
+    """Say how far a task has come."""
+
+    UNACCOUNTED = 'unaccounted'
+    QUEUED = 'queued'
+    STARTING = 'starting'
+    RUNNING = 'running'
+    STOPPING = 'stopping'
+    DONE = 'done'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+
+ENDED = frozenset((TaskState.DONE, TaskState.FAILED, TaskState.CANCELLED))
+
+
+@attrs.frozen(slots=True)
+class Decision:
+    """Record one decision about a task or request, and why."""
+
+    at: float
+    what: str
+    why: str = ''
+    worker: str = ''
+
+
+@attrs.define(eq=False)
+class Task:
+    """Hold a task: one of a job, or a request."""
+
+    id: str
+    team: str
+    kind: str
+    upstream: str
+    size: _size.Size
+    urgent: bool
+    arrived: float
+    job: str = ''
+    index: int = 0
+    request: str = ''
+    state: TaskState = TaskState.QUEUED
+    worker: str = ''
+    attempt: int = 0
+    failed_on: tuple[str, ...] = ()
+    decisions: list[Decision] = attrs.field(factory=list)
+
+    @property
+    def run_id(self) -> str:
+        """Name this attempt at the worker."""
+        return f'{self.id}~{self.attempt}'
+
+    @property
+    def is_request(self) -> bool:
+        """Tell a request from a task of a job."""
+        return bool(self.request)
+
+    def note(self, at: float, what: str, why: str = '') -> None:
+        """Record a decision, unless it only repeats the last one."""
+        last = self.decisions[-1] if self.decisions else None
+        if last and (last.what, last.why) == (what, why):
+            return
+        if len(self.decisions) >= MAX_DECISIONS:
+            del self.decisions[1]
+        self.decisions.append(Decision(at, what, why, self.worker))
+
+
+def base_id(run_id: str) -> str:
+    """Name the task of which this is an attempt."""
+    return run_id.rpartition('~')[0]
+
+
+def attempt_of(run_id: str) -> int:
+    """Number an attempt by its name at the worker."""
+    number = run_id.rpartition('~')[2]
+    return int(number) if number.isdecimal() else 0
+
+
+@attrs.define(eq=False)
+class Job:
+    """Hold a job that is not finished yet."""
+
+    id: str
+    team: str
+    kind: str
+    tasks: int
+    payload: Any
+    size: _size.Size
+    row_version: int = 0
+    done: set[int] = attrs.field(factory=set)
+    failed: set[int] = attrs.field(factory=set)
+    unknown: set[int] = attrs.field(factory=set)
+    cancelled: bool = False
+    running: set[str] = attrs.field(factory=set)
+    ended_runs: dict[str, str] = attrs.field(factory=dict)
+
+    def task_id(self, index: int) -> str:
+        """Name a task of this job."""
+        return _ids.task_of_job(self.id, index)
+
+    @property
+    def ended(self) -> int:
+        """Count the tasks that will not run again."""
+        return len(self.done) + len(self.failed) + len(self.unknown)
+
+    @property
+    def finished(self) -> bool:
+        """Tell whether nothing of the job is left to run or to stop."""
+        if self.cancelled:
+            return not self.running
+        return self.ended == self.tasks
+
+    @property
+    def state(self) -> str:
+        """Name the state that callers are told."""
+        if self.cancelled:
+            return 'cancelled' if self.finished else 'cancelling'
+        if not self.finished:
+            return 'running' if self.running or self.ended else 'queued'
+        return 'failed' if self.failed or self.unknown else 'done'
+
+
+def to_ranges(numbers: set[int]) -> list[list[int]]:
+    """Write a set of numbers as inclusive ranges."""
+    ranges: list[list[int]] = []
+    for number in sorted(numbers):
+        if ranges and ranges[-1][1] == number - 1:
+            ranges[-1][1] = number
+        else:
+            ranges.append([number, number])
+    return ranges
+
+
+def from_ranges(ranges: list[list[int]]) -> set[int]:
+    """Read inclusive ranges as a set of numbers."""
+    numbers: set[int] = set()
+    for low, high in ranges:
+        numbers.update(range(low, high + 1))
+    return numbers
--- /dev/null
+++ b/packages/core/celeryshift_core/_timers.py
@@ -0,0 +1,150 @@
+"""Timers that the reducer sets for itself, by typed key."""
+
+from collections.abc import Hashable
+from collections.abc import Iterator
+
+import attrs
+from sortedcontainers import SortedList
+
+
+@attrs.frozen(slots=True)
+class RenewNode:
+    """Renew the registration of this node."""
+
+
+@attrs.frozen(slots=True)
+class PollVms:
+    """Ask for the VM list."""
+
+
+@attrs.frozen(slots=True)
+class PollConfig:
+    """Read the configuration."""
+
+
+@attrs.frozen(slots=True)
+class PollNodes:
+    """Read the nodes of every data centre."""
+
+
+@attrs.frozen(slots=True)
+class Summarize:
+    """Tell the peers what this node has."""
+
+
+@attrs.frozen(slots=True)
+class FlushRecords:
+    """Write the job records that have changed."""
+
+
+@attrs.frozen(slots=True)
+class SettleWrite:
+    """Find out whether a write took effect."""
+
+    op_id: str
+
+
+@attrs.frozen(slots=True)
+class SyncDue:
+    """Ask a worker again."""
+
+    slice: int
+    epoch: int
+    worker: str
+
+
+@attrs.frozen(slots=True)
+class LeasesEnd:
+    """Take the tasks of a silent worker as ended."""
+
+    slice: int
+    epoch: int
+    worker: str
+
+
+@attrs.frozen(slots=True)
+class RecoveryEnds:
+    """Take every task of a former owner that was not seen as ended."""
+
+    slice: int
+    epoch: int
+
+
+@attrs.frozen(slots=True)
+class HoldEnds:
+    """Free the room of a task whose end was not seen."""
+
+    slice: int
+    epoch: int
+    worker: str
+    task: str
+
+
+@attrs.frozen(slots=True)
+class RequeueTask:
+    """Queue a task again whose claim could not be written."""
+
+    slice: int
+    epoch: int
+    task: str
+
+
+@attrs.frozen(slots=True)
+class RequestDue:
+    """Refuse a request that still waits at its deadline."""
+
+    id: str
+
+
+@attrs.frozen(slots=True)
+class ReplyDue:
+    """Reply to a caller whose write is still not settled."""
+
+    reply_id: str
+
+
+class Timers:
+    """Keep the times at which keys fall due."""
+
+    def __init__(self) -> None:
+        self._at_by_key: dict[Hashable, tuple[float, int]] = {}
+        self._due: SortedList = SortedList(key=lambda entry: entry[:2])
+        self._count = 0
+
+    def __len__(self) -> int:
+        return len(self._at_by_key)
+
+    @property
+    def next_at(self) -> float | None:
+        """Give the time at which the next key falls due."""
+        return self._due[0][0] if self._due else None
+
+    def at(self, key: Hashable) -> float | None:
+        """Give the time at which a key falls due, if it is set."""
+        entry = self._at_by_key.get(key)
+        return entry[0] if entry else None
+
+    def set(self, key: Hashable, at: float) -> None:
+        """Let a key fall due at a time, and at no other."""
+        self.cancel(key)
+        self._count += 1
+        self._at_by_key[key] = (at, self._count)
+        self._due.add((at, self._count, key))
+
+    def set_once(self, key: Hashable, at: float) -> None:
+        """Let a key fall due at a time, unless it is set already."""
+        if key not in self._at_by_key:
+            self.set(key, at)
+
+    def cancel(self, key: Hashable) -> None:
+        """Forget a key."""
+        entry = self._at_by_key.pop(key, None)
+        if entry is not None:
+            self._due.remove((*entry, key))
+
+    def pop_due(self, now: float) -> Iterator[Hashable]:
+        """Yield the keys that have fallen due, earliest first."""
+        while self._due and self._due[0][0] <= now:
+            _, _, key = self._due.pop(0)
+            del self._at_by_key[key]
+            yield key
--- /dev/null
+++ b/packages/node/celeryshift_node/_calls.py
@@ -0,0 +1,56 @@
+"""Calls to other processes, and what is known when one fails."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import attrs
+
+from celeryshift_core import events
+
+Outcome = events.Outcome
+
+NOT_CONNECTED = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+FAILED = (aiohttp.ClientError, TimeoutError, ValueError, OSError)
+
+
+@attrs.frozen(slots=True)
+class Reply:
+    """Hold the reply to a call, or why there is none."""
+
+    outcome: Outcome
+    status: int = 0
+    body: Any = None
+
+    @property
+    def ok(self) -> bool:
+        """Tell whether the call was answered with success."""
+        return self.outcome is Outcome.OK and self.status < 400
+
+
+async def call(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    body: Any = None,
+    timeout_s: float = 5.0,
+    headers: dict[str, str] | None = None,
+) -> Reply:
+    """Make a call; a reply that is cut short counts as none.
+
+    The outcome is UNSENT only if no byte of the call can have left.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            async with session.request(
+                method, url, json=body, headers=headers
+            ) as response:
+                decoded = await response.json(content_type=None)
+                return Reply(Outcome.OK, response.status, decoded)
+    except NOT_CONNECTED:
+        return Reply(Outcome.UNSENT)
+    except FAILED:
+        return Reply(Outcome.UNKNOWN)
--- /dev/null
+++ b/packages/node/celeryshift_node/_platform.py
@@ -0,0 +1,72 @@
+"""The platform's protocol: transactions, reads and the VM list."""
+
+import aiohttp
+
+from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_core import schema
+from celeryshift_node import _calls
+from celeryshift_node import _wire
+
+TIMEOUT_S = 2.0
+CONFLICT = 409
+
+Outcome = events.Outcome
+
+
+class Platform:
+    """Call the platform's services."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url.rstrip('/')
+
+    async def write(
+        self, effect: effects.WriteStore
+    ) -> tuple[Outcome, int, dict[str, schema.Row]]:
+        """Make a transaction; give its outcome, version and rows."""
+        body = {
+            'checks': effect.checks,
+            'puts': effect.puts,
+            'deletes': list(effect.deletes),
+            'prefixes': list(effect.prefixes),
+        }
+        reply = await self._post('/v1/transactions', body)
+        if reply.outcome is not Outcome.OK:
+            return reply.outcome, 0, {}
+        if reply.ok:
+            return Outcome.OK, reply.body['version'], _rows(reply.body)
+        if reply.status == CONFLICT:
+            return Outcome.REFUSED, 0, _rows(reply.body)
+        return Outcome.UNKNOWN, 0, {}
+
+    async def read(
+        self, effect: effects.ReadStore
+    ) -> dict[str, schema.Row] | None:
+        """Read rows; None when the service did not answer."""
+        body = {'keys': list(effect.keys), 'prefixes': list(effect.prefixes)}
+        reply = await self._post('/v1/reads', body)
+        return _rows(reply.body) if reply.ok else None
+
+    async def vms(self, revision: int) -> tuple[int, list[events.Vm] | None]:
+        """Fetch the VMs that changed after a revision."""
+        url = f'{self._url}/v1/vms?after={revision}'
+        reply = await _calls.call(
+            self._session, 'GET', url, timeout_s=TIMEOUT_S
+        )
+        if not reply.ok:
+            return 0, None
+        vms = [_wire.vm(document) for document in reply.body['vms']]
+        return reply.body['revision'], vms
+
+    async def _post(self, path: str, body: dict) -> _calls.Reply:
+        return await _calls.call(
+            self._session, 'POST', self._url + path, body, TIMEOUT_S
+        )
+
+
+def _rows(body: dict) -> dict[str, schema.Row]:
+    return {
+        key: schema.Row(version, value)
+        for key, (version, value) in body['rows'].items()
+    }
--- /dev/null
+++ b/packages/node/celeryshift_node/_runner.py
@@ -0,0 +1,302 @@
+"""The runner: it feeds the reducer and carries out its effects."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import datetime
+from typing import Any
+import uuid
+
+import logbook
+
+import celeryshift_core as core
+from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_node import _peers
+from celeryshift_node import _platform
+from celeryshift_node import _workers
+
+log = logbook.Logger('celeryshift')
+
+Outcome = events.Outcome
+
+
+class Runner:
+    """Run one reducer on the loop of this thread."""
+
+    def __init__(
+        self,
+        options: core.Options,
+        platform: _platform.Platform,
+        workers: _workers.Workers,
+        make_peers: Callable[[str], _peers.Peers],
+    ) -> None:
+        self.state = core.State(options)
+        self.stopped = asyncio.Event()
+        self._platform = platform
+        self._workers = workers
+        self._make_peers = make_peers
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at: float | None = None
+        self._replies_by_id: dict[str, asyncio.Future] = {}
+        self._payloads_by_id: dict[str, Any] = {}
+        self._answers_by_id: dict[str, Any] = {}
+        self._count = 0
+        self._performers = self._make_performers()
+
+    @property
+    def now(self) -> float:
+        """Give the time on the monotonic clock, in seconds."""
+        return self._loop.time()
+
+    def start(self) -> None:
+        """Begin with an incarnation of this process's own."""
+        incarnation = uuid.uuid4().hex[:8]
+        address = self.state.options.address
+        self._peers = self._make_peers(f'{address}/{incarnation}')
+        self.handle(events.Started(self.now, incarnation))
+
+    def handle(self, event: events.Event) -> None:
+        """Feed an event to the reducer and carry out what follows."""
+        for effect in core.reduce(self.state, event):
+            self._performers[type(effect)](effect)
+        self._set_timer()
+
+    async def request(
+        self, make_event: Callable[[str], events.Event], payload: Any
+    ) -> Any:
+        """Run a request to its end.
+
+        Returns an answer, or the refusal if there is none.
+        """
+        request_id = self._next_id()
+        self._payloads_by_id[request_id] = payload
+        try:
+            return await self._wait(request_id, make_event(request_id))
+        except asyncio.CancelledError:
+            self.handle(events.RequestAbandoned(self.now, request_id))
+            raise
+        finally:
+            self._payloads_by_id.pop(request_id, None)
+            self._answers_by_id.pop(request_id, None)
+
+    async def ask(self, make_event: Callable[[str], events.Event]) -> Any:
+        """Put an event to the reducer that asks for a reply."""
+        reply_id = self._next_id()
+        return await self._wait(reply_id, make_event(reply_id))
+
+    async def close(self) -> None:
+        """Give up what is still outstanding."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _wait(self, reply_id: str, event: events.Event) -> Any:
+        future = self._loop.create_future()
+        self._replies_by_id[reply_id] = future
+        try:
+            self.handle(event)
+            return await future
+        finally:
+            del self._replies_by_id[reply_id]
+
+    def _next_id(self) -> str:
+        self._count += 1
+        return f'{self._count:x}'
+
+    def _set_timer(self) -> None:
+        next_at = self.state.timers.next_at
+        if next_at == self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = next_at
+        if next_at is not None:
+            self._timer = self._loop.call_at(next_at, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = self._timer_at = None
+        self.handle(events.Tick(self.now))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            # A bug: the state can no longer be trusted, so the node ends.
+            log.critical('effect failed: {!r}', task.exception())
+            self.stopped.set()
+
+    def _make_performers(self) -> dict[type, Callable[[Any], None]]:
+        spawn = self._spawn
+        return {
+            effects.WriteStore: lambda e: spawn(self._write_store(e)),
+            effects.ReadStore: lambda e: spawn(self._read_store(e)),
+            effects.FetchVms: lambda e: spawn(self._fetch_vms(e)),
+            effects.SyncWorker: lambda e: spawn(self._sync_worker(e)),
+            effects.StartTask: lambda e: spawn(self._start_task(e)),
+            effects.StopTask: lambda e: spawn(self._stop_task(e)),
+            effects.SendRequest: lambda e: spawn(self._send_request(e)),
+            effects.AskOutcome: lambda e: spawn(self._ask_outcome(e)),
+            effects.ForwardRequest: lambda e: spawn(self._forward_request(e)),
+            effects.ForwardJob: lambda e: spawn(self._forward_job(e)),
+            effects.ForwardJobAct: lambda e: spawn(self._forward_act(e)),
+            effects.SendPeer: lambda e: spawn(self._send_peer(e)),
+            effects.AnswerRequest: self._answer_request,
+            effects.RefuseRequest: lambda e: self._resolve(e.id, e.refusal),
+            effects.Reply: lambda e: self._resolve(
+                e.reply_id, e.refusal or e.document
+            ),
+            effects.LogChange: _log_change,
+            effects.StopNode: lambda e: self.stopped.set(),
+        }
+
+    def _resolve(self, reply_id: str, value: Any) -> None:
+        future = self._replies_by_id.get(reply_id)
+        if future is not None and not future.done():
+            future.set_result(value)
+
+    def _answer_request(self, effect: effects.AnswerRequest) -> None:
+        answer = {
+            'answer': self._answers_by_id.get(effect.id),
+            'worker': effect.worker,
+            'waited_s': round(effect.waited_s, 6),
+        }
+        self._resolve(effect.id, answer)
+
+    async def _write_store(self, effect: effects.WriteStore) -> None:
+        outcome, version, rows = await self._platform.write(effect)
+        self.handle(
+            events.StoreWritten(self.now, effect.op_id, outcome, version, rows)
+        )
+
+    async def _read_store(self, effect: effects.ReadStore) -> None:
+        rows = await self._platform.read(effect)
+        self.handle(events.StoreRead(self.now, effect.op_id, rows))
+
+    async def _fetch_vms(self, effect: effects.FetchVms) -> None:
+        revision, vms = await self._platform.vms(effect.revision)
+        self.handle(events.VmsFetched(self.now, revision, vms))
+
+    async def _sync_worker(self, effect: effects.SyncWorker) -> None:
+        cursor, whole, reports = '', False, None
+        if self.now < effect.deadline:
+            cursor, whole, reports = await self._workers.sync(effect)
+        self.handle(
+            events.WorkerSynced(
+                self.now,
+                effect.slice,
+                effect.epoch,
+                effect.worker,
+                cursor,
+                reports,
+                whole,
+            )
+        )
+
+    async def _start_task(self, effect: effects.StartTask) -> None:
+        outcome = Outcome.UNSENT
+        if self.now < effect.deadline:
+            outcome = await self._workers.start(effect)
+        self.handle(
+            events.TaskStarted(
+                self.now,
+                effect.slice,
+                effect.epoch,
+                effect.worker,
+                effect.task,
+                outcome,
+            )
+        )
+
+    async def _stop_task(self, effect: effects.StopTask) -> None:
+        outcome = Outcome.UNSENT
+        if self.now < effect.deadline:
+            outcome = await self._workers.stop(effect)
+        self.handle(
+            events.TaskStopped(
+                self.now,
+                effect.slice,
+                effect.epoch,
+                effect.worker,
+                effect.task,
+                outcome,
+            )
+        )
+
+    async def _send_request(self, effect: effects.SendRequest) -> None:
+        outcome, failed, answer = Outcome.UNSENT, False, None
+        if self.now < effect.deadline:
+            payload = self._payloads_by_id.get(effect.id)
+            outcome, failed, answer = await self._workers.request(
+                effect, payload
+            )
+        self._take_answer(effect.id, effect.attempt, outcome, failed, answer)
+
+    async def _ask_outcome(self, effect: effects.AskOutcome) -> None:
+        outcome, failed, answer = await self._workers.ask(effect)
+        self._take_answer(effect.id, effect.attempt, outcome, failed, answer)
+
+    def _take_answer(
+        self,
+        request_id: str,
+        attempt: int,
+        outcome: Outcome,
+        failed: bool,
+        answer: Any,
+    ) -> None:
+        self._answers_by_id[request_id] = answer
+        self.handle(
+            events.RequestAnswered(
+                self.now, request_id, attempt, outcome, failed
+            )
+        )
+        if request_id not in self._replies_by_id:
+            self._answers_by_id.pop(request_id, None)
+
+    async def _forward_request(self, effect: effects.ForwardRequest) -> None:
+        payload = self._payloads_by_id.get(effect.id)
+        outcome, refusal, document = await self._peers.request(effect, payload)
+        if outcome is Outcome.OK and effect.id in self._replies_by_id:
+            self._answers_by_id[effect.id] = document['answer']
+        self.handle(
+            events.RequestForwarded(self.now, effect.id, outcome, refusal)
+        )
+
+    async def _forward_job(self, effect: effects.ForwardJob) -> None:
+        self._take_reply(effect.reply_id, await self._peers.submit(effect))
+
+    async def _forward_act(self, effect: effects.ForwardJobAct) -> None:
+        self._take_reply(effect.reply_id, await self._peers.ask(effect))
+
+    def _take_reply(
+        self,
+        reply_id: str,
+        reply: tuple[Outcome, core.Refusal | None, Any],
+    ) -> None:
+        outcome, refusal, document = reply
+        self.handle(
+            events.CallForwarded(
+                self.now, reply_id, outcome, document, refusal
+            )
+        )
+
+    async def _send_peer(self, effect: effects.SendPeer) -> None:
+        if not await self._peers.send(effect):
+            self.handle(events.PeerUnreachable(self.now, effect.peer))
+
+
+def wall_time() -> str:
+    """Give the wall clock's time as RFC 3339 writes it."""
+    return datetime.datetime.now(datetime.UTC).isoformat()
+
+
+def _log_change(effect: effects.LogChange) -> None:
+    log.info(effect.name, extra=dict(effect.fields))
--- /dev/null
+++ b/packages/node/celeryshift_node/_service.py
@@ -0,0 +1,119 @@
+"""The service: it starts a node, and ends it gracefully."""
+
+import asyncio
+import sys
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+import aiomisc
+
+import celeryshift_core as core
+from celeryshift_core import events
+from celeryshift_node import _http
+from celeryshift_node import _metrics
+from celeryshift_node import _peers
+from celeryshift_node import _platform
+from celeryshift_node import _runner
+from celeryshift_node import _settings
+from celeryshift_node import _workers
+
+BACKLOG = 1024
+
+
+class NodeService(aiomisc.Service):
+    """Run a node until it is told to stop."""
+
+    settings: _settings.Settings
+
+    async def start(self) -> Any:
+        """Serve, then work until the node has stopped."""
+        settings = self.settings
+        self._sessions = _Sessions(settings)
+        self._web, address = await self._listen()
+        self._runner = self._make_runner(address)
+        self._api.runner = self._runner
+        self._runner.start()
+        sys.stdout.write(f'listening {address}\n')
+        sys.stdout.flush()
+        metrics = None
+        if settings.statsd is not None:
+            work = _metrics.Metrics(self._runner, settings.statsd).run()
+            metrics = asyncio.create_task(work)
+        self.start_event.set()
+        await self._runner.stopped.wait()
+        if metrics is not None:
+            metrics.cancel()
+        self.loop.stop()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Hand over what the node holds, answer all, and close."""
+        bounds = self.settings.bounds
+        self._runner.handle(events.DrainRequested(self._runner.now))
+        try:
+            async with asyncio.timeout(bounds.drain_timeout_s):
+                await self._runner.stopped.wait()
+        except TimeoutError:
+            _runner.log.warning('drain did not end in time')
+        # A client may be sending on an idle connection: it gets its answer.
+        await asyncio.sleep(bounds.idle_grace_s)
+        await self._web.cleanup()
+        await self._runner.close()
+        await self._sessions.close()
+
+    async def _listen(self) -> tuple[web.AppRunner, str]:
+        listen = self.settings.listen
+        self._api = _http.Api(self.settings)
+        runner = web.AppRunner(
+            self._api.app(),
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=self.settings.bounds.drain_timeout_s,
+        )
+        await runner.setup()
+        site = web.TCPSite(runner, listen.host, listen.port, backlog=BACKLOG)
+        await site.start()
+        port = runner.addresses[0][1]
+        host = listen.advertise_host or listen.host
+        return runner, f'{host}:{port}'
+
+    def _make_runner(self, address: str) -> _runner.Runner:
+        settings = self.settings
+        timing = core.unstructure(settings.timing)
+        options = core.Options(
+            address, settings.data_centre, settings.slices, **timing
+        )
+        sessions = self._sessions
+        return _runner.Runner(
+            options,
+            _platform.Platform(sessions.platform, settings.platform_url),
+            _workers.Workers(sessions.workers, sessions.fresh),
+            lambda node: _peers.Peers(
+                sessions.peers, settings.cluster_token, node
+            ),
+        )
+
+
+class _Sessions:
+    """Keep the connections to each kind of process apart."""
+
+    def __init__(self, settings: _settings.Settings) -> None:
+        per_worker = settings.bounds.max_connections_per_worker
+        self.platform = _session(limit_per_host=32)
+        self.workers = _session(limit_per_host=per_worker)
+        self.fresh = _session(force_close=True)
+        self.peers = _session(limit_per_host=256)
+
+    async def close(self) -> None:
+        for session in (
+            self.platform,
+            self.workers,
+            self.fresh,
+            self.peers,
+        ):
+            await session.close()
+
+
+def _session(**options: Any) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(limit=0, **options)
+    return aiohttp.ClientSession(connector=connector)
--- /dev/null
+++ b/packages/node/celeryshift_node/_settings.py
@@ -0,0 +1,137 @@
+"""Settings of a node: a JSON file, checked as a whole."""
+
+import json
+import pathlib
+from typing import Any
+
+import attrs
+
+import celeryshift_core as core
+
+MIN_TOKEN_LENGTH = 16
+SHA256_HEX_LENGTH = 64
+
+
+@attrs.frozen
+class Listen:
+    """Say where a node listens, and how its peers reach it."""
+
+    host: str = '127.0.0.1'
+    port: int = 0
+    advertise_host: str | None = None
+
+
+@attrs.frozen
+class Statsd:
+    """Say where metrics go."""
+
+    host: str = '127.0.0.1'
+    port: int = 8125
+    prefix: str = 'celeryshift'
+    flush_s: float = 10.0
+
+
+@attrs.frozen
+class Log:
+    """Say how log lines are written."""
+
+    level: str = 'INFO'
+    format: str = 'text'
+
+
+@attrs.frozen
+class Bounds:
+    """Bound what callers may send, and for how long."""
+
+    max_body_bytes: int = 262_144
+    read_timeout_s: float = 10.0
+    drain_timeout_s: float = 30.0
+    idle_grace_s: float = 1.0
+    max_connections_per_worker: int = 64
+
+
+@attrs.frozen
+class Timing:
+    """Set the times of a node; see Options of the core."""
+
+    node_lease_s: float = 4.0
+    node_renew_s: float = 1.2
+    task_lease_s: float = 15.0
+    sync_wait_s: float = 4.0
+    vm_poll_s: float = 2.0
+    config_poll_s: float = 1.0
+    config_stale_s: float = 15.0
+    summary_s: float = 0.25
+
+
+@attrs.frozen
+class Settings:
+    """Hold all the settings of a node."""
+
+    data_centre: str
+    platform_url: str
+    cluster_token: str
+    listen: Listen = attrs.field(factory=Listen)
+    slices: int = 4
+    operators: dict[str, str] = attrs.field(factory=dict)
+    statsd: Statsd | None = None
+    log: Log = attrs.field(factory=Log)
+    bounds: Bounds = attrs.field(factory=Bounds)
+    timing: Timing = attrs.field(factory=Timing)
+
+
+def load(path: str) -> Settings:
+    """Read and check a settings file.
+
+    Raises SettingsError, which lists every mistake with its path.
+    """
+    try:
+        document = json.loads(pathlib.Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise core.SettingsError(path, [f'{error} @ $']) from error
+    return parse(document, path)
+
+
+def parse(document: Any, name: str = 'settings') -> Settings:
+    """Check settings and build them.
+
+    Raises SettingsError, which lists every mistake with its path.
+    """
+    try:
+        settings = core.structure(document, Settings)
+    except core.DocumentError as error:
+        raise core.SettingsError(name, error.mistakes) from error
+    mistakes = list(_mistakes(settings))
+    if mistakes:
+        raise core.SettingsError(name, mistakes)
+    return settings
+
+
+def _mistakes(settings: Settings) -> Any:
+    if not settings.data_centre:
+        yield 'must not be empty @ $.data_centre'
+    if not settings.platform_url.startswith(('http://', 'https://')):
+        yield 'must be an HTTP URL @ $.platform_url'
+    if len(settings.cluster_token) < MIN_TOKEN_LENGTH:
+        yield f'needs {MIN_TOKEN_LENGTH} characters @ $.cluster_token'
+    if not 0 <= settings.listen.port <= 65535:
+        yield 'must be 0 to 65535 @ $.listen.port'
+    if settings.slices < 1:
+        yield 'must be 1 or more @ $.slices'
+    for name, digest in settings.operators.items():
+        if len(digest) != SHA256_HEX_LENGTH:
+            yield f'not a SHA-256 in hexadecimal @ $.operators.{name}'
+    if settings.log.format not in ('text', 'json'):
+        yield "must be 'text' or 'json' @ $.log.format"
+    if settings.log.level not in ('DEBUG', 'INFO', 'WARNING', 'ERROR'):
+        yield 'must be DEBUG, INFO, WARNING or ERROR @ $.log.level'
+    yield from _positive(settings.timing, '$.timing')
+    yield from _positive(settings.bounds, '$.bounds')
+    if settings.timing.node_renew_s * 2 > settings.timing.node_lease_s:
+        yield 'must be half of node_lease_s at most @ $.timing.node_renew_s'
+
+
+def _positive(section: Any, path: str) -> Any:
+    for field in attrs.fields(type(section)):
+        if not getattr(section, field.name) > 0:
+            yield f'must be above 0 @ {path}.{field.name}'
--- /dev/null
+++ b/packages/node/celeryshift_node/_wire.py
@@ -0,0 +1,60 @@
+"""How the objects of the core are written as JSON."""
+
+from typing import Any
+
+import celeryshift_core as core
+from celeryshift_core import events
+from celeryshift_core import messages
+
+MESSAGES_BY_NAME: dict[str, type] = {
+    kind.__name__: kind for kind in messages.ALL
+}
+
+
+def vm(document: dict[str, Any]) -> events.Vm:
+    """Read a VM of the platform's list."""
+    return core.structure(document, events.Vm)
+
+
+def report(document: dict[str, Any]) -> events.TaskReport:
+    """Read what a worker reports of a task."""
+    return events.TaskReport(
+        document['id'],
+        events.TaskPhase(document['phase']),
+        document['kind'],
+        document['team'],
+        core.Size(**document['size']),
+        document['request'],
+    )
+
+
+def size(value: core.Size) -> dict[str, int]:
+    """Write a size."""
+    return {
+        'slots': value.slots,
+        'cpu_milli': value.cpu_milli,
+        'memory_mb': value.memory_mb,
+        'accelerators': value.accelerators,
+    }
+
+
+def message(value: Any) -> dict[str, Any]:
+    """Write a message to a peer."""
+    return {'type': type(value).__name__, 'body': core.unstructure(value)}
+
+
+def read_message(document: dict[str, Any]) -> Any:
+    """Read a message from a peer."""
+    kind = MESSAGES_BY_NAME[document['type']]
+    return core.structure(document['body'], kind)
+
+
+def refusal(document: dict[str, Any]) -> core.Refusal:
+    """Read a refusal from the problem that a peer gave."""
+    name = document['type'].rpartition(':')[2]
+    return core.Refusal(
+        core.Reason(name),
+        core.Ran(document['ran']),
+        document.get('retry_after_s'),
+        document.get('detail', ''),
+    )
--- /dev/null
+++ b/packages/standins/celeryshift_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what celeryshift meets: platform, workers, callers."""
--- /dev/null
+++ b/packages/standins/celeryshift_standins/demo.py
@@ -0,0 +1,205 @@
+"""The demo: two data centres, one node killed, every kind of work."""
+
+import asyncio
+import sys
+from typing import Any
+
+import attrs
+
+import celeryshift_client
+from celeryshift_standins import bed as beds
+
+WORKERS_PER_DATA_CENTRE = 4
+VALIDATIONS = 200
+
+
+@attrs.define
+class Line:
+    """Hold one line of the closing table."""
+
+    what: str
+    result: str
+    where: str = ''
+    waited_ms: str = ''
+
+
+class Demo:
+    """Run the demo against a bed of processes."""
+
+    def __init__(self, bed: beds.Bed) -> None:
+        self._bed = bed
+        self._lines: list[Line] = []
+        self._key = ''
+
+    async def run(self) -> None:
+        """Run every step, in order."""
+        await self._set_up()
+        await self._requests()
+        await self._jobs()
+        await self._withdraw()
+        await self._kill()
+
+    def print_table(self) -> None:
+        """Print what ran where, and how long it waited."""
+        rows = [('step', 'result', 'where', 'waited ms')]
+        rows += [attrs.astuple(line) for line in self._lines]
+        widths = [max(len(row[i]) for row in rows) for i in range(4)]
+        for row in rows:
+            cells = [
+                cell.ljust(width)
+                for cell, width in zip(row, widths, strict=True)
+            ]
+            sys.stdout.write('  '.join(cells).rstrip() + '\n')
+
+    async def _set_up(self) -> None:
+        bed = self._bed
+        for data_centre in ('dc1', 'dc2'):
+            await bed.add_workers(
+                data_centre, WORKERS_PER_DATA_CENTRE, 'coding'
+            )
+            for number in (1, 2):
+                name = f'{data_centre}-node{number}'
+                await bed.add_node(name, data_centre)
+        fleet = celeryshift_client.Fleet()
+        fleet.upstream('coding')
+        for team, share in (('ministry', 4), ('public', 1)):
+            fleet.team(team, share=share, limit_slots=64)
+        secret = celeryshift_client.new_secret()
+        self._key = fleet.key('ministry-1', 'ministry', secret)
+        fleet.queue('field')
+        fleet.queue('walk-in', open_for='public')
+        fleet.request('validate', 'coding', urgent=True, timeout_s=2.0)
+        fleet.request('seal', 'coding', repeatable=False)
+        fleet.batch('recode', 'coding')
+        fleet.gang('panel', 'coding')
+        fleet.service('keeper', 'coding')
+        await bed.hand_in(fleet)
+        await bed.slices_owned()
+        self._note('configuration', f'in force on {len(bed.nodes_by_name)}')
+
+    async def _requests(self) -> None:
+        async with self._caller('dc1-node1') as caller:
+            for what, kind, queue in (
+                ('open-queue request', 'validate', 'walk-in'),
+                ('request by key', 'validate', 'field'),
+                ('seal, not repeatable', 'seal', 'field'),
+            ):
+                answer = await caller.request(kind, queue, {'who': what})
+                self._answer(what, answer)
+            body: dict[str, Any] = {'id': 'seal-7'}
+            await caller.request('seal', 'field', {}, **body)
+            refused = await self._refusal(
+                caller.request('seal', 'field', {}, **body)
+            )
+            self._note('the same seal again', refused)
+
+    async def _jobs(self) -> None:
+        async with self._caller('dc2-node1') as caller:
+            for what, kind, tasks, run_s in (
+                ('batch job', 'recode', 20, 0.1),
+                ('all-at-once job', 'panel', 6, 0.2),
+                ('service', 'keeper', 2, 3600.0),
+            ):
+                job = f'demo-{kind}'
+                await caller.submit(
+                    kind, 'field', {'run_s': run_s}, id=job, tasks=tasks
+                )
+                ended = 'running' if kind == 'keeper' else 'done'
+                shown = await self._await_job(caller, job, ended, tasks)
+                self._note(what, shown)
+
+    async def _withdraw(self) -> None:
+        node = self._bed.nodes_by_name['dc1-node2']
+        token = beds.OPERATOR_TOKEN
+        async with self._bed.client(node, token) as operator:
+            await operator.call('DELETE', '/operator/v1/keys/ministry-1')
+        async with self._caller('dc2-node2') as caller:
+
+            async def refused() -> bool:
+                result = await self._refusal(
+                    caller.request('validate', 'field', {})
+                )
+                return 'withdrawn-key' in result
+
+            await self._bed.until(refused, 'the withdrawn key is refused')
+            result = await self._refusal(
+                caller.request('validate', 'field', {})
+            )
+            self._note('request by withdrawn key', result)
+
+    async def _kill(self) -> None:
+        bed = self._bed
+        bed.kill(bed.nodes_by_name['dc1-node1'])
+        waited = []
+        async with self._caller('dc1-node2') as caller:
+            for _ in range(VALIDATIONS):
+                answer = await caller.request('validate', 'walk-in', {})
+                waited.append(answer['waited_s'])
+        waited.sort()
+        median_ms = 1000 * waited[len(waited) // 2]
+        note = f'{VALIDATIONS} answered after a node was killed'
+        self._note('validations', note, 'dc1', f'{median_ms:.1f} (median)')
+        del bed.nodes_by_name['dc1-node1']
+        await bed.slices_owned()
+        self._note('slices of the killed node', 'have owners again')
+
+    async def _await_job(
+        self,
+        caller: celeryshift_client.Client,
+        job: str,
+        state: str,
+        tasks: int,
+    ) -> str:
+        shown: dict[str, Any] = {}
+
+        async def reached() -> bool:
+            try:
+                shown.update(await caller.job(job, 'field'))
+            except celeryshift_client.ProblemError as error:
+                if error.retry_after_s is None:
+                    raise
+                return False
+            running = state != 'running' or shown['running'] == tasks
+            return shown['state'] == state and running
+
+        await self._bed.until(reached, f'{job} is {state}')
+        return f'{shown["state"]}, {tasks} tasks'
+
+    async def _refusal(self, call: Any) -> str:
+        try:
+            await call
+        except celeryshift_client.ProblemError as error:
+            return f'refused: {error.reason}, ran: {error.ran}'
+        return 'answered'
+
+    def _caller(self, node: str) -> celeryshift_client.Client:
+        return self._bed.client(self._bed.nodes_by_name[node], self._key)
+
+    def _answer(self, what: str, answer: dict[str, Any]) -> None:
+        waited = f'{1000 * answer["waited_s"]:.1f}'
+        self._note(what, 'answered', answer['worker'], waited)
+
+    def _note(
+        self, what: str, result: str, where: str = '', waited_ms: str = ''
+    ) -> None:
+        self._lines.append(Line(what, result, where, waited_ms))
+
+
+async def _run() -> None:
+    async with beds.Bed() as bed:
+        demo = Demo(bed)
+        try:
+            await demo.run()
+        except Exception:
+            bed.print_logs()
+            raise
+    demo.print_table()
+
+
+def main() -> None:
+    """Run the demo; it ends every process that it started."""
+    asyncio.run(_run())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/standins/celeryshift_standins/worker.py
@@ -0,0 +1,163 @@
+"""The stand-in for a worker: it runs tasks that only let time pass."""
+
+import asyncio
+import os
+import sys
+import time
+from typing import Any
+
+from aiohttp import web
+import fire
+
+from celeryshift_standins import _server
+from celeryshift_standins import _tasktable
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+POLL_S = 0.02
+
+
+class Worker:
+    """Serve the protocol of the workers over a table of tasks."""
+
+    def __init__(self) -> None:
+        self.tasks = _tasktable.TaskTable(boot=f'{os.getpid():x}')
+        self.refuses = False
+        self.silent = False
+
+    def app(self) -> web.Application:
+        """Build the application that serves this worker."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_post('/v1/sync', self._sync)
+        app.router.add_post('/v1/tasks', self._start)
+        app.router.add_post('/v1/stop', self._stop)
+        app.router.add_post('/v1/requests', self._request)
+        app.router.add_post('/v1/outcomes', self._outcome)
+        app.router.add_post('/control/faults', self._faults)
+        app.router.add_get('/control/history', self._history)
+        return app
+
+    async def _sync(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        until = time.monotonic() + body['wait_s']
+        self.tasks.sync(
+            time.monotonic(),
+            body['cursor'],
+            body['lease_s'],
+            body['acknowledged'],
+        )
+        while time.monotonic() < until:
+            self.tasks.advance(time.monotonic())
+            if self.tasks.has_news(body['cursor']):
+                break
+            await asyncio.sleep(POLL_S)
+        cursor, whole, runs = self.tasks.sync(
+            time.monotonic(), body['cursor'], body['lease_s'], []
+        )
+        return web.json_response(
+            {
+                'cursor': cursor,
+                'whole': whole,
+                'tasks': [_describe(run) for run in runs],
+            }
+        )
+
+    async def _start(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        if self.refuses:
+            raise web.HTTPConflict
+        payload = body.get('payload') or {}
+        self.tasks.start(
+            time.monotonic(),
+            body['run_id'],
+            body['team'],
+            body['kind'],
+            body['size'],
+            min(payload.get('run_s', 0.0), body['max_run_s']),
+            body['lease_s'],
+            payload.get('fail', False),
+        )
+        return web.json_response({'run_id': body['run_id']}, status=201)
+
+    async def _stop(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        stopped = self.tasks.stop(time.monotonic(), body['run_id'])
+        return web.json_response({'stopped': stopped})
+
+    async def _request(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        if self.refuses:
+            raise web.HTTPConflict
+        payload: Any = body.get('payload')
+        work = payload if isinstance(payload, dict) else {}
+        run_s = min(work.get('run_s', 0.0), body['timeout_s'])
+        run = self.tasks.start(
+            time.monotonic(),
+            body['run_id'],
+            body['team'],
+            body['kind'],
+            body['size'],
+            run_s,
+            None,
+            work.get('fail', False),
+            payload,
+        )
+        if run_s > 0:
+            await asyncio.sleep(run.ends_at - time.monotonic())
+        if self.silent:
+            await asyncio.sleep(body['timeout_s'])
+        self.tasks.advance(time.monotonic())
+        self.tasks.forget(run.id)
+        return web.json_response(_answer(run))
+
+    async def _outcome(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        run = self.tasks.runs_by_id.get(body['run_id'])
+        if run is None:
+            raise web.HTTPNotFound
+        await asyncio.sleep(max(0.0, run.ends_at - time.monotonic()))
+        self.tasks.advance(time.monotonic())
+        return web.json_response(_answer(run))
+
+    async def _faults(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.refuses = body.get('refuses', self.refuses)
+        self.silent = body.get('silent', self.silent)
+        self.tasks.fails_all = body.get('fails_all', self.tasks.fails_all)
+        return web.json_response({})
+
+    async def _history(self, request: web.Request) -> web.Response:
+        self.tasks.advance(time.monotonic())
+        runs = [
+            {
+                **_describe(run),
+                'started_at': run.started_at,
+                'ended_at': run.ended_at,
+            }
+            for run in self.tasks.history
+        ]
+        return web.json_response(runs)
+
+
+def _describe(run: _tasktable.Run) -> dict[str, Any]:
+    return {
+        'id': run.id,
+        'phase': run.phase.value,
+        'team': run.team,
+        'kind': run.kind,
+        'size': run.size,
+        'request': run.request,
+    }
+
+
+def _answer(run: _tasktable.Run) -> dict[str, Any]:
+    failed = run.phase is _tasktable.Phase.FAILED
+    return {'run_id': run.id, 'failed': failed, 'answer': run.answer}
+
+
+def main(host: str = '127.0.0.1', port: int = 0) -> None:
+    """Serve a worker until SIGTERM."""
+    _server.serve(Worker().app(), host, port)
+
+
+if __name__ == '__main__':
+    fire.Fire(main, command=sys.argv[1:])
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,204 @@
+"""The whole path over real processes, with faults."""
+
+import asyncio
+import collections
+
+import builders
+
+import celeryshift_client
+from celeryshift_standins import bed as beds
+from celeryshift_standins import invariants
+
+SLOTS = 8
+TIMING = {'task_lease_s': 6.0}
+
+
+class Load:
+    """Send requests and jobs, and keep what became of them."""
+
+    def __init__(self, bed: beds.Bed) -> None:
+        self._bed = bed
+        self._count = 0
+        self._ended = False
+        self.outcomes = collections.Counter()
+        self.accepted_jobs = set()
+
+    async def requests(self, node: beds.Member) -> None:
+        """Send requests to a node, one after another, until ended."""
+        while not self._ended:
+            self._count += 1
+            kind = 'seal' if self._count % 5 == 0 else 'validate'
+            name = f'{kind}-{self._count}'
+            payload = {'run_s': 0.02, 'name': name}
+            try:
+                async with self._client(node) as caller:
+                    answer = await caller.request(
+                        kind, 'field', payload, id=name
+                    )
+            except celeryshift_client.ProblemError as error:
+                self.outcomes[f'refused {error.reason} {error.ran}'] += 1
+            except celeryshift_client.UnreachableError as error:
+                refused = 'ClientConnectorError' in repr(error)
+                self.outcomes['unreachable' if refused else 'cut off'] += 1
+                await asyncio.sleep(0.05)
+            else:
+                whole = answer['answer'] == payload
+                self.outcomes['answered' if whole else 'wrong'] += 1
+
+    async def jobs(self, node: beds.Member, count: int) -> None:
+        """Submit jobs; each is sent again until it is accepted."""
+        for number in range(count):
+            name = f'{node.name}-job-{number}'
+            while name not in self.accepted_jobs:
+                try:
+                    async with self._client(node) as caller:
+                        payload = {'run_s': 0.3}
+                        await caller.submit(
+                            'recode', 'field', payload, id=name, tasks=3
+                        )
+                    self.accepted_jobs.add(name)
+                except (
+                    celeryshift_client.ProblemError,
+                    celeryshift_client.UnreachableError,
+                ):
+                    await asyncio.sleep(0.1)
+
+    async def all_done(self, node: beds.Member) -> bool:
+        """Tell whether every accepted job is done."""
+        async with self._client(node) as caller:
+            for name in self.accepted_jobs:
+                try:
+                    shown = await caller.job(name, 'field')
+                except celeryshift_client.ProblemError:
+                    return False
+                if shown['state'] != 'done':
+                    return False
+        return True
+
+    def end(self) -> None:
+        """Let the senders of requests end."""
+        self._ended = True
+
+    def _client(self, node: beds.Member) -> celeryshift_client.Client:
+        return self._bed.client(node, builders.token())
+
+
+async def _set_up(bed: beds.Bed) -> list[beds.Member]:
+    await bed.add_workers('dc1', 4, builders.UPSTREAM, SLOTS)
+    nodes = [await bed.add_node(f'node{i}', 'dc1') for i in range(3)]
+    await bed.hand_in(builders.fleet())
+    await bed.slices_owned()
+    return nodes
+
+
+async def _check(bed: beds.Bed) -> None:
+    spans = await bed.spans()
+    slots = dict.fromkeys(bed.workers_by_name, SLOTS)
+    seals = {span.task for span in spans if ':seal-' in span.task}
+    broken = [
+        *invariants.over_committed(spans, slots),
+        *invariants.in_two_places(spans),
+        *invariants.run_more_than_once(spans, seals),
+    ]
+    assert not broken
+
+
+async def _survive(faults: str) -> Load:
+    async with beds.Bed(**TIMING) as bed:
+        nodes = await _set_up(bed)
+        load = Load(bed)
+        senders = [
+            asyncio.create_task(load.requests(node)) for node in nodes[1:]
+        ]
+        submitters = [
+            asyncio.create_task(load.jobs(node, 10)) for node in nodes[1:]
+        ]
+        await asyncio.sleep(0.5)
+        await FAULTS_BY_NAME[faults](bed, nodes, load)
+        await asyncio.gather(*submitters)
+        load.end()
+        await asyncio.gather(*senders)
+        await bed.until(
+            lambda: load.all_done(nodes[1]), 'every accepted job is done', 60
+        )
+        await _check(bed)
+    return load
+
+
+async def _kill(bed: beds.Bed, nodes: list[beds.Member], load: Load) -> None:
+    bed.kill(nodes[0])
+    del bed.nodes_by_name[nodes[0].name]
+    await bed.slices_owned()
+
+
+async def _freeze(bed: beds.Bed, nodes: list[beds.Member], load: Load) -> None:
+    bed.freeze(nodes[0])
+    frozen = bed.nodes_by_name.pop(nodes[0].name)
+    await bed.slices_owned()
+    bed.thaw(frozen)
+    await bed.until(
+        lambda: _is_serving(bed, frozen), 'the frozen node answers'
+    )
+
+
+async def _is_serving(bed: beds.Bed, node: beds.Member) -> bool:
+    return await bed.node_state(node) is not None
+
+
+async def _stop(bed: beds.Bed, nodes: list[beds.Member], load: Load) -> None:
+    sender = asyncio.create_task(load.requests(nodes[0]))
+    await asyncio.sleep(0.5)
+    assert await bed.stop(nodes[0]) == 0
+    del bed.nodes_by_name[nodes[0].name]
+    load.end()
+    await sender
+
+
+async def _store_down(
+    bed: beds.Bed, nodes: list[beds.Member], load: Load
+) -> None:
+    before = load.outcomes['answered']
+    await bed.post(bed.platform, '/control/faults', {'down': True})
+
+    async def still_answered() -> bool:
+        return load.outcomes['answered'] > before + 20
+
+    await bed.until(still_answered, 'requests are answered without store')
+    await bed.post(bed.platform, '/control/faults', {'down': False})
+    await bed.post(bed.platform, '/control/faults', {'lose': 5})
+
+
+FAULTS_BY_NAME = {
+    'kill': _kill,
+    'freeze': _freeze,
+    'stop': _stop,
+    'store-down': _store_down,
+}
+
+
+def test_a_killed_node_loses_and_doubles_nothing():
+    load = asyncio.run(_survive('kill'))
+    assert load.outcomes['answered'] > 0
+    assert load.outcomes['wrong'] == 0
+    assert load.outcomes['cut off'] == 0
+
+
+def test_a_frozen_node_loses_and_doubles_nothing():
+    load = asyncio.run(_survive('freeze'))
+    assert load.outcomes['answered'] > 0
+    assert load.outcomes['wrong'] == 0
+    assert load.outcomes['cut off'] == 0
+
+
+def test_a_graceful_stop_cuts_off_no_request():
+    load = asyncio.run(_survive('stop'))
+    assert load.outcomes['answered'] > 0
+    assert load.outcomes['wrong'] == 0
+    assert load.outcomes['cut off'] == 0
+
+
+def test_a_store_outage_loses_and_doubles_nothing():
+    load = asyncio.run(_survive('store-down'))
+    assert load.outcomes['answered'] > 0
+    assert load.outcomes['wrong'] == 0
+    assert load.outcomes['cut off'] == 0
