A world in virtual time: real reducers against small fakes

Cause: faults over real processes are slow to cause and hard to repeat. Change: fakes of the table service, the VM list, workers and links drive the reducer in virtual time; spans record what workers really ran. Before: no way to cause a cut or a lost answer.

--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,56 @@
+"""The whole path in virtual time."""
+
+import builders
+
+from celeryshift_standins import invariants
+from celeryshift_standins import world as worlds
+
+SLOTS = 8
+
+
+def _world(nodes=2, workers=4):
+    world = worlds.World(seed=1)
+    for number in range(workers):
+        world.add_worker(f'w{number}', 'dc1')
+    world.configure(builders.fleet().document())
+    for number in range(nodes):
+        world.add_node(f'n{number}', 'dc1')
+    world.run(3.0)
+    return world
+
+
+def _check(world):
+    spans = world.spans()
+    slots = dict.fromkeys(world.workers_by_name, SLOTS)
+    assert not list(invariants.over_committed(spans, slots))
+    assert not list(invariants.in_two_places(spans))
+
+
+def test_a_request_is_answered():
+    world = _world()
+    call = world.request(
+        'n0', 'r1', 'validate', 'field', builders.token(), run_s=0.02
+    )
+    world.run(1.0)
+    assert call.answer is not None
+    assert call.waited_s < 0.05
+
+
+def test_a_job_survives_every_node_being_replaced():
+    world = _world()
+    call = world.submit(
+        'n0', 'j1', 'recode', 'field', builders.token(), tasks=40, run_s=5.0
+    )
+    world.run(1.0)
+    assert call.answer == {'id': 'j1', 'accepted': True, 'existed': False}
+    for name in ('n0', 'n1'):
+        world.kill(name)
+    world.run(2.0)
+    for name in ('n2', 'n3'):
+        world.add_node(name, 'dc1')
+    world.run(60.0)
+    asked = world.ask_job('n2', 'j1', 'show', 'field', builders.token())
+    world.run(1.0)
+    assert asked.answer['state'] == 'done'
+    assert asked.answer['done'] == 40
+    _check(world)
