Placement: an index of room in every resource, and lines by kind

Cause: the index knew free slots alone, so that a task that needs memory looked at eight workers with slots and without memory and then waited; and a pump walked the heads of all 46 teams for each event, eight at most, so that eight blocked teams held up the rest.

Change: a tree over the workers with the most free of each resource, 160 nodes at most a search; waiting tasks in lines by kind, size and team; a kind that found no room is closed until a worker has room for it, and then looks at that worker alone. Services spread over racks, batch packs, requests go to the emptiest.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,6 @@
 format: setup
 	-$(VENV)/bin/ruff check --fix packages tests bench
 	$(VENV)/bin/ruff format packages tests bench
+
+bench: setup
+	$(PY) -m bench.placement
--- /dev/null
+++ b/bench/fleets.py
@@ -0,0 +1,100 @@
+"""Slices of a given size for benchmarks, owned and full of waiting work."""
+
+import random
+
+import attrs
+
+import celeryshift_core as core
+from celeryshift_core import _ids
+from celeryshift_core import _jobs
+from celeryshift_core import _ledger
+from celeryshift_core import _queue
+from celeryshift_core import _shares
+from celeryshift_core import _state
+from celeryshift_core import _tasks
+
+UPSTREAM = 'coding'
+TEAMS = 46
+CAPACITY = core.Size(8, 32_000, 131_072, 0)
+RACK_WORKERS = 6
+SIZES = (
+    core.Size(1, 2_000, 4_096, 0),
+    core.Size(1, 4_000, 16_384, 0),
+    core.Size(2, 8_000, 8_192, 0),
+    core.Size(1, 1_000, 24_576, 0),
+    core.Size(4, 16_000, 32_768, 0),
+)
+LEASE_S = 1e9
+
+
+def configuration() -> core.Config:
+    """Build a configuration with a kind of batch work for each size."""
+    kinds = {
+        f'k{number}': core.Kind(UPSTREAM, core.Policy.BATCH, size=size)
+        for number, size in enumerate(SIZES)
+    }
+    teams = {
+        f't{number:02d}': core.Team(float(1 + number % 4))
+        for number in range(TEAMS)
+    }
+    upstreams = {UPSTREAM: core.Upstream()}
+    return core.Config(1, teams, upstreams=upstreams, kinds=kinds)
+
+
+def slice_of(workers: int) -> tuple[_state.State, _state.Slice]:
+    """Build a node that owns one slice with a number of workers."""
+    state = _state.State(core.Options('bench', 'dc1', slices=1))
+    state.config = configuration()
+    state.membership.lease_until = LEASE_S
+    held: _state.Slice
+    held = _state.Slice(
+        0, 1, 1, _queue.Queue(lambda team: _shares.load(state, held, team))
+    )
+    held.phase = _state.SlicePhase.READY
+    state.slices_by_number[0] = held
+    for number in range(workers):
+        worker = _ledger.Worker(
+            f'w{number:04d}',
+            f'w{number:04d}',
+            f'r{number // RACK_WORKERS}',
+            UPSTREAM,
+            CAPACITY,
+        )
+        worker.answered = True
+        worker.syncing = True
+        held.ledger.add(worker)
+    return state, held
+
+
+def fill_queue(
+    state: _state.State, held: _state.Slice, tasks: int, seed: int
+) -> None:
+    """Queue a number of tasks of mixed sizes for every team."""
+    rng = random.Random(seed)
+    made = 0
+    number = 0
+    while made < tasks:
+        team = f't{number % TEAMS:02d}'
+        kind = f'k{rng.randrange(len(SIZES))}'
+        count = min(rng.randint(1, 40), tasks - made)
+        size = state.config.kinds[kind].size
+        job_id = _ids.scoped(team, f'j{seed}-{number}')
+        job = _tasks.Job(job_id, team, kind, count, {'run_s': 1.0}, size)
+        _jobs.accept(state, held, job)
+        made += count
+        number += 1
+
+
+@attrs.frozen(slots=True)
+class Quantiles:
+    """Hold the median and the 99th percentile of some figures."""
+
+    median: float
+    p99: float
+
+    @classmethod
+    def of(cls, figures: list[float]) -> 'Quantiles':
+        """Take the quantiles of a list of figures."""
+        ordered = sorted(figures)
+        last = len(ordered) - 1
+        return cls(ordered[last // 2], ordered[int(last * 0.99)])
--- a/packages/core/celeryshift_core/_launch.py
+++ b/packages/core/celeryshift_core/_launch.py
@@ -3,11 +3,29 @@
 from celeryshift_core import _ledger
 from celeryshift_core import _rights
 from celeryshift_core import _shares
+from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import effects
 
 
+def book(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    worker: _ledger.Worker,
+    size: _size.Size,
+) -> None:
+    """Take room on a worker for the next attempt of a task."""
+    task.attempt += 1
+    task.worker = worker.name
+    hold = _ledger.Hold(task.team, size, task.job)
+    held.ledger.hold(worker.name, task.run_id, hold)
+    held.unconfirmed.add(task.run_id)
+    _shares.charge(state, held, task.team, size.slots)
+    task.note(state.now, 'placed', f'attempt {task.attempt}')
+
+
 def send(
     state: _state.State,
     held: _state.Slice,
--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -1,11 +1,13 @@
 """The ledger of a slice: what each of its workers holds."""
 
+import collections
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 import attrs
-from sortedcontainers import SortedList
 
 from celeryshift_core import _errors
+from celeryshift_core import _room
 from celeryshift_core import _size
 from celeryshift_core import events
 
@@ -16,6 +18,7 @@
 
     team: str
     size: _size.Size
+    job: str = ''
 
 
 @attrs.define(eq=False)
@@ -57,21 +60,34 @@
 class Ledger:
     """Book tasks on workers and find those with room.
 
-    Usable workers are indexed by upstream and free slots, so that a search
+    Usable workers are indexed by upstream and free room, so that a search
     looks at a bounded number of them whatever the size of the slice.
     """
 
     def __init__(self) -> None:
         self.workers_by_name: dict[str, Worker] = {}
-        self._index_by_upstream: dict[str, SortedList] = {}
+        self._index_by_upstream: dict[str, _room.RoomIndex] = {}
         self._slots_by_name: dict[str, int] = {}
         self._free_by_upstream: dict[str, int] = {}
         self._capacity_by_upstream: dict[str, int] = {}
-        self.examined = 0
+        self._racks_by_job: dict[str, collections.Counter[str]] = {}
+        self._grown_by_upstream: dict[str, dict[str, None]] = {}
+
+    @property
+    def examined(self) -> int:
+        """Count the workers and nodes that searches have looked at."""
+        indices = self._index_by_upstream.values()
+        return sum(index.examined for index in indices)
 
     def add(self, worker: Worker) -> None:
         """Take in a worker."""
         self.workers_by_name[worker.name] = worker
+        index = self._index_by_upstream.get(worker.upstream)
+        if index is None:
+            index = self._index_by_upstream[worker.upstream] = (
+                _room.RoomIndex()
+            )
+        index.add(worker.name, worker.rack)
         self._count_capacity(worker.upstream, worker.capacity.slots)
         self.refresh(worker)
 
@@ -85,21 +101,52 @@
     def remove(self, name: str) -> Worker:
         """Forget a worker and what it holds."""
         worker = self.workers_by_name.pop(name)
-        self._unindex(worker)
+        for hold in worker.holds_by_run.values():
+            self._count_rack(worker, hold, -1)
+        self._index_by_upstream[worker.upstream].remove(name, worker.rack)
+        self._count_free(worker, 0)
         self._count_capacity(worker.upstream, -worker.capacity.slots)
         return worker
 
     def refresh(self, worker: Worker) -> None:
         """Index a worker anew after a change of its state or room."""
-        self._unindex(worker)
-        if worker.usable and worker.name in self.workers_by_name:
-            slots = worker.free.slots
-            index = self._index_by_upstream.setdefault(
-                worker.upstream, SortedList()
-            )
-            index.add((slots, worker.name))
-            self._slots_by_name[worker.name] = slots
-            self._count(worker.upstream, slots)
+        if worker.name not in self.workers_by_name:
+            return
+        room = _room.NOTHING
+        slots = 0
+        if worker.usable:
+            capacity, used = worker.capacity, worker.used
+            slots = capacity.slots - used.slots
+            if slots > 0:
+                # Without a free slot, what else is free is of no use.
+                room = (
+                    slots,
+                    capacity.cpu_milli - used.cpu_milli,
+                    capacity.memory_mb - used.memory_mb,
+                    capacity.accelerators - used.accelerators,
+                )
+        index = self._index_by_upstream[worker.upstream]
+        if index.set(worker.name, room):
+            grown = self._grown_by_upstream.setdefault(worker.upstream, {})
+            grown[worker.name] = None
+        self._count_free(worker, slots)
+
+    def take_grown(self) -> dict[str, dict[str, _size.Size]]:
+        """Give the room of workers that got some since the last call."""
+        grown, self._grown_by_upstream = self._grown_by_upstream, {}
+        return {
+            upstream: {
+                name: self.workers_by_name[name].free
+                for name in names
+                if name in self.workers_by_name
+            }
+            for upstream, names in grown.items()
+        }
+
+    def gave_up(self, upstream: str) -> bool:
+        """Tell whether the last search ended before it had seen all."""
+        index = self._index_by_upstream.get(upstream)
+        return index is not None and index.gave_up
 
     def hold(self, name: str, run_id: str, hold: Hold) -> None:
         """Book a task on a worker.
@@ -120,6 +167,7 @@
             return False
         worker.holds_by_run[run_id] = hold
         worker.used += hold.size
+        self._count_rack(worker, hold, 1)
         self.refresh(worker)
         return True
 
@@ -131,43 +179,43 @@
         hold = worker.holds_by_run.pop(run_id)
         worker.used -= hold.size
         worker.foreign.discard(run_id)
+        self._count_rack(worker, hold, -1)
         self.refresh(worker)
         return hold
 
-    def tightest(
-        self, upstream: str, size: _size.Size, most: int
-    ) -> Iterator[Worker]:
-        """Yield workers with room, those with the fewest free slots first.
+    def packed(
+        self, upstream: str, size: _size.Size, count: int
+    ) -> list[Worker]:
+        """List workers with room, those that are filled first."""
+        return self._search(upstream, size, count, False)
 
-        Looks at the given number of workers at most.
-        """
+    def widest(
+        self, upstream: str, size: _size.Size, count: int
+    ) -> list[Worker]:
+        """List workers with room, those with the most free slots."""
+        return self._search(upstream, size, count, True)
+
+    def by_rack(
+        self, upstream: str, size: _size.Size, first: int, racks: int
+    ) -> list[Worker]:
+        """List workers with room, from a number of racks from the first on."""
         index = self._index_by_upstream.get(upstream)
-        if not index:
-            return
-        start = index.bisect_left((size.slots, ''))
-        for _, name in index.islice(start, start + most):
-            self.examined += 1
-            worker = self.workers_by_name[name]
-            if size.fits(worker.free):
-                yield worker
+        found = index.by_rack(_room_of(size), first, racks) if index else []
+        return [self.workers_by_name[name] for name in found]
 
-    def widest(
-        self, upstream: str, size: _size.Size, most: int
+    def fitting(
+        self, names: Iterable[str], size: _size.Size
     ) -> Iterator[Worker]:
-        """Yield workers with room, those with the most free slots first.
-
-        Looks at the given number of workers at most.
-        """
-        index = self._index_by_upstream.get(upstream)
-        if not index:
-            return
-        start = max(0, len(index) - most)
-        for slots, name in index.islice(start, len(index), reverse=True):
-            self.examined += 1
-            worker = self.workers_by_name[name]
-            if slots >= size.slots and size.fits(worker.free):
+        """Yield those of the workers named that have room."""
+        for name in names:
+            worker = self.workers_by_name.get(name)
+            if worker and worker.usable and size.fits(worker.free):
                 yield worker
 
+    def tasks_by_rack(self, job: str) -> collections.Counter[str]:
+        """Count the tasks of a job that are booked, by rack."""
+        return self._racks_by_job.get(job, collections.Counter())
+
     def free_slots(self, upstream: str) -> int:
         """Give the free slots of the usable workers of an upstream."""
         return self._free_by_upstream.get(upstream, 0)
@@ -185,17 +233,39 @@
             if slots > 0
         )
 
-    def _unindex(self, worker: Worker) -> None:
-        slots = self._slots_by_name.pop(worker.name, None)
-        if slots is not None:
-            index = self._index_by_upstream[worker.upstream]
-            index.remove((slots, worker.name))
-            self._count(worker.upstream, -slots)
-
-    def _count(self, upstream: str, slots: int) -> None:
-        before = self._free_by_upstream.get(upstream, 0)
-        self._free_by_upstream[upstream] = before + slots
+    def _search(
+        self, upstream: str, size: _size.Size, count: int, widest: bool
+    ) -> list[Worker]:
+        index = self._index_by_upstream.get(upstream)
+        if index is None:
+            return []
+        names = index.search(_room_of(size), count, widest)
+        return [self.workers_by_name[name] for name in names]
+
+    def _count_free(self, worker: Worker, slots: int) -> None:
+        before = self._slots_by_name.get(worker.name, 0)
+        self._slots_by_name[worker.name] = slots
+        free = self._free_by_upstream.get(worker.upstream, 0)
+        self._free_by_upstream[worker.upstream] = free + slots - before
+        if worker.name not in self.workers_by_name:
+            del self._slots_by_name[worker.name]
+
+    def _count_rack(self, worker: Worker, hold: Hold, change: int) -> None:
+        if not hold.job:
+            return
+        racks = self._racks_by_job.get(hold.job)
+        if racks is None:
+            racks = self._racks_by_job[hold.job] = collections.Counter()
+        racks[worker.rack] += change
+        if racks[worker.rack] <= 0:
+            del racks[worker.rack]
+            if not racks:
+                del self._racks_by_job[hold.job]
 
     def _count_capacity(self, upstream: str, slots: int) -> None:
         before = self._capacity_by_upstream.get(upstream, 0)
         self._capacity_by_upstream[upstream] = before + slots
+
+
+def _room_of(size: _size.Size) -> _room.Room:
+    return size.slots, size.cpu_milli, size.memory_mb, size.accelerators
--- a/packages/core/celeryshift_core/_queue.py
+++ b/packages/core/celeryshift_core/_queue.py
@@ -2,90 +2,99 @@
 
 import collections
 from collections.abc import Callable
-from collections.abc import Iterator
+from collections.abc import Iterable
+from collections.abc import Set
 
 from sortedcontainers import SortedList
 
+from celeryshift_core import _size
 from celeryshift_core import _tasks
 
 Line = collections.deque[_tasks.Task]
+Key = tuple[bool, str, _size.Size]
+# Names a team and a kind of work.
+TeamKind = tuple[str, str]
 
 
-class _Tier:
-    """Keep the waiting tasks of one urgency, a line for each team."""
+class _Group:
+    """Keep the waiting tasks of one kind and size, a line for each team.
 
-    def __init__(self) -> None:
-        self.lines_by_team: dict[str, Line] = {}
-        self._load_by_team: dict[str, float] = {}
-        self._order: SortedList = SortedList()
-
-    def push(self, task: _tasks.Task, load: float, front: bool) -> None:
-        line = self.lines_by_team.get(task.team)
-        if line is None:
-            line = self.lines_by_team[task.team] = collections.deque()
-            self._load_by_team[task.team] = load
-            self._order.add((load, task.team))
-        if front:
-            line.appendleft(task)
-        else:
-            line.append(task)
-
-    def heads(self) -> Iterator[_tasks.Task]:
-        """Yield the first waiting task of each team, least served first."""
-        for _, team in list(self._order):
-            line = self.lines_by_team.get(team)
-            while line and line[0].state is not _tasks.TaskState.QUEUED:
-                line.popleft()
-            if line:
-                yield line[0]
-            else:
-                self._forget(team)
-
-    def pop(self, task: _tasks.Task) -> None:
-        line = self.lines_by_team[task.team]
-        line.popleft()
-        if not line:
-            self._forget(task.team)
-
-    def rank(self, team: str, load: float) -> None:
-        before = self._load_by_team.get(team)
-        if before is not None and before != load:
-            self._order.remove((before, team))
-            self._order.add((load, team))
-            self._load_by_team[team] = load
+    All of them need the same room, so that one search tells for all. Once a
+    search has found that there is none, only the workers that have got room
+    since are worth a look; no such list means that all of them are. A search
+    that gave up early is made again later.
+    """
 
-    def _forget(self, team: str) -> None:
-        if self.lines_by_team.pop(team, None) is not None:
-            self._order.remove((self._load_by_team.pop(team), team))
+    def __init__(self, key: Key, upstream: str) -> None:
+        self.key = key
+        self.upstream = upstream
+        self.lines_by_team: dict[str, Line] = {}
+        self.search_at: float | None = None
+        self.hints: dict[str, None] | None = None
 
 
 class Queue:
     """Hold the tasks of a slice that wait for a worker.
 
     A task that is no longer queued is dropped when it comes to the front,
-    so that cancelling takes constant time.
+    so that cancelling takes constant time. A group that found no room is
+    closed until a worker has room for it.
     """
 
     def __init__(self, load: Callable[[str], float]) -> None:
         self._load = load
-        self._tiers = (_Tier(), _Tier())
+        self._group_by_key: dict[Key, _Group] = {}
+        self._groups_by_team: dict[str, dict[Key, _Group]] = {}
+        self._open: tuple[dict[Key, _Group], dict[Key, _Group]] = ({}, {})
+        self._load_by_team: dict[str, float] = {}
+        self._order: SortedList = SortedList()
         self.length = 0
+        self.touched = 0
 
     def push(self, task: _tasks.Task, front: bool = False) -> None:
-        """Add a task to the line of its team."""
+        """Add a task to the line of its team and kind."""
         task.state = _tasks.TaskState.QUEUED
         self.length += 1
-        self._tier(task).push(task, self._load(task.team), front)
+        key = _key(task)
+        group = self._group_by_key.get(key)
+        if group is None:
+            group = self._group_by_key[key] = _Group(key, task.upstream)
+            self._open[task.urgent][key] = group
+        line = group.lines_by_team.get(task.team)
+        if line is None:
+            line = group.lines_by_team[task.team] = collections.deque()
+            self._join(task.team, group)
+        if front:
+            line.appendleft(task)
+        else:
+            line.append(task)
 
-    def heads(self) -> Iterator[_tasks.Task]:
-        """Yield the task that each team would start next, in turn."""
-        for tier in self._tiers:
-            yield from tier.heads()
+    def next(self, urgent: bool, skipped: Set[TeamKind]) -> _tasks.Task | None:
+        """Give the first task of the least served team that may have room."""
+        groups = self._open[urgent]
+        for _, team in list(self._order) if groups else ():
+            best = None
+            for group in list(groups.values()):
+                self.touched += 1
+                if team not in group.lines_by_team:
+                    continue
+                if skipped and (team, group.key[1]) in skipped:
+                    continue
+                head = self._head(group, team)
+                if head and (best is None or head.arrived < best.arrived):
+                    best = head
+            if best is not None:
+                return best
+        return None
 
     def pop(self, task: _tasks.Task) -> None:
         """Take a task from the front of its line."""
         self.length -= 1
-        self._tier(task).pop(task)
+        group = self._group_by_key[_key(task)]
+        line = group.lines_by_team[task.team]
+        line.popleft()
+        if not line:
+            self._forget(group, task.team)
 
     def leave(self, task: _tasks.Task, state: _tasks.TaskState) -> None:
         """Take out a task wherever it stands."""
@@ -95,8 +104,88 @@
 
     def rank(self, team: str) -> None:
         """Place a team anew after its load has changed."""
-        for tier in self._tiers:
-            tier.rank(team, self._load(team))
+        before = self._load_by_team.get(team)
+        if before is not None:
+            load = self._load(team)
+            if load != before:
+                self._order.remove((before, team))
+                self._order.add((load, team))
+                self._load_by_team[team] = load
+
+    def hints(self, task: _tasks.Task) -> Iterable[str] | None:
+        """Name the workers that alone may have room; None means any."""
+        return self._group_by_key[_key(task)].hints
+
+    def close(self, task: _tasks.Task) -> None:
+        """Pass over the tasks of this kind and size: they found no room."""
+        group = self._group_by_key[_key(task)]
+        group.hints = {}
+        self._open[task.urgent].pop(group.key, None)
+
+    def search_again(self, task: _tasks.Task, at: float | None) -> None:
+        """Note whether to search again although no room has come up."""
+        self._group_by_key[_key(task)].search_at = at
+
+    def reopen(
+        self,
+        upstream: str,
+        room_by_worker: dict[str, _size.Size],
+        now: float,
+    ) -> None:
+        """Look again at what may find room on workers that have got some."""
+        for key, group in self._group_by_key.items():
+            if group.upstream != upstream:
+                continue
+            fitting = [
+                name
+                for name, room in room_by_worker.items()
+                if key[2].fits(room)
+            ]
+            if group.search_at is not None and now >= group.search_at:
+                group.hints = None
+                self._open[key[0]][key] = group
+            elif fitting:
+                self._open[key[0]][key] = group
+                if group.hints is not None:
+                    group.hints.update(dict.fromkeys(fitting))
+
+    def reopen_all(self, upstream: str) -> None:
+        """Look again at all that waits for an upstream."""
+        for key, group in self._group_by_key.items():
+            if group.upstream == upstream:
+                group.hints = None
+                self._open[key[0]][key] = group
+
+    def _join(self, team: str, group: _Group) -> None:
+        groups = self._groups_by_team.get(team)
+        if groups is None:
+            groups = self._groups_by_team[team] = {}
+            load = self._load_by_team[team] = self._load(team)
+            self._order.add((load, team))
+        groups[group.key] = group
+
+    def _head(self, group: _Group, team: str) -> _tasks.Task | None:
+        line = group.lines_by_team[team]
+        self.touched += 1
+        while line and line[0].state is not _tasks.TaskState.QUEUED:
+            line.popleft()
+            self.touched += 1
+        if line:
+            return line[0]
+        self._forget(group, team)
+        return None
+
+    def _forget(self, group: _Group, team: str) -> None:
+        del group.lines_by_team[team]
+        groups = self._groups_by_team[team]
+        del groups[group.key]
+        if not groups:
+            del self._groups_by_team[team]
+            self._order.remove((self._load_by_team.pop(team), team))
+        if not group.lines_by_team:
+            del self._group_by_key[group.key]
+            self._open[group.key[0]].pop(group.key, None)
+
 
-    def _tier(self, task: _tasks.Task) -> _Tier:
-        return self._tiers[0 if task.urgent else 1]
+def _key(task: _tasks.Task) -> Key:
+    return task.urgent, task.kind, task.size
--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -259,7 +259,7 @@
         task.worker = worker.name
         task.state = _tasks.TaskState.RUNNING
         task.note(state.now, 'found running', 'an earlier owner started it')
-        hold = _ledger.Hold(task.team, report.size)
+        hold = _ledger.Hold(task.team, report.size, task.job)
         _launch.adopt(state, held, worker, report.id, hold)
         held.unaccounted.discard(task.id)
         _jobs.adopted(state, held, task, out)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,9 +1,24 @@
 """Builders of test data."""
 
+from bench import fleets
+
 import celeryshift_client
+import celeryshift_core as core
+from celeryshift_core import _ledger
+from celeryshift_core import _state
+from celeryshift_core import effects
+from celeryshift_core import events
 
 SECRET = 'secret-of-the-tests'
 UPSTREAM = 'coding'
+OK = events.Outcome.OK
+UNLIKE_SIZES = (
+    core.Size(1, 1_000, 65_536, 0),
+    core.Size(1, 12_000, 1_024, 0),
+    core.Size(1, 1_000, 1_024, 0),
+    core.Size(4, 4_000, 8_192, 0),
+    core.Size(2, 2_000, 40_000, 0),
+)
 
 
 def fleet() -> celeryshift_client.Fleet:
@@ -26,3 +41,38 @@
 def token() -> str:
     """Give the key that the fleet's callers show."""
     return f'k1.{SECRET}'
+
+
+def full_slice(
+    workers: int, waiting: int
+) -> tuple[_state.State, _state.Slice]:
+    """Build a node that owns one slice, with tasks that wait for it."""
+    state, held = fleets.slice_of(workers)
+    fleets.fill_queue(state, held, waiting, seed=1)
+    return state, held
+
+
+def take(
+    held: _state.Slice, worker: _ledger.Worker, run_id: str, size: core.Size
+) -> None:
+    """Book room on a worker."""
+    held.ledger.hold(worker.name, run_id, _ledger.Hold('t00', size))
+
+
+def end_run(
+    state: _state.State,
+    held: _state.Slice,
+    worker: _ledger.Worker,
+    run_id: str,
+    phase: events.TaskPhase = events.TaskPhase.DONE,
+) -> list[effects.Effect]:
+    """Let a worker report the end of a run."""
+    started = events.TaskStarted(
+        state.now, held.number, held.epoch, worker.name, run_id, OK
+    )
+    core.reduce(state, started)
+    report = events.TaskReport(run_id, phase)
+    event = events.WorkerSynced(
+        state.now, held.number, held.epoch, worker.name, 'c', [report]
+    )
+    return core.reduce(state, event)
