All-at-once jobs: reserve with a time bound, start together, restart whole

Cause: the tasks of a gang were placed one by one like batch, so that part of it could run while the rest waited for good.

Ruled out: one try for all room at once without keeping any (small tasks starve the gang for good); keeping what was got without a bound (a gang that never completes blocks the upstream); claims per task for gangs that must not repeat (a claim is written before any task may start, so one row for the whole job does).

Change: one task stands in the queue for its gang; room is reserved as it comes up for 10 s, twice as long after each pause of 2 s, an hour at most; one gang at a time reserves on an upstream; urgent work takes reserved room back. A lost task restarts the whole gang after the others were stopped, unless it must not repeat. A gang that no slice could hold is refused on arrival with the largest number. Stops whose answer was lost are sent again. Capacities are counted by upstream and slice instead of scanned for each request.

The name of a run now carries the epoch of its owner.

Conclusion: no task of a gang starts before there is room for all of it.

--- a/packages/core/celeryshift_core/_admission.py
+++ b/packages/core/celeryshift_core/_admission.py
@@ -70,7 +70,7 @@
     if not state.config.takes_work(kind.upstream):
         detail = f'upstream {kind.upstream!r} takes no new work'
         return Refusal(Reason.NO_UPSTREAM, detail=detail)
-    capacities = _state.biggest(state, kind.upstream)
+    capacities = state.fleet.capacities(kind.upstream)
     if not capacities:
         retry_s = state.options.retry_after_s
         detail = f'upstream {kind.upstream!r} has no workers'
--- /dev/null
+++ b/packages/core/celeryshift_core/_gangs.py
@@ -0,0 +1,292 @@
+"""All-at-once jobs: reserve room for all tasks, then start them together.
+
+One task of the job stands in the queue for all. When its turn comes, room is
+reserved as it comes up, for a bounded time; a gang that did not get all of
+it releases what it has, pauses, and reserves for twice as long the next time,
+so that small tasks starve no gang and no gang stops small tasks for good.
+"""
+
+from celeryshift_core import _config
+from celeryshift_core import _launch
+from celeryshift_core import _ledger
+from celeryshift_core import _limits
+from celeryshift_core import _placers
+from celeryshift_core import _state
+from celeryshift_core import _tasks
+from celeryshift_core import _timers
+
+WINDOW_S = 10.0
+MAX_WINDOW_S = 3600.0
+PAUSE_S = 2.0
+TASKS_PER_EVENT = 256
+YIELDED = 8
+
+GangPhase = _tasks.GangPhase
+TaskState = _tasks.TaskState
+
+PLACER = _placers.BY_POLICY[_config.Policy.GANG]
+
+
+def is_gang(state: _state.State, held: _state.Slice, job: _tasks.Job) -> bool:
+    """Tell whether the tasks of a job have to start together."""
+    if job.id in held.gangs_by_job:
+        return True
+    kind = state.config.kinds.get(job.kind)
+    return kind is not None and kind.policy is _config.Policy.GANG
+
+
+def gather(
+    state: _state.State,
+    held: _state.Slice,
+    job: _tasks.Job,
+    task: _tasks.Task,
+    out: _state.Out,
+) -> None:
+    """Let a task that surely runs nowhere wait for the rest of its gang.
+
+    If others run, the gang is to be restarted: they are stopped first.
+    """
+    gang = held.gangs_by_job.get(job.id)
+    if gang is None:
+        gang = _tasks.Gang(job, task.upstream, WINDOW_S)
+        held.gangs_by_job[job.id] = gang
+    task.state = TaskState.GATHERING
+    gang.reserved.pop(task.id, None)
+    gang.waiting[task.id] = task
+    if gang.phase in (GangPhase.SENDING, GangPhase.RUNNING):
+        _restart(state, held, gang, task, out)
+    elif gang.phase is GangPhase.GATHERING and job.running:
+        _stop_running(state, held, gang, out)
+    _queue_if_gathered(state, held, gang)
+
+
+def ended(
+    state: _state.State,
+    held: _state.Slice,
+    job: _tasks.Job,
+    task: _tasks.Task,
+) -> None:
+    """Note that a task of a job has ended for good."""
+    gang = held.gangs_by_job.get(job.id)
+    if gang is not None:
+        gang.waiting.pop(task.id, None)
+        gang.reserved.pop(task.id, None)
+        _queue_if_gathered(state, held, gang)
+
+
+def withdraw(
+    state: _state.State, held: _state.Slice, task: _tasks.Task
+) -> None:
+    """Take a task of a cancelled job out of its gang."""
+    gang = held.gangs_by_job[task.job]
+    if gang.reserved.pop(task.id, None) is not None:
+        _launch.unbook(state, held, task)
+    gang.waiting.pop(task.id, None)
+    if not gang.waiting and not gang.reserved:
+        _leave(state, held, gang)
+
+
+def begin(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    out: _state.Out,
+) -> bool:
+    """Begin to reserve room for the gang that a task stands for.
+
+    One gang at a time reserves on an upstream, so that no two of them hold
+    half of their room each.
+    """
+    if task.upstream in held.reserving_by_upstream:
+        task.note(state.now, 'waits', 'another gang reserves room')
+        return False
+    held.queue.pop(task)
+    gang = held.gangs_by_job.get(task.job)
+    if gang is None or gang.phase is not GangPhase.QUEUED:
+        gather(state, held, held.jobs_by_id[task.job], task, out)
+        return True
+    task.state = TaskState.GATHERING
+    gang.phase = GangPhase.RESERVING
+    held.reserving_by_upstream[gang.upstream] = gang.job.id
+    key = _timers.GangDue(held.number, held.epoch, gang.job.id)
+    state.timers.set(key, state.now + gang.window_s)
+    return True
+
+
+def reserve(
+    state: _state.State, held: _state.Slice, gang: _tasks.Gang
+) -> bool:
+    """Reserve what room there is; tell whether it is enough for all."""
+    for task in list(gang.waiting.values())[:TASKS_PER_EVENT]:
+        if not _limits.may_start(state, held, task):
+            task.note(state.now, 'waits', 'team is at its upper limit')
+            return False
+        worker = _choose(held, task)
+        if worker is None:
+            task.note(state.now, 'waits', 'no room for the whole gang yet')
+            return False
+        _launch.book(state, held, task, worker, task.size)
+        task.state = TaskState.RESERVED
+        del gang.waiting[task.id]
+        gang.reserved[task.id] = task
+    if gang.waiting:
+        _go_on(state, held)
+    return not gang.waiting
+
+
+def send(
+    state: _state.State,
+    held: _state.Slice,
+    gang: _tasks.Gang,
+    out: _state.Out,
+) -> None:
+    """Start the tasks of a gang that has room for all."""
+    gang.phase = GangPhase.SENDING
+    for task in list(gang.reserved.values())[:TASKS_PER_EVENT]:
+        del gang.reserved[task.id]
+        task.state = TaskState.STARTING
+        state.counters['placements'] += 1
+        _launch.send(state, held, task, out)
+    if gang.reserved:
+        _go_on(state, held)
+    else:
+        _leave(state, held, gang)
+        gang.phase = GangPhase.RUNNING
+        gang.window_s = WINDOW_S
+
+
+def yield_room(
+    state: _state.State, held: _state.Slice, task: _tasks.Task
+) -> _ledger.Worker | None:
+    """Free room that a gang has reserved for a task that is urgent."""
+    gang = _reserving(held, task.upstream)
+    if gang is None or gang.phase is not GangPhase.RESERVING:
+        return None
+    for other in list(gang.reserved.values())[: -YIELDED - 1 : -1]:
+        worker = held.ledger.workers_by_name[other.worker]
+        _unreserve(state, held, gang, other, 'urgent work needs the room')
+        if task.size.fits(worker.free):
+            return worker
+    return None
+
+
+def pause(
+    state: _state.State, held: _state.Slice, gang: _tasks.Gang, why: str
+) -> None:
+    """Release what a gang has reserved, and let it try again later."""
+    for task in list(gang.reserved.values()):
+        _unreserve(state, held, gang, task, why)
+    _leave(state, held, gang)
+    gang.phase = GangPhase.PAUSED
+    gang.window_s = min(2 * gang.window_s, MAX_WINDOW_S)
+    key = _timers.GangDue(held.number, held.epoch, gang.job.id)
+    state.timers.set(key, state.now + PAUSE_S)
+
+
+def due(state: _state.State, timer: _timers.GangDue, out: _state.Out) -> None:
+    """End the time for which a gang reserves room, or its pause."""
+    held = state.slices_by_number.get(timer.slice)
+    if held is None or held.epoch != timer.epoch:
+        return
+    gang = held.gangs_by_job.get(timer.job)
+    if gang is None:
+        return
+    if gang.phase is GangPhase.RESERVING:
+        found = len(gang.reserved)
+        total = found + len(gang.waiting)
+        why = f'room for {found} of {total} within {gang.window_s:.0f} s'
+        pause(state, held, gang, why)
+    elif gang.phase is GangPhase.PAUSED:
+        gang.phase = GangPhase.GATHERING
+        _queue_if_gathered(state, held, gang)
+
+
+def release_all(state: _state.State, held: _state.Slice) -> None:
+    """Release every reservation of a slice that is handed over."""
+    for upstream in list(held.reserving_by_upstream):
+        gang = _reserving(held, upstream)
+        if gang is not None and gang.phase is GangPhase.RESERVING:
+            pause(state, held, gang, 'the slice is handed over')
+
+
+def _restart(
+    state: _state.State,
+    held: _state.Slice,
+    gang: _tasks.Gang,
+    task: _tasks.Task,
+    out: _state.Out,
+) -> None:
+    gang.restarts += 1
+    gang.claimed = False
+    gang.phase = GangPhase.GATHERING
+    for other in list(gang.reserved.values()):
+        _unreserve(state, held, gang, other, 'its gang is restarted')
+    _leave(state, held, gang)
+    task.note(state.now, 'gang restarted', f'restart {gang.restarts}')
+    _stop_running(state, held, gang, out)
+
+
+def _stop_running(
+    state: _state.State,
+    held: _state.Slice,
+    gang: _tasks.Gang,
+    out: _state.Out,
+) -> None:
+    kind = state.config.kinds.get(gang.job.kind)
+    if kind is None or not kind.repeatable:
+        # What runs must not run again, so that it is left to end.
+        return
+    for task_id in sorted(gang.job.running):
+        task = held.tasks_by_id[task_id]
+        if task.state in (TaskState.STARTING, TaskState.RUNNING):
+            task.note(state.now, 'stopped', 'its gang is restarted')
+            _launch.stop(state, held, task, out)
+
+
+def _queue_if_gathered(
+    state: _state.State, held: _state.Slice, gang: _tasks.Gang
+) -> None:
+    if gang.phase is GangPhase.GATHERING and gang.gathered:
+        gang.phase = GangPhase.QUEUED
+        held.queue.push(next(iter(gang.waiting.values())))
+        state.touched[held.number] = None
+
+
+def _unreserve(
+    state: _state.State,
+    held: _state.Slice,
+    gang: _tasks.Gang,
+    task: _tasks.Task,
+    why: str,
+) -> None:
+    _launch.unbook(state, held, task)
+    del gang.reserved[task.id]
+    gang.waiting[task.id] = task
+    task.state = TaskState.GATHERING
+    task.note(state.now, 'released', why)
+
+
+def _leave(state: _state.State, held: _state.Slice, gang: _tasks.Gang) -> None:
+    """Let another gang reserve on the upstream."""
+    if held.reserving_by_upstream.get(gang.upstream) == gang.job.id:
+        del held.reserving_by_upstream[gang.upstream]
+        state.touched[held.number] = None
+
+
+def _reserving(held: _state.Slice, upstream: str) -> _tasks.Gang | None:
+    job = held.reserving_by_upstream.get(upstream)
+    return held.gangs_by_job.get(job) if job else None
+
+
+def _choose(held: _state.Slice, task: _tasks.Task) -> _ledger.Worker | None:
+    found = PLACER.find(held, task, task.size)
+    return min(
+        found,
+        key=lambda worker: PLACER.rank(held, task, worker),
+        default=None,
+    )
+
+
+def _go_on(state: _state.State, held: _state.Slice) -> None:
+    key = _timers.PumpDue(held.number, held.epoch)
+    state.timers.set(key, state.now)
--- a/packages/core/celeryshift_core/_jobs.py
+++ b/packages/core/celeryshift_core/_jobs.py
@@ -4,6 +4,7 @@
 
 from celeryshift_core import _config
 from celeryshift_core import _explain
+from celeryshift_core import _gangs
 from celeryshift_core import _ledger
 from celeryshift_core import _size
 from celeryshift_core import _state
@@ -102,9 +103,13 @@
 
 def accept(state: _state.State, held: _state.Slice, job: _tasks.Job) -> None:
     """Queue the tasks of a job whose row has been written."""
+    gang = _gangs.is_gang(state, held, job)
     for task in install(state, held, job, TaskState.QUEUED):
         task.note(state.now, 'queued', f'slice {held.number}')
-        held.queue.push(task)
+        if gang:
+            _gangs.gather(state, held, job, task, [])
+        else:
+            held.queue.push(task)
     state.touched[held.number] = None
 
 
@@ -120,7 +125,10 @@
         task.state = TaskState.CANCELLED
         _changed(state, held, job)
         return
-    held.queue.push(task, front=True)
+    if _gangs.is_gang(state, held, job):
+        _gangs.gather(state, held, job, task, out)
+    else:
+        held.queue.push(task, front=True)
     state.touched[held.number] = None
 
 
@@ -174,13 +182,21 @@
     if job.cancelled:
         _end(state, held, job, task, TaskState.CANCELLED, why)
     elif kind is not None and not kind.repeatable:
-        job.unknown.add(task.index)
-        _end(state, held, job, task, TaskState.FAILED, f'not repeated: {why}')
+        not_repeated(state, held, task, why)
     else:
         task.note(state.now, 'queued again', why)
         resume(state, held, task, out)
 
 
+def not_repeated(
+    state: _state.State, held: _state.Slice, task: _tasks.Task, why: str
+) -> None:
+    """End a task that may have run and must not run again."""
+    job = held.jobs_by_id[task.job]
+    job.unknown.add(task.index)
+    _end(state, held, job, task, TaskState.FAILED, f'not repeated: {why}')
+
+
 def not_started(
     state: _state.State,
     held: _state.Slice,
@@ -204,15 +220,13 @@
     out: _state.Out,
 ) -> None:
     """End a task that was started before, or try its claim later."""
-    job = held.jobs_by_id[task.job]
     if found is None:
         task.state = TaskState.UNACCOUNTED
         task.note(state.now, 'waits', 'its claim could not be written')
         key = _timers.RequeueTask(held.number, held.epoch, task.id)
         state.timers.set(key, state.now + REQUEUE_S)
         return
-    job.unknown.add(task.index)
-    _end(state, held, job, task, TaskState.FAILED, 'it was started before')
+    not_repeated(state, held, task, 'it was started before')
 
 
 def requeue(
@@ -240,6 +254,10 @@
         if task.state is TaskState.QUEUED:
             held.queue.leave(task, TaskState.CANCELLED)
             task.note(state.now, 'cancelled')
+        elif task.state in (TaskState.GATHERING, TaskState.RESERVED):
+            _gangs.withdraw(state, held, task)
+            task.state = TaskState.CANCELLED
+            task.note(state.now, 'cancelled')
         elif task.state in (TaskState.STARTING, TaskState.RUNNING):
             running.append(task)
     _changed(state, held, job)
@@ -347,6 +365,7 @@
     held.tasks_by_id.pop(task.id, None)
     _explain.remember(state, task)
     state.counters[f'tasks.{task_state.value}'] += 1
+    _gangs.ended(state, held, job, task)
     _changed(state, held, job)
 
 
@@ -362,6 +381,7 @@
 
 def _forget(state: _state.State, held: _state.Slice, job: _tasks.Job) -> None:
     del held.jobs_by_id[job.id]
+    held.gangs_by_job.pop(job.id, None)
     for index in range(job.tasks):
         held.tasks_by_id.pop(job.task_id(index), None)
     held.finished_by_id[job.id] = job
--- a/packages/core/celeryshift_core/_launch.py
+++ b/packages/core/celeryshift_core/_launch.py
@@ -17,6 +17,7 @@
     size: _size.Size,
 ) -> None:
     """Take room on a worker for the next attempt of a task."""
+    task.epoch = held.epoch
     task.attempt += 1
     task.worker = worker.name
     hold = _ledger.Hold(task.team, size, task.job)
@@ -58,6 +59,39 @@
     )
 
 
+def stop(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    out: _state.Out,
+) -> None:
+    """Stop a task; its room stays taken until the worker says it ended."""
+    task.state = _tasks.TaskState.STOPPING
+    worker = held.ledger.workers_by_name.get(task.worker)
+    if worker is not None:
+        send_stop(state, held, worker, task.run_id, out)
+
+
+def send_stop(
+    state: _state.State,
+    held: _state.Slice,
+    worker: _ledger.Worker,
+    run_id: str,
+    out: _state.Out,
+) -> None:
+    """Ask a worker to stop a run."""
+    out.append(
+        effects.StopTask(
+            held.number,
+            held.epoch,
+            worker.name,
+            worker.address,
+            run_id,
+            _rights.until(state),
+        )
+    )
+
+
 def _send_request(
     state: _state.State,
     task: _tasks.Task,
--- a/packages/core/celeryshift_core/_once.py
+++ b/packages/core/celeryshift_core/_once.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from celeryshift_core import _gangs
 from celeryshift_core import _jobs
 from celeryshift_core import _launch
 from celeryshift_core import _requests
@@ -24,6 +25,15 @@
     task: str
 
 
+@attrs.frozen(slots=True)
+class GangClaimPurpose:
+    """Say that a write claims the only start of an all-at-once job."""
+
+    slice: int
+    epoch: int
+    job: str
+
+
 @attrs.frozen(slots=True)
 class UnclaimPurpose:
     """Say that a write gives back a claim that was never used."""
@@ -73,6 +83,45 @@
         _jobs.not_claimed(state, held, task, found, out)
 
 
+def claim_gang(
+    state: _state.State,
+    held: _state.Slice,
+    gang: _tasks.Gang,
+    out: _state.Out,
+) -> None:
+    """Claim the only start of an all-at-once job that has its room."""
+    gang.phase = _tasks.GangPhase.CLAIMING
+    key = schema.once(_gang_key(gang.job.id))
+    value = {'node': state.node, 'job': gang.job.id}
+    purpose = GangClaimPurpose(held.number, held.epoch, gang.job.id)
+    _store.write(state, out, purpose, {key: 0}, {key: value})
+
+
+def gang_claimed(
+    state: _state.State,
+    purpose: GangClaimPurpose,
+    answer: _store.Written,
+    out: _state.Out,
+) -> None:
+    """Take in the outcome of a claim: start only if it is ours."""
+    held = state.slices_by_number.get(purpose.slice)
+    if held is None or held.epoch != purpose.epoch:
+        return
+    gang = held.gangs_by_job.get(purpose.job)
+    if gang is None or gang.phase is not _tasks.GangPhase.CLAIMING:
+        return
+    if answer.ok:
+        gang.claimed = True
+        gang.phase = _tasks.GangPhase.RESERVING
+        state.touched[held.number] = None
+        return
+    why = 'its claim could not be written'
+    _gangs.pause(state, held, gang, why)
+    if schema.once(_gang_key(purpose.job)) in answer.rows:
+        for task in list(gang.waiting.values()):
+            _jobs.not_repeated(state, held, task, 'its gang was started')
+
+
 def unclaim(
     state: _state.State, task_id: str, version: int, out: _state.Out
 ) -> None:
@@ -80,3 +129,7 @@
     key = schema.once(task_id)
     checks = {key: version}
     _store.write(state, out, UnclaimPurpose(), checks, {}, (key,))
+
+
+def _gang_key(job: str) -> str:
+    return f'g:{job}'
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -1,106 +1,21 @@
 """Placement: which waiting task starts next, and on which worker."""
 
-from typing import Protocol
-
 from celeryshift_core import _config
+from celeryshift_core import _gangs
 from celeryshift_core import _launch
 from celeryshift_core import _ledger
 from celeryshift_core import _limits
 from celeryshift_core import _once
+from celeryshift_core import _placers
 from celeryshift_core import _queue
 from celeryshift_core import _rights
-from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 
-PACKED = 4
-WIDEST = 4
-RACKS = 8
 MAX_HINTS = 32
 SEARCH_AGAIN_S = 1.0
 
 
-class Placer(Protocol):
-    """Look for workers with room for a task of one policy, and rank them."""
-
-    def find(
-        self, held: _state.Slice, task: _tasks.Task, size: _size.Size
-    ) -> list[_ledger.Worker]:
-        """List a bounded number of workers that have room."""
-
-    def rank(
-        self, held: _state.Slice, task: _tasks.Task, worker: _ledger.Worker
-    ) -> tuple[int, int]:
-        """Rank a worker with room; the lowest is taken."""
-
-
-class Packing:
-    """Fill workers one after another, so that large tasks find room.
-
-    Source: Johnson, Near-optimal bin packing algorithms, 1973 (first fit);
-    the tightest is taken among the workers that come first.
-    """
-
-    def find(
-        self, held: _state.Slice, task: _tasks.Task, size: _size.Size
-    ) -> list[_ledger.Worker]:
-        """List the workers that are filled first."""
-        return held.ledger.packed(task.upstream, size, PACKED)
-
-    def rank(
-        self, held: _state.Slice, task: _tasks.Task, worker: _ledger.Worker
-    ) -> tuple[int, int]:
-        """Rank by the room that is left, accelerators first."""
-        capacity, used = worker.capacity, worker.used
-        return (
-            capacity.accelerators - used.accelerators,
-            capacity.slots - used.slots,
-        )
-
-
-class Widening:
-    """Use the emptiest worker, so that waiting stays short."""
-
-    def find(
-        self, held: _state.Slice, task: _tasks.Task, size: _size.Size
-    ) -> list[_ledger.Worker]:
-        """List the workers with the most free slots."""
-        return held.ledger.widest(task.upstream, size, WIDEST)
-
-    def rank(
-        self, held: _state.Slice, task: _tasks.Task, worker: _ledger.Worker
-    ) -> tuple[int, int]:
-        """Rank by free slots, the most first."""
-        return worker.used.slots - worker.capacity.slots, 0
-
-
-class Spreading:
-    """Spread the tasks of a job over racks, so that a rack may fail."""
-
-    def find(
-        self, held: _state.Slice, task: _tasks.Task, size: _size.Size
-    ) -> list[_ledger.Worker]:
-        """List workers from a number of racks, other ones for each task."""
-        ledger = held.ledger
-        found = ledger.by_rack(task.upstream, size, task.index, RACKS)
-        return found or ledger.widest(task.upstream, size, WIDEST)
-
-    def rank(
-        self, held: _state.Slice, task: _tasks.Task, worker: _ledger.Worker
-    ) -> tuple[int, int]:
-        """Rank by the tasks of the job in the rack, then by free slots."""
-        racks = held.ledger.tasks_by_rack(task.job)
-        return racks[worker.rack], worker.used.slots - worker.capacity.slots
-
-
-PLACERS_BY_POLICY: dict[_config.Policy, Placer] = {
-    _config.Policy.REQUEST: Widening(),
-    _config.Policy.BATCH: Packing(),
-    _config.Policy.GANG: Packing(),
-    _config.Policy.SERVICE: Spreading(),
-}
-
-
 def pump_touched(state: _state.State, out: _state.Out) -> None:
     """Start what can start on each slice that an event has touched."""
     while state.touched:
@@ -115,12 +30,42 @@
     if not _may_place(state, held):
         return
     _reopen(state, held)
-    for urgent in (True, False):
-        skipped: set[_queue.TeamKind] = set()
+    _start_tier(state, held, True, out)
+    for job in list(held.reserving_by_upstream.values()):
+        _advance(state, held, held.gangs_by_job[job], out)
+    _start_tier(state, held, False, out)
+
+
+def _start_tier(
+    state: _state.State, held: _state.Slice, urgent: bool, out: _state.Out
+) -> None:
+    skipped: set[_queue.TeamKind] = set()
+    head = held.queue.next(urgent, skipped)
+    while head is not None:
+        _start(state, held, head, skipped, out)
         head = held.queue.next(urgent, skipped)
-        while head is not None:
-            _start(state, held, head, skipped, out)
-            head = held.queue.next(urgent, skipped)
+
+
+def _advance(
+    state: _state.State,
+    held: _state.Slice,
+    gang: _tasks.Gang,
+    out: _state.Out,
+) -> None:
+    """Reserve more room for a gang, or start it once it has all."""
+    phase = gang.phase
+    if phase is _tasks.GangPhase.RESERVING:
+        kind = state.config.kinds.get(gang.job.kind)
+        if kind is None or not state.config.takes_work(gang.upstream):
+            _gangs.pause(state, held, gang, 'upstream or kind has gone')
+        elif not _gangs.reserve(state, held, gang):
+            return
+        elif kind.repeatable or gang.claimed:
+            _gangs.send(state, held, gang, out)
+        else:
+            _once.claim_gang(state, held, gang, out)
+    elif phase is _tasks.GangPhase.SENDING:
+        _gangs.send(state, held, gang, out)
 
 
 def _reopen(state: _state.State, held: _state.Slice) -> None:
@@ -134,7 +79,7 @@
 
 def _may_place(state: _state.State, held: _state.Slice) -> bool:
     return (
-        held.queue.length > 0
+        (held.queue.length > 0 or bool(held.reserving_by_upstream))
         and held.phase is not _state.SlicePhase.RELEASING
         and _rights.holds(state)
     )
@@ -154,7 +99,12 @@
         skipped.add((task.team, task.kind))
         task.note(state.now, 'waits', why)
         return
+    if kind.policy is _config.Policy.GANG:
+        _start_gang(state, held, task, skipped, out)
+        return
     worker = _choose(state, held, task, kind)
+    if worker is None and task.urgent:
+        worker = _gangs.yield_room(state, held, task)
     if worker is None:
         held.queue.close(task)
         task.note(state.now, 'waits', 'no worker examined has room')
@@ -163,6 +113,21 @@
     _book(state, held, task, kind, worker, out)
 
 
+def _start_gang(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    skipped: set[_queue.TeamKind],
+    out: _state.Out,
+) -> None:
+    if not _gangs.begin(state, held, task, out):
+        skipped.add((task.team, task.kind))
+        return
+    job = held.reserving_by_upstream.get(task.upstream)
+    if job == task.job:
+        _advance(state, held, held.gangs_by_job[job], out)
+
+
 def _why_not(
     state: _state.State,
     held: _state.Slice,
@@ -202,7 +167,7 @@
     kind: _config.Kind,
 ) -> _ledger.Worker | None:
     """Choose a worker with room, one that has not failed the task if any."""
-    placer = PLACERS_BY_POLICY[kind.policy]
+    placer = _placers.BY_POLICY[kind.policy]
     hints = held.queue.hints(task)
     if hints is None:
         found = placer.find(held, task, task.size)
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -6,6 +6,7 @@
 
 from celeryshift_core import _configuration
 from celeryshift_core import _errors
+from celeryshift_core import _gangs
 from celeryshift_core import _jobs
 from celeryshift_core import _once
 from celeryshift_core import _ownership
@@ -119,6 +120,13 @@
         _slices.open_slice(state, held, out)
 
 
+def _pump_due(
+    state: _state.State, timer: _timers.PumpDue, out: _state.Out
+) -> None:
+    if _workers.owned(state, timer.slice, timer.epoch) is not None:
+        state.touched[timer.slice] = None
+
+
 def _flush_records(
     state: _state.State, timer: _timers.FlushRecords, out: _state.Out
 ) -> None:
@@ -134,7 +142,7 @@
     events.VmsFetched: _slices.vms_fetched,
     events.WorkerSynced: _worker_synced,
     events.TaskStarted: _workers.started,
-    events.TaskStopped: _pass,
+    events.TaskStopped: _workers.stopped,
     events.RequestArrived: _requests.arrived,
     events.RequestAbandoned: _requests.abandoned,
     events.RequestAnswered: _requests.answered,
@@ -164,6 +172,9 @@
     _timers.RecoveryEnds: _recovery_ends,
     _timers.HoldEnds: _workers.hold_ends,
     _timers.RequeueTask: _jobs.requeue,
+    _timers.StopDue: _workers.stop_again,
+    _timers.GangDue: _gangs.due,
+    _timers.PumpDue: _pump_due,
     _timers.RequestDue: _requests.due,
     _timers.ReplyDue: _submission.reply_due,
 }
@@ -173,6 +184,7 @@
     _ownership.TakePurpose: _ownership.taken,
     _ownership.ReleasePurpose: _ownership.released,
     _once.ClaimPurpose: _once.claimed,
+    _once.GangClaimPurpose: _once.gang_claimed,
     _jobs.RecordPurpose: _jobs.recorded,
     _submission.SubmitPurpose: _submission.written,
     _configuration.HandInPurpose: _configuration.written,
--- a/packages/core/celeryshift_core/_size.py
+++ b/packages/core/celeryshift_core/_size.py
@@ -37,6 +37,16 @@
             and self.accelerators <= room.accelerators
         )
 
+    def times_in(self, room: 'Size') -> int:
+        """Count how often this amount fits into the room given."""
+        pairs = (
+            (self.slots, room.slots),
+            (self.cpu_milli, room.cpu_milli),
+            (self.memory_mb, room.memory_mb),
+            (self.accelerators, room.accelerators),
+        )
+        return min(there // need for need, there in pairs if need > 0)
+
 
 ZERO = Size(0, 0, 0, 0)
 ONE_SLOT = Size()
--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -1,5 +1,6 @@
 """The life of a slice at its owner: recovery, workers, release."""
 
+from celeryshift_core import _gangs
 from celeryshift_core import _ids
 from celeryshift_core import _jobs
 from celeryshift_core import _ledger
@@ -95,6 +96,7 @@
     held = state.slices_by_number[number]
     if held.phase is not _state.SlicePhase.RELEASING:
         held.phase = _state.SlicePhase.RELEASING
+        _gangs.release_all(state, held)
         out.append(_change('slice-releasing', held))
 
 
@@ -129,15 +131,23 @@
         return
     state.vm_revision = max(state.vm_revision, event.revision)
     for vm in event.vms:
-        state.vms_by_name[vm.name] = vm
-        if vm.state is events.VmState.GONE:
-            del state.vms_by_name[vm.name]
+        _list(state, vm)
         for held in state.slices_by_number.values():
             _take_in(state, held, vm, out)
     for held in list(state.slices_by_number.values()):
         check_accounted(state, held, out)
 
 
+def _list(state: _state.State, vm: events.Vm) -> None:
+    slices = state.options.slices
+    before = state.vms_by_name.pop(vm.name, None)
+    if before is not None:
+        state.fleet.remove(before, slices)
+    if vm.state is not events.VmState.GONE:
+        state.vms_by_name[vm.name] = vm
+        state.fleet.add(vm, slices)
+
+
 def _take_in(
     state: _state.State,
     held: _state.Slice,
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -8,10 +8,10 @@
 import attrs
 
 from celeryshift_core import _config
+from celeryshift_core import _fleet
 from celeryshift_core import _ledger
 from celeryshift_core import _options
 from celeryshift_core import _queue
-from celeryshift_core import _size
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
 from celeryshift_core import effects
@@ -53,6 +53,8 @@
     slots_by_team: dict[str, int] = attrs.field(factory=dict)
     unaccounted: set[str] = attrs.field(factory=set)
     unconfirmed: set[str] = attrs.field(factory=set)
+    gangs_by_job: dict[str, _tasks.Gang] = attrs.field(factory=dict)
+    reserving_by_upstream: dict[str, str] = attrs.field(factory=dict)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     writing_jobs: bool = False
     finished_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
@@ -152,6 +154,7 @@
     config_confirmed_at: float | None = None
     withdrawn_keys: set[str] = attrs.field(factory=set)
     vms_by_name: dict[str, events.Vm] = attrs.field(factory=dict)
+    fleet: _fleet.Fleet = attrs.field(factory=_fleet.Fleet)
     vm_revision: int = 0
     slices_by_number: dict[int, Slice] = attrs.field(factory=dict)
     touched: dict[int, None] = attrs.field(factory=dict)
@@ -176,12 +179,3 @@
         for upstream in held.ledger.upstreams:
             free[upstream] += held.ledger.free_slots(upstream)
     return dict(free)
-
-
-def biggest(state: State, upstream: str) -> list[_size.Size]:
-    """List the capacities of the workers of an upstream that are not gone."""
-    return [
-        vm.capacity
-        for vm in state.vms_by_name.values()
-        if vm.upstream == upstream and vm.state is not events.VmState.GONE
-    ]
--- a/packages/core/celeryshift_core/_submission.py
+++ b/packages/core/celeryshift_core/_submission.py
@@ -7,6 +7,7 @@
 from celeryshift_core import _explain
 from celeryshift_core import _ids
 from celeryshift_core import _jobs
+from celeryshift_core import _launch
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _refusals
@@ -14,7 +15,6 @@
 from celeryshift_core import _store
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
-from celeryshift_core import _workers
 from celeryshift_core import effects
 from celeryshift_core import events
 from celeryshift_core import schema
@@ -60,7 +60,7 @@
         refusal = refusal or Refusal(Reason.UNKNOWN_KIND)
         _refuse(state, event.reply_id, refusal, out)
         return
-    held = _choose(state, kind)
+    held = _choose(state, kind, spec)
     if held is None:
         _hand_over(state, event, kind, team, out)
         return
@@ -232,7 +232,7 @@
             continue
         if act is events.JobAct.CANCEL and job_id in held.jobs_by_id:
             for task in _jobs.cancel(state, held, job):
-                _workers.stop(state, held, task, out)
+                _launch.stop(state, held, task, out)
         if act is events.JobAct.EXPLAIN:
             return _explain.explain_job(state, held, job)
         return _explain.describe_job(job)
@@ -260,16 +260,31 @@
     if not 1 <= spec.tasks <= MAX_TASKS:
         detail = f'a job has 1 to {MAX_TASKS} tasks, not {spec.tasks}'
         return Refusal(Reason.BAD_REQUEST, detail=detail)
-    return _admission.check_kind(state, kind, spec.size or kind.size)
-
-
-def _choose(state: _state.State, kind: _config.Kind) -> _state.Slice | None:
+    size = spec.size or kind.size
+    refusal = _admission.check_kind(state, kind, size)
+    if refusal is None and kind.policy is _config.Policy.GANG:
+        most = state.fleet.most_tasks(kind.upstream, size)
+        if most < spec.tasks:
+            detail = (
+                f'{spec.tasks} tasks of {size} must start at once, and no '
+                f'slice of {kind.upstream!r} could hold more than {most}'
+            )
+            return Refusal(Reason.NEVER_FITS, detail=detail)
+    return refusal
+
+
+def _choose(
+    state: _state.State, kind: _config.Kind, spec: events.JobSpec
+) -> _state.Slice | None:
     able = [
         held
         for held in state.slices_by_number.values()
         if held.phase is not _state.SlicePhase.RELEASING
         and kind.upstream in held.ledger.upstreams
     ]
+    if kind.policy is _config.Policy.GANG:
+        numbers = _able_here(state, kind, spec)
+        able = [held for held in able if held.number in numbers]
     if not able:
         return None
     return max(
@@ -280,6 +295,30 @@
     )
 
 
+def _able_here(
+    state: _state.State, kind: _config.Kind, spec: events.JobSpec
+) -> set[int]:
+    """Number the slices of this data centre that could hold a gang."""
+    size = spec.size or kind.size
+    return {
+        name.number
+        for name in state.fleet.able(kind.upstream, size, spec.tasks)
+        if name.data_centre == state.options.data_centre
+    }
+
+
+def _able_peer(
+    state: _state.State, kind: _config.Kind, spec: events.JobSpec
+) -> _state.Peer | None:
+    """Give a peer that owns a slice which could hold a gang."""
+    size = spec.size or kind.size
+    for name in state.fleet.able(kind.upstream, size, spec.tasks):
+        peer = _holder(state, name.data_centre, name.number)
+        if peer is not None:
+            return peer
+    return None
+
+
 def _hand_over(
     state: _state.State,
     event: events.JobSubmitted,
@@ -289,7 +328,10 @@
 ) -> None:
     peer = None
     if event.hops < state.options.max_hops:
-        peer = _peers.with_workers(state, kind.upstream)
+        if kind.policy is _config.Policy.GANG:
+            peer = _able_peer(state, kind, event.spec)
+        else:
+            peer = _peers.with_workers(state, kind.upstream)
     if peer is None:
         retry_s = state.options.retry_after_s
         detail = 'no node that owns workers of the upstream is known yet'
--- a/packages/core/celeryshift_core/_tasks.py
+++ b/packages/core/celeryshift_core/_tasks.py
@@ -15,7 +15,9 @@
     """Say how far a task has come."""
 
     UNACCOUNTED = 'unaccounted'
+    GATHERING = 'gathering'
     QUEUED = 'queued'
+    RESERVED = 'reserved'
     STARTING = 'starting'
     RUNNING = 'running'
     STOPPING = 'stopping'
@@ -53,20 +55,28 @@
     request: str = ''
     state: TaskState = TaskState.QUEUED
     worker: str = ''
+    epoch: int = 0
     attempt: int = 0
     failed_on: tuple[str, ...] = ()
     decisions: list[Decision] = attrs.field(factory=list)
 
     @property
     def run_id(self) -> str:
-        """Name this attempt at the worker."""
-        return f'{self.id}~{self.attempt}'
+        """Name this attempt at the worker, unlike those of other owners."""
+        return f'{self.id}~{self.epoch}.{self.attempt}'
 
     @property
     def is_request(self) -> bool:
         """Tell a request from a task of a job."""
         return bool(self.request)
 
+    def take_run(self, run_id: str, worker: str) -> None:
+        """Note which attempt, of whatever owner, is the current one."""
+        epoch, _, attempt = run_id.rpartition('~')[2].partition('.')
+        self.epoch = int(epoch)
+        self.attempt = int(attempt)
+        self.worker = worker
+
     def note(self, at: float, what: str, why: str = '') -> None:
         """Record a decision, unless it only repeats the last one."""
         last = self.decisions[-1] if self.decisions else None
@@ -82,12 +92,6 @@
     return run_id.rpartition('~')[0]
 
 
-def attempt_of(run_id: str) -> int:
-    """Number an attempt by its name at the worker."""
-    number = run_id.rpartition('~')[2]
-    return int(number) if number.isdecimal() else 0
-
-
 @attrs.define(eq=False)
 class Job:
     """Hold a job that is not finished yet."""
@@ -132,6 +136,39 @@
         return 'failed' if self.failed or self.unknown else 'done'
 
 
+class GangPhase(enum.Enum):
+    """Say how far an all-at-once job has come."""
+
+    GATHERING = 'gathering'
+    QUEUED = 'queued'
+    RESERVING = 'reserving'
+    CLAIMING = 'claiming'
+    SENDING = 'sending'
+    RUNNING = 'running'
+    PAUSED = 'paused'
+
+
+@attrs.define(eq=False)
+class Gang:
+    """Hold the tasks of an all-at-once job that are not running."""
+
+    job: Job
+    upstream: str
+    window_s: float
+    phase: GangPhase = GangPhase.GATHERING
+    claimed: bool = False
+    restarts: int = 0
+    waiting: dict[str, Task] = attrs.field(factory=dict)
+    reserved: dict[str, Task] = attrs.field(factory=dict)
+
+    @property
+    def gathered(self) -> bool:
+        """Tell whether all tasks left wait here, and none runs."""
+        left = self.job.tasks - self.job.ended
+        here = len(self.waiting) + len(self.reserved)
+        return 0 < here == left and not self.job.running
+
+
 def to_ranges(numbers: set[int]) -> list[list[int]]:
     """Write a set of numbers as inclusive ranges."""
     ranges: list[list[int]] = []
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -89,6 +89,33 @@
     task: str
 
 
+@attrs.frozen(slots=True)
+class GangDue:
+    """End the time for which a gang reserves room, or its pause."""
+
+    slice: int
+    epoch: int
+    job: str
+
+
+@attrs.frozen(slots=True)
+class PumpDue:
+    """Go on with placements that were left for another event."""
+
+    slice: int
+    epoch: int
+
+
+@attrs.frozen(slots=True)
+class StopDue:
+    """Stop a run again whose stop may not have arrived."""
+
+    slice: int
+    epoch: int
+    worker: str
+    run: str
+
+
 @attrs.frozen(slots=True)
 class RequestDue:
     """Refuse a request that still waits at its deadline."""
--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -156,17 +156,25 @@
         _lose(state, held, worker, timer.task, 'its end was not seen', out)
 
 
-def stop(
-    state: _state.State,
-    held: _state.Slice,
-    task: _tasks.Task,
-    out: _state.Out,
+def stopped(
+    state: _state.State, event: events.TaskStopped, out: _state.Out
 ) -> None:
-    """Stop a task; its room stays taken until the worker says it ended."""
-    task.state = _tasks.TaskState.STOPPING
-    worker = held.ledger.workers_by_name.get(task.worker)
-    if worker is not None:
-        _send_stop(state, held, worker, task.run_id, out)
+    """Stop a run again later, if the stop may not have arrived."""
+    if event.outcome is not events.Outcome.OK:
+        key = _timers.StopDue(
+            event.slice, event.epoch, event.worker, event.task
+        )
+        state.timers.set(key, state.now + state.options.sync_retry_s)
+
+
+def stop_again(
+    state: _state.State, timer: _timers.StopDue, out: _state.Out
+) -> None:
+    """Stop a run that its worker still holds."""
+    found = _find(state, timer.slice, timer.epoch, timer.worker)
+    if found is not None and timer.run in found[1].holds_by_run:
+        held, worker = found
+        _launch.send_stop(state, held, worker, timer.run, out)
 
 
 def owned(state: _state.State, number: int, epoch: int) -> _state.Slice | None:
@@ -183,25 +191,6 @@
     return (held, worker) if held and worker else None
 
 
-def _send_stop(
-    state: _state.State,
-    held: _state.Slice,
-    worker: _ledger.Worker,
-    run_id: str,
-    out: _state.Out,
-) -> None:
-    out.append(
-        effects.StopTask(
-            held.number,
-            held.epoch,
-            worker.name,
-            worker.address,
-            run_id,
-            _rights.until(state),
-        )
-    )
-
-
 def _note_silence(
     state: _state.State,
     held: _state.Slice,
@@ -235,8 +224,7 @@
         return
     if task is not None and not task.is_request:
         if task.state is _tasks.TaskState.UNACCOUNTED:
-            task.attempt = _tasks.attempt_of(report.id)
-            task.worker = worker.name
+            task.take_run(report.id, worker.name)
         if task.run_id == report.id and task.state not in _tasks.ENDED:
             _launch.unbook(state, held, task)
             _jobs.task_ended(state, held, task, worker, report.phase, out)
@@ -255,8 +243,7 @@
     out: _state.Out,
 ) -> None:
     if task is not None and task.state is _tasks.TaskState.UNACCOUNTED:
-        task.attempt = _tasks.attempt_of(report.id)
-        task.worker = worker.name
+        task.take_run(report.id, worker.name)
         task.state = _tasks.TaskState.RUNNING
         task.note(state.now, 'found running', 'an earlier owner started it')
         hold = _ledger.Hold(task.team, report.size, task.job)
@@ -275,7 +262,7 @@
         _launch.adopt(state, held, worker, report.id, hold)
         if not report.request:
             # Its job is finished or cancelled, so that nobody needs it.
-            _send_stop(state, held, worker, report.id, out)
+            _launch.send_stop(state, held, worker, report.id, out)
 
 
 def _drop_unlisted(
@@ -304,6 +291,9 @@
     if task is None or task.run_id != run_id:
         _launch.free(state, held, worker.name, run_id)
         return
+    reserved = task.state is _tasks.TaskState.RESERVED
     _launch.unbook(state, held, task)
-    if not task.is_request:
+    if reserved:
+        _jobs.resume(state, held, task, out)
+    elif not task.is_request:
         _jobs.task_lost(state, held, task, why, out)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,6 +9,7 @@
 from celeryshift_core import _config
 from celeryshift_core import _jobs
 from celeryshift_core import _placement
+from celeryshift_core import _placers
 from celeryshift_core import _tasks
 from celeryshift_core import effects
 
@@ -91,7 +92,7 @@
     task = _tasks.Task(
         'r', 't00', 'validate', builders.UPSTREAM, core.Size(), True, 0.0
     )
-    placer = _placement.PLACERS_BY_POLICY[_config.Policy.REQUEST]
+    placer = _placers.BY_POLICY[_config.Policy.REQUEST]
     found = placer.find(held, task, task.size)
     best = min(found, key=lambda worker: placer.rank(held, task, worker))
     assert not best.holds_by_run
