Silent connections: noticed, asked about over a new one, and dropped

Cause: something between two ends may lose track of every open connection. A request then waited until its timeout, every pooled connection failed in turn, and a silent long poll made a healthy worker unusable for six seconds. Ruled out: per-call timeouts alone (each pooled connection costs one); retrying at another worker (its connections are silent as well). Change: a channel for each address, retired as a whole by a call that times out; after 0.4 s without an answer the worker is asked over a new connection; a request it never saw is sent again under the same run id if it may be repeated; a sync that fails is made again on a new connection before the worker counts as silent. Before: the test with all connections gone silent failed with requests refused at their deadline.

--- a/packages/node/celeryshift_node/_calls.py
+++ b/packages/node/celeryshift_node/_calls.py
@@ -7,6 +7,7 @@
 import attrs
 
 from celeryshift_core import events
+from celeryshift_node import _channels
 
 Outcome = events.Outcome
 
@@ -14,7 +15,7 @@
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
 )
-FAILED = (aiohttp.ClientError, TimeoutError, ValueError, OSError)
+FAILED = (aiohttp.ClientError, ValueError, OSError)
 
 
 @attrs.frozen(slots=True)
@@ -32,7 +33,7 @@
 
 
 async def call(
-    session: aiohttp.ClientSession,
+    channel: _channels.Channel,
     method: str,
     url: str,
     body: Any = None,
@@ -43,14 +44,27 @@
 
     The outcome is UNSENT only if no byte of the call can have left.
     """
+    session = channel.acquire()
+    silent = False
     try:
-        async with asyncio.timeout(timeout_s):
-            async with session.request(
+        async with (
+            asyncio.timeout(timeout_s),
+            session.request(
                 method, url, json=body, headers=headers
-            ) as response:
-                decoded = await response.json(content_type=None)
-                return Reply(Outcome.OK, response.status, decoded)
+            ) as response,
+        ):
+            decoded = await response.json(content_type=None)
+            return Reply(Outcome.OK, response.status, decoded)
     except NOT_CONNECTED:
         return Reply(Outcome.UNSENT)
+    except TimeoutError:
+        silent = True
+        return Reply(Outcome.UNKNOWN)
     except FAILED:
         return Reply(Outcome.UNKNOWN)
+    except asyncio.CancelledError:
+        # Whoever cancels a call has found its connection silent.
+        silent = True
+        raise
+    finally:
+        await channel.release(session, silent)
--- /dev/null
+++ b/packages/node/celeryshift_node/_channels.py
@@ -0,0 +1,86 @@
+"""Connections to other processes, dropped together when one goes silent.
+
+Something between two ends may lose track of every open connection while new
+ones work. A call that times out therefore retires all the connections to its
+address: calls under way may still end, and new calls connect anew.
+"""
+
+from collections.abc import Callable
+
+import aiohttp
+
+MAX_CONNECTIONS = 64
+
+
+class Channel:
+    """Keep the connections to one address."""
+
+    def __init__(self, make: Callable[[], aiohttp.ClientSession]) -> None:
+        self._make = make
+        self._session: aiohttp.ClientSession | None = None
+        self._open_by_session: dict[aiohttp.ClientSession, int] = {}
+
+    def acquire(self) -> aiohttp.ClientSession:
+        """Give the session to make a call with; release it afterwards."""
+        if self._session is None:
+            self._session = self._make()
+            self._open_by_session[self._session] = 0
+        self._open_by_session[self._session] += 1
+        return self._session
+
+    async def release(
+        self, session: aiohttp.ClientSession, silent: bool = False
+    ) -> None:
+        """Note the end of a call, and whether its connection was silent."""
+        self._open_by_session[session] -= 1
+        if silent and session is self._session:
+            self._session = None
+        retired = session is not self._session
+        if retired and not self._open_by_session[session]:
+            del self._open_by_session[session]
+            await session.close()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for session in list(self._open_by_session):
+            await session.close()
+
+
+class Channels:
+    """Keep a channel for each address."""
+
+    def __init__(self, limit_per_address: int = MAX_CONNECTIONS) -> None:
+        self._limit = limit_per_address
+        self._channels_by_address: dict[str, Channel] = {}
+
+    def to(self, address: str) -> Channel:
+        """Give the channel to an address."""
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = Channel(self._make_session)
+            self._channels_by_address[address] = channel
+        return channel
+
+    def fresh(self) -> Channel:
+        """Give a channel whose connections are used for one call each."""
+        return Channel(_make_single_use_session)
+
+    async def forget(self, address: str) -> None:
+        """Close the channel to an address that is not called any more."""
+        channel = self._channels_by_address.pop(address, None)
+        if channel is not None:
+            await channel.close()
+
+    async def close(self) -> None:
+        """Close every channel."""
+        for address in list(self._channels_by_address):
+            await self.forget(address)
+
+    def _make_session(self) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(limit=self._limit)
+        return aiohttp.ClientSession(connector=connector)
+
+
+def _make_single_use_session() -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(force_close=True)
+    return aiohttp.ClientSession(connector=connector)
--- a/packages/node/celeryshift_node/_peers.py
+++ b/packages/node/celeryshift_node/_peers.py
@@ -2,12 +2,11 @@
 
 from typing import Any
 
-import aiohttp
-
 import celeryshift_core as core
 from celeryshift_core import effects
 from celeryshift_core import events
 from celeryshift_node import _calls
+from celeryshift_node import _channels
 from celeryshift_node import _wire
 
 TIMEOUT_S = 2.0
@@ -21,9 +20,9 @@
     """Call other nodes."""
 
     def __init__(
-        self, session: aiohttp.ClientSession, token: str, node: str
+        self, channels: _channels.Channels, token: str, node: str
     ) -> None:
-        self._session = session
+        self._channels = channels
         self._headers = {'Authorization': f'Bearer {token}'}
         self._node = node
 
@@ -76,8 +75,9 @@
         self, address: str, path: str, body: Any, timeout_s: float
     ) -> _calls.Reply:
         url = f'http://{address}/peer/v1/{path}'
+        channel = self._channels.to(address)
         return await _calls.call(
-            self._session, 'POST', url, body, timeout_s, self._headers
+            channel, 'POST', url, body, timeout_s, self._headers
         )
 
 
--- a/packages/node/celeryshift_node/_platform.py
+++ b/packages/node/celeryshift_node/_platform.py
@@ -1,11 +1,10 @@
 """The platform's protocol: transactions, reads and the VM list."""
 
-import aiohttp
-
 from celeryshift_core import effects
 from celeryshift_core import events
 from celeryshift_core import schema
 from celeryshift_node import _calls
+from celeryshift_node import _channels
 from celeryshift_node import _wire
 
 TIMEOUT_S = 2.0
@@ -17,9 +16,9 @@
 class Platform:
     """Call the platform's services."""
 
-    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
-        self._session = session
+    def __init__(self, channels: _channels.Channels, url: str) -> None:
         self._url = url.rstrip('/')
+        self._channel = channels.to(self._url)
 
     async def write(
         self, effect: effects.WriteStore
@@ -52,7 +51,7 @@
         """Fetch the VMs that changed after a revision."""
         url = f'{self._url}/v1/vms?after={revision}'
         reply = await _calls.call(
-            self._session, 'GET', url, timeout_s=TIMEOUT_S
+            self._channel, 'GET', url, timeout_s=TIMEOUT_S
         )
         if not reply.ok:
             return 0, None
@@ -61,7 +60,7 @@
 
     async def _post(self, path: str, body: dict) -> _calls.Reply:
         return await _calls.call(
-            self._session, 'POST', self._url + path, body, TIMEOUT_S
+            self._channel, 'POST', self._url + path, body, TIMEOUT_S
         )
 
 
--- a/packages/node/celeryshift_node/_service.py
+++ b/packages/node/celeryshift_node/_service.py
@@ -4,12 +4,12 @@
 import sys
 from typing import Any
 
-import aiohttp
 from aiohttp import web
 import aiomisc
 
 import celeryshift_core as core
 from celeryshift_core import events
+from celeryshift_node import _channels
 from celeryshift_node import _http
 from celeryshift_node import _metrics
 from celeryshift_node import _peers
@@ -29,7 +29,8 @@
     async def start(self) -> Any:
         """Serve, then work until the node has stopped."""
         settings = self.settings
-        self._sessions = _Sessions(settings)
+        per_worker = settings.bounds.max_connections_per_worker
+        self._channels = _channels.Channels(per_worker)
         self._web, address = await self._listen()
         self._runner = self._make_runner(address)
         self._api.runner = self._runner
@@ -59,7 +60,8 @@
         await asyncio.sleep(bounds.idle_grace_s)
         await self._web.cleanup()
         await self._runner.close()
-        await self._sessions.close()
+        await self._workers.close()
+        await self._channels.close()
 
     async def _listen(self) -> tuple[web.AppRunner, str]:
         listen = self.settings.listen
@@ -83,37 +85,13 @@
         options = core.Options(
             address, settings.data_centre, settings.slices, **timing
         )
-        sessions = self._sessions
+        channels = self._channels
+        self._workers = _workers.Workers(
+            channels, settings.bounds.silent_after_s
+        )
         return _runner.Runner(
             options,
-            _platform.Platform(sessions.platform, settings.platform_url),
-            _workers.Workers(sessions.workers, sessions.fresh),
-            lambda node: _peers.Peers(
-                sessions.peers, settings.cluster_token, node
-            ),
+            _platform.Platform(channels, settings.platform_url),
+            self._workers,
+            lambda node: _peers.Peers(channels, settings.cluster_token, node),
         )
-
-
-class _Sessions:
-    """Keep the connections to each kind of process apart."""
-
-    def __init__(self, settings: _settings.Settings) -> None:
-        per_worker = settings.bounds.max_connections_per_worker
-        self.platform = _session(limit_per_host=32)
-        self.workers = _session(limit_per_host=per_worker)
-        self.fresh = _session(force_close=True)
-        self.peers = _session(limit_per_host=256)
-
-    async def close(self) -> None:
-        for session in (
-            self.platform,
-            self.workers,
-            self.fresh,
-            self.peers,
-        ):
-            await session.close()
-
-
-def _session(**options: Any) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(limit=0, **options)
-    return aiohttp.ClientSession(connector=connector)
--- a/packages/node/celeryshift_node/_settings.py
+++ b/packages/node/celeryshift_node/_settings.py
@@ -48,6 +48,7 @@
     drain_timeout_s: float = 30.0
     idle_grace_s: float = 1.0
     max_connections_per_worker: int = 64
+    silent_after_s: float = 0.4
 
 
 @attrs.frozen
--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -1,20 +1,33 @@
 """The workers' protocol: leases, tasks and requests."""
 
+import asyncio
+from collections.abc import Coroutine
+import enum
+import functools
 from typing import Any
 
-import aiohttp
-
 from celeryshift_core import effects
 from celeryshift_core import events
 from celeryshift_node import _calls
+from celeryshift_node import _channels
 from celeryshift_node import _wire
 
 TIMEOUT_S = 2.0
+PROBE_S = 0.75
+READ_S = 0.05
 REFUSALS = frozenset((409, 503))
 
 Outcome = events.Outcome
 
 
+class Seen(enum.Enum):
+    """Say what a worker knows of a request whose answer does not come."""
+
+    RUNNING = 'running'
+    ENDED = 'ended'
+    NEVER = 'never'
+
+
 class Workers:
     """Call workers.
 
@@ -23,10 +36,11 @@
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, fresh: aiohttp.ClientSession
+        self, channels: _channels.Channels, silent_after_s: float
     ) -> None:
-        self._session = session
-        self._fresh = fresh
+        self._channels = channels
+        self._fresh = channels.fresh()
+        self._silent_after_s = silent_after_s
 
     async def sync(
         self, effect: effects.SyncWorker
@@ -39,8 +53,15 @@
             'lease_s': effect.lease_s,
             'epoch': effect.epoch,
         }
-        timeout_s = effect.wait_s + TIMEOUT_S
-        reply = await self._post(effect.address, 'sync', body, timeout_s)
+        reply = await self._post(
+            effect.address, 'sync', body, effect.wait_s + PROBE_S
+        )
+        if not reply.ok:
+            # The connection may be silent while new ones work.
+            body['wait_s'] = 0.0
+            reply = await self._post(
+                effect.address, 'sync', body, PROBE_S, self._fresh
+            )
         if not reply.ok:
             return '', False, None
         reports = [_wire.report(task) for task in reply.body['tasks']]
@@ -67,7 +88,11 @@
     async def request(
         self, effect: effects.SendRequest, payload: Any
     ) -> tuple[Outcome, bool, Any]:
-        """Send a request; give the outcome, a failure, and the answer."""
+        """Send a request; give the outcome, a failure, and the answer.
+
+        When no answer has come for a while, the worker is asked over a new
+        connection whether it knows the request.
+        """
         body = {
             'run_id': effect.task,
             'team': effect.team,
@@ -76,26 +101,78 @@
             'timeout_s': effect.timeout_s,
             'payload': payload,
         }
-        session = self._session if effect.repeatable else self._fresh
-        reply = await self._post(
-            effect.address, 'requests', body, effect.timeout_s, session
+        post = functools.partial(
+            self._post, effect.address, 'requests', body, effect.timeout_s
         )
-        return _answer(reply, effect.task)
+        channel = self._fresh
+        if effect.repeatable:
+            channel = self._channels.to(effect.address)
+        reply = await self._await_answer(effect, post(channel))
+        if isinstance(reply, _calls.Reply):
+            return _answer(reply, effect.task)
+        if reply is Seen.NEVER and effect.repeatable:
+            again = await post(self._fresh)
+            return _answer(again, effect.task)
+        return await self._ask(effect.address, effect.task, effect.timeout_s)
 
     async def ask(
         self, effect: effects.AskOutcome
     ) -> tuple[Outcome, bool, Any]:
         """Ask how a request ended, over a new connection."""
+        return await self._ask(effect.address, effect.task, effect.timeout_s)
+
+    async def close(self) -> None:
+        """Close the connections that are used once."""
+        await self._fresh.close()
+
+    async def _await_answer(
+        self,
+        effect: effects.SendRequest,
+        work: Coroutine[Any, Any, _calls.Reply],
+    ) -> '_calls.Reply | Seen':
+        """Wait for an answer, or until its connection is known silent."""
+        sending = asyncio.ensure_future(work)
+        wait_s = self._silent_after_s
+        try:
+            while True:
+                await asyncio.wait((sending,), timeout=wait_s)
+                if sending.done():
+                    return sending.result()
+                seen = await self._seen(effect)
+                if seen is not Seen.RUNNING:
+                    # Its answer is lost, unless it is just being read.
+                    await asyncio.wait((sending,), timeout=READ_S)
+                    return sending.result() if sending.done() else seen
+                wait_s *= 2
+        finally:
+            if not sending.done():
+                sending.cancel()
+                await asyncio.wait((sending,))
+
+    async def _seen(self, effect: effects.SendRequest) -> 'Seen':
+        """Ask over a new connection; no answer does not tell."""
         reply = await self._post(
             effect.address,
-            'outcomes',
+            'status',
             {'run_id': effect.task},
-            effect.timeout_s,
+            PROBE_S,
             self._fresh,
         )
+        if not reply.ok or reply.body.get('phase') == 'running':
+            return Seen.RUNNING
+        never = reply.body.get('phase') == 'unknown'
+        return Seen.NEVER if never else Seen.ENDED
+
+    async def _ask(
+        self, address: str, task: str, timeout_s: float
+    ) -> tuple[Outcome, bool, Any]:
+        body = {'run_id': task}
+        reply = await self._post(
+            address, 'outcomes', body, timeout_s, self._fresh
+        )
         if reply.outcome is Outcome.OK and not reply.ok:
             return Outcome.UNKNOWN, False, None
-        return _answer(reply, effect.task)
+        return _answer(reply, task)
 
     async def _post(
         self,
@@ -103,10 +180,10 @@
         path: str,
         body: dict[str, Any],
         timeout_s: float = TIMEOUT_S,
-        session: aiohttp.ClientSession | None = None,
+        channel: _channels.Channel | None = None,
     ) -> _calls.Reply:
         return await _calls.call(
-            session or self._session,
+            channel or self._channels.to(address),
             'POST',
             f'http://{address}/v1/{path}',
             body,
--- a/packages/standins/celeryshift_standins/worker.py
+++ b/packages/standins/celeryshift_standins/worker.py
@@ -1,6 +1,8 @@
 """The stand-in for a worker: it runs tasks that only let time pass."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import os
 import sys
 import time
@@ -14,6 +16,9 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 POLL_S = 0.02
+SILENT_S = 3600.0
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
 class Worker:
@@ -22,16 +27,21 @@
     def __init__(self) -> None:
         self.tasks = _tasktable.TaskTable(boot=f'{os.getpid():x}')
         self.refuses = False
-        self.silent = False
+        self.silence: str | None = None
+        self._connections: set = set()
+        self._silent_connections: set = set()
 
     def app(self) -> web.Application:
         """Build the application that serves this worker."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[self._go_silent]
+        )
         app.router.add_post('/v1/sync', self._sync)
         app.router.add_post('/v1/tasks', self._start)
         app.router.add_post('/v1/stop', self._stop)
         app.router.add_post('/v1/requests', self._request)
         app.router.add_post('/v1/outcomes', self._outcome)
+        app.router.add_post('/v1/status', self._status)
         app.router.add_post('/control/faults', self._faults)
         app.router.add_get('/control/history', self._history)
         return app
@@ -103,12 +113,33 @@
         )
         if run_s > 0:
             await asyncio.sleep(run.ends_at - time.monotonic())
-        if self.silent:
-            await asyncio.sleep(body['timeout_s'])
         self.tasks.advance(time.monotonic())
         self.tasks.forget(run.id)
         return web.json_response(_answer(run))
 
+    async def _status(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.tasks.advance(time.monotonic())
+        run = self.tasks.runs_by_id.get(body['run_id'])
+        phase = run.phase.value if run is not None else 'unknown'
+        return web.json_response({'phase': phase})
+
+    @web.middleware
+    async def _go_silent(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        if request.path.startswith('/control/'):
+            return await handler(request)
+        connection = request.protocol
+        self._connections.add(connection)
+        silent = connection in self._silent_connections
+        if silent and self.silence == 'before':
+            await asyncio.sleep(SILENT_S)
+        response = await handler(request)
+        if silent:
+            await asyncio.sleep(SILENT_S)
+        return response
+
     async def _outcome(self, request: web.Request) -> web.Response:
         body = await request.json()
         run = self.tasks.runs_by_id.get(body['run_id'])
@@ -121,7 +152,11 @@
     async def _faults(self, request: web.Request) -> web.Response:
         body = await request.json()
         self.refuses = body.get('refuses', self.refuses)
-        self.silent = body.get('silent', self.silent)
+        if 'silence' in body:
+            # Every connection that is open now goes silent for good, either
+            # before a request reaches the worker or after it has run.
+            self.silence = body['silence']
+            self._silent_connections.update(self._connections)
         self.tasks.fails_all = body.get('fails_all', self.tasks.fails_all)
         return web.json_response({})
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -168,11 +168,26 @@
     await bed.post(bed.platform, '/control/faults', {'lose': 5})
 
 
+async def _silence(
+    bed: beds.Bed, nodes: list[beds.Member], load: Load
+) -> None:
+    for when in ('before', 'after'):
+        for worker in bed.workers_by_name.values():
+            await bed.post(worker, '/control/faults', {'silence': when})
+        before = load.outcomes['answered']
+
+        async def answered(before: int = before) -> bool:
+            return load.outcomes['answered'] > before + 20
+
+        await bed.until(answered, 'requests go over new connections')
+
+
 FAULTS_BY_NAME = {
     'kill': _kill,
     'freeze': _freeze,
     'stop': _stop,
     'store-down': _store_down,
+    'silence': _silence,
 }
 
 
@@ -202,3 +217,12 @@
     assert load.outcomes['answered'] > 0
     assert load.outcomes['wrong'] == 0
     assert load.outcomes['cut off'] == 0
+
+
+def test_silent_connections_lose_and_double_nothing():
+    load = asyncio.run(_survive('silence'))
+    assert load.outcomes['answered'] > 0
+    assert load.outcomes['wrong'] == 0
+    assert load.outcomes['cut off'] == 0
+    refused = [name for name in load.outcomes if name.startswith('refused')]
+    assert not refused
