Split the world in virtual time into modules with one job each

Change: _network (time, links, reach), _fakes (node, worker, call), _store_effects, _worker_effects, _peer_effects (one function an effect), and world with set-up, faults and callers. The public methods are unchanged.

--- /dev/null
+++ b/packages/standins/celeryshift_standins/_network.py
@@ -0,0 +1,151 @@
+"""Virtual time, and the links between nodes and all that they talk to."""
+
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+from typing import Any
+
+import attrs
+
+import celeryshift_core as core
+from celeryshift_core import events
+from celeryshift_standins import _fakes
+from celeryshift_standins import _table
+
+NEAR_S = 0.0005
+FAR_S = 0.0015
+STORE_S = 0.004
+CALLER_S = 0.003
+CALL_TIMEOUT_S = 2.0
+FORWARD_GRACE_S = 0.25
+PLATFORM = 'platform'
+
+Node = _fakes.Node
+Worker = _fakes.Worker
+Perform = Callable[['Network', Node, Any], None]
+
+
+class Network:
+    """Pass events and effects between nodes and fakes, one at a time."""
+
+    def __init__(
+        self, seed: int, performers_by_effect: dict[type, Perform]
+    ) -> None:
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.table = _table.Table()
+        self.vms_by_name: dict[str, tuple[int, events.Vm]] = {}
+        self.vm_revision = 0
+        self.nodes_by_name: dict[str, Node] = {}
+        self.workers_by_name: dict[str, Worker] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.store_down = False
+        self.store_slow_s = 0.0
+        self.answers_to_lose = 0
+        self.messages = 0
+        self.steps = 0
+        self.on_step: list[Callable[[], None]] = []
+        self.count = itertools.count()
+        self.call_by_reply: dict[tuple[str, str], Callable[..., None]] = {}
+        self.polls: dict[str, list[Callable[[], None]]] = {}
+        self.payloads: dict[tuple[str, str], dict[str, Any]] = {}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._performers_by_effect = performers_by_effect
+
+    def at(self, when: float, act: Callable[[], None]) -> None:
+        """Do something at a time."""
+        entry = (max(when, self.now), next(self.count), act)
+        heapq.heappush(self._queue, entry)
+
+    def run_until(self, when: float) -> None:
+        """Let time pass."""
+        while self._queue and self._queue[0][0] <= when:
+            self.now, _, act = heapq.heappop(self._queue)
+            act()
+            self.steps += 1
+            for check in self.on_step:
+                check()
+        self.now = max(self.now, when)
+
+    def run(self, seconds: float) -> None:
+        """Let a number of seconds pass."""
+        self.run_until(self.now + seconds)
+
+    def feed(self, node: Node, event: events.Event) -> None:
+        """Give an event to a node, and carry out what follows."""
+        if not node.alive:
+            return
+        for effect in core.reduce(node.state, event):
+            self._performers_by_effect[type(effect)](self, node, effect)
+        next_at = node.state.timers.next_at
+        if next_at is not None:
+            self.at(next_at, lambda: self._tick(node, next_at))
+
+    def deliver(self, node: Node, make: Callable[[], events.Event]) -> None:
+        """Let an event reach a node, later if the node is frozen."""
+        if node.paused:
+            node.held_back.append(lambda: self.deliver(node, make))
+        else:
+            self.feed(node, attrs.evolve(make(), now=self.now))
+
+    def after(
+        self,
+        node: Node,
+        delay_s: float,
+        make: Callable[[], events.Event],
+    ) -> None:
+        """Let an event reach a node after a delay."""
+        self.at(self.now + delay_s, lambda: self.deliver(node, make))
+
+    def _tick(self, node: Node, at: float) -> None:
+        if node.state.timers.next_at == at:
+            self.deliver(node, lambda: events.Tick(self.now))
+
+    def is_cut(self, *ends: str) -> bool:
+        """Tell whether any two of the ends are cut off."""
+        pairs = itertools.combinations(ends, 2)
+        return any(frozenset(pair) in self.cuts for pair in pairs)
+
+    def cut_from_store(self, node: Node) -> bool:
+        """Tell whether a node cannot reach the platform."""
+        return self.store_down or self.is_cut(
+            node.name, node.data_centre, PLATFORM
+        )
+
+    def reach(self, node: Node, worker: Worker) -> bool:
+        """Tell whether a node can reach a worker."""
+        return (
+            worker.alive
+            and not worker.silent
+            and not self.is_cut(
+                node.name,
+                node.data_centre,
+                worker.vm.name,
+                worker.vm.data_centre,
+            )
+        )
+
+    def peer(self, node: Node, address: str) -> tuple[Node, float] | None:
+        """Give a peer that can be reached, and the way there."""
+        peer = self.nodes_by_name.get(address)
+        if peer is None or not peer.alive:
+            return None
+        if self.is_cut(
+            node.name, node.data_centre, peer.name, peer.data_centre
+        ):
+            return None
+        near = peer.data_centre == node.data_centre
+        return peer, NEAR_S if near else FAR_S
+
+    def resolve(
+        self,
+        node: Node,
+        reply_id: str,
+        document: Any,
+        refusal: core.Refusal | None,
+    ) -> None:
+        """Give whoever waits for a reply what it is."""
+        take = self.call_by_reply.pop((node.name, reply_id), None)
+        if take is not None:
+            take(document, refusal)
--- /dev/null
+++ b/packages/standins/celeryshift_standins/_store_effects.py
@@ -0,0 +1,100 @@
+"""The table service and the VM list, as nodes reach them."""
+
+from typing import Any
+
+from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_core import schema
+from celeryshift_standins import _fakes
+from celeryshift_standins import _network
+from celeryshift_standins import _table
+
+Node = _fakes.Node
+Worker = _fakes.Worker
+Outcome = events.Outcome
+
+
+def write(
+    net: _network.Network, node: Node, effect: effects.WriteStore
+) -> None:
+    """Write rows, and answer unless the answer is lost."""
+
+    def answer(outcome: Outcome, version: int, rows: Any) -> Any:
+        return lambda: events.StoreWritten(
+            net.now, effect.op_id, outcome, version, rows
+        )
+
+    def apply() -> None:
+        if net.cut_from_store(node):
+            lost = answer(Outcome.UNKNOWN, 0, {})
+            net.after(node, _network.CALL_TIMEOUT_S, lost)
+            return
+        found = net.table.transact(
+            effect.checks,
+            effect.puts,
+            list(effect.deletes),
+            list(effect.prefixes),
+        )
+        if net.answers_to_lose > 0:
+            net.answers_to_lose -= 1
+            lost = answer(Outcome.UNKNOWN, 0, {})
+            net.after(node, _network.CALL_TIMEOUT_S, lost)
+            return
+        outcome = Outcome.OK if found.ok else Outcome.REFUSED
+        reply = answer(outcome, found.version, _rows(found))
+        net.after(node, _network.STORE_S / 2, reply)
+
+    net.at(net.now + _network.STORE_S / 2 + net.store_slow_s, apply)
+
+
+def read(net: _network.Network, node: Node, effect: effects.ReadStore) -> None:
+    """Read rows, if the store can be reached."""
+
+    def apply() -> None:
+        if net.cut_from_store(node):
+            net.after(
+                node,
+                _network.CALL_TIMEOUT_S,
+                lambda: events.StoreRead(net.now, effect.op_id, None),
+            )
+            return
+        found = net.table.read(list(effect.keys), list(effect.prefixes))
+        rows = _rows(found)
+        net.after(
+            node,
+            _network.STORE_S / 2,
+            lambda: events.StoreRead(net.now, effect.op_id, rows),
+        )
+
+    net.at(net.now + _network.STORE_S / 2 + net.store_slow_s, apply)
+
+
+def fetch_vms(
+    net: _network.Network, node: Node, effect: effects.FetchVms
+) -> None:
+    """Give the VMs whose entries have changed."""
+    if net.cut_from_store(node):
+        net.after(
+            node,
+            _network.CALL_TIMEOUT_S,
+            lambda: events.VmsFetched(net.now, 0, None),
+        )
+        return
+    changed = [
+        vm
+        for revision, vm in net.vms_by_name.values()
+        if revision > effect.revision
+    ]
+    revision = net.vm_revision
+    net.after(
+        node,
+        _network.STORE_S,
+        lambda: events.VmsFetched(net.now, revision, changed),
+    )
+
+
+def _rows(answer: _table.Answer) -> dict[str, schema.Row]:
+    return {
+        key: schema.Row(version, value)
+        for key, (version, value) in answer.rows.items()
+    }
