Let links be cut one way, be slow, and lose open connections

Cause: cuts were symmetric and connections all or nothing, so that answers lost on the way back, slow links and silent connections could not be shown. Change: _links holds cuts by direction, delays, and the time at which the open connections between two ends went silent; fakes ask it both for the way there and for the way back.

--- a/packages/standins/celeryshift_standins/_fakes.py
+++ b/packages/standins/celeryshift_standins/_fakes.py
@@ -21,6 +21,12 @@
     paused: bool = False
     held_back: list[Callable[[], None]] = attrs.field(factory=list)
     counter: int = 0
+    paused_at: float = 0.0
+
+    @property
+    def ends(self) -> tuple[str, str]:
+        """Name the ends that this node talks from."""
+        return self.name, self.data_centre
 
 
 @attrs.define(eq=False)
@@ -34,6 +40,11 @@
     refuses: bool = False
     starts: int = 0
 
+    @property
+    def ends(self) -> tuple[str, str]:
+        """Name the ends that this worker talks from."""
+        return self.vm.name, self.vm.data_centre
+
 
 @attrs.define(eq=False)
 class Call:
@@ -49,6 +60,8 @@
     ended_at: float | None = None
     answer: dict[str, Any] | None = None
     refusal: core.Refusal | None = None
+    key_id: str = ''
+    taken_by: Node | None = None
 
     @property
     def waited_s(self) -> float | None:
--- a/packages/standins/celeryshift_standins/_network.py
+++ b/packages/standins/celeryshift_standins/_network.py
@@ -9,8 +9,10 @@
 import attrs
 
 import celeryshift_core as core
+from celeryshift_core import effects
 from celeryshift_core import events
 from celeryshift_standins import _fakes
+from celeryshift_standins import _links
 from celeryshift_standins import _table
 
 NEAR_S = 0.0005
@@ -39,13 +41,15 @@
         self.vm_revision = 0
         self.nodes_by_name: dict[str, Node] = {}
         self.workers_by_name: dict[str, Worker] = {}
-        self.cuts: set[frozenset[str]] = set()
+        self.links = _links.Links()
         self.store_down = False
         self.store_slow_s = 0.0
         self.answers_to_lose = 0
         self.messages = 0
         self.steps = 0
         self.on_step: list[Callable[[], None]] = []
+        self.on_change: list[Callable[[Node, effects.LogChange], None]] = []
+        self.on_stop: list[Callable[[Node], None]] = []
         self.count = itertools.count()
         self.call_by_reply: dict[tuple[str, str], Callable[..., None]] = {}
         self.polls: dict[str, list[Callable[[], None]]] = {}
@@ -102,41 +106,46 @@
         if node.state.timers.next_at == at:
             self.deliver(node, lambda: events.Tick(self.now))
 
-    def is_cut(self, *ends: str) -> bool:
-        """Tell whether any two of the ends are cut off."""
-        pairs = itertools.combinations(ends, 2)
-        return any(frozenset(pair) in self.cuts for pair in pairs)
-
-    def cut_from_store(self, node: Node) -> bool:
-        """Tell whether a node cannot reach the platform."""
-        return self.store_down or self.is_cut(
-            node.name, node.data_centre, PLATFORM
+    def to_store(self, node: Node) -> bool:
+        """Tell whether what a node sends the platform arrives."""
+        return not self.store_down and self.links.passes(
+            node.ends, (PLATFORM,), self.now
         )
 
+    def from_store(self, node: Node, asked_at: float) -> bool:
+        """Tell whether an answer of the platform reaches a node."""
+        return self.links.answers((PLATFORM,), node.ends, asked_at, self.now)
+
     def reach(self, node: Node, worker: Worker) -> bool:
-        """Tell whether a node can reach a worker."""
+        """Tell whether what a node sends a worker arrives."""
+        return (
+            worker.alive
+            and not worker.silent
+            and self.links.passes(node.ends, worker.ends, self.now)
+        )
+
+    def hears(self, node: Node, worker: Worker, asked_at: float) -> bool:
+        """Tell whether an answer of a worker reaches a node."""
         return (
             worker.alive
             and not worker.silent
-            and not self.is_cut(
-                node.name,
-                node.data_centre,
-                worker.vm.name,
-                worker.vm.data_centre,
-            )
+            and self.links.answers(worker.ends, node.ends, asked_at, self.now)
         )
 
+    def way(self, node: Node, worker: Worker) -> float:
+        """Give the delay between a node and a worker."""
+        return NEAR_S + self.links.delay_s(node.ends, worker.ends)
+
     def peer(self, node: Node, address: str) -> tuple[Node, float] | None:
         """Give a peer that can be reached, and the way there."""
         peer = self.nodes_by_name.get(address)
         if peer is None or not peer.alive:
             return None
-        if self.is_cut(
-            node.name, node.data_centre, peer.name, peer.data_centre
-        ):
+        if not self.links.passes(node.ends, peer.ends, self.now):
             return None
         near = peer.data_centre == node.data_centre
-        return peer, NEAR_S if near else FAR_S
+        delay_s = self.links.delay_s(node.ends, peer.ends)
+        return peer, delay_s + (NEAR_S if near else FAR_S)
 
     def resolve(
         self,
--- a/packages/standins/celeryshift_standins/_peer_effects.py
+++ b/packages/standins/celeryshift_standins/_peer_effects.py
@@ -49,19 +49,19 @@
     if found is None:
         net.after(node, _network.NEAR_S, lambda: finish(Outcome.UNSENT))
         return
+    asked_at = net.now
     peer, delay_s = found
     reply_id = f'p{next(net.count)}'
     net.payloads[(peer.name, reply_id)] = payload
     answered: list[bool] = []
 
     def reply(outcome: Outcome, *rest: Any) -> None:
-        """Give a caller or operator a reply."""
         if not answered:
             answered.append(True)
             net.deliver(node, lambda: finish(outcome, *rest))
 
     def take(document: Any, refusal: core.Refusal | None) -> None:
-        if net.peer(peer, node.name) is not None:
+        if net.links.answers(peer.ends, node.ends, asked_at, net.now):
             outcome = Outcome.REFUSED if refusal else Outcome.OK
             net.at(
                 net.now + delay_s,
@@ -169,6 +169,7 @@
 
 
 def reply(net: _network.Network, node: Node, effect: effects.Reply) -> None:
+    """Give a caller or operator a reply."""
     net.resolve(node, effect.reply_id, effect.document, effect.refusal)
 
 
@@ -177,7 +178,11 @@
 ) -> None:
     """End the node."""
     node.alive = False
+    for watch in net.on_stop:
+        watch(node)
 
 
-def ignore(net: _network.Network, node: Node, effect: effects.Effect) -> None:
-    """Nothing to do."""
+def log(net: _network.Network, node: Node, effect: effects.LogChange) -> None:
+    """Show a change of state to whoever watches."""
+    for watch in net.on_change:
+        watch(node, effect)
--- a/packages/standins/celeryshift_standins/_store_effects.py
+++ b/packages/standins/celeryshift_standins/_store_effects.py
@@ -18,6 +18,7 @@
     net: _network.Network, node: Node, effect: effects.WriteStore
 ) -> None:
     """Write rows, and answer unless the answer is lost."""
+    asked_at = net.now
 
     def answer(outcome: Outcome, version: int, rows: Any) -> Any:
         return lambda: events.StoreWritten(
@@ -25,8 +26,8 @@
         )
 
     def apply() -> None:
-        if net.cut_from_store(node):
-            lost = answer(Outcome.UNKNOWN, 0, {})
+        lost = answer(Outcome.UNKNOWN, 0, {})
+        if not net.to_store(node):
             net.after(node, _network.CALL_TIMEOUT_S, lost)
             return
         found = net.table.transact(
@@ -37,32 +38,31 @@
         )
         if net.answers_to_lose > 0:
             net.answers_to_lose -= 1
-            lost = answer(Outcome.UNKNOWN, 0, {})
             net.after(node, _network.CALL_TIMEOUT_S, lost)
-            return
-        outcome = Outcome.OK if found.ok else Outcome.REFUSED
-        reply = answer(outcome, found.version, _rows(found))
-        net.after(node, _network.STORE_S / 2, reply)
+        elif not net.from_store(node, asked_at):
+            net.after(node, _network.CALL_TIMEOUT_S, lost)
+        else:
+            outcome = Outcome.OK if found.ok else Outcome.REFUSED
+            reply = answer(outcome, found.version, _rows(found))
+            net.after(node, _network.STORE_S / 2, reply)
 
     net.at(net.now + _network.STORE_S / 2 + net.store_slow_s, apply)
 
 
 def read(net: _network.Network, node: Node, effect: effects.ReadStore) -> None:
     """Read rows, if the store can be reached."""
+    asked_at = net.now
 
     def apply() -> None:
-        if net.cut_from_store(node):
-            net.after(
-                node,
-                _network.CALL_TIMEOUT_S,
-                lambda: events.StoreRead(net.now, effect.op_id, None),
-            )
-            return
-        found = net.table.read(list(effect.keys), list(effect.prefixes))
-        rows = _rows(found)
+        rows = None
+        wait_s = _network.CALL_TIMEOUT_S
+        if net.to_store(node) and net.from_store(node, asked_at):
+            found = net.table.read(list(effect.keys), list(effect.prefixes))
+            rows = _rows(found)
+            wait_s = _network.STORE_S / 2
         net.after(
             node,
-            _network.STORE_S / 2,
+            wait_s,
             lambda: events.StoreRead(net.now, effect.op_id, rows),
         )
 
@@ -73,7 +73,7 @@
     net: _network.Network, node: Node, effect: effects.FetchVms
 ) -> None:
     """Give the VMs whose entries have changed."""
-    if net.cut_from_store(node):
+    if not (net.to_store(node) and net.from_store(node, net.now)):
         net.after(
             node,
             _network.CALL_TIMEOUT_S,
--- a/packages/standins/celeryshift_standins/_tasktable.py
+++ b/packages/standins/celeryshift_standins/_tasktable.py
@@ -1,6 +1,7 @@
 """The tasks of a worker and their leases, apart from any I/O."""
 
 import collections
+from collections.abc import Callable
 import enum
 import heapq
 from typing import Any
@@ -50,6 +51,7 @@
         self.fails_all = False
         self.runs_by_id: dict[str, Run] = {}
         self.history: list[Run] = []
+        self.on_change: list[Callable[[Run], None]] = []
         self._sequence = 0
         self._answered: collections.deque[str] = collections.deque()
         self._ends: list[tuple[float, int, str]] = []
@@ -87,6 +89,7 @@
         self.history.append(run)
         self._touch(run)
         self._schedule(run)
+        self._show(run)
         return run
 
     def stop(self, now: float, run_id: str) -> bool:
@@ -183,6 +186,11 @@
         run.phase = phase
         run.ended_at = at
         self._touch(run)
+        self._show(run)
+
+    def _show(self, run: Run) -> None:
+        for watch in self.on_change:
+            watch(run)
 
     def _touch(self, run: Run) -> None:
         # Requests are answered over their connection and wake no sync.
--- a/packages/standins/celeryshift_standins/_worker_effects.py
+++ b/packages/standins/celeryshift_standins/_worker_effects.py
@@ -22,6 +22,7 @@
     """Renew the leases of a worker, and wait for its news."""
     worker = net.workers_by_name[effect.worker]
     name = worker.vm.name
+    asked_at = net.now
     until = net.now + effect.wait_s
 
     def answer(cursor: str, whole: bool, reports: Any) -> Any:
@@ -36,7 +37,7 @@
         )
 
     def poll() -> None:
-        if not net.reach(node, worker):
+        if not net.hears(node, worker, asked_at):
             left_s = max(0.0, until - net.now) + _network.CALL_TIMEOUT_S
             net.after(node, left_s, answer('', False, None))
             return
@@ -50,23 +51,26 @@
             net.now, effect.cursor, effect.lease_s, []
         )
         reports = [_report(run) for run in runs]
-        net.after(node, _network.NEAR_S, answer(cursor, whole, reports))
+        net.after(node, net.way(node, worker), answer(cursor, whole, reports))
 
     def begin() -> None:
-        if net.reach(node, worker):
-            worker.tasks.sync(
-                net.now,
-                effect.cursor,
-                effect.lease_s,
-                list(effect.acknowledged),
-            )
+        if not net.reach(node, worker):
+            lost = answer('', False, None)
+            net.after(node, effect.wait_s + _network.CALL_TIMEOUT_S, lost)
+            return
+        worker.tasks.sync(
+            net.now,
+            effect.cursor,
+            effect.lease_s,
+            list(effect.acknowledged),
+        )
         poll()
 
     if net.now >= effect.deadline:
         net.after(node, 0.0, answer('', False, None))
     else:
         net.messages += 1
-        net.at(net.now + _network.NEAR_S, begin)
+        net.at(net.now + net.way(node, worker), begin)
 
 
 def start(
@@ -74,6 +78,7 @@
 ) -> None:
     """Start a task on a worker."""
     worker = net.workers_by_name[effect.worker]
+    asked_at = net.now
 
     def answer(outcome: Outcome) -> Any:
         return lambda: events.TaskStarted(
@@ -104,13 +109,17 @@
             )
             worker.starts += 1
             _watch(net, worker)
-            net.after(node, _network.NEAR_S, answer(Outcome.OK))
+            if net.hears(node, worker, asked_at):
+                net.after(node, net.way(node, worker), answer(Outcome.OK))
+            else:
+                lost = answer(Outcome.UNKNOWN)
+                net.after(node, _network.CALL_TIMEOUT_S, lost)
 
     if net.now >= effect.deadline:
         net.after(node, 0.0, answer(Outcome.UNSENT))
     else:
         net.messages += 1
-        net.at(net.now + _network.NEAR_S, begin)
+        net.at(net.now + net.way(node, worker), begin)
 
 
 def stop(net: _network.Network, node: Node, effect: effects.StopTask) -> None:
@@ -137,7 +146,7 @@
         )
 
     net.messages += 1
-    net.at(net.now + _network.NEAR_S, begin)
+    net.at(net.now + net.way(node, worker), begin)
 
 
 def send_request(
@@ -145,6 +154,7 @@
 ) -> None:
     """Send a request to a worker."""
     worker = net.workers_by_name[effect.worker]
+    asked_at = net.now
 
     def answer(outcome: Outcome, failed: bool = False) -> Any:
         return lambda: events.RequestAnswered(
@@ -176,9 +186,10 @@
     def end(run: _tasktable.Run) -> None:
         worker.tasks.advance(net.now)
         worker.tasks.forget(run.id)
-        if net.reach(node, worker):
+        if net.hears(node, worker, asked_at):
             failed = run.phase is _tasktable.Phase.FAILED
-            net.after(node, _network.NEAR_S, answer(Outcome.OK, failed))
+            done = answer(Outcome.OK, failed)
+            net.after(node, net.way(node, worker), done)
         else:
             left_s = run.started_at + effect.timeout_s - net.now
             lost = answer(Outcome.UNKNOWN)
@@ -188,7 +199,7 @@
         net.after(node, 0.0, answer(Outcome.UNSENT))
     else:
         net.messages += 1
-        net.at(net.now + _network.NEAR_S, begin)
+        net.at(net.now + net.way(node, worker), begin)
 
 
 def ask_outcome(
@@ -197,6 +208,7 @@
     """Ask a worker how a request ended."""
     worker = net.workers_by_name[effect.worker]
     run = worker.tasks.runs_by_id.get(effect.task)
+    # Asked over a new connection, which an older silence does not touch.
     known = run is not None and net.reach(node, worker)
     failed = bool(known and run and run.will_fail)
     outcome = Outcome.OK if known else Outcome.UNKNOWN
--- a/packages/standins/celeryshift_standins/world.py
+++ b/packages/standins/celeryshift_standins/world.py
@@ -42,7 +42,7 @@
     effects.AnswerRequest: _peer_effects.answer,
     effects.RefuseRequest: _peer_effects.refuse,
     effects.Reply: _peer_effects.reply,
-    effects.LogChange: _peer_effects.ignore,
+    effects.LogChange: _peer_effects.log,
     effects.StopNode: _peer_effects.stop_node,
 }
 
@@ -111,7 +111,9 @@
 
     def pause(self, name: str) -> None:
         """Freeze a node: what reaches it waits."""
-        self.nodes_by_name[name].paused = True
+        node = self.nodes_by_name[name]
+        node.paused = True
+        node.paused_at = self.now
 
     def resume(self, name: str) -> None:
         """Let a frozen node go on with what has waited."""
@@ -128,11 +130,11 @@
 
     def cut(self, one: str, other: str) -> None:
         """Cut two ends off: names of data centres, VMs, or 'platform'."""
-        self.cuts.add(frozenset((one, other)))
+        self.links.cut(self.now, one, other, both=True)
 
     def heal(self, one: str, other: str) -> None:
         """Undo a cut."""
-        self.cuts.discard(frozenset((one, other)))
+        self.links.heal(self.now, one, other)
 
     def kill_worker(self, name: str) -> None:
         """End a worker and all that it runs."""
@@ -156,6 +158,7 @@
         call = Call(name, kind, team, self.now, node, payload=payload)
         self.calls.append(call)
         credentials = _credentials(queue, key)
+        call.key_id = credentials.key_id
 
         def make(reply_id: str) -> events.Event:
             return events.RequestArrived(
@@ -174,13 +177,15 @@
         key: str = '',
         team: str = '',
         tasks: int = 1,
+        size: core.Size | None = None,
         **payload: Any,
     ) -> Call:
         """Submit a job to a node; the payload tells the run time."""
         call = Call(name, kind, team, self.now, node, True, payload)
         self.calls.append(call)
         credentials = _credentials(queue, key)
-        spec = events.JobSpec(name, '', kind, tasks, payload)
+        call.key_id = credentials.key_id
+        spec = events.JobSpec(name, '', kind, tasks, payload, size)
 
         def make(reply_id: str) -> events.Event:
             return events.JobSubmitted(self.now, reply_id, spec, credentials)
@@ -193,7 +198,9 @@
     ) -> Call:
         """Ask a node about a job."""
         call = Call(name, act, '', self.now, node)
+        self.calls.append(call)
         credentials = _credentials(queue, key)
+        call.key_id = credentials.key_id
         job_act = events.JobAct(act)
 
         def make(reply_id: str) -> events.Event:
@@ -209,6 +216,7 @@
     ) -> Call:
         """Do an operator's act at a node."""
         call = Call('operator', 'operator', '', self.now, node)
+        self.calls.append(call)
         self.at(
             self.now + CALLER_S,
             lambda: self._ask(call, lambda reply: make(self.now, reply)),
@@ -239,6 +247,7 @@
         if not node_is_up:
             call.ended_at = self.now
             return
+        call.taken_by = node
         reply_id = f'c{next(self.count)}'
         self.payloads[(node.name, reply_id)] = call.payload
 
