--- a/packages/standins/celeryshift_standins/_fakes.py
+++ b/packages/standins/celeryshift_standins/_fakes.py
@@ -61,6 +61,7 @@
     answer: dict[str, Any] | None = None
     refusal: core.Refusal | None = None
     key_id: str = ''
+    tasks: int = 1
     taken_by: Node | None = None
 
     @property
--- a/packages/standins/celeryshift_standins/world.py
+++ b/packages/standins/celeryshift_standins/world.py
@@ -185,6 +185,7 @@
         self.calls.append(call)
         credentials = _credentials(queue, key)
         call.key_id = credentials.key_id
+        call.tasks = tasks
         spec = events.JobSpec(name, '', kind, tasks, payload, size)
 
         def make(reply_id: str) -> events.Event:
