--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := packages/core packages/node packages/client packages/standins
 export PYTHONPATH := $(subst $(eval) ,:,$(PACKAGES:%=$(CURDIR)/%))
 SEED ?= 1
-STEPS ?= 0
+STEPS ?= 2000
 
 .PHONY: setup demo test lint types unit format scenarios bench capacity
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,9 @@
 hypothesis.settings.register_profile(
     'ci', derandomize=True, deadline=None, max_examples=25, database=None
 )
+hypothesis.settings.register_profile(
+    'long', deadline=None, max_examples=300, database=None
+)
 hypothesis.settings.load_profile('ci')
 
 
