Accept a job handed in twice at once, in place of an untrue refusal

Cause: the second of two submissions of one job in the same write was refused as not-ready with ran: no, while the first one was accepted and ran. Change: it waits for the next write, which finds the job and says it existed. Ruled out: refusing with ran: unknown, true but of no use to the caller.

--- a/packages/core/celeryshift_core/_submission.py
+++ b/packages/core/celeryshift_core/_submission.py
@@ -91,18 +91,24 @@
     checks: dict[str, int] = {}
     puts: dict[str, dict] = {}
     ready = []
+    again = []
     for submission in batch:
         held = state.slices_by_number.get(submission.slice)
         place_key = schema.job_place(submission.job.id)
-        if held is None or place_key in puts:
+        if held is None:
             _give_up(state, submission, Reason.NOT_READY, out)
             continue
+        if place_key in puts:
+            # The same job again: the next write finds it accepted.
+            again.append(submission)
+            continue
         checks[schema.slice_(data_centre, held.number)] = held.row_version
         checks[place_key] = 0
         puts[place_key] = {'data_centre': data_centre, 'slice': held.number}
         row_key = schema.job(data_centre, held.number, submission.job.id)
         puts[row_key] = _jobs.to_row(submission.job)
         ready.append(submission)
+    state.submissions[:0] = again
     if ready:
         state.submitting = True
         purpose = SubmitPurpose(tuple(ready))
