Scenarios in which callers ask twice, and answers without a run

Seals and jobs may be sent twice under one name, through any two nodes; an answer is checked against a run that ended.

--- a/packages/standins/celeryshift_standins/_work.py
+++ b/packages/standins/celeryshift_standins/_work.py
@@ -30,6 +30,12 @@
     tasks: int = 1
     count: int = 1
     memory_mb: int = 0
+    twice: bool = False
+
+    @property
+    def copies(self) -> int:
+        """Give how often each name is sent, through any nodes."""
+        return 2 if self.twice else 1
 
 
 def read_work(words: Words, *fields: str) -> Work:
@@ -51,6 +57,8 @@
             work.run_s = (shortest, longest)
         elif word == 'fails':
             work.fails = True
+        elif word == 'twice':
+            work.twice = True
         elif word == 'rate':
             work.rate = words.number('how many a second')
         elif word == 'for':
@@ -65,7 +73,7 @@
 
 def load(words: Words) -> _play.Act:
     """Read `load validate team t rate 50 for 10s run 20ms`: requests."""
-    work = read_work(words, 'rate', 'for', 'fails')
+    work = read_work(words, 'rate', 'for', 'fails', 'twice')
 
     def act(play: _play.Play) -> None:
         until = play.world.now + work.for_s
@@ -86,7 +94,7 @@
 
 def request(words: Words) -> _play.Act:
     """Read `request seal team t [count 3]`: requests at one moment."""
-    work = read_work(words, 'count', 'fails')
+    work = read_work(words, 'count', 'fails', 'twice')
 
     def act(play: _play.Play) -> None:
         for _ in range(work.count):
@@ -97,25 +105,27 @@
 
 def job(words: Words) -> _play.Act:
     """Read `job recode team t tasks 40 run 5s [count 10] [memory 9]`."""
-    work = read_work(words, 'tasks', 'count', 'memory', 'fails')
+    work = read_work(words, 'tasks', 'count', 'memory', 'fails', 'twice')
 
     def act(play: _play.Play) -> None:
         size = None
         if work.memory_mb:
             size = core.Size(1, 0, work.memory_mb, 0)
         for _ in range(work.count):
-            call = play.world.submit(
-                play.entry(work.where),
-                play.name(work.label),
-                work.kind,
-                work.queue,
-                play.token_by_team.get(work.team, ''),
-                work.team,
-                work.tasks,
-                size,
-                **_payload(play, work),
-            )
-            play.keep(work.label, call)
+            name = play.name(work.label)
+            for _ in range(work.copies):
+                call = play.world.submit(
+                    play.entry(work.where),
+                    name,
+                    work.kind,
+                    work.queue,
+                    play.token_by_team.get(work.team, ''),
+                    work.team,
+                    work.tasks,
+                    size,
+                    **_payload(play, work),
+                )
+                play.keep(work.label, call)
 
     return act
 
@@ -143,16 +153,19 @@
 
 
 def _request(play: _play.Play, work: Work, node: str) -> None:
-    call = play.world.request(
-        node,
-        play.name(work.label),
-        work.kind,
-        work.queue,
-        play.token_by_team.get(work.team, ''),
-        work.team,
-        **_payload(play, work),
-    )
-    play.keep(work.label, call)
+    name = play.name(work.label)
+    for _ in range(work.copies):
+        call = play.world.request(
+            node,
+            name,
+            work.kind,
+            work.queue,
+            play.token_by_team.get(work.team, ''),
+            work.team,
+            **_payload(play, work),
+        )
+        play.keep(work.label, call)
+        node = play.entry(work.where)
 
 
 def _payload(play: _play.Play, work: Work) -> dict[str, Any]:
--- a/packages/standins/celeryshift_standins/watch.py
+++ b/packages/standins/celeryshift_standins/watch.py
@@ -197,6 +197,10 @@
             if task in self.runs_by_task:
                 self._violate(f'{task} ran, and was refused as not run')
             self._not_run.add(task)
+        if call.answer is not None and 'worker' in call.answer:
+            runs = self.runs_by_task.get(task_of_request(call), [])
+            if not any(run.phase is Phase.DONE for run in runs):
+                self._violate(f'{call.name} got an answer and never ran')
         withdrawn_at = self.withdrawn_at_by_key.get(call.key_id)
         if withdrawn_at is not None and call.answer is not None:
             late_s = call.sent_at - withdrawn_at
