Owners go on through an outage by promises of their peers

Cause: an owner stopped when its lease lapsed, so that an outage of the store stopped every request after 4 s.

Ruled out: asking all nodes after a take and waiting for their answers. An owner that goes on needs the promise of every node it read as registered, so the word of any one of these is enough to a taker, and a taker that is one of them needs nobody else.

Change: promises, fences by registration version, vouching for late joiners, registrations deleted at graceful stop or once the VM list says gone, markers swept with them, the revision of the VM list in slice rows. In the fakes, kill ends the VM and the VM list tells it 3 s late; crash ends only the process.

--- /dev/null
+++ b/packages/core/celeryshift_core/_assignment.py
@@ -0,0 +1,87 @@
+"""Which node is due to own which slice."""
+
+from celeryshift_core import _ids
+from celeryshift_core import _state
+from celeryshift_core import events
+
+WORKER_WEIGHT = 10
+
+
+def assign(state: _state.State) -> dict[int, str]:
+    """Assign each slice to a live node, none with more than its part.
+
+    An owner keeps its slices as long as it stays within its part; the rest
+    goes by rank. All nodes work this out alike from the same rows; where
+    they differ for a moment, the store lets only one of them take a slice.
+
+    Source: Mirrokni, Thorup and Zadimoghaddam, Consistent hashing with
+    bounded loads, 2018.
+    """
+    nodes = _candidates(state)
+    if not nodes:
+        return {}
+    weight_by_number = _weigh(state)
+    part = -(-sum(weight_by_number.values()) // len(nodes))
+    part = max(part, *weight_by_number.values())
+    load_by_node = dict.fromkeys(nodes, 0)
+    owner_by_number = {}
+    for number, weight in weight_by_number.items():
+        row = state.membership.slice_rows_by_number.get(number)
+        owner = row.value['owner'] if row else ''
+        if owner in load_by_node and load_by_node[owner] + weight <= part:
+            owner_by_number[number] = owner
+            load_by_node[owner] += weight
+    for number, weight in weight_by_number.items():
+        if number not in owner_by_number:
+            best = min(
+                nodes,
+                key=lambda node: (
+                    load_by_node[node] + weight > part,
+                    -_ids.rank(node, number),
+                ),
+            )
+            owner_by_number[number] = best
+            load_by_node[best] += weight
+    return owner_by_number
+
+
+def is_registered_fresh(state: _state.State, peer: _state.Peer) -> bool:
+    """Tell whether a peer has renewed its registration lately."""
+    lease_s = state.options.takeover_s
+    if peer.data_centre != state.options.data_centre:
+        lease_s += state.options.nodes_poll_s
+    return state.now - peer.changed_at <= lease_s
+
+
+def _candidates(state: _state.State) -> list[str]:
+    nodes = [
+        peer.id
+        for peer in state.membership.peers_by_id.values()
+        if peer.data_centre == state.options.data_centre
+        and not peer.draining
+        and is_registered_fresh(state, peer)
+    ]
+    if state.phase is _state.NodePhase.SERVING:
+        nodes.append(state.node)
+    return nodes
+
+
+def _weigh(state: _state.State) -> dict[int, int]:
+    """Give the weight of each slice, the heaviest first."""
+    revision, weights = state.weights
+    if revision == state.vm_revision:
+        return weights
+    options = state.options
+    weight_by_number = dict.fromkeys(range(options.slices), 1)
+    for vm in state.vms_by_name.values():
+        if (
+            vm.role is events.VmRole.WORKER
+            and vm.data_centre == options.data_centre
+        ):
+            number = _ids.slice_of(vm.name, options.slices)
+            weight_by_number[number] += WORKER_WEIGHT
+    heaviest = sorted(
+        weight_by_number.items(), key=lambda item: (-item[1], item[0])
+    )
+    state.weights = (state.vm_revision, dict(heaviest))
+    return state.weights[1]
--- /dev/null
+++ b/packages/core/celeryshift_core/_departures.py
@@ -0,0 +1,143 @@
+"""Nodes that have gone: how that is known, and what they leave behind."""
+
+import attrs
+
+from celeryshift_core import _promises
+from celeryshift_core import _state
+from celeryshift_core import _store
+from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_core import schema
+
+MAX_GONE_ADDRESSES = 1000
+
+
+@attrs.frozen(slots=True)
+class LeavePurpose:
+    """Say that a write deletes this node's registration."""
+
+
+@attrs.frozen(slots=True)
+class SweepPurpose:
+    """Say that a read lists the markers of a node that has gone."""
+
+    node: str
+    row_version: int
+
+
+@attrs.frozen(slots=True)
+class RemovePurpose:
+    """Say that a write deletes what a node left behind."""
+
+
+def note_vm(state: _state.State, vm: events.Vm) -> None:
+    """Note whether the VM of a node is gone."""
+    if vm.role is not events.VmRole.ENTRY:
+        return
+    if vm.state is not events.VmState.GONE:
+        state.gone_addresses.pop(vm.address, None)
+        return
+    state.gone_addresses.setdefault(vm.address, state.now)
+    while len(state.gone_addresses) > MAX_GONE_ADDRESSES:
+        state.gone_addresses.popitem(last=False)
+
+
+def note_peers(state: _state.State) -> None:
+    """Note which peers have gone: their VM has, or a later process serves.
+
+    Of two registrations with one address, the process with the older row
+    has ended, since an address is one process's at a time.
+    """
+    peers = state.membership.peers_by_id.values()
+    latest_by_address = {state.options.address: state.membership.row_version}
+    for peer in peers:
+        latest = latest_by_address.get(peer.address, 0)
+        latest_by_address[peer.address] = max(latest, peer.row_version)
+    for peer in peers:
+        superseded = peer.row_version < latest_by_address[peer.address]
+        if superseded or _vm_is_gone(state, peer.address):
+            if peer.gone_since is None:
+                peer.gone_since = state.now
+        else:
+            peer.gone_since = None
+
+
+def sweep(state: _state.State, out: _state.Out) -> None:
+    """Delete what gone nodes left, if that falls to this node.
+
+    A registration stays as long as a slice names it, so that its taker sees
+    what the owner knew.
+    """
+    membership = state.membership
+    owners = {
+        row.value['owner'] for row in membership.slice_rows_by_number.values()
+    }
+    stays = [
+        peer.id
+        for peer in membership.peers_by_id.values()
+        if peer.gone_since is None
+        and peer.data_centre == state.options.data_centre
+    ]
+    if any(node < state.node for node in stays):
+        return
+    for peer in membership.peers_by_id.values():
+        if (
+            peer.data_centre == state.options.data_centre
+            and peer.id not in owners
+            and _promises.is_gone(state, peer)
+            and state.now - peer.changed_at > state.options.takeover_s
+        ):
+            purpose = SweepPurpose(peer.id, peer.row_version)
+            prefix = f'{schema.marker(peer.id)}/'
+            _store.read(state, out, purpose, prefixes=(prefix,))
+
+
+def markers_read(
+    state: _state.State,
+    purpose: SweepPurpose,
+    rows: dict[str, schema.Row] | None,
+    out: _state.Out,
+) -> None:
+    """Delete markers, and the registration with the last of them."""
+    if rows is None:
+        return
+    most = state.options.rows_per_write
+    key = schema.node(state.options.data_centre, purpose.node)
+    deletes = tuple(rows)[:most]
+    if len(rows) <= most:
+        deletes += (key,)
+    checks = {key: purpose.row_version}
+    _store.write(state, out, RemovePurpose(), checks, {}, deletes)
+
+
+def leave(state: _state.State, out: _state.Out) -> None:
+    """Delete this node's registration and the markers of its writes."""
+    state.membership.leaving = True
+    key = schema.node(state.options.data_centre, state.node)
+    checks = {key: state.membership.row_version}
+    markers = tuple(state.store.settled_markers)
+    deletes = (key, *markers[: state.options.rows_per_write])
+    _store.write(state, out, LeavePurpose(), checks, {}, deletes, marked=False)
+
+
+def left(
+    state: _state.State,
+    purpose: LeavePurpose,
+    answer: _store.Written,
+    out: _state.Out,
+) -> None:
+    """End, whatever became of the write: who stays removes the rest."""
+    state.membership.left = True
+
+
+def stop(state: _state.State, out: _state.Out) -> None:
+    """End this node."""
+    state.phase = _state.NodePhase.STOPPED
+    out.append(effects.LogChange('stopped', {'node': state.node}))
+    out.append(effects.StopNode())
+
+
+def _vm_is_gone(state: _state.State, address: str) -> bool:
+    """Tell whether the VM list says gone, by address with or without port."""
+    host = address.rpartition(':')[0]
+    return address in state.gone_addresses or host in state.gone_addresses
--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -29,6 +29,7 @@
     capacity: _size.Size
     state: events.VmState = events.VmState.LIVE
     answered: bool = False
+    listed: bool = True
     quarantined: bool = False
     cursor: str = ''
     syncing: bool = False
@@ -48,6 +49,7 @@
         """Tell whether new work may be placed here."""
         return (
             self.answered
+            and self.listed
             and self.silent_since is None
             and not self.quarantined
             and self.state is events.VmState.LIVE
--- a/packages/core/celeryshift_core/_ownership.py
+++ b/packages/core/celeryshift_core/_ownership.py
@@ -3,30 +3,34 @@
 A node keeps one registration row in the store and renews it with one write,
 which also reads who owns each slice of the data centre. A slice may be taken
 when its owner's registration has not changed for longer than its lease, by
-the taker's own clock.
+the taker's own clock, and surely does not go on by promises of its peers.
 """
 
 from collections.abc import Iterator
 
 import attrs
 
-from celeryshift_core import _ids
+from celeryshift_core import _assignment
+from celeryshift_core import _departures
+from celeryshift_core import _promises
+from celeryshift_core import _rights
 from celeryshift_core import _slices
 from celeryshift_core import _state
 from celeryshift_core import _store
 from celeryshift_core import _timers
 from celeryshift_core import effects
-from celeryshift_core import events
+from celeryshift_core import messages
 from celeryshift_core import schema
 
 STABLE_LEASES = 2
-WORKER_WEIGHT = 10
 
 
 @attrs.frozen(slots=True)
 class RenewPurpose:
     """Say that a write renewed the registration."""
 
+    vm_revision: int
+
 
 @attrs.frozen(slots=True)
 class TakePurpose:
@@ -34,6 +38,7 @@
 
     number: int
     epoch: int
+    value: dict
 
 
 @attrs.frozen(slots=True)
@@ -53,7 +58,11 @@
     """Renew the registration, unless a renewal is outstanding."""
     options = state.options
     state.timers.set(_timers.RenewNode(), state.now + options.node_renew_s)
-    if state.membership.renewing or state.phase is _state.NodePhase.STOPPED:
+    if state.membership.leaving or state.phase is _state.NodePhase.STOPPED:
+        return
+    if _promises.is_overdue(state):
+        _go_on(state, out)
+    if state.membership.renewing:
         return
     state.membership.renewing = True
     key = schema.node(options.data_centre, state.node)
@@ -61,11 +70,13 @@
         'address': options.address,
         'config_version': state.config.version,
         'draining': state.phase is _state.NodePhase.DRAINING,
+        'basis': state.promises.basis_version,
+        'vm_revision': state.vm_revision,
     }
     _store.write(
         state,
         out,
-        RenewPurpose(),
+        RenewPurpose(state.vm_revision),
         {key: state.membership.row_version},
         {key: value},
         prefixes=(
@@ -85,22 +96,45 @@
     membership = state.membership
     membership.renewing = False
     if answer.ok:
+        if not membership.row_version:
+            membership.since_version = answer.version
         membership.row_version = answer.version
-        if answer.settled_late:
-            state.timers.set(_timers.RenewNode(), state.now)
-            return
+    if answer.settled_late:
+        state.timers.set(_timers.RenewNode(), state.now)
+    elif answer.ok:
+        held_before = _rights.holds(state)
+        _forgive_outage(state, answer)
         _observe(state, answer.rows, state.options.data_centre, out)
         _observe_slices(state, answer.rows, out)
-        membership.lease_until = answer.sent_at + state.options.node_lease_s
+        _promises.renewed(state, answer.version, answer.rows, answer.sent_at)
+        membership.renewed_at = answer.sent_at
+        membership.vm_revision = purpose.vm_revision
+        _slices.use_listed(state)
         if state.phase is _state.NodePhase.STARTING:
             state.phase = _state.NodePhase.SERVING
             out.append(effects.LogChange('serving', {'node': state.node}))
-        _slices.wake(state, out)
+        if not held_before:
+            _slices.wake(state, out)
+        _departures.note_peers(state)
         balance(state, out)
+        _departures.sweep(state, out)
     elif answer.reached:
         _replaced(state, out)
 
 
+def promised(
+    state: _state.State,
+    sender: str,
+    message: messages.Promised,
+    out: _state.Out,
+) -> None:
+    """Take in a promise, and go on with every slice that had stopped."""
+    held_before = _rights.holds(state)
+    extended = _promises.promised(state, sender, message)
+    if extended and not held_before:
+        _slices.wake(state, out)
+
+
 def poll_nodes(state: _state.State, out: _state.Out) -> None:
     """Read the nodes of every data centre."""
     at = state.now + state.options.nodes_poll_s
@@ -128,7 +162,7 @@
 
 def balance(state: _state.State, out: _state.Out) -> None:
     """Take the slices that are due to this node, and give back others."""
-    owner_by_number = _assign(state)
+    owner_by_number = _assignment.assign(state)
     draining = state.phase is _state.NodePhase.DRAINING
     for number in range(state.options.slices):
         mine = owner_by_number.get(number) == state.node
@@ -149,6 +183,7 @@
     key = schema.slice_(state.options.data_centre, number)
     row = state.membership.slice_rows_by_number[number]
     value = {**row.value, 'owner': '', 'epoch': held.epoch}
+    value['vm_revision'] = max(held.vm_revision, state.membership.vm_revision)
     purpose = ReleasePurpose(number, held.epoch)
     _slices.drop(state, number, out)
     checks = {key: held.row_version}
@@ -167,17 +202,25 @@
 
 
 def stop_if_drained(state: _state.State, out: _state.Out) -> None:
-    """End the node once it holds nothing and nobody waits."""
+    """End the node once it holds nothing and nobody waits.
+
+    While the store is down nothing can be released: what this node held is
+    taken when its lease has lapsed, and its workers keep what they ran.
+    """
     if (
-        state.phase is _state.NodePhase.DRAINING
+        state.phase is not _state.NodePhase.DRAINING
+        or state.requests_by_id
+        or state.replies_due
+    ):
+        return
+    if state.membership.left or _is_store_lost(state):
+        _departures.stop(state, out)
+    elif (
+        not state.membership.leaving
         and not state.slices_by_number
-        and not state.requests_by_id
-        and not state.replies_due
         and not state.store.writes_by_op
     ):
-        state.phase = _state.NodePhase.STOPPED
-        out.append(effects.LogChange('stopped', {'node': state.node}))
-        out.append(effects.StopNode())
+        _departures.leave(state, out)
 
 
 def taken(
@@ -192,8 +235,11 @@
         # A late success is found by the next renewal, which reads the rows.
         return
     key = schema.slice_(state.options.data_centre, purpose.number)
-    value = {'owner': state.node, 'epoch': purpose.epoch}
-    row = schema.Row(answer.version, value)
+    seen = state.membership.slice_rows_by_number.get(purpose.number)
+    if seen is not None and seen.version > answer.version:
+        # A renewal has read the row since; it goes by what it read.
+        return
+    row = schema.Row(answer.version, purpose.value)
     state.membership.slice_rows_by_number[purpose.number] = row
     prefix = schema.jobs(state.options.data_centre, purpose.number)
     job_rows = {
@@ -203,7 +249,12 @@
     }
     assert key not in job_rows
     _slices.recover(
-        state, purpose.number, purpose.epoch, answer.version, job_rows, out
+        state,
+        purpose.number,
+        purpose.epoch,
+        row,
+        job_rows,
+        out,
     )
 
 
@@ -211,90 +262,32 @@
     options = state.options
     row = state.membership.slice_rows_by_number.get(number)
     key = schema.slice_(options.data_centre, number)
+    own_key = schema.node(options.data_centre, state.node)
     checks = {key: row.version if row else 0}
+    checks[own_key] = state.membership.row_version
     owner = row.value['owner'] if row else ''
+    vm_revision = row.value.get('vm_revision', 0) if row else 0
     if owner and owner != state.node:
         peer = state.membership.peers_by_id.get(owner)
         if peer is not None:
             if state.now - peer.changed_at <= options.takeover_s:
                 return
-            owner_key = schema.node(options.data_centre, owner)
-            checks[owner_key] = peer.row_version
+            if not _promises.may_take(state, peer, out):
+                return
+            vm_revision = max(vm_revision, peer.vm_revision)
+        owner_key = schema.node(options.data_centre, owner)
+        checks[owner_key] = peer.row_version if peer else 0
     epoch = (row.value['epoch'] if row else 0) + 1
     state.membership.taking.add(number)
     value = {**(row.value if row else {})}
-    value.update({'owner': state.node, 'epoch': epoch})
+    value.update(
+        {'owner': state.node, 'epoch': epoch, 'vm_revision': vm_revision}
+    )
     prefixes = (schema.jobs(options.data_centre, number),)
-    purpose = TakePurpose(number, epoch)
+    purpose = TakePurpose(number, epoch, value)
     _store.write(state, out, purpose, checks, {key: value}, (), prefixes)
 
 
-def _assign(state: _state.State) -> dict[int, str]:
-    """Assign each slice to a live node, none with more than its part.
-
-    An owner keeps its slices as long as it stays within its part; the rest
-    goes by rank. All nodes work this out alike from the same rows; where
-    they differ for a moment, the store lets only one of them take a slice.
-
-    Source: Mirrokni, Thorup and Zadimoghaddam, Consistent hashing with
-    bounded loads, 2018.
-    """
-    nodes = _candidates(state)
-    if not nodes:
-        return {}
-    weight_by_number = _weigh(state)
-    part = -(-sum(weight_by_number.values()) // len(nodes))
-    part = max(part, *weight_by_number.values())
-    load_by_node = dict.fromkeys(nodes, 0)
-    owner_by_number = {}
-    for number, weight in weight_by_number.items():
-        row = state.membership.slice_rows_by_number.get(number)
-        owner = row.value['owner'] if row else ''
-        if owner in load_by_node and load_by_node[owner] + weight <= part:
-            owner_by_number[number] = owner
-            load_by_node[owner] += weight
-    for number, weight in weight_by_number.items():
-        if number not in owner_by_number:
-            best = min(
-                nodes,
-                key=lambda node: (
-                    load_by_node[node] + weight > part,
-                    -_ids.rank(node, number),
-                ),
-            )
-            owner_by_number[number] = best
-            load_by_node[best] += weight
-    return owner_by_number
-
-
-def _candidates(state: _state.State) -> list[str]:
-    nodes = [
-        peer.id
-        for peer in live_peers(state)
-        if peer.data_centre == state.options.data_centre
-    ]
-    if state.phase is _state.NodePhase.SERVING:
-        nodes.append(state.node)
-    return nodes
-
-
-def _weigh(state: _state.State) -> dict[int, int]:
-    """Give the weight of each slice, the heaviest first."""
-    options = state.options
-    weight_by_number = dict.fromkeys(range(options.slices), 1)
-    for vm in state.vms_by_name.values():
-        if (
-            vm.role is events.VmRole.WORKER
-            and vm.data_centre == options.data_centre
-        ):
-            number = _ids.slice_of(vm.name, options.slices)
-            weight_by_number[number] += WORKER_WEIGHT
-    heaviest = sorted(
-        weight_by_number.items(), key=lambda item: (-item[1], item[0])
-    )
-    return dict(heaviest)
-
-
 def _observe(
     state: _state.State,
     rows: dict[str, schema.Row],
@@ -325,9 +318,16 @@
             peer.changed_at = state.now
         peer.draining = row.value['draining']
         peer.config_version = row.value['config_version']
+        peer.basis = row.value['basis'] or row.version
+        peer.vm_revision = row.value['vm_revision']
+    own = state.options.data_centre
     for node, peer in list(membership.peers_by_id.items()):
-        if node not in seen and data_centre in (None, peer.data_centre):
+        # Only a renewal, never a read that may be old, forgets peers of
+        # this data centre: promises hang on them.
+        is_whole = (peer.data_centre == own) == (data_centre == own)
+        if node not in seen and is_whole:
             del membership.peers_by_id[node]
+            _promises.forget(state, node)
 
 
 def _observe_slices(
@@ -338,6 +338,9 @@
         if not key.startswith(prefix):
             continue
         number = int(key[len(prefix) :])
+        seen = state.membership.slice_rows_by_number.get(number)
+        if seen is not None and seen.version > row.version:
+            continue
         state.membership.slice_rows_by_number[number] = row
         held = state.slices_by_number.get(number)
         if held is None:
@@ -353,18 +356,45 @@
 
 def _replaced(state: _state.State, out: _state.Out) -> None:
     """Give up everything: somebody removed this node's registration."""
-    state.membership.lease_until = 0.0
+    state.membership.until = 0.0
     state.membership.row_version = 0
+    state.membership.since_version = 0
+    state.promises = _state.Promises()
     for number in list(state.slices_by_number):
         _slices.drop(state, number, out)
     out.append(effects.LogChange('registration-lost'))
 
 
+def _go_on(state: _state.State, out: _state.Out) -> None:
+    """Ask for promises, and go on with what their refresh lets go on."""
+    held_before = _rights.holds(state)
+    _promises.ask(state, out)
+    if _rights.holds(state) and not held_before:
+        _slices.wake(state, out)
+
+
+def _forgive_outage(state: _state.State, answer: _store.Written) -> None:
+    """Give every peer a lease's time after this node was cut off."""
+    membership = state.membership
+    if answer.sent_at - membership.renewed_at > state.options.takeover_s:
+        for peer in membership.peers_by_id.values():
+            peer.changed_at = state.now
+
+
+def _is_store_lost(state: _state.State) -> bool:
+    since = state.store.failing_since
+    lost_s = state.options.node_lease_s
+    return since is not None and state.now - since > lost_s
+
+
 def _is_fresh(state: _state.State, peer: _state.Peer) -> bool:
-    lease_s = state.options.takeover_s
-    if peer.data_centre != state.options.data_centre:
-        lease_s += state.options.nodes_poll_s
-    return state.now - peer.changed_at <= lease_s
+    """Tell whether a peer has lately renewed, or said anything."""
+    heard_at = peer.heard_at
+    is_heard = (
+        heard_at is not None
+        and state.now - heard_at <= state.options.takeover_s
+    )
+    return is_heard or _assignment.is_registered_fresh(state, peer)
 
 
 def _is_stable(state: _state.State) -> bool:
--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from celeryshift_core import _ownership
+from celeryshift_core import _promises
 from celeryshift_core import _state
 from celeryshift_core import _timers
 from celeryshift_core import effects
@@ -44,7 +45,7 @@
 ) -> None:
     """Take in a message from another node."""
     handler = _HANDLERS_BY_TYPE[type(event.message)]
-    handler(state, event.message, out)
+    handler(state, event.sender, event.message, out)
 
 
 def unreachable(
@@ -113,7 +114,10 @@
 
 
 def _take_summary(
-    state: _state.State, message: messages.Summary, out: _state.Out
+    state: _state.State,
+    sender: str,
+    message: messages.Summary,
+    out: _state.Out,
 ) -> None:
     peer = state.membership.peers_by_id.get(message.node)
     if peer is None:
@@ -129,7 +133,10 @@
 
 
 def _take_withdrawn(
-    state: _state.State, message: messages.KeysWithdrawn, out: _state.Out
+    state: _state.State,
+    sender: str,
+    message: messages.KeysWithdrawn,
+    out: _state.Out,
 ) -> None:
     new = set(message.key_ids) - state.withdrawn_keys
     if new:
@@ -138,8 +145,14 @@
         out.append(effects.LogChange('keys-withdrawn', fields))
 
 
-_HANDLERS_BY_TYPE: dict[type, Callable[[_state.State, Any, _state.Out], None]]
+_HANDLERS_BY_TYPE: dict[
+    type, Callable[[_state.State, str, Any, _state.Out], None]
+]
 _HANDLERS_BY_TYPE = {
     messages.Summary: _take_summary,
     messages.KeysWithdrawn: _take_withdrawn,
+    messages.PromiseAsked: _promises.asked,
+    messages.Promised: _ownership.promised,
+    messages.VouchAsked: _promises.vouch_asked,
+    messages.Vouched: _promises.vouched,
 }
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from celeryshift_core import _configuration
+from celeryshift_core import _departures
 from celeryshift_core import _errors
 from celeryshift_core import _jobs
 from celeryshift_core import _once
@@ -172,6 +173,7 @@
     _ownership.RenewPurpose: _ownership.renewed,
     _ownership.TakePurpose: _ownership.taken,
     _ownership.ReleasePurpose: _ownership.released,
+    _departures.LeavePurpose: _departures.left,
     _once.ClaimPurpose: _once.claimed,
     _jobs.RecordPurpose: _jobs.recorded,
     _submission.SubmitPurpose: _submission.written,
@@ -180,6 +182,7 @@
 
 _HANDLERS_BY_READ: dict[type, ReadHandler] = {
     _ownership.NodesPurpose: _ownership.nodes_read,
+    _departures.SweepPurpose: _departures.markers_read,
     _submission.PlacePurpose: _submission.place_read,
     _configuration.HeadPurpose: _configuration.head_read,
     _configuration.DocumentPurpose: _configuration.document_read,
--- a/packages/core/celeryshift_core/_rights.py
+++ b/packages/core/celeryshift_core/_rights.py
@@ -7,7 +7,7 @@
 
 def until(state: _state.State) -> float:
     """Give the time until which this node may act on its slices."""
-    return state.membership.lease_until
+    return state.membership.until
 
 
 def holds(state: _state.State) -> bool:
--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -1,5 +1,6 @@
 """The life of a slice at its owner: recovery, workers, release."""
 
+from celeryshift_core import _departures
 from celeryshift_core import _ids
 from celeryshift_core import _jobs
 from celeryshift_core import _ledger
@@ -18,7 +19,7 @@
     state: _state.State,
     number: int,
     epoch: int,
-    row_version: int,
+    row: schema.Row,
     job_rows: dict[str, schema.Row],
     out: _state.Out,
 ) -> None:
@@ -31,8 +32,9 @@
     held = _state.Slice(
         number,
         epoch,
-        row_version,
+        row.version,
         _queue.Queue(lambda team: _shares.load(state, held, team)),
+        row.value['vm_revision'],
     )
     state.slices_by_number[number] = held
     out.append(_change('slice-taken', held))
@@ -52,8 +54,11 @@
     """Open a slice once every worker has said what it runs."""
     if held.phase is not _state.SlicePhase.RECOVERING:
         return
+    # The former owner may have known workers that this node does not yet.
+    if state.vm_revision < max(1, held.vm_revision):
+        return
     workers = held.ledger.workers_by_name.values()
-    if state.vm_revision and all(worker.answered for worker in workers):
+    if all(worker.answered for worker in workers):
         open_slice(state, held, out)
 
 
@@ -121,6 +126,21 @@
         state.touched[held.number] = None
 
 
+def use_listed(state: _state.State) -> None:
+    """Use the workers that this node's registration says it knows.
+
+    Whoever takes the slice next waits until it knows them too.
+    """
+    if state.membership.vm_revision < state.vm_revision:
+        return
+    unlisted, state.unlisted = state.unlisted, []
+    for held, worker in unlisted:
+        worker.listed = True
+        if worker.name in held.ledger.workers_by_name:
+            held.ledger.refresh(worker)
+            state.touched[held.number] = None
+
+
 def vms_fetched(
     state: _state.State, event: events.VmsFetched, out: _state.Out
 ) -> None:
@@ -129,6 +149,7 @@
         return
     state.vm_revision = max(state.vm_revision, event.revision)
     for vm in event.vms:
+        _departures.note_vm(state, vm)
         state.vms_by_name[vm.name] = vm
         if vm.state is events.VmState.GONE:
             del state.vms_by_name[vm.name]
@@ -162,6 +183,9 @@
         worker = _ledger.Worker(
             vm.name, vm.address, vm.rack, vm.upstream, vm.capacity, vm.state
         )
+        worker.listed = state.vm_revision <= state.membership.vm_revision
+        if not worker.listed:
+            state.unlisted.append((held, worker))
         held.ledger.add(worker)
         _workers.sync(state, held, worker, out)
     else:
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import math
 import random
 from typing import Any
 
@@ -46,6 +47,7 @@
     epoch: int
     row_version: int
     queue: _queue.Queue
+    vm_revision: int = 0
     phase: SlicePhase = SlicePhase.RECOVERING
     ledger: _ledger.Ledger = attrs.field(factory=_ledger.Ledger)
     jobs_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
@@ -69,6 +71,9 @@
     changed_at: float
     draining: bool = False
     config_version: int = 0
+    basis: int = 0
+    vm_revision: int = 0
+    gone_since: float | None = None
     slices: tuple[int, ...] = ()
     free_slots_by_upstream: dict[str, int] = attrs.field(factory=dict)
     heard_at: float | None = None
@@ -79,14 +84,40 @@
     """Hold the registration of this node and those of its peers."""
 
     row_version: int = 0
-    lease_until: float = 0.0
+    since_version: int = 0
+    until: float = 0.0
+    renewed_at: float = -math.inf
+    vm_revision: int = 0
     renewing: bool = False
+    leaving: bool = False
+    left: bool = False
     peers_by_id: dict[str, Peer] = attrs.field(factory=dict)
     slice_rows_by_number: dict[int, schema.Row] = attrs.field(factory=dict)
     taking: set[int] = attrs.field(factory=set)
     stable_since: float = 0.0
 
 
+@attrs.frozen(slots=True)
+class Vouch:
+    """Hold from when on no promise to an owner runs, and at which version."""
+
+    version: int
+    at: float
+
+
+@attrs.define(eq=False)
+class Promises:
+    """Hold what this node was promised, and what it has promised."""
+
+    basis_version: int = 0
+    address_by_peer: dict[str, str] = attrs.field(factory=dict)
+    until_by_peer: dict[str, float] = attrs.field(factory=dict)
+    left: set[str] = attrs.field(factory=set)
+    given_by_node: dict[str, float] = attrs.field(factory=dict)
+    fence_by_node: dict[str, int] = attrs.field(factory=dict)
+    vouch_by_node: dict[str, Vouch] = attrs.field(factory=dict)
+
+
 @attrs.define(eq=False)
 class Request:
     """Hold a request whose caller waits."""
@@ -122,6 +153,7 @@
     purpose: Any
     sent_at: float
     dropped_markers: tuple[str, ...]
+    marked: bool
 
 
 @attrs.define(eq=False)
@@ -147,12 +179,18 @@
     timers: _timers.Timers = attrs.field(factory=_timers.Timers)
     store: Store = attrs.field(factory=Store)
     membership: Membership = attrs.field(factory=Membership)
+    promises: Promises = attrs.field(factory=Promises)
     config: _config.Config = attrs.field(factory=_config.Config)
     config_row_version: int = 0
     config_confirmed_at: float | None = None
     withdrawn_keys: set[str] = attrs.field(factory=set)
     vms_by_name: dict[str, events.Vm] = attrs.field(factory=dict)
     vm_revision: int = 0
+    gone_addresses: collections.OrderedDict[str, float] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    unlisted: list[tuple[Slice, _ledger.Worker]] = attrs.field(factory=list)
+    weights: tuple[int, dict[int, int]] = (-1, {})
     slices_by_number: dict[int, Slice] = attrs.field(factory=dict)
     touched: dict[int, None] = attrs.field(factory=dict)
     requests_by_id: dict[str, Request] = attrs.field(factory=dict)
--- a/packages/core/celeryshift_core/_store.py
+++ b/packages/core/celeryshift_core/_store.py
@@ -39,21 +39,30 @@
     puts: dict[str, dict],
     deletes: tuple[str, ...] = (),
     prefixes: tuple[str, ...] = (),
+    *,
+    marked: bool = True,
 ) -> str:
-    """Write rows; the purpose comes back with the outcome."""
+    """Write rows; the purpose comes back with the outcome.
+
+    Without a marker the outcome may stay unknown.
+    """
     store = state.store
     op_id = _next_op(state)
     marker = schema.marker(op_id)
-    dropped = tuple(store.settled_markers[:MARKERS_PER_WRITE])
-    del store.settled_markers[:MARKERS_PER_WRITE]
+    most = MARKERS_PER_WRITE if marked else 0
+    dropped = tuple(store.settled_markers[:most])
+    del store.settled_markers[:most]
     store.writes_by_op[op_id] = _state.PendingWrite(
-        purpose, state.now, dropped
+        purpose, state.now, dropped, marked
     )
+    if marked:
+        checks = {**checks, marker: 0}
+        puts = {**puts, marker: {'took_effect': True}}
     out.append(
         effects.WriteStore(
             op_id,
-            {**checks, marker: 0},
-            {**puts, marker: {'took_effect': True}},
+            checks,
+            puts,
             deletes + dropped,
             prefixes,
         )
@@ -85,9 +94,9 @@
     if pending is None:
         return None
     _note_health(state, event.outcome, out)
-    if event.outcome is events.Outcome.UNKNOWN or (
-        settling and event.outcome is events.Outcome.UNSENT
-    ):
+    unknown = event.outcome is events.Outcome.UNKNOWN
+    unsent = event.outcome is events.Outcome.UNSENT
+    if pending.marked and (unknown or (settling and unsent)):
         at = state.now + state.options.settle_s
         state.timers.set(_timers.SettleWrite(op_id), at)
         return None
@@ -98,8 +107,8 @@
         state.store.settled_markers.append(marker)
     else:
         ok = event.outcome is events.Outcome.OK
-        reached = event.outcome is not events.Outcome.UNSENT
-        if ok:
+        reached = not unsent
+        if ok and pending.marked:
             state.store.settled_markers.append(marker)
         else:
             state.store.settled_markers.extend(pending.dropped_markers)
--- a/packages/core/celeryshift_core/messages.py
+++ b/packages/core/celeryshift_core/messages.py
@@ -22,5 +22,46 @@
     key_ids: list[str]
 
 
-Message = Summary | KeysWithdrawn
-ALL = (Summary, KeysWithdrawn)
+@attrs.frozen(slots=True)
+class PromiseAsked:
+    """Ask a node not to take from the sender for a lease's time."""
+
+    to: str
+    basis: int
+    asked_at: float
+
+
+@attrs.frozen(slots=True)
+class Promised:
+    """Promise what was asked; a leaving node promises it for good."""
+
+    to: str
+    basis: int
+    asked_at: float
+    leaving: bool
+
+
+@attrs.frozen(slots=True)
+class VouchAsked:
+    """Ask a node to promise an owner nothing more."""
+
+    to: str
+    owner: str
+    version: int
+    basis: int
+
+
+@attrs.frozen(slots=True)
+class Vouched:
+    """Tell after which wait no promise to an owner runs any more."""
+
+    to: str
+    owner: str
+    version: int
+    wait_s: float
+
+
+Message = (
+    Summary | KeysWithdrawn | PromiseAsked | Promised | VouchAsked | Vouched
+)
+ALL = (Summary, KeysWithdrawn, PromiseAsked, Promised, VouchAsked, Vouched)
--- a/packages/standins/celeryshift_standins/world.py
+++ b/packages/standins/celeryshift_standins/world.py
@@ -26,6 +26,7 @@
 STORE_S = 0.004
 CALLER_S = 0.003
 CALL_TIMEOUT_S = 2.0
+VM_LAG_S = 3.0
 FORWARD_GRACE_S = 0.25
 PLATFORM = 'platform'
 
@@ -113,6 +114,7 @@
         options = core.Options(name, data_centre, **self.options)
         node = Node(name, data_centre, core.State(options), counter=count)
         self.nodes_by_name[name] = node
+        self._list_entry(name, data_centre, events.VmState.LIVE)
         self.feed(node, events.Started(self.now, f'i{count}'))
         return node
 
@@ -190,7 +192,19 @@
     # Faults.
 
     def kill(self, name: str) -> None:
-        """End a node at once."""
+        """End a node and its VM at once; the VM list tells it late."""
+        self.crash(name)
+        node = self.nodes_by_name[name]
+        gone = events.VmState.GONE
+
+        def list_gone() -> None:
+            if self.nodes_by_name[name] is node:
+                self._list_entry(name, node.data_centre, gone)
+
+        self.at(self.now + VM_LAG_S, list_gone)
+
+    def crash(self, name: str) -> None:
+        """End a node's process at once; its VM stays."""
         self.nodes_by_name[name].alive = False
 
     def pause(self, name: str) -> None:
@@ -321,6 +335,12 @@
             ]
         return spans
 
+    def _list_entry(
+        self, name: str, data_centre: str, state: events.VmState
+    ) -> None:
+        role = events.VmRole.ENTRY
+        self.list_vm(events.Vm(name, role, name, data_centre, state=state))
+
     def _ask(self, call: Call, make: Callable[[str], events.Event]) -> None:
         node = self.nodes_by_name[call.node]
         node_is_up = node.alive
