Requests go on through an outage of the store over real processes

Change: a claim is given up at once while the store is known to fail, with when to come back. The test is stricter: it counts answers only after every lease given by the store has lapsed.

--- a/packages/core/celeryshift_core/_once.py
+++ b/packages/core/celeryshift_core/_once.py
@@ -35,7 +35,13 @@
     task: _tasks.Task,
     out: _state.Out,
 ) -> None:
-    """Claim the only run of a task that is placed."""
+    """Claim the only run of a task that is placed.
+
+    While the store is known to fail the claim is given up at once.
+    """
+    if state.store.failing_since is not None:
+        _not_claimed(state, held, task, None, out)
+        return
     key = schema.once(task.id)
     value = {'node': state.node, 'worker': task.worker, 'run': task.run_id}
     purpose = ClaimPurpose(held.number, held.epoch, task.id)
@@ -65,12 +71,8 @@
     if answer.ok:
         _launch.send(state, held, task, out)
         return
-    _launch.unbook(state, held, task)
     found = answer.rows.get(schema.once(task.id))
-    if task.is_request:
-        _requests.not_claimed(state, held, task, found, out)
-    else:
-        _jobs.not_claimed(state, held, task, found, out)
+    _not_claimed(state, held, task, found, out)
 
 
 def unclaim(
@@ -80,3 +82,17 @@
     key = schema.once(task_id)
     checks = {key: version}
     _store.write(state, out, UnclaimPurpose(), checks, {}, (key,))
+
+
+def _not_claimed(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    found: schema.Row | None,
+    out: _state.Out,
+) -> None:
+    _launch.unbook(state, held, task)
+    if task.is_request:
+        _requests.not_claimed(state, held, task, found, out)
+    else:
+        _jobs.not_claimed(state, held, task, found, out)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -10,7 +10,8 @@
 from celeryshift_standins import invariants
 
 SLOTS = 8
-TIMING = {'task_lease_s': 6.0}
+LEASE_S = 4.0
+TIMING = {'node_lease_s': LEASE_S, 'task_lease_s': 6.0}
 
 
 class Load:
@@ -157,8 +158,14 @@
 async def _store_down(
     bed: beds.Bed, nodes: list[beds.Member], load: Load
 ) -> None:
-    before = load.outcomes['answered']
     await bed.post(bed.platform, '/control/faults', {'down': True})
+    lapsed_at = asyncio.get_running_loop().time() + LEASE_S
+
+    async def lapsed() -> bool:
+        return asyncio.get_running_loop().time() > lapsed_at
+
+    await bed.until(lapsed, 'every lease from the store has lapsed')
+    before = load.outcomes['answered']
 
     async def still_answered() -> bool:
         return load.outcomes['answered'] > before + 20
