--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,7 @@
 
 bench: setup
 	$(PY) -m bench.placement
+
+scenarios: setup
+	$(PY) -m celeryshift_standins.scenarios scenarios/*.scn \
+		--seed=$(SEED) --steps=$(STEPS) --known=KNOWN-RED.txt
