Escrow of the teams' upper limits over the whole fleet

Cause: a slice checked only its own tasks against the whole limit, so that a team ran more than its limit over the fleet.

Weighed: allotments in the row of the slice itself. Ruled out: each move would change the version that job records and submissions check.

Change: a row for each team counts the slots allotted in all; a row beside that of each slice holds its allotment, fenced by the slice's row and by the head of the configuration. Debit before a give-back, credit after a draw is known to have taken effect. While more than a lowered limit is out, a slice uses floor(own * limit / allotted). A new owner counts all that it inherits as used until its workers have answered.

--- /dev/null
+++ b/packages/core/celeryshift_core/_allotments.py
@@ -0,0 +1,404 @@
+"""Moves of allotments between the slices of this node and the store.
+
+A move is one write over the row of each team and the allotment of each slice
+that it concerns, fenced by the rows of the slices and of the configuration.
+What is given back is debited before the write; what is drawn is credited
+once the write is known to have taken effect. Allotments have rows of their
+own, so that a move never stands in the way of another write of the slice.
+"""
+
+import attrs
+
+from celeryshift_core import _config
+from celeryshift_core import _escrow
+from celeryshift_core import _state
+from celeryshift_core import _store
+from celeryshift_core import _timers
+from celeryshift_core import schema
+
+MOVE_GAP_S = 0.25
+RETRY_S = 0.1
+REVIEW_S = 3.0
+EXCESS_REVIEW_S = 1.0
+RESERVE_MARGIN_S = 2.0
+SCARCE_DIVISOR = 8
+BASE_DIVISOR = 4
+NO_LIMIT = _config.Team(limit_slots=0)
+
+
+@attrs.frozen(slots=True)
+class MovePurpose:
+    """Say that a write moves allotments."""
+
+    config_version: int
+    moves: tuple[_escrow.Move, ...]
+    slots_by_team: dict[str, int]
+
+
+@attrs.frozen(slots=True)
+class PoolsPurpose:
+    """Say that a read finds what is allotted to each team in all."""
+
+
+def limit(state: _state.State, team: str) -> int:
+    """Give the upper limit of a team, 0 for one that is not configured."""
+    return state.config.teams.get(team, NO_LIMIT).limit_slots
+
+
+def used(held: _state.Slice, team: str) -> int:
+    """Give the slots of a slice that a team uses, or may be using."""
+    inherited = held.allotment.inherited_by_team.get(team, 0)
+    return held.slots_by_team.get(team, 0) + inherited
+
+
+def usable(state: _state.State, held: _state.Slice, team: str) -> int:
+    """Give the slots of a slice that a team may use."""
+    bound = state.escrow.pool(team).bound
+    return held.allotment.usable(team, limit(state, team), bound)
+
+
+def want(
+    state: _state.State, held: _state.Slice, team: str, slots: int
+) -> None:
+    """Note that a team needs more slots, or will soon if none is needed."""
+    need = held.allotment.need_by_team
+    need[team] = max(slots, need.get(team, 0))
+    _schedule(state, MOVE_GAP_S)
+
+
+def restore(
+    state: _state.State,
+    held: _state.Slice,
+    rows: dict[str, schema.Row],
+    out: _state.Out,
+) -> None:
+    """Take over the allotment of a slice with the slice.
+
+    All of it counts as used until the workers have said what they run: a
+    request has no lease, and may run on for as long as its kind allows.
+    """
+    key = schema.allotment(state.options.data_centre, held.number)
+    row = rows.get(key)
+    allotment = held.allotment
+    if row is not None:
+        allotment.row_version = row.version
+        allotment.slots_by_team = dict(row.value['slots_by_team'])
+        allotment.inherited_by_team = dict(allotment.slots_by_team)
+    _take_pools(state, rows)
+    timeouts = [kind.timeout_s for kind in state.config.kinds.values()]
+    wait_s = max(state.options.tasks_end_s, *timeouts, 0.0)
+    timer = _timers.InheritedEnds(held.number, held.epoch)
+    state.timers.set(timer, state.now + wait_s + RESERVE_MARGIN_S)
+    state.timers.set_once(_timers.ReviewAllotments(), state.now)
+    check_accounted(state, held)
+
+
+def check_accounted(state: _state.State, held: _state.Slice) -> None:
+    """Count only what was found once every worker has answered."""
+    workers = held.ledger.workers_by_name.values()
+    if state.vm_revision and all(worker.answered for worker in workers):
+        held.allotment.inherited_by_team.clear()
+
+
+def inherited_ends(
+    state: _state.State, timer: _timers.InheritedEnds, out: _state.Out
+) -> None:
+    """Count only what was found once all else has surely ended."""
+    held = state.slices_by_number.get(timer.slice)
+    if held is not None and held.epoch == timer.epoch:
+        held.allotment.inherited_by_team.clear()
+        state.touched[held.number] = None
+
+
+def config_changed(
+    state: _state.State, before: _config.Config, out: _state.Out
+) -> None:
+    """Expect as much to be allotted as the former limits allowed."""
+    lowered = False
+    for name, pool in state.escrow.pools_by_team.items():
+        former = before.teams.get(name, NO_LIMIT).limit_slots
+        if not before.version:
+            pool.bound = None
+        elif pool.bound is not None:
+            pool.bound = max(pool.bound, former)
+        lowered = lowered or limit(state, name) < former
+    if lowered or not before.version:
+        read_pools(state, out)
+
+
+def review(state: _state.State, timer: object, out: _state.Out) -> None:
+    """Note which allotments lie idle, and look at the pools."""
+    if not state.slices_by_number:
+        return
+    excess = False
+    for held in state.slices_by_number.values():
+        _note_idle(held)
+        excess = excess or any(
+            _in_excess(state, team) for team in held.allotment.slots_by_team
+        )
+    wait_s = EXCESS_REVIEW_S if excess else REVIEW_S
+    wait_s *= 1 + state.rng.random() / SCARCE_DIVISOR
+    state.timers.set(_timers.ReviewAllotments(), state.now + wait_s)
+    read_pools(state, out)
+
+
+def read_pools(state: _state.State, out: _state.Out) -> None:
+    """Read what is allotted to each team in all."""
+    prefixes = (schema.CONFIG_HEAD, schema.LIMITS)
+    _store.read(state, out, PoolsPurpose(), prefixes=prefixes)
+
+
+def pools_read(
+    state: _state.State,
+    purpose: PoolsPurpose,
+    rows: dict[str, schema.Row] | None,
+    out: _state.Out,
+) -> None:
+    """Take in the pools, and move what has to move."""
+    if rows is not None:
+        _take_pools(state, rows)
+        _want_base(state)
+        _schedule(state, MOVE_GAP_S)
+
+
+def move(state: _state.State, timer: object, out: _state.Out) -> None:
+    """Give back and draw, all in one write."""
+    escrow = state.escrow
+    if escrow.moving or not state.config_row_version:
+        return
+    plan = _Plan(state)
+    for held in state.slices_by_number.values():
+        if not held.allotment.fenced:
+            plan.add_given_back(held)
+    for held in state.slices_by_number.values():
+        releasing = held.phase is _state.SlicePhase.RELEASING
+        if not (held.allotment.fenced or releasing):
+            plan.add_drawn(held)
+    if plan.moves:
+        escrow.moving = True
+        escrow.moved_at = state.now
+        _write(state, plan, out)
+
+
+def moved(
+    state: _state.State,
+    purpose: MovePurpose,
+    answer: _store.Written,
+    out: _state.Out,
+) -> None:
+    """Credit what was drawn, or what could not be given back."""
+    state.escrow.moving = False
+    for entry in purpose.moves:
+        held = state.slices_by_number.get(entry.slice)
+        if held is None or held.epoch != entry.epoch:
+            continue
+        if answer.ok:
+            held.allotment.row_version = answer.version
+            if entry.slots > 0:
+                held.allotment.need_by_team.pop(entry.team, None)
+        if answer.ok == (entry.slots > 0):
+            held.allotment.change(entry.team, abs(entry.slots))
+            state.touched[held.number] = None
+    if answer.ok:
+        current = purpose.config_version >= state.config.version
+        for team, slots in purpose.slots_by_team.items():
+            _take_pool(state, team, answer.version, slots, current)
+        if _needs(state):
+            _schedule(state, MOVE_GAP_S)
+    elif answer.reached:
+        state.counters['allotments.conflicts'] += 1
+        _learn_from_conflict(state, purpose, answer)
+        _schedule(state, RETRY_S * (0.5 + state.rng.random()))
+
+
+class _Plan:
+    """Collect the moves of one write."""
+
+    def __init__(self, state: _state.State) -> None:
+        self.state = state
+        self.moves: list[_escrow.Move] = []
+        self.slots_by_team: dict[str, int] = {}
+        self.slices = _slices_of_fleet(state)
+
+    def add_given_back(self, held: _state.Slice) -> None:
+        """Debit what a slice holds above its part, or does not use."""
+        for team in list(held.allotment.slots_by_team):
+            slots = _to_give_back(self.state, held, team)
+            if slots > 0 and self._left(team) is not None:
+                held.allotment.change(team, -slots)
+                held.allotment.idle_by_team.pop(team, None)
+                self._add(held, team, -slots)
+
+    def add_drawn(self, held: _state.Slice) -> None:
+        """Draw what a slice needs, and a little ahead of it."""
+        allotment = held.allotment
+        capacity = sum(map(held.ledger.capacity_slots, held.ledger.upstreams))
+        for team, need in list(allotment.need_by_team.items()):
+            left = self._left(team)
+            if left is None:
+                continue
+            own = allotment.slots_by_team.get(team, 0)
+            room = max(0, capacity - own)
+            slots = _escrow.draw(need, own, left, self.slices, room)
+            if slots > 0:
+                self._add(held, team, slots)
+            elif not need:
+                del allotment.need_by_team[team]
+
+    def _left(self, team: str) -> int | None:
+        """Give what may be drawn for a team, or None when unknown."""
+        pool = self.state.escrow.pool(team)
+        if pool.bound is None:
+            return None
+        slots = self.slots_by_team.get(team, pool.slots)
+        return limit(self.state, team) - slots
+
+    def _add(self, held: _state.Slice, team: str, slots: int) -> None:
+        before = self.state.escrow.pool(team).slots
+        self.slots_by_team[team] = self.slots_by_team.get(team, before) + slots
+        entry = _escrow.Move(held.number, held.epoch, team, slots)
+        self.moves.append(entry)
+
+
+def _write(state: _state.State, plan: _Plan, out: _state.Out) -> None:
+    data_centre = state.options.data_centre
+    checks = {schema.CONFIG_HEAD: state.config_row_version}
+    puts: dict[str, dict] = {}
+    for team, slots in plan.slots_by_team.items():
+        key = schema.limit(team)
+        checks[key] = state.escrow.pool(team).row_version
+        puts[key] = {'slots': slots}
+    for entry in plan.moves:
+        held = state.slices_by_number[entry.slice]
+        checks[schema.slice_(data_centre, held.number)] = held.row_version
+        key = schema.allotment(data_centre, held.number)
+        checks[key] = held.allotment.row_version
+        value = puts.setdefault(
+            key, {'slots_by_team': dict(held.allotment.slots_by_team)}
+        )
+        if entry.slots > 0:
+            by_team = value['slots_by_team']
+            by_team[entry.team] = by_team.get(entry.team, 0) + entry.slots
+    purpose = MovePurpose(
+        state.config.version, tuple(plan.moves), plan.slots_by_team
+    )
+    state.counters['allotments.moves'] += 1
+    _store.write(state, out, purpose, checks, puts)
+
+
+def _learn_from_conflict(
+    state: _state.State, purpose: MovePurpose, answer: _store.Written
+) -> None:
+    head_held = schema.CONFIG_HEAD not in answer.rows
+    current = head_held and purpose.config_version >= state.config.version
+    for team in purpose.slots_by_team:
+        row = answer.rows.get(schema.limit(team))
+        if row is not None:
+            slots = row.value['slots']
+            _take_pool(state, team, row.version, slots, current)
+    if not head_held:
+        state.timers.set(_timers.PollConfig(), state.now)
+    data_centre = state.options.data_centre
+    for entry in purpose.moves:
+        held = state.slices_by_number.get(entry.slice)
+        if held is None or held.epoch != entry.epoch:
+            continue
+        if schema.slice_(data_centre, held.number) in answer.rows:
+            # Another node took the slice; the next renewal drops it here.
+            held.allotment.fenced = True
+
+
+def _take_pools(state: _state.State, rows: dict[str, schema.Row]) -> None:
+    head = rows.get(schema.CONFIG_HEAD)
+    version = head.value['version'] if head else 0
+    current = version >= state.config.version
+    for team in state.config.teams:
+        row = rows.get(schema.limit(team))
+        if row is not None:
+            slots = row.value['slots']
+            _take_pool(state, team, row.version, slots, current)
+        elif not state.escrow.pool(team).row_version and current:
+            state.escrow.pool(team).bound = 0
+
+
+def _take_pool(
+    state: _state.State, team: str, row_version: int, slots: int, current: bool
+) -> None:
+    """Take in the row of a team.
+
+    Only a row read under the configuration in force lowers the bound: under
+    an older one more may have been drawn since.
+    """
+    pool = state.escrow.pool(team)
+    if row_version < pool.row_version:
+        return
+    pool.row_version = row_version
+    pool.slots = slots
+    if current:
+        pool.bound = slots
+    elif pool.bound is not None:
+        pool.bound = max(pool.bound, slots)
+
+
+def _to_give_back(state: _state.State, held: _state.Slice, team: str) -> int:
+    own = held.allotment.slots_by_team[team]
+    free = own - used(held, team)
+    if _in_excess(state, team):
+        return min(free, own - usable(state, held, team))
+    pool = state.escrow.pool(team)
+    most = limit(state, team)
+    if most - pool.slots < most // SCARCE_DIVISOR + 1:
+        return min(free, held.allotment.idle_by_team.get(team, 0))
+    return 0
+
+
+def _in_excess(state: _state.State, team: str) -> bool:
+    bound = state.escrow.pool(team).bound
+    return bound is not None and bound > limit(state, team)
+
+
+def _note_idle(held: _state.Slice) -> None:
+    """Note what was free at this review and at the last one."""
+    allotment = held.allotment
+    free_by_team = {
+        team: max(0, own - used(held, team))
+        for team, own in allotment.slots_by_team.items()
+    }
+    allotment.idle_by_team = {
+        team: min(free, allotment.free_by_team.get(team, 0))
+        for team, free in free_by_team.items()
+    }
+    allotment.free_by_team = free_by_team
+
+
+def _want_base(state: _state.State) -> None:
+    """Want a few slots for every team, so that an outage finds some here."""
+    slices = _slices_of_fleet(state)
+    for name, team in state.config.teams.items():
+        most = team.limit_slots
+        if 2 * state.escrow.pool(name).slots > most:
+            continue
+        base = max(1, most // (BASE_DIVISOR * slices))
+        for held in state.slices_by_number.values():
+            own = held.allotment.slots_by_team.get(name, 0)
+            if own < base and held.ledger.upstreams:
+                held.allotment.need_by_team.setdefault(name, 0)
+
+
+def _slices_of_fleet(state: _state.State) -> int:
+    centres = {
+        peer.data_centre for peer in state.membership.peers_by_id.values()
+    }
+    centres.add(state.options.data_centre)
+    return state.options.slices * len(centres)
+
+
+def _needs(state: _state.State) -> bool:
+    return any(
+        held.allotment.need_by_team for held in state.slices_by_number.values()
+    )
+
+
+def _schedule(state: _state.State, gap_s: float) -> None:
+    at = max(state.now, state.escrow.moved_at + gap_s)
+    state.timers.set_once(_timers.MoveAllotments(), at)
--- a/packages/core/celeryshift_core/_configuration.py
+++ b/packages/core/celeryshift_core/_configuration.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from celeryshift_core import _allotments
 from celeryshift_core import _config
 from celeryshift_core import _errors
 from celeryshift_core import _peers
@@ -63,6 +64,8 @@
     row = rows.get(schema.CONFIG_HEAD)
     if row is None or row.value['version'] <= state.config.version:
         state.config_confirmed_at = state.now
+        if row is not None and row.value['version'] == state.config.version:
+            state.config_row_version = row.version
         return
     _store.read(state, out, DocumentPurpose(), (schema.CONFIG,))
 
@@ -76,21 +79,28 @@
     """Put the configuration that was read in force."""
     row = rows.get(schema.CONFIG) if rows is not None else None
     if row is not None:
-        put_in_force(state, row.value, out)
+        put_in_force(state, row.value, row.version, out)
 
 
-def put_in_force(state: _state.State, document: dict, out: _state.Out) -> None:
-    """Put a configuration in force, unless it is older than ours."""
+def put_in_force(
+    state: _state.State, document: dict, row_version: int, out: _state.Out
+) -> None:
+    """Put a configuration in force, unless it is older than ours.
+
+    Its row and its head are always written together, at one version.
+    """
     config = _config.parse(document)
     state.config_confirmed_at = state.now
     if config.version <= state.config.version:
         return
-    state.config = config
+    before, state.config = state.config, config
+    state.config_row_version = row_version
     state.withdrawn_keys.update(config.withdrawn_keys)
     for number in state.slices_by_number:
         state.touched[number] = None
     fields = {'version': config.version}
     out.append(effects.LogChange('configuration-in-force', fields))
+    _allotments.config_changed(state, before, out)
 
 
 def handed_in(
@@ -153,7 +163,7 @@
     event = purpose.event
     if answer.ok:
         document = {**event.document, 'version': purpose.version}
-        put_in_force(state, document, out)
+        put_in_force(state, document, answer.version, out)
         reply = {'version': purpose.version}
         _reply(state, event.reply_id, reply, None, out)
         return
--- a/packages/core/celeryshift_core/_launch.py
+++ b/packages/core/celeryshift_core/_launch.py
@@ -74,6 +74,7 @@
 ) -> None:
     """Count what a worker runs already, whoever started it."""
     if held.ledger.adopt(worker.name, run_id, hold):
+        held.allotment.found(hold.team, hold.size.slots)
         _shares.charge(state, held, hold.team, hold.size.slots)
 
 
--- a/packages/core/celeryshift_core/_limits.py
+++ b/packages/core/celeryshift_core/_limits.py
@@ -1,15 +1,21 @@
 """Upper limits of the teams over the whole fleet."""
 
+from celeryshift_core import _allotments
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 
+AHEAD_DIVISOR = 4
+
 
 def may_start(
     state: _state.State, held: _state.Slice, task: _tasks.Task
 ) -> bool:
-    """Tell whether a task keeps its team within its upper limit."""
-    team = state.config.teams.get(task.team)
-    if team is None:
-        return False
-    running = held.slots_by_team.get(task.team, 0)
-    return running + task.size.slots <= team.limit_slots
+    """Tell whether a task keeps its team within its upper limit.
+
+    Wants more of the limit for the slice before the last of it is used.
+    """
+    most = _allotments.usable(state, held, task.team)
+    left = most - _allotments.used(held, task.team) - task.size.slots
+    if left < most // AHEAD_DIVISOR or left < 0:
+        _allotments.want(state, held, task.team, max(0, -left))
+    return left >= 0
--- a/packages/core/celeryshift_core/_ownership.py
+++ b/packages/core/celeryshift_core/_ownership.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from celeryshift_core import _allotments
 from celeryshift_core import _ids
 from celeryshift_core import _slices
 from celeryshift_core import _state
@@ -205,6 +206,8 @@
     _slices.recover(
         state, purpose.number, purpose.epoch, answer.version, job_rows, out
     )
+    held = state.slices_by_number[purpose.number]
+    _allotments.restore(state, held, answer.rows, out)
 
 
 def _take(state: _state.State, number: int, out: _state.Out) -> None:
@@ -224,7 +227,12 @@
     state.membership.taking.add(number)
     value = {**(row.value if row else {})}
     value.update({'owner': state.node, 'epoch': epoch})
-    prefixes = (schema.jobs(options.data_centre, number),)
+    prefixes = (
+        schema.jobs(options.data_centre, number),
+        schema.allotment(options.data_centre, number),
+        schema.LIMITS,
+        schema.CONFIG_HEAD,
+    )
     purpose = TakePurpose(number, epoch)
     _store.write(state, out, purpose, checks, {key: value}, (), prefixes)
 
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -4,6 +4,7 @@
 import random
 from typing import Any
 
+from celeryshift_core import _allotments
 from celeryshift_core import _configuration
 from celeryshift_core import _errors
 from celeryshift_core import _jobs
@@ -108,6 +109,7 @@
 ) -> None:
     if _workers.synced(state, event, out):
         held = state.slices_by_number[event.slice]
+        _allotments.check_accounted(state, held)
         _slices.check_accounted(state, held, out)
 
 
@@ -166,6 +168,9 @@
     _timers.RequeueTask: _jobs.requeue,
     _timers.RequestDue: _requests.due,
     _timers.ReplyDue: _submission.reply_due,
+    _timers.ReviewAllotments: _allotments.review,
+    _timers.MoveAllotments: _allotments.move,
+    _timers.InheritedEnds: _allotments.inherited_ends,
 }
 
 _HANDLERS_BY_WRITE: dict[type, WriteHandler] = {
@@ -176,6 +181,7 @@
     _jobs.RecordPurpose: _jobs.recorded,
     _submission.SubmitPurpose: _submission.written,
     _configuration.HandInPurpose: _configuration.written,
+    _allotments.MovePurpose: _allotments.moved,
 }
 
 _HANDLERS_BY_READ: dict[type, ReadHandler] = {
@@ -184,4 +190,5 @@
     _configuration.HeadPurpose: _configuration.head_read,
     _configuration.DocumentPurpose: _configuration.document_read,
     _configuration.BasePurpose: _configuration.base_read,
+    _allotments.PoolsPurpose: _allotments.pools_read,
 }
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -8,6 +8,7 @@
 import attrs
 
 from celeryshift_core import _config
+from celeryshift_core import _escrow
 from celeryshift_core import _ledger
 from celeryshift_core import _options
 from celeryshift_core import _queue
@@ -51,6 +52,7 @@
     jobs_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
     tasks_by_id: dict[str, _tasks.Task] = attrs.field(factory=dict)
     slots_by_team: dict[str, int] = attrs.field(factory=dict)
+    allotment: _escrow.Allotment = attrs.field(factory=_escrow.Allotment)
     unaccounted: set[str] = attrs.field(factory=set)
     unconfirmed: set[str] = attrs.field(factory=set)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
@@ -151,6 +153,7 @@
     config_row_version: int = 0
     config_confirmed_at: float | None = None
     withdrawn_keys: set[str] = attrs.field(factory=set)
+    escrow: _escrow.Escrow = attrs.field(factory=_escrow.Escrow)
     vms_by_name: dict[str, events.Vm] = attrs.field(factory=dict)
     vm_revision: int = 0
     slices_by_number: dict[int, Slice] = attrs.field(factory=dict)
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -103,6 +103,24 @@
     reply_id: str
 
 
+@attrs.frozen(slots=True)
+class ReviewAllotments:
+    """Look at which allotments lie idle."""
+
+
+@attrs.frozen(slots=True)
+class MoveAllotments:
+    """Move the allotments that have to move."""
+
+
+@attrs.frozen(slots=True)
+class InheritedEnds:
+    """Take whatever an earlier owner left unseen as ended."""
+
+    slice: int
+    epoch: int
+
+
 class Timers:
     """Keep the times at which keys fall due."""
 
--- a/packages/core/celeryshift_core/schema.py
+++ b/packages/core/celeryshift_core/schema.py
@@ -11,6 +11,8 @@
 JOB_PLACES = 'job-place/'
 MARKERS = 'op/'
 ONCE = 'once/'
+LIMITS = 'limit/'
+ALLOTMENTS = 'allotment/'
 
 
 @attrs.frozen(slots=True)
@@ -51,6 +53,16 @@
     return f'{ONCE}{request_id}'
 
 
+def limit(team: str) -> str:
+    """Name the row that says how many slots of a team are allotted."""
+    return f'{LIMITS}{team}'
+
+
+def allotment(data_centre: str, number: int) -> str:
+    """Name the allotment of a slice."""
+    return f'{ALLOTMENTS}{data_centre}/{number:04d}'
+
+
 def audit(version: int) -> str:
     """Name the audit record of a change of configuration."""
     return f'{AUDIT}{version:010d}'
