Shares by dominant resource, and the distance of each team from its portion

Ruled out: sending usage with each summary, 46 teams four times a second; remembering past use, which would let a team that was idle starve others.

Change: a slice serves the smallest dominant share for each unit of weight; only heads that found no room count as blocked. Nodes tell each other every 10 s what their teams use and wait for; the distance is a gauge for each team.

--- a/packages/core/celeryshift_core/_allotments.py
+++ b/packages/core/celeryshift_core/_allotments.py
@@ -11,6 +11,7 @@
 
 from celeryshift_core import _config
 from celeryshift_core import _escrow
+from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _store
 from celeryshift_core import _timers
@@ -48,7 +49,7 @@
 def used(held: _state.Slice, team: str) -> int:
     """Give the slots of a slice that a team uses, or may be using."""
     inherited = held.allotment.inherited_by_team.get(team, 0)
-    return held.slots_by_team.get(team, 0) + inherited
+    return held.used_by_team.get(team, _size.ZERO).slots + inherited
 
 
 def usable(state: _state.State, held: _state.Slice, team: str) -> int:
--- a/packages/core/celeryshift_core/_configuration.py
+++ b/packages/core/celeryshift_core/_configuration.py
@@ -7,6 +7,7 @@
 from celeryshift_core import _errors
 from celeryshift_core import _peers
 from celeryshift_core import _refusals
+from celeryshift_core import _shares
 from celeryshift_core import _state
 from celeryshift_core import _store
 from celeryshift_core import _timers
@@ -101,6 +102,7 @@
     fields = {'version': config.version}
     out.append(effects.LogChange('configuration-in-force', fields))
     _allotments.config_changed(state, before, out)
+    _shares.config_changed(state, before)
 
 
 def handed_in(
--- a/packages/core/celeryshift_core/_launch.py
+++ b/packages/core/celeryshift_core/_launch.py
@@ -75,7 +75,7 @@
     """Count what a worker runs already, whoever started it."""
     if held.ledger.adopt(worker.name, run_id, hold):
         held.allotment.found(hold.team, hold.size.slots)
-        _shares.charge(state, held, hold.team, hold.size.slots)
+        _shares.charge(state, held, hold.team, hold.size)
 
 
 def free(
@@ -86,7 +86,7 @@
     held.unconfirmed.discard(run_id)
     hold = held.ledger.release(worker, run_id)
     if hold is not None:
-        _shares.charge(state, held, hold.team, -hold.size.slots)
+        _shares.refund(state, held, hold.team, hold.size)
 
 
 def unbook(state: _state.State, held: _state.Slice, task: _tasks.Task) -> None:
--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -67,11 +67,13 @@
         self._slots_by_name: dict[str, int] = {}
         self._free_by_upstream: dict[str, int] = {}
         self._capacity_by_upstream: dict[str, int] = {}
+        self.capacity = _size.ZERO
         self.examined = 0
 
     def add(self, worker: Worker) -> None:
         """Take in a worker."""
         self.workers_by_name[worker.name] = worker
+        self.capacity += worker.capacity
         self._count_capacity(worker.upstream, worker.capacity.slots)
         self.refresh(worker)
 
@@ -79,6 +81,7 @@
         """Note that a worker offers more or less than before."""
         grown = capacity.slots - worker.capacity.slots
         self._count_capacity(worker.upstream, grown)
+        self.capacity += capacity - worker.capacity
         worker.capacity = capacity
         self.refresh(worker)
 
@@ -86,6 +89,7 @@
         """Forget a worker and what it holds."""
         worker = self.workers_by_name.pop(name)
         self._unindex(worker)
+        self.capacity -= worker.capacity
         self._count_capacity(worker.upstream, -worker.capacity.slots)
         return worker
 
--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -6,6 +6,7 @@
 from celeryshift_core import _ownership
 from celeryshift_core import _state
 from celeryshift_core import _timers
+from celeryshift_core import _usage
 from celeryshift_core import effects
 from celeryshift_core import events
 from celeryshift_core import messages
@@ -142,4 +143,5 @@
 _HANDLERS_BY_TYPE = {
     messages.Summary: _take_summary,
     messages.KeysWithdrawn: _take_withdrawn,
+    messages.Usage: _usage.take,
 }
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -1,7 +1,6 @@
 """Placement: which waiting task starts next, and on which worker."""
 
 from collections.abc import Iterable
-import itertools
 from typing import Protocol
 
 from celeryshift_core import _config
@@ -67,7 +66,11 @@
 
 
 def pump(state: _state.State, held: _state.Slice, out: _state.Out) -> None:
-    """Start waiting tasks as long as any of those next in line has room."""
+    """Start waiting tasks as long as any of those next in line has room.
+
+    Only those that found no worker with room count as blocked: a team at
+    its limit does not stand in the way of others.
+    """
     while _may_place(state, held) and _start_one(state, held, out):
         pass
 
@@ -83,7 +86,8 @@
 def _start_one(
     state: _state.State, held: _state.Slice, out: _state.Out
 ) -> bool:
-    for task in itertools.islice(held.queue.heads(), BLOCKED_HEADS):
+    blocked = 0
+    for task in held.queue.heads():
         kind = state.config.kinds.get(task.kind)
         worker = None
         if kind is None:
@@ -95,11 +99,14 @@
         else:
             worker = PLACERS_BY_POLICY[kind.policy].choose(held, task)
             if worker is None:
+                blocked += 1
                 task.note(state.now, 'waits', 'no worker examined has room')
         if worker is not None and kind is not None:
             held.queue.pop(task)
             _book(state, held, task, kind, worker, out)
             return True
+        if blocked == BLOCKED_HEADS:
+            break
     return False
 
 
@@ -117,7 +124,7 @@
     hold = _ledger.Hold(task.team, task.size)
     held.ledger.hold(worker.name, task.run_id, hold)
     held.unconfirmed.add(task.run_id)
-    _shares.charge(state, held, task.team, task.size.slots)
+    _shares.charge(state, held, task.team, task.size)
     task.note(state.now, 'placed', f'attempt {task.attempt}')
     state.counters['placements'] += 1
     if kind.repeatable:
--- a/packages/core/celeryshift_core/_queue.py
+++ b/packages/core/celeryshift_core/_queue.py
@@ -98,5 +98,13 @@
         for tier in self._tiers:
             tier.rank(team, self._load(team))
 
+    def waiting_by_team(self) -> dict[str, int]:
+        """Count the tasks in the lines of each team, cancelled ones too."""
+        counts: collections.Counter[str] = collections.Counter()
+        for tier in self._tiers:
+            for team, line in tier.lines_by_team.items():
+                counts[team] += len(line)
+        return dict(counts)
+
     def _tier(self, task: _tasks.Task) -> _Tier:
         return self._tiers[0 if task.urgent else 1]
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -18,6 +18,7 @@
 from celeryshift_core import _store
 from celeryshift_core import _submission
 from celeryshift_core import _timers
+from celeryshift_core import _usage
 from celeryshift_core import _workers
 from celeryshift_core import effects
 from celeryshift_core import events
@@ -60,6 +61,7 @@
     _ownership.renew(state, out)
     _ownership.poll_nodes(state, out)
     _peers.summarize(state, out)
+    state.timers.set(_timers.TellUsage(), state.now + state.rng.random())
 
 
 def _pass(state: _state.State, event: events.Tick, out: _state.Out) -> None:
@@ -168,6 +170,7 @@
     _timers.RequeueTask: _jobs.requeue,
     _timers.RequestDue: _requests.due,
     _timers.ReplyDue: _submission.reply_due,
+    _timers.TellUsage: _usage.tell,
     _timers.ReviewAllotments: _allotments.review,
     _timers.MoveAllotments: _allotments.move,
     _timers.InheritedEnds: _allotments.inherited_ends,
--- a/packages/core/celeryshift_core/_shares.py
+++ b/packages/core/celeryshift_core/_shares.py
@@ -1,27 +1,67 @@
-"""Shares of the teams: who is served next when room is short."""
+"""Shares of the teams: who is served next when room is short.
+
+Each slice serves the waiting team with the smallest dominant share for each
+unit of its weight. Only what is running counts, so that a team that was idle
+has saved nothing up and a busy one owes nothing.
+
+Source: Ghodsi et al., Dominant resource fairness, 2011.
+"""
 
 from celeryshift_core import _config
+from celeryshift_core import _size
 from celeryshift_core import _state
 
 DEFAULT_TEAM = _config.Team()
 
 
 def load(state: _state.State, held: _state.Slice, team: str) -> float:
-    """Give what a team has running for each unit of its share.
-
-    Source: Demers, Keshav and Shenker, fair queueing, 1989.
-    """
+    """Give the dominant share of a team for each unit of its weight."""
     share = state.config.teams.get(team, DEFAULT_TEAM).share
-    return held.slots_by_team.get(team, 0) / share
+    return dominant(held, team) / share
 
 
 def charge(
-    state: _state.State, held: _state.Slice, team: str, slots: int
+    state: _state.State, held: _state.Slice, team: str, size: _size.Size
+) -> None:
+    """Count an amount as taken by a team."""
+    before = held.used_by_team.get(team, _size.ZERO)
+    held.used_by_team[team] = before + size
+    held.queue.rank(team)
+
+
+def refund(
+    state: _state.State, held: _state.Slice, team: str, size: _size.Size
 ) -> None:
-    """Count slots as taken by a team, or as free again if negative."""
-    left = held.slots_by_team.get(team, 0) + slots
-    if left:
-        held.slots_by_team[team] = left
+    """Count an amount as free again."""
+    left = held.used_by_team.get(team, _size.ZERO) - size
+    if left == _size.ZERO:
+        held.used_by_team.pop(team, None)
     else:
-        held.slots_by_team.pop(team, None)
+        held.used_by_team[team] = left
     held.queue.rank(team)
+
+
+def config_changed(state: _state.State, before: _config.Config) -> None:
+    """Rank the teams anew whose share has changed."""
+    for name, team in state.config.teams.items():
+        if before.teams.get(name, DEFAULT_TEAM).share != team.share:
+            for held in state.slices_by_number.values():
+                held.queue.rank(name)
+
+
+def dominant(held: _state.Slice, team: str) -> float:
+    """Give the largest part of a resource of the slice that a team uses."""
+    used = held.used_by_team.get(team)
+    if used is None:
+        return 0.0
+    capacity = held.ledger.capacity
+    return max(
+        _part(used.slots, capacity.slots),
+        _part(used.cpu_milli, capacity.cpu_milli),
+        _part(used.memory_mb, capacity.memory_mb),
+        _part(used.accelerators, capacity.accelerators),
+    )
+
+
+def _part(used: int, capacity: int) -> float:
+    return used / capacity if capacity else 0.0
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -17,6 +17,7 @@
 from celeryshift_core import _timers
 from celeryshift_core import effects
 from celeryshift_core import events
+from celeryshift_core import messages
 from celeryshift_core import schema
 
 Out = list[effects.Effect]
@@ -51,7 +52,7 @@
     ledger: _ledger.Ledger = attrs.field(factory=_ledger.Ledger)
     jobs_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
     tasks_by_id: dict[str, _tasks.Task] = attrs.field(factory=dict)
-    slots_by_team: dict[str, int] = attrs.field(factory=dict)
+    used_by_team: dict[str, _size.Size] = attrs.field(factory=dict)
     allotment: _escrow.Allotment = attrs.field(factory=_escrow.Allotment)
     unaccounted: set[str] = attrs.field(factory=set)
     unconfirmed: set[str] = attrs.field(factory=set)
@@ -153,6 +154,9 @@
     config_row_version: int = 0
     config_confirmed_at: float | None = None
     withdrawn_keys: set[str] = attrs.field(factory=set)
+    usage_by_node: dict[str, tuple[float, messages.Usage]] = attrs.field(
+        factory=dict
+    )
     escrow: _escrow.Escrow = attrs.field(factory=_escrow.Escrow)
     vms_by_name: dict[str, events.Vm] = attrs.field(factory=dict)
     vm_revision: int = 0
@@ -167,6 +171,7 @@
         factory=collections.OrderedDict
     )
     run_s_by_kind: dict[str, float] = attrs.field(factory=dict)
+    gauges: dict[str, float] = attrs.field(factory=dict)
     counters: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -103,6 +103,11 @@
     reply_id: str
 
 
+@attrs.frozen(slots=True)
+class TellUsage:
+    """Tell the peers what the teams use."""
+
+
 @attrs.frozen(slots=True)
 class ReviewAllotments:
     """Look at which allotments lie idle."""
--- /dev/null
+++ b/packages/core/celeryshift_core/_usage.py
@@ -0,0 +1,131 @@
+"""What the teams use over the fleet, and how far each is from its portion.
+
+Nodes tell each other now and then, in messages whose size depends on the
+teams alone.
+"""
+
+import attrs
+
+from celeryshift_core import _ownership
+from celeryshift_core import _shares
+from celeryshift_core import _state
+from celeryshift_core import _timers
+from celeryshift_core import effects
+from celeryshift_core import messages
+
+USAGE_S = 10.0
+USAGE_STALE_S = 35.0
+
+
+@attrs.frozen(slots=True)
+class Distance:
+    """Say how far a team is from its portion, as parts of the fleet."""
+
+    used: float
+    portion: float
+
+    @property
+    def distance(self) -> float:
+        """Give what the team has above its portion, negative if below."""
+        return self.used - self.portion
+
+
+def tell(state: _state.State, timer: object, out: _state.Out) -> None:
+    """Tell every peer what the teams use and wait for here."""
+    state.timers.set(_timers.TellUsage(), state.now + USAGE_S)
+    for team, entry in distances(state).items():
+        state.gauges[f'teams.{team}.distance'] = entry.distance
+    message = _own_usage(state)
+    if message.capacity:
+        for peer in list(_ownership.live_peers(state)):
+            out.append(effects.SendPeer(peer.id, peer.address, message))
+
+
+def take(
+    state: _state.State, message: messages.Usage, out: _state.Out
+) -> None:
+    """Take in what the teams use at a peer."""
+    state.usage_by_node[message.node] = (state.now, message)
+    for node, (heard_at, _) in list(state.usage_by_node.items()):
+        if state.now - heard_at > USAGE_STALE_S:
+            del state.usage_by_node[node]
+
+
+def distances(state: _state.State) -> dict[str, Distance]:
+    """Give the distance of each team from its portion of the fleet.
+
+    Counts are in slots of the worker class, a team's at a node being its
+    dominant share there times the slots of the node.
+    """
+    usages = [_own_usage(state)]
+    usages += [
+        message
+        for heard_at, message in state.usage_by_node.values()
+        if state.now - heard_at <= USAGE_STALE_S
+    ]
+    capacity = sum(usage.capacity for usage in usages)
+    used_by_team: dict[str, float] = {}
+    demand_by_team: dict[str, float] = {}
+    for usage in usages:
+        for team, used in usage.used_by_team.items():
+            used_by_team[team] = used_by_team.get(team, 0.0) + used
+            demand_by_team[team] = demand_by_team.get(team, 0.0) + used
+        for team, waiting in usage.waiting_by_team.items():
+            demand_by_team[team] = demand_by_team.get(team, 0.0) + waiting
+    portions = _portions(state, demand_by_team, float(capacity))
+    if not capacity:
+        return {}
+    return {
+        team: Distance(
+            used_by_team.get(team, 0.0) / capacity, portion / capacity
+        )
+        for team, portion in portions.items()
+    }
+
+
+def _portions(
+    state: _state.State, demand_by_team: dict[str, float], capacity: float
+) -> dict[str, float]:
+    """Divide the fleet by weight, no team getting more than it wants.
+
+    Source: Bertsekas and Gallager, Data Networks, 1992, section 6.5.2.
+    """
+    teams = state.config.teams
+    share_by_team = {
+        team: teams.get(team, _shares.DEFAULT_TEAM).share
+        for team in demand_by_team
+    }
+    wanted_by_team = {
+        team: min(
+            demand, float(teams.get(team, _shares.DEFAULT_TEAM).limit_slots)
+        )
+        for team, demand in demand_by_team.items()
+    }
+    portions = {}
+    weight = sum(share_by_team.values())
+    order = sorted(
+        share_by_team,
+        key=lambda team: (wanted_by_team[team] / share_by_team[team], team),
+    )
+    for team in order:
+        part = capacity * share_by_team[team] / weight if weight else 0.0
+        portions[team] = min(wanted_by_team[team], part)
+        capacity -= portions[team]
+        weight -= share_by_team[team]
+    return portions
+
+
+def _own_usage(state: _state.State) -> messages.Usage:
+    capacity = 0
+    used_by_team: dict[str, int] = {}
+    waiting_by_team: dict[str, int] = {}
+    for held in state.slices_by_number.values():
+        slots = held.ledger.capacity.slots
+        capacity += slots
+        for team in held.used_by_team:
+            used = round(_shares.dominant(held, team) * slots)
+            used_by_team[team] = used_by_team.get(team, 0) + used
+        for team, waiting in held.queue.waiting_by_team().items():
+            before = waiting_by_team.get(team, 0)
+            waiting_by_team[team] = before + waiting
+    return messages.Usage(state.node, capacity, used_by_team, waiting_by_team)
--- a/packages/core/celeryshift_core/messages.py
+++ b/packages/core/celeryshift_core/messages.py
@@ -22,5 +22,15 @@
     key_ids: list[str]
 
 
-Message = Summary | KeysWithdrawn
-ALL = (Summary, KeysWithdrawn)
+@attrs.frozen(slots=True)
+class Usage:
+    """Tell what each team uses and waits for at a node, in slots."""
+
+    node: str
+    capacity: int
+    used_by_team: dict[str, int]
+    waiting_by_team: dict[str, int]
+
+
+Message = Summary | KeysWithdrawn | Usage
+ALL = (Summary, KeysWithdrawn, Usage)
--- a/packages/node/celeryshift_node/_metrics.py
+++ b/packages/node/celeryshift_node/_metrics.py
@@ -35,6 +35,8 @@
             for name, count in state.counters.items():
                 if count != self._sent[name]:
                     pipe.incr(name, count - self._sent[name])
+            for name, value in state.gauges.items():
+                pipe.gauge(name, value)
             pipe.gauge('slices.owned', len(state.slices_by_number))
             pipe.gauge('requests.open', len(state.requests_by_id))
             waiting = sum(
