Withdrawals and configurations that outlive an outage of the store

Cause: a withdrawal was told once, to peers whose registration was fresh, and lost when its hand-in conflicted or the store was down; nothing confirmed a configuration but the store; a data centre cut from the platform kept its old configuration; the operator whose hand-in was not settled was never told.

Ruled out: the digest of the set in each summary, which would cost bytes at all times; acknowledged messages cost them only while the store lacks a key.

Change: each node that knows of a withdrawal tells those that have not confirmed it and writes it until the store has it; the reply names who has heard. A hand-in never takes back a withdrawal, and one sent again after its answer was lost is recognised. Peers with the same configuration confirm it, and so does hearing every node that was registered. A node that cannot reach the store asks a peer for a newer configuration. An unreadable configuration is counted and does not replace the one in force.

--- a/packages/core/celeryshift_core/_admission.py
+++ b/packages/core/celeryshift_core/_admission.py
@@ -3,6 +3,7 @@
 import attrs
 
 from celeryshift_core import _config
+from celeryshift_core import _confirmation
 from celeryshift_core import _refusals
 from celeryshift_core import _size
 from celeryshift_core import _state
@@ -89,9 +90,7 @@
     key_id = credentials.key_id
     if key_id in state.withdrawn_keys:
         return Refusal(Reason.WITHDRAWN_KEY)
-    confirmed_at = state.config_confirmed_at
-    stale_s = state.options.config_stale_s
-    if confirmed_at is None or state.now - confirmed_at > stale_s:
+    if _confirmation.is_stale(state):
         retry_s = state.options.retry_after_s
         return Refusal(Reason.KEYS_UNCONFIRMED, retry_after_s=retry_s)
     team = _config.team_of_key(state.config, key_id, credentials.secret)
--- a/packages/core/celeryshift_core/_configuration.py
+++ b/packages/core/celeryshift_core/_configuration.py
@@ -1,11 +1,12 @@
-"""The configuration in force: reading it, handing in, withdrawing keys."""
+"""The configuration in force: reading it, and handing in another."""
 
 import attrs
 
 from celeryshift_core import _allotments
 from celeryshift_core import _config
+from celeryshift_core import _confirmation
 from celeryshift_core import _errors
-from celeryshift_core import _peers
+from celeryshift_core import _keys
 from celeryshift_core import _refusals
 from celeryshift_core import _shares
 from celeryshift_core import _state
@@ -16,6 +17,8 @@
 from celeryshift_core import messages
 from celeryshift_core import schema
 
+ASK_GAP_S = 0.5
+
 Ran = _refusals.Ran
 Reason = _refusals.Reason
 Refusal = _refusals.Refusal
@@ -25,11 +28,15 @@
 class HeadPurpose:
     """Say that a read finds the version of the configuration."""
 
+    asked_at: float
+
 
 @attrs.frozen(slots=True)
 class DocumentPurpose:
     """Say that a read fetches the configuration."""
 
+    asked_at: float
+
 
 @attrs.frozen(slots=True)
 class BasePurpose:
@@ -43,14 +50,16 @@
     """Say that a write hands in a configuration."""
 
     event: events.ConfigHandedIn
-    version: int
+    document: dict
 
 
 def poll(state: _state.State, out: _state.Out) -> None:
     """Ask which configuration is in force."""
     at = state.now + state.options.config_poll_s
     state.timers.set(_timers.PollConfig(), at)
-    _store.read(state, out, HeadPurpose(), (schema.CONFIG_HEAD,))
+    state.config_asked_at = state.now
+    purpose = HeadPurpose(state.now)
+    _store.read(state, out, purpose, (schema.CONFIG_HEAD,))
 
 
 def head_read(
@@ -60,15 +69,14 @@
     out: _state.Out,
 ) -> None:
     """Fetch the configuration if it is newer than ours."""
-    if rows is None:
-        return
-    row = rows.get(schema.CONFIG_HEAD)
-    if row is None or row.value['version'] <= state.config.version:
-        state.config_confirmed_at = state.now
-        if row is not None and row.value['version'] == state.config.version:
-            state.config_row_version = row.version
-        return
-    _store.read(state, out, DocumentPurpose(), (schema.CONFIG,))
+    row = rows.get(schema.CONFIG_HEAD) if rows is not None else None
+    version = row.value['version'] if row is not None else 0
+    if row is not None and version == state.config.version:
+        state.config_row_version = row.version
+        _confirmation.by_store(state, purpose.asked_at)
+    elif version > state.config.version:
+        document = DocumentPurpose(state.now)
+        _store.read(state, out, document, (schema.CONFIG,))
 
 
 def document_read(
@@ -79,8 +87,11 @@
 ) -> None:
     """Put the configuration that was read in force."""
     row = rows.get(schema.CONFIG) if rows is not None else None
-    if row is not None:
-        put_in_force(state, row.value, row.version, out)
+    if row is None:
+        return
+    put_in_force(state, row.value, row.version, out)
+    if row.value['version'] == state.config.version:
+        _confirmation.by_store(state, purpose.asked_at)
 
 
 def put_in_force(
@@ -90,8 +101,13 @@
 
     Its row and its head are always written together, at one version.
     """
-    config = _config.parse(document)
-    state.config_confirmed_at = state.now
+    try:
+        config = _config.parse(document)
+    except _errors.ConfigurationError as error:
+        state.counters['config.unreadable'] += 1
+        fields = {'mistakes': '; '.join(error.mistakes)}
+        out.append(effects.LogChange('configuration-unreadable', fields))
+        return
     if config.version <= state.config.version:
         return
     before, state.config = state.config, config
@@ -99,10 +115,55 @@
     state.withdrawn_keys.update(config.withdrawn_keys)
     for number in state.slices_by_number:
         state.touched[number] = None
-    fields = {'version': config.version}
-    out.append(effects.LogChange('configuration-in-force', fields))
+    change = effects.LogChange(
+        'configuration-in-force', {'version': config.version}
+    )
+    out.append(change)
     _allotments.config_changed(state, before, out)
     _shares.config_changed(state, before)
+    _keys.config_changed(state, out)
+
+
+def heard_newer(
+    state: _state.State, peer: _state.Peer, out: _state.Out
+) -> None:
+    """Read a newer configuration soon, or ask the peer that has it.
+
+    The store is asked first, so that a document crosses the network between
+    nodes only while the store does not answer.
+    """
+    if state.now - state.config_asked_at < ASK_GAP_S:
+        return
+    if state.store.failing_since is None:
+        state.timers.set(_timers.PollConfig(), state.now)
+    else:
+        message = messages.ConfigAsked(state.config.version)
+        out.append(effects.SendPeer(peer.id, peer.address, message))
+    state.config_asked_at = state.now
+
+
+def peer_asked(
+    state: _state.State,
+    sender: str,
+    message: messages.ConfigAsked,
+    out: _state.Out,
+) -> None:
+    """Send our configuration to a peer that has an older one."""
+    peer = state.membership.peers_by_id.get(sender)
+    if peer is not None and state.config.version > message.than:
+        document = _config.unstructure(state.config)
+        told = messages.ConfigTold(document)
+        out.append(effects.SendPeer(peer.id, peer.address, told))
+
+
+def peer_told(
+    state: _state.State,
+    sender: str,
+    message: messages.ConfigTold,
+    out: _state.Out,
+) -> None:
+    """Put the configuration of a peer in force, if it is newer."""
+    put_in_force(state, message.document, 0, out)
 
 
 def handed_in(
@@ -117,7 +178,8 @@
         out.append(effects.Reply(event.reply_id, None, refusal))
         return
     state.replies_due.add(event.reply_id)
-    _store.read(state, out, BasePurpose(event), (schema.CONFIG_HEAD,))
+    keys = (schema.CONFIG_HEAD, schema.CONFIG)
+    _store.read(state, out, BasePurpose(event), keys)
 
 
 def base_read(
@@ -133,26 +195,33 @@
         refusal = Refusal(Reason.STORE_DOWN, Ran.NO, retry_s)
         _reply(state, event.reply_id, None, refusal, out)
         return
-    row = rows.get(schema.CONFIG_HEAD)
-    current = row.value['version'] if row else 0
+    head = rows.get(schema.CONFIG_HEAD)
+    row = rows.get(schema.CONFIG)
+    current = head.value['version'] if head else 0
+    document = _complete(state, event, current + 1, row)
     if current != event.base_version:
-        _conflict(state, event, current, out)
+        if row is not None and _is_repeated(event, row, document):
+            reply = {'version': current, 'existed': True}
+            _reply(state, event.reply_id, reply, None, out)
+        else:
+            _conflict(state, event, current, out)
         return
-    version = current + 1
     record = {
         'who': event.operator,
         'at': event.wall_time,
         'what': 'configuration',
         'from_version': current,
-        'to_version': version,
+        'to_version': current + 1,
     }
     puts = {
-        schema.CONFIG_HEAD: {'version': version},
-        schema.CONFIG: {**event.document, 'version': version},
-        schema.audit(version): record,
+        schema.CONFIG_HEAD: {'version': current + 1},
+        schema.CONFIG: document,
+        schema.audit(current + 1): record,
     }
-    checks = {schema.CONFIG_HEAD: row.version if row else 0}
-    _store.write(state, out, HandInPurpose(event, version), checks, puts)
+    checks = {schema.CONFIG_HEAD: head.version if head else 0}
+    _store.write(state, out, HandInPurpose(event, document), checks, puts)
+    timer = _timers.HandInReplyDue(event.reply_id)
+    state.timers.set(timer, state.now + state.options.reply_s)
 
 
 def written(
@@ -164,9 +233,8 @@
     """Take in the outcome of a hand-in."""
     event = purpose.event
     if answer.ok:
-        document = {**event.document, 'version': purpose.version}
-        put_in_force(state, document, answer.version, out)
-        reply = {'version': purpose.version}
+        put_in_force(state, purpose.document, answer.version, out)
+        reply = {'version': purpose.document['version'], 'existed': False}
         _reply(state, event.reply_id, reply, None, out)
         return
     row = answer.rows.get(schema.CONFIG_HEAD)
@@ -178,28 +246,61 @@
         _reply(state, event.reply_id, None, refusal, out)
 
 
-def key_withdrawn(
-    state: _state.State, event: events.KeyWithdrawn, out: _state.Out
+def reply_due(
+    state: _state.State, timer: _timers.HandInReplyDue, out: _state.Out
 ) -> None:
-    """Stop a key here and at every peer at once, then in the store."""
-    state.withdrawn_keys.add(event.key_id)
-    message = messages.KeysWithdrawn(sorted(state.withdrawn_keys))
-    _peers.broadcast(state, message, out)
-    document = _config.unstructure(state.config)
-    withdrawn = {*document['withdrawn_keys'], *state.withdrawn_keys}
-    document['withdrawn_keys'] = sorted(withdrawn)
-    handed_in(
-        state,
-        events.ConfigHandedIn(
-            event.now,
-            event.reply_id,
-            state.config.version,
-            document,
-            event.operator,
-            event.wall_time,
-        ),
-        out,
+    """Tell an operator that the fate of a hand-in is not known yet."""
+    detail = (
+        'the store has not answered, and the configuration may still come '
+        'in force; hand it in again against the same version'
     )
+    retry_s = state.options.retry_after_s
+    refusal = Refusal(Reason.STORE_DOWN, Ran.UNKNOWN, retry_s, detail)
+    _reply(state, timer.reply_id, None, refusal, out)
+
+
+def keys_saved(
+    state: _state.State,
+    purpose: _keys.SavePurpose,
+    answer: _store.Written,
+    out: _state.Out,
+) -> None:
+    """Put a configuration in force that withdrawals were added to."""
+    state.withdrawals.saving = False
+    if answer.ok:
+        put_in_force(state, purpose.document, answer.version, out)
+    else:
+        _keys.not_saved(state, answer)
+
+
+def _complete(
+    state: _state.State,
+    event: events.ConfigHandedIn,
+    version: int,
+    row: schema.Row | None,
+) -> dict:
+    """Give the document to write: no hand-in takes back a withdrawal."""
+    withdrawn = {
+        *event.document.get('withdrawn_keys', ()),
+        *(row.value.get('withdrawn_keys', ()) if row else ()),
+        *state.withdrawals.pending_by_key,
+    }
+    return {
+        **event.document,
+        'version': version,
+        'withdrawn_keys': sorted(withdrawn),
+    }
+
+
+def _is_repeated(
+    event: events.ConfigHandedIn, row: schema.Row, document: dict
+) -> bool:
+    """Tell whether this very hand-in took effect before."""
+    follows = row.value['version'] == event.base_version + 1
+    return follows and row.value == {
+        **document,
+        'version': row.value['version'],
+    }
 
 
 def _conflict(
@@ -220,5 +321,7 @@
     refusal: Refusal | None,
     out: _state.Out,
 ) -> None:
-    state.replies_due.discard(reply_id)
-    out.append(effects.Reply(reply_id, document, refusal))
+    if reply_id in state.replies_due:
+        state.replies_due.discard(reply_id)
+        state.timers.cancel(_timers.HandInReplyDue(reply_id))
+        out.append(effects.Reply(reply_id, document, refusal))
--- /dev/null
+++ b/packages/core/celeryshift_core/_confirmation.py
@@ -0,0 +1,59 @@
+"""When this node last knew that no newer configuration was in force.
+
+The store confirms a configuration, and so does a peer that has confirmed the
+same one. While nobody reaches the store, a node that hears every node that
+was registered would hear of a withdrawal through any of them.
+"""
+
+from celeryshift_core import _state
+from celeryshift_core import messages
+
+
+def by_store(state: _state.State, asked_at: float) -> None:
+    """Note that the store had our configuration when it was asked."""
+    before = state.config_confirmed_at
+    if before is None or asked_at > before:
+        state.config_confirmed_at = asked_at
+
+
+def by_peer(
+    state: _state.State, peer: _state.Peer, message: messages.Summary
+) -> None:
+    """Take over the confirmation of a peer with the same configuration."""
+    peer.config_version = message.config_version
+    same = message.config_version == state.config.version
+    if same and message.config_age_s >= 0:
+        by_store(state, state.now - message.config_age_s)
+
+
+def at(state: _state.State) -> float | None:
+    """Give the time of the latest confirmation, None for none ever."""
+    confirmed_at = state.config_confirmed_at
+    stale_s = state.options.config_stale_s
+    if confirmed_at is None or state.now - confirmed_at <= stale_s:
+        return confirmed_at
+    return max(confirmed_at, _heard_from_all(state))
+
+
+def is_stale(state: _state.State) -> bool:
+    """Tell whether keys may have been withdrawn without a word to us."""
+    confirmed_at = at(state)
+    stale_s = state.options.config_stale_s
+    return confirmed_at is None or state.now - confirmed_at > stale_s
+
+
+def _heard_from_all(state: _state.State) -> float:
+    """Give the time since which each node that was live has been heard."""
+    membership = state.membership
+    lapsed_at = (
+        membership.nodes_read_at
+        - state.options.takeover_s
+        - state.options.nodes_poll_s
+    )
+    times = []
+    for peer in membership.peers_by_id.values():
+        if peer.config_version > state.config.version:
+            return float('-inf')
+        if peer.changed_at >= lapsed_at:
+            times.append(peer.heard_at or float('-inf'))
+    return min(times, default=float('-inf'))
--- /dev/null
+++ b/packages/core/celeryshift_core/_keys.py
@@ -0,0 +1,252 @@
+"""Withdrawals of keys: told from node to node, and kept by the store.
+
+A withdrawal is never undone, so nodes need no order between withdrawals and
+may learn of one from anybody. Each node that knows of one tells every node
+that has not confirmed it and tries to write it, until the store has it.
+
+Source: Shapiro, Preguiça, Baquero and Zawirski, Conflict-free replicated
+data types, 2011 (grow-only set).
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from celeryshift_core import _ownership
+from celeryshift_core import _state
+from celeryshift_core import _store
+from celeryshift_core import _timers
+from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_core import messages
+from celeryshift_core import schema
+
+TELL_S = 0.5
+REPLY_S = 2.5
+SAVE_S = 2.0
+CONFLICT_S = 0.1
+KEYS_PER_MESSAGE = 64
+
+
+@attrs.frozen(slots=True)
+class BasePurpose:
+    """Say that a read finds the configuration to add withdrawals to."""
+
+
+@attrs.frozen(slots=True)
+class SavePurpose:
+    """Say that a write adds withdrawals to the configuration."""
+
+    document: dict
+
+
+def withdrawn(
+    state: _state.State, event: events.KeyWithdrawn, out: _state.Out
+) -> None:
+    """Stop a key here at once, at every peer, and for good in the store."""
+    key_id = event.key_id
+    state.replies_due.add(event.reply_id)
+    state.withdrawals.key_by_reply[event.reply_id] = key_id
+    if key_id not in state.config.withdrawn_keys:
+        entry = messages.Withdrawal(key_id, event.operator, event.wall_time)
+        _note(state, [entry], out)
+        tell(state, None, out)
+        save(state, None, out)
+        timer = _timers.WithdrawalReplyDue(event.reply_id)
+        state.timers.set(timer, state.now + REPLY_S)
+    _reply_if_sure(state, out)
+
+
+def reply_due(
+    state: _state.State, timer: _timers.WithdrawalReplyDue, out: _state.Out
+) -> None:
+    """Tell the operator how far a withdrawal has got."""
+    if timer.reply_id in state.withdrawals.key_by_reply:
+        _reply(state, timer.reply_id, out)
+
+
+def told(
+    state: _state.State,
+    sender: str,
+    message: messages.KeysWithdrawn,
+    out: _state.Out,
+) -> None:
+    """Take in withdrawals from a peer, and confirm them."""
+    key_ids = [entry.key_id for entry in message.keys]
+    peer = state.membership.peers_by_id.get(sender)
+    if peer is not None:
+        heard = messages.KeysHeard(key_ids)
+        out.append(effects.SendPeer(peer.id, peer.address, heard))
+    _note(state, message.keys, out)
+    _heard(state, sender, key_ids)
+    # By then the store has told every node, unless it is out of reach.
+    delay_s = SAVE_S * (1 + state.rng.random())
+    state.timers.set_once(_timers.TellKeys(), state.now + delay_s)
+    state.timers.set_once(_timers.SaveKeys(), state.now + 2 * delay_s)
+
+
+def heard(
+    state: _state.State,
+    sender: str,
+    message: messages.KeysHeard,
+    out: _state.Out,
+) -> None:
+    """Note which withdrawals a peer has confirmed."""
+    _heard(state, sender, message.key_ids)
+    _reply_if_sure(state, out)
+
+
+def tell(
+    state: _state.State,
+    timer: _timers.TellKeys | None,
+    out: _state.Out,
+) -> None:
+    """Tell each peer, live or not, what it has not confirmed."""
+    withdrawals = state.withdrawals
+    if not withdrawals.pending_by_key:
+        return
+    state.timers.set(_timers.TellKeys(), state.now + TELL_S)
+    for peer in state.membership.peers_by_id.values():
+        entries = [
+            entry
+            for key_id, entry in withdrawals.pending_by_key.items()
+            if peer.id not in withdrawals.heard_by_key.get(key_id, ())
+        ]
+        if entries:
+            message = messages.KeysWithdrawn(entries[:KEYS_PER_MESSAGE])
+            out.append(effects.SendPeer(peer.id, peer.address, message))
+
+
+def save(
+    state: _state.State,
+    timer: _timers.SaveKeys | None,
+    out: _state.Out,
+) -> None:
+    """Read the configuration that withdrawals are to be added to."""
+    withdrawals = state.withdrawals
+    if withdrawals.pending_by_key and not withdrawals.saving:
+        withdrawals.saving = True
+        _store.read(state, out, BasePurpose(), (schema.CONFIG,))
+
+
+def base_read(
+    state: _state.State,
+    purpose: BasePurpose,
+    rows: dict[str, schema.Row] | None,
+    out: _state.Out,
+) -> None:
+    """Write a configuration that has the withdrawals too."""
+    row = rows.get(schema.CONFIG) if rows is not None else None
+    pending = state.withdrawals.pending_by_key
+    known: set[str] = set()
+    missing = {}
+    if row is not None:
+        known = set(row.value.get('withdrawn_keys', ()))
+        missing = {key: pending[key] for key in pending if key not in known}
+    if row is None or not missing:
+        state.withdrawals.saving = False
+        _save_later(state, SAVE_S)
+        if row is not None:
+            state.timers.set(_timers.PollConfig(), state.now)
+        return
+    version = row.value['version'] + 1
+    document = {
+        **row.value,
+        'version': version,
+        'withdrawn_keys': sorted({*known, *missing}),
+    }
+    record = {
+        'who': ', '.join(
+            sorted({entry.operator for entry in missing.values()})
+        ),
+        'at': max(entry.wall_time for entry in missing.values()),
+        'what': f'keys withdrawn: {", ".join(sorted(missing))}',
+        'from_version': version - 1,
+        'to_version': version,
+    }
+    puts = {
+        schema.CONFIG_HEAD: {'version': version},
+        schema.CONFIG: document,
+        schema.audit(version): record,
+    }
+    checks = {schema.CONFIG_HEAD: row.version}
+    _store.write(state, out, SavePurpose(document), checks, puts)
+
+
+def not_saved(state: _state.State, answer: _store.Written) -> None:
+    """Try again to write withdrawals, soon after a conflict."""
+    conflict = answer.reached and not answer.settled_late
+    _save_later(state, CONFLICT_S if conflict else SAVE_S)
+
+
+def config_changed(state: _state.State, out: _state.Out) -> None:
+    """Forget the withdrawals that the configuration in force holds."""
+    withdrawals = state.withdrawals
+    kept = state.config.withdrawn_keys
+    for key_id in [key for key in withdrawals.pending_by_key if key in kept]:
+        del withdrawals.pending_by_key[key_id]
+    _reply_if_sure(state, out)
+
+
+def _note(
+    state: _state.State,
+    entries: Iterable[messages.Withdrawal],
+    out: _state.Out,
+) -> None:
+    new = [
+        entry for entry in entries if entry.key_id not in state.withdrawn_keys
+    ]
+    for entry in new:
+        state.withdrawn_keys.add(entry.key_id)
+        state.withdrawals.pending_by_key[entry.key_id] = entry
+    if new:
+        fields = {'keys': sorted(entry.key_id for entry in new)}
+        out.append(effects.LogChange('keys-withdrawn', fields))
+
+
+def _heard(state: _state.State, node: str, key_ids: Iterable[str]) -> None:
+    withdrawals = state.withdrawals
+    awaited = set(withdrawals.key_by_reply.values())
+    for key_id in key_ids:
+        if key_id in withdrawals.pending_by_key or key_id in awaited:
+            withdrawals.heard_by_key.setdefault(key_id, set()).add(node)
+
+
+def _save_later(state: _state.State, wait_s: float) -> None:
+    at = state.now + wait_s * (0.5 + state.rng.random())
+    state.timers.set(_timers.SaveKeys(), at)
+
+
+def _reply_if_sure(state: _state.State, out: _state.Out) -> None:
+    """Reply once the store has a key and every live peer knows of it."""
+    withdrawals = state.withdrawals
+    for reply_id, key_id in list(withdrawals.key_by_reply.items()):
+        if key_id in state.config.withdrawn_keys:
+            told_to = withdrawals.heard_by_key.get(key_id, set())
+            live = {peer.id for peer in _ownership.live_peers(state)}
+            if live <= told_to:
+                _reply(state, reply_id, out)
+    needed = {*withdrawals.pending_by_key, *withdrawals.key_by_reply.values()}
+    for key_id in [
+        key for key in withdrawals.heard_by_key if key not in needed
+    ]:
+        del withdrawals.heard_by_key[key_id]
+
+
+def _reply(state: _state.State, reply_id: str, out: _state.Out) -> None:
+    withdrawals = state.withdrawals
+    key_id = withdrawals.key_by_reply.pop(reply_id)
+    state.timers.cancel(_timers.WithdrawalReplyDue(reply_id))
+    state.replies_due.discard(reply_id)
+    peers = set(state.membership.peers_by_id)
+    told_to = withdrawals.heard_by_key.get(key_id, set()) & peers
+    stored = key_id in state.config.withdrawn_keys
+    document = {
+        'key': key_id,
+        'known': key_id in state.config.keys,
+        'stored': stored,
+        'version': state.config.version if stored else None,
+        'heard_by': sorted({state.node, *told_to}),
+        'not_heard_by': sorted(peers - told_to),
+    }
+    out.append(effects.Reply(reply_id, document))
--- a/packages/core/celeryshift_core/_ownership.py
+++ b/packages/core/celeryshift_core/_ownership.py
@@ -117,6 +117,7 @@
 ) -> None:
     """Take in the nodes of the other data centres."""
     if rows is not None:
+        state.membership.nodes_read_at = state.now
         _observe(state, rows, None, out)
 
 
--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -3,6 +3,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from celeryshift_core import _configuration
+from celeryshift_core import _confirmation
+from celeryshift_core import _keys
 from celeryshift_core import _ownership
 from celeryshift_core import _state
 from celeryshift_core import _timers
@@ -12,6 +15,7 @@
 from celeryshift_core import messages
 
 SOON_S = 0.2
+PROBE_S = 3.0
 
 
 def summarize(state: _state.State, out: _state.Out) -> None:
@@ -35,9 +39,12 @@
 def broadcast(
     state: _state.State, message: messages.Message, out: _state.Out
 ) -> None:
-    """Send a message to every live peer."""
-    for peer in list(_ownership.live_peers(state)):
-        out.append(effects.SendPeer(peer.id, peer.address, message))
+    """Send a message to every live peer, and now and then to others."""
+    live = {peer.id for peer in _ownership.live_peers(state)}
+    for peer in state.membership.peers_by_id.values():
+        silent_s = state.now - peer.unreachable_at
+        if peer.id in live or silent_s > PROBE_S:
+            out.append(effects.SendPeer(peer.id, peer.address, message))
 
 
 def arrived(
@@ -45,7 +52,7 @@
 ) -> None:
     """Take in a message from another node."""
     handler = _HANDLERS_BY_TYPE[type(event.message)]
-    handler(state, event.message, out)
+    handler(state, event.sender, event.message, out)
 
 
 def unreachable(
@@ -55,6 +62,7 @@
     peer = state.membership.peers_by_id.get(event.peer)
     if peer is not None:
         peer.heard_at = None
+        peer.unreachable_at = state.now
         peer.free_slots_by_upstream = {}
 
 
@@ -114,7 +122,10 @@
 
 
 def _take_summary(
-    state: _state.State, message: messages.Summary, out: _state.Out
+    state: _state.State,
+    sender: str,
+    message: messages.Summary,
+    out: _state.Out,
 ) -> None:
     peer = state.membership.peers_by_id.get(message.node)
     if peer is None:
@@ -127,21 +138,19 @@
     peer.slices = tuple(message.slices)
     peer.free_slots_by_upstream = dict(message.free_slots_by_upstream)
     peer.draining = message.draining
+    _confirmation.by_peer(state, peer, message)
+    if message.config_version > state.config.version:
+        _configuration.heard_newer(state, peer, out)
 
 
-def _take_withdrawn(
-    state: _state.State, message: messages.KeysWithdrawn, out: _state.Out
-) -> None:
-    new = set(message.key_ids) - state.withdrawn_keys
-    if new:
-        state.withdrawn_keys.update(new)
-        fields = {'keys': sorted(new)}
-        out.append(effects.LogChange('keys-withdrawn', fields))
-
-
-_HANDLERS_BY_TYPE: dict[type, Callable[[_state.State, Any, _state.Out], None]]
+_HANDLERS_BY_TYPE: dict[
+    type, Callable[[_state.State, str, Any, _state.Out], None]
+]
 _HANDLERS_BY_TYPE = {
     messages.Summary: _take_summary,
-    messages.KeysWithdrawn: _take_withdrawn,
+    messages.KeysWithdrawn: _keys.told,
+    messages.KeysHeard: _keys.heard,
+    messages.ConfigAsked: _configuration.peer_asked,
+    messages.ConfigTold: _configuration.peer_told,
     messages.Usage: _usage.take,
 }
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -8,6 +8,7 @@
 from celeryshift_core import _configuration
 from celeryshift_core import _errors
 from celeryshift_core import _jobs
+from celeryshift_core import _keys
 from celeryshift_core import _once
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
@@ -147,7 +148,7 @@
     events.JobAsked: _submission.asked,
     events.CallForwarded: _submission.forwarded,
     events.ConfigHandedIn: _configuration.handed_in,
-    events.KeyWithdrawn: _configuration.key_withdrawn,
+    events.KeyWithdrawn: _keys.withdrawn,
     events.PeerMessageArrived: _peers.arrived,
     events.PeerUnreachable: _peers.unreachable,
     events.DrainRequested: _drain,
@@ -170,6 +171,10 @@
     _timers.RequeueTask: _jobs.requeue,
     _timers.RequestDue: _requests.due,
     _timers.ReplyDue: _submission.reply_due,
+    _timers.TellKeys: _keys.tell,
+    _timers.SaveKeys: _keys.save,
+    _timers.WithdrawalReplyDue: _keys.reply_due,
+    _timers.HandInReplyDue: _configuration.reply_due,
     _timers.TellUsage: _usage.tell,
     _timers.ReviewAllotments: _allotments.review,
     _timers.MoveAllotments: _allotments.move,
@@ -184,6 +189,7 @@
     _jobs.RecordPurpose: _jobs.recorded,
     _submission.SubmitPurpose: _submission.written,
     _configuration.HandInPurpose: _configuration.written,
+    _keys.SavePurpose: _configuration.keys_saved,
     _allotments.MovePurpose: _allotments.moved,
 }
 
@@ -193,5 +199,6 @@
     _configuration.HeadPurpose: _configuration.head_read,
     _configuration.DocumentPurpose: _configuration.document_read,
     _configuration.BasePurpose: _configuration.base_read,
+    _keys.BasePurpose: _keys.base_read,
     _allotments.PoolsPurpose: _allotments.pools_read,
 }
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -75,6 +75,7 @@
     slices: tuple[int, ...] = ()
     free_slots_by_upstream: dict[str, int] = attrs.field(factory=dict)
     heard_at: float | None = None
+    unreachable_at: float = float('-inf')
 
 
 @attrs.define(eq=False)
@@ -88,6 +89,7 @@
     slice_rows_by_number: dict[int, schema.Row] = attrs.field(factory=dict)
     taking: set[int] = attrs.field(factory=set)
     stable_since: float = 0.0
+    nodes_read_at: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -138,6 +140,16 @@
     failing_since: float | None = None
 
 
+@attrs.define(eq=False)
+class Withdrawals:
+    """Hold the withdrawals of keys that the store has not yet."""
+
+    pending_by_key: dict[str, messages.Withdrawal] = attrs.field(factory=dict)
+    heard_by_key: dict[str, set[str]] = attrs.field(factory=dict)
+    key_by_reply: dict[str, str] = attrs.field(factory=dict)
+    saving: bool = False
+
+
 @attrs.define(eq=False)
 class State:
     """Hold everything that a node knows."""
@@ -153,7 +165,9 @@
     config: _config.Config = attrs.field(factory=_config.Config)
     config_row_version: int = 0
     config_confirmed_at: float | None = None
+    config_asked_at: float = float('-inf')
     withdrawn_keys: set[str] = attrs.field(factory=set)
+    withdrawals: Withdrawals = attrs.field(factory=Withdrawals)
     usage_by_node: dict[str, tuple[float, messages.Usage]] = attrs.field(
         factory=dict
     )
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -103,6 +103,30 @@
     reply_id: str
 
 
+@attrs.frozen(slots=True)
+class TellKeys:
+    """Tell the peers which keys were withdrawn."""
+
+
+@attrs.frozen(slots=True)
+class SaveKeys:
+    """Write the withdrawals that the store has not yet."""
+
+
+@attrs.frozen(slots=True)
+class WithdrawalReplyDue:
+    """Tell an operator how far a withdrawal has got."""
+
+    reply_id: str
+
+
+@attrs.frozen(slots=True)
+class HandInReplyDue:
+    """Tell an operator that a hand-in is still not settled."""
+
+    reply_id: str
+
+
 @attrs.frozen(slots=True)
 class TellUsage:
     """Tell the peers what the teams use."""
--- a/packages/core/celeryshift_core/_usage.py
+++ b/packages/core/celeryshift_core/_usage.py
@@ -42,7 +42,10 @@
 
 
 def take(
-    state: _state.State, message: messages.Usage, out: _state.Out
+    state: _state.State,
+    sender: str,
+    message: messages.Usage,
+    out: _state.Out,
 ) -> None:
     """Take in what the teams use at a peer."""
     state.usage_by_node[message.node] = (state.now, message)
--- a/packages/core/celeryshift_core/messages.py
+++ b/packages/core/celeryshift_core/messages.py
@@ -1,5 +1,7 @@
 """Messages that nodes send each other, without waiting for an answer."""
 
+from typing import Any
+
 import attrs
 
 
@@ -15,13 +17,43 @@
     draining: bool
 
 
+@attrs.frozen(slots=True)
+class Withdrawal:
+    """Say which key was withdrawn, by whom and when."""
+
+    key_id: str
+    operator: str
+    wall_time: str
+
+
 @attrs.frozen(slots=True)
 class KeysWithdrawn:
     """Tell which keys have been withdrawn."""
 
+    keys: list[Withdrawal]
+
+
+@attrs.frozen(slots=True)
+class KeysHeard:
+    """Confirm withdrawals that were told."""
+
     key_ids: list[str]
 
 
+@attrs.frozen(slots=True)
+class ConfigAsked:
+    """Ask for the configuration in force, if it is newer."""
+
+    than: int
+
+
+@attrs.frozen(slots=True)
+class ConfigTold:
+    """Tell the configuration in force."""
+
+    document: dict[str, Any]
+
+
 @attrs.frozen(slots=True)
 class Usage:
     """Tell what each team uses and waits for at a node, in slots."""
@@ -32,5 +64,7 @@
     waiting_by_team: dict[str, int]
 
 
-Message = Summary | KeysWithdrawn | Usage
-ALL = (Summary, KeysWithdrawn, Usage)
+Message = (
+    Summary | KeysWithdrawn | KeysHeard | ConfigAsked | ConfigTold | Usage
+)
+ALL = (Summary, KeysWithdrawn, KeysHeard, ConfigAsked, ConfigTold, Usage)
