Upstreams that leave: what waits for them is refused or goes elsewhere

Cause: requests queued for an upstream that leaves, by configuration or by the VM list, waited for their deadline; a worker that refused work was asked again at once, up to the last attempt of each request; a check of size went over every VM of the list.

--- a/packages/core/celeryshift_core/_allotments.py
+++ b/packages/core/celeryshift_core/_allotments.py
@@ -96,8 +96,10 @@
 
 def check_accounted(state: _state.State, held: _state.Slice) -> None:
     """Count only what was found once every worker has answered."""
+    if held.phase is not _state.SlicePhase.READY:
+        return
     workers = held.ledger.workers_by_name.values()
-    if state.vm_revision and all(worker.answered for worker in workers):
+    if all(worker.answered for worker in workers):
         held.allotment.inherited_by_team.clear()
 
 
--- a/packages/core/celeryshift_core/_configuration.py
+++ b/packages/core/celeryshift_core/_configuration.py
@@ -7,6 +7,7 @@
 from celeryshift_core import _confirmation
 from celeryshift_core import _errors
 from celeryshift_core import _keys
+from celeryshift_core import _leaving
 from celeryshift_core import _refusals
 from celeryshift_core import _shares
 from celeryshift_core import _state
@@ -119,6 +120,7 @@
         'configuration-in-force', {'version': config.version}
     )
     out.append(change)
+    _leaving.config_changed(state, before)
     _allotments.config_changed(state, before, out)
     _shares.config_changed(state, before)
     _keys.config_changed(state, out)
--- /dev/null
+++ b/packages/core/celeryshift_core/_leaving.py
@@ -0,0 +1,70 @@
+"""Upstreams and workers that leave: what waits for them goes elsewhere."""
+
+import collections
+from collections.abc import Callable
+
+from celeryshift_core import _config
+from celeryshift_core import _size
+from celeryshift_core import _state
+from celeryshift_core import _tasks
+from celeryshift_core import _timers
+from celeryshift_core import events
+
+
+def note_vm(state: _state.State, vm: events.Vm) -> None:
+    """Count what the workers offer that stay, before the list changes."""
+    before = state.vms_by_name.get(vm.name)
+    if before is not None:
+        _count(state, before, -1)
+    _count(state, vm, 1)
+
+
+def config_changed(state: _state.State, before: _config.Config) -> None:
+    """Refuse the requests that wait for an upstream that now leaves."""
+    left = {
+        upstream
+        for upstream in before.upstreams
+        if before.takes_work(upstream)
+        and not state.config.takes_work(upstream)
+    }
+    if left:
+        _route_anew(state, lambda task: task.upstream in left)
+
+
+def reroute(state: _state.State, held: _state.Slice) -> None:
+    """Route requests anew that wait where every worker is leaving."""
+    if held.queue.length:
+        staying = held.ledger.upstreams
+        _route_anew(
+            state,
+            lambda task: task.upstream not in staying,
+            held.number,
+        )
+
+
+def _route_anew(
+    state: _state.State,
+    concerns: Callable[[_tasks.Task], bool],
+    number: int | None = None,
+) -> None:
+    for request in state.requests_by_id.values():
+        task = request.task
+        if task is None or task.state is not _tasks.TaskState.QUEUED:
+            continue
+        if number in (None, request.slice) and concerns(task):
+            # Its timer routes it anew, or refuses it with the reason.
+            state.timers.set(_timers.RequestDue(request.id), state.now)
+
+
+def _count(state: _state.State, vm: events.Vm, change: int) -> None:
+    if vm.role is not events.VmRole.WORKER:
+        return
+    if vm.state is not events.VmState.LIVE:
+        return
+    sizes: collections.Counter[_size.Size]
+    sizes = state.capacities_by_upstream.setdefault(
+        vm.upstream, collections.Counter()
+    )
+    sizes[vm.capacity] += change
+    if not sizes[vm.capacity]:
+        del sizes[vm.capacity]
--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -30,6 +30,8 @@
     state: events.VmState = events.VmState.LIVE
     answered: bool = False
     quarantined: bool = False
+    resting: bool = False
+    refusals: int = 0
     cursor: str = ''
     syncing: bool = False
     silent_since: float | None = None
@@ -50,6 +52,7 @@
             self.answered
             and self.silent_since is None
             and not self.quarantined
+            and not self.resting
             and self.state is events.VmState.LIVE
         )
 
@@ -67,6 +70,7 @@
         self._slots_by_name: dict[str, int] = {}
         self._free_by_upstream: dict[str, int] = {}
         self._capacity_by_upstream: dict[str, int] = {}
+        self._staying_by_upstream: dict[str, set[str]] = {}
         self.capacity = _size.ZERO
         self.examined = 0
 
@@ -89,6 +93,7 @@
         """Forget a worker and what it holds."""
         worker = self.workers_by_name.pop(name)
         self._unindex(worker)
+        self._note_staying(worker, False)
         self.capacity -= worker.capacity
         self._count_capacity(worker.upstream, -worker.capacity.slots)
         return worker
@@ -96,6 +101,7 @@
     def refresh(self, worker: Worker) -> None:
         """Index a worker anew after a change of its state or room."""
         self._unindex(worker)
+        self._note_staying(worker, worker.state is events.VmState.LIVE)
         if worker.usable and worker.name in self.workers_by_name:
             slots = worker.free.slots
             index = self._index_by_upstream.setdefault(
@@ -182,12 +188,14 @@
 
     @property
     def upstreams(self) -> tuple[str, ...]:
-        """Name the upstreams that have workers here."""
-        return tuple(
-            upstream
-            for upstream, slots in self._capacity_by_upstream.items()
-            if slots > 0
-        )
+        """Name the upstreams that have workers here which are to stay."""
+        return tuple(self._staying_by_upstream)
+
+    def _note_staying(self, worker: Worker, stays: bool) -> None:
+        names = self._staying_by_upstream.setdefault(worker.upstream, set())
+        (names.add if stays else names.discard)(worker.name)
+        if not names:
+            del self._staying_by_upstream[worker.upstream]
 
     def _unindex(self, worker: Worker) -> None:
         slots = self._slots_by_name.pop(worker.name, None)
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -13,6 +13,7 @@
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _placement
+from celeryshift_core import _refusing
 from celeryshift_core import _requests
 from celeryshift_core import _slices
 from celeryshift_core import _state
@@ -112,8 +113,8 @@
 ) -> None:
     if _workers.synced(state, event, out):
         held = state.slices_by_number[event.slice]
-        _allotments.check_accounted(state, held)
         _slices.check_accounted(state, held, out)
+        _allotments.check_accounted(state, held)
 
 
 def _recovery_ends(
@@ -171,6 +172,7 @@
     _timers.RequeueTask: _jobs.requeue,
     _timers.RequestDue: _requests.due,
     _timers.ReplyDue: _submission.reply_due,
+    _timers.RestEnds: _refusing.rest_ends,
     _timers.TellKeys: _keys.tell,
     _timers.SaveKeys: _keys.save,
     _timers.WithdrawalReplyDue: _keys.reply_due,
--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -7,6 +7,7 @@
 from celeryshift_core import _launch
 from celeryshift_core import _peers
 from celeryshift_core import _refusals
+from celeryshift_core import _refusing
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
@@ -22,6 +23,7 @@
 Ran = _refusals.Ran
 Reason = _refusals.Reason
 Refusal = _refusals.Refusal
+FINAL = (Reason.DEADLINE, Reason.NO_UPSTREAM)
 
 
 def arrived(
@@ -58,7 +60,12 @@
     if request is None or request.sent or request.forwarding:
         return
     kind = state.config.kinds.get(request.kind)
-    if state.now < request.deadline and kind is not None:
+    if kind is None or not state.config.takes_work(kind.upstream):
+        detail = f'the upstream of kind {request.kind!r} takes no new work'
+        _refuse(state, request, Reason.NO_UPSTREAM, Ran.NO, detail, out)
+        return
+    if state.now < request.deadline:
+        _unqueue(state, request)
         state.timers.set(timer, request.deadline)
         _route(state, request, kind, out)
         return
@@ -91,7 +98,11 @@
             _launch.unbook(state, held, task)
     else:
         _keep_room(state, request, held, task)
+    if held is not None and event.outcome is Outcome.REFUSED:
+        _refusing.refused(state, held, task.worker, out)
     if event.outcome is Outcome.OK:
+        if held is not None:
+            _refusing.accepted(held.ledger.workers_by_name.get(task.worker))
         _take_answer(state, request, task, event.failed, out)
     else:
         _take_failure(state, request, task, event.outcome, out)
@@ -129,7 +140,7 @@
         and kind is not None
         and len(request.forwarded_to) < MAX_FORWARDS
         and state.now < request.deadline
-        and not (refusal and refusal.reason is Reason.DEADLINE)
+        and not (refusal and refusal.reason in FINAL)
     ):
         state.counters['requests.retried'] += 1
         _route(state, request, kind, out)
@@ -250,6 +261,17 @@
     state.touched[held.number] = None
 
 
+def _unqueue(state: _state.State, request: _state.Request) -> None:
+    task = request.task
+    held = state.slices_by_number.get(request.slice)
+    request.task = None
+    request.slice = -1
+    if task is not None and held is not None:
+        held.queue.leave(task, _tasks.TaskState.CANCELLED)
+        if held.tasks_by_id.get(task.id) is task:
+            del held.tasks_by_id[task.id]
+
+
 def _forward(
     state: _state.State,
     request: _state.Request,
@@ -330,7 +352,7 @@
         and state.now < request.deadline
     )
     if may_retry and kind is not None:
-        _retry(state, request, task, kind, out)
+        _retry(state, request, task, kind, surely_not_run, out)
     elif surely_not_run and state.now >= request.deadline:
         detail = 'it was not sent before its deadline'
         _refuse(state, request, Reason.DEADLINE, ran, detail, out)
@@ -370,16 +392,21 @@
     request: _state.Request,
     task: _tasks.Task,
     kind: _config.Kind,
+    elsewhere: bool,
     out: _state.Out,
 ) -> None:
+    """Try again, in another slice if this one has no room left."""
     state.counters['requests.retried'] += 1
     task.note(state.now, 'retried', f'after {task.worker}')
     task.failed_on += (task.worker,)
     request.sent = False
     held = state.slices_by_number.get(request.slice)
-    if held is None or held.phase is _state.SlicePhase.RELEASING:
-        request.task = None
-        request.slice = -1
+    if (
+        held is None
+        or held.phase is _state.SlicePhase.RELEASING
+        or (elsewhere and not _has_room(held, kind))
+    ):
+        _unqueue(state, request)
         _route(state, request, kind, out)
     else:
         held.queue.push(task, front=True)
--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -2,6 +2,7 @@
 
 from celeryshift_core import _ids
 from celeryshift_core import _jobs
+from celeryshift_core import _leaving
 from celeryshift_core import _ledger
 from celeryshift_core import _queue
 from celeryshift_core import _shares
@@ -129,6 +130,7 @@
         return
     state.vm_revision = max(state.vm_revision, event.revision)
     for vm in event.vms:
+        _leaving.note_vm(state, vm)
         state.vms_by_name[vm.name] = vm
         if vm.state is events.VmState.GONE:
             del state.vms_by_name[vm.name]
@@ -136,6 +138,8 @@
             _take_in(state, held, vm, out)
     for held in list(state.slices_by_number.values()):
         check_accounted(state, held, out)
+        if event.vms:
+            _leaving.reroute(state, held)
 
 
 def _take_in(
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -174,6 +174,9 @@
     escrow: _escrow.Escrow = attrs.field(factory=_escrow.Escrow)
     vms_by_name: dict[str, events.Vm] = attrs.field(factory=dict)
     vm_revision: int = 0
+    capacities_by_upstream: dict[str, collections.Counter[_size.Size]] = (
+        attrs.field(factory=dict)
+    )
     slices_by_number: dict[int, Slice] = attrs.field(factory=dict)
     touched: dict[int, None] = attrs.field(factory=dict)
     requests_by_id: dict[str, Request] = attrs.field(factory=dict)
@@ -201,9 +204,5 @@
 
 
 def biggest(state: State, upstream: str) -> list[_size.Size]:
-    """List the capacities of the workers of an upstream that are not gone."""
-    return [
-        vm.capacity
-        for vm in state.vms_by_name.values()
-        if vm.upstream == upstream and vm.state is not events.VmState.GONE
-    ]
+    """List the capacities of the workers of an upstream that stay."""
+    return list(state.capacities_by_upstream.get(upstream, ()))
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -103,6 +103,15 @@
     reply_id: str
 
 
+@attrs.frozen(slots=True)
+class RestEnds:
+    """Ask a worker again that refused work."""
+
+    slice: int
+    epoch: int
+    worker: str
+
+
 @attrs.frozen(slots=True)
 class TellKeys:
     """Tell the peers which keys were withdrawn."""
--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -3,6 +3,7 @@
 from celeryshift_core import _jobs
 from celeryshift_core import _launch
 from celeryshift_core import _ledger
+from celeryshift_core import _refusing
 from celeryshift_core import _rights
 from celeryshift_core import _state
 from celeryshift_core import _tasks
@@ -122,6 +123,7 @@
         return
     if event.outcome is events.Outcome.OK:
         held.unconfirmed.discard(event.task)
+        _refusing.accepted(held.ledger.workers_by_name.get(event.worker))
         if task.state is _tasks.TaskState.STARTING:
             task.state = _tasks.TaskState.RUNNING
             task.note(state.now, 'started')
@@ -137,6 +139,8 @@
     ):
         _launch.unbook(state, held, task)
         refused = event.outcome is events.Outcome.REFUSED
+        if refused:
+            _refusing.refused(state, held, event.worker, out)
         why = 'worker refused' if refused else 'not sent'
         _jobs.not_started(state, held, task, why, refused, out)
 
