--- a/packages/core/celeryshift_core/_ownership.py
+++ b/packages/core/celeryshift_core/_ownership.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from celeryshift_core import _allotments
 from celeryshift_core import _assignment
 from celeryshift_core import _departures
 from celeryshift_core import _promises
@@ -150,6 +151,7 @@
 ) -> None:
     """Take in the nodes of the other data centres."""
     if rows is not None:
+        state.membership.nodes_read_at = state.now
         _observe(state, rows, None, out)
 
 
@@ -256,6 +258,8 @@
         job_rows,
         out,
     )
+    held = state.slices_by_number[purpose.number]
+    _allotments.restore(state, held, answer.rows, out)
 
 
 def _take(state: _state.State, number: int, out: _state.Out) -> None:
@@ -283,7 +287,12 @@
     value.update(
         {'owner': state.node, 'epoch': epoch, 'vm_revision': vm_revision}
     )
-    prefixes = (schema.jobs(options.data_centre, number),)
+    prefixes = (
+        schema.jobs(options.data_centre, number),
+        schema.allotment(options.data_centre, number),
+        schema.LIMITS,
+        schema.CONFIG_HEAD,
+    )
     purpose = TakePurpose(number, epoch, value)
     _store.write(state, out, purpose, checks, {key: value}, (), prefixes)
 
--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -3,15 +3,20 @@
 from collections.abc import Callable
 from typing import Any
 
+from celeryshift_core import _configuration
+from celeryshift_core import _confirmation
+from celeryshift_core import _keys
 from celeryshift_core import _ownership
 from celeryshift_core import _promises
 from celeryshift_core import _state
 from celeryshift_core import _timers
+from celeryshift_core import _usage
 from celeryshift_core import effects
 from celeryshift_core import events
 from celeryshift_core import messages
 
 SOON_S = 0.2
+PROBE_S = 3.0
 
 
 def summarize(state: _state.State, out: _state.Out) -> None:
@@ -35,9 +40,12 @@
 def broadcast(
     state: _state.State, message: messages.Message, out: _state.Out
 ) -> None:
-    """Send a message to every live peer."""
-    for peer in list(_ownership.live_peers(state)):
-        out.append(effects.SendPeer(peer.id, peer.address, message))
+    """Send a message to every live peer, and now and then to others."""
+    live = {peer.id for peer in _ownership.live_peers(state)}
+    for peer in state.membership.peers_by_id.values():
+        silent_s = state.now - peer.unreachable_at
+        if peer.id in live or silent_s > PROBE_S:
+            out.append(effects.SendPeer(peer.id, peer.address, message))
 
 
 def arrived(
@@ -55,6 +63,7 @@
     peer = state.membership.peers_by_id.get(event.peer)
     if peer is not None:
         peer.heard_at = None
+        peer.unreachable_at = state.now
         peer.free_slots_by_upstream = {}
 
 
@@ -130,19 +139,9 @@
     peer.slices = tuple(message.slices)
     peer.free_slots_by_upstream = dict(message.free_slots_by_upstream)
     peer.draining = message.draining
-
-
-def _take_withdrawn(
-    state: _state.State,
-    sender: str,
-    message: messages.KeysWithdrawn,
-    out: _state.Out,
-) -> None:
-    new = set(message.key_ids) - state.withdrawn_keys
-    if new:
-        state.withdrawn_keys.update(new)
-        fields = {'keys': sorted(new)}
-        out.append(effects.LogChange('keys-withdrawn', fields))
+    _confirmation.by_peer(state, peer, message)
+    if message.config_version > state.config.version:
+        _configuration.heard_newer(state, peer, out)
 
 
 _HANDLERS_BY_TYPE: dict[
@@ -150,9 +149,13 @@
 ]
 _HANDLERS_BY_TYPE = {
     messages.Summary: _take_summary,
-    messages.KeysWithdrawn: _take_withdrawn,
     messages.PromiseAsked: _promises.asked,
     messages.Promised: _ownership.promised,
     messages.VouchAsked: _promises.vouch_asked,
     messages.Vouched: _promises.vouched,
+    messages.KeysWithdrawn: _keys.told,
+    messages.KeysHeard: _keys.heard,
+    messages.ConfigAsked: _configuration.peer_asked,
+    messages.ConfigTold: _configuration.peer_told,
+    messages.Usage: _usage.take,
 }
