--- a/packages/core/celeryshift_core/_leaving.py
+++ b/packages/core/celeryshift_core/_leaving.py
@@ -1,22 +1,11 @@
 """Upstreams and workers that leave: what waits for them goes elsewhere."""
 
-import collections
 from collections.abc import Callable
 
 from celeryshift_core import _config
-from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
-from celeryshift_core import events
-
-
-def note_vm(state: _state.State, vm: events.Vm) -> None:
-    """Count what the workers offer that stay, before the list changes."""
-    before = state.vms_by_name.get(vm.name)
-    if before is not None:
-        _count(state, before, -1)
-    _count(state, vm, 1)
 
 
 def config_changed(state: _state.State, before: _config.Config) -> None:
@@ -54,17 +43,3 @@
         if number in (None, request.slice) and concerns(task):
             # Its timer routes it anew, or refuses it with the reason.
             state.timers.set(_timers.RequestDue(request.id), state.now)
-
-
-def _count(state: _state.State, vm: events.Vm, change: int) -> None:
-    if vm.role is not events.VmRole.WORKER:
-        return
-    if vm.state is not events.VmState.LIVE:
-        return
-    sizes: collections.Counter[_size.Size]
-    sizes = state.capacities_by_upstream.setdefault(
-        vm.upstream, collections.Counter()
-    )
-    sizes[vm.capacity] += change
-    if not sizes[vm.capacity]:
-        del sizes[vm.capacity]
