--- a/Makefile
+++ b/Makefile
@@ -36,9 +36,9 @@
 	-$(VENV)/bin/ruff check --fix packages tests bench
 	$(VENV)/bin/ruff format packages tests bench
 
-bench: setup
-	$(PY) -m bench.placement
-
 scenarios: setup
 	$(PY) -m celeryshift_standins.scenarios scenarios/*.scn \
 		--seed=$(SEED) --steps=$(STEPS) --known=KNOWN-RED.txt
+
+bench: setup
+	$(PY) -m bench.placement
--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -24,6 +24,7 @@
     core.Size(1, 1_000, 24_576, 0),
     core.Size(4, 16_000, 32_768, 0),
 )
+LIMIT_SLOTS = 1_000_000
 LEASE_S = 1e9
 
 
@@ -51,6 +52,11 @@
         0, 1, 1, _queue.Queue(lambda team: _shares.load(state, held, team))
     )
     held.phase = _state.SlicePhase.READY
+    held.allotment.slots_by_team = dict.fromkeys(
+        state.config.teams, LIMIT_SLOTS
+    )
+    for team in state.config.teams:
+        state.escrow.pool(team).bound = LIMIT_SLOTS
     state.slices_by_number[0] = held
     for number in range(workers):
         worker = _ledger.Worker(
--- a/packages/core/celeryshift_core/_launch.py
+++ b/packages/core/celeryshift_core/_launch.py
@@ -23,7 +23,7 @@
     hold = _ledger.Hold(task.team, size, task.job)
     held.ledger.hold(worker.name, task.run_id, hold)
     held.unconfirmed.add(task.run_id)
-    _shares.charge(state, held, task.team, size.slots)
+    _shares.charge(state, held, task.team, size)
     task.note(state.now, 'placed', f'attempt {task.attempt}')
 
 
@@ -126,7 +126,8 @@
 ) -> None:
     """Count what a worker runs already, whoever started it."""
     if held.ledger.adopt(worker.name, run_id, hold):
-        _shares.charge(state, held, hold.team, hold.size.slots)
+        held.allotment.found(hold.team, hold.size.slots)
+        _shares.charge(state, held, hold.team, hold.size)
 
 
 def free(
@@ -137,7 +138,7 @@
     held.unconfirmed.discard(run_id)
     hold = held.ledger.release(worker, run_id)
     if hold is not None:
-        _shares.charge(state, held, hold.team, -hold.size.slots)
+        _shares.refund(state, held, hold.team, hold.size)
 
 
 def unbook(state: _state.State, held: _state.Slice, task: _tasks.Task) -> None:
--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -34,6 +34,8 @@
     answered: bool = False
     listed: bool = True
     quarantined: bool = False
+    resting: bool = False
+    refusals: int = 0
     cursor: str = ''
     syncing: bool = False
     silent_since: float | None = None
@@ -55,6 +57,7 @@
             and self.listed
             and self.silent_since is None
             and not self.quarantined
+            and not self.resting
             and self.state is events.VmState.LIVE
         )
 
@@ -72,6 +75,8 @@
         self._slots_by_name: dict[str, int] = {}
         self._free_by_upstream: dict[str, int] = {}
         self._capacity_by_upstream: dict[str, int] = {}
+        self._staying_by_upstream: dict[str, set[str]] = {}
+        self.capacity = _size.ZERO
         self._racks_by_job: dict[str, collections.Counter[str]] = {}
         self._grown_by_upstream: dict[str, dict[str, None]] = {}
 
@@ -84,6 +89,7 @@
     def add(self, worker: Worker) -> None:
         """Take in a worker."""
         self.workers_by_name[worker.name] = worker
+        self.capacity += worker.capacity
         index = self._index_by_upstream.get(worker.upstream)
         if index is None:
             index = self._index_by_upstream[worker.upstream] = (
@@ -97,12 +103,15 @@
         """Note that a worker offers more or less than before."""
         grown = capacity.slots - worker.capacity.slots
         self._count_capacity(worker.upstream, grown)
+        self.capacity += capacity - worker.capacity
         worker.capacity = capacity
         self.refresh(worker)
 
     def remove(self, name: str) -> Worker:
         """Forget a worker and what it holds."""
         worker = self.workers_by_name.pop(name)
+        self._note_staying(worker, False)
+        self.capacity -= worker.capacity
         for hold in worker.holds_by_run.values():
             self._count_rack(worker, hold, -1)
         self._index_by_upstream[worker.upstream].remove(name, worker.rack)
@@ -114,6 +123,7 @@
         """Index a worker anew after a change of its state or room."""
         if worker.name not in self.workers_by_name:
             return
+        self._note_staying(worker, worker.state is events.VmState.LIVE)
         room = _room.NOTHING
         slots = 0
         if worker.usable:
@@ -228,12 +238,14 @@
 
     @property
     def upstreams(self) -> tuple[str, ...]:
-        """Name the upstreams that have workers here."""
-        return tuple(
-            upstream
-            for upstream, slots in self._capacity_by_upstream.items()
-            if slots > 0
-        )
+        """Name the upstreams that have workers here which are to stay."""
+        return tuple(self._staying_by_upstream)
+
+    def _note_staying(self, worker: Worker, stays: bool) -> None:
+        names = self._staying_by_upstream.setdefault(worker.upstream, set())
+        (names.add if stays else names.discard)(worker.name)
+        if not names:
+            del self._staying_by_upstream[worker.upstream]
 
     def _search(
         self, upstream: str, size: _size.Size, count: int, widest: bool
--- a/packages/core/celeryshift_core/_once.py
+++ b/packages/core/celeryshift_core/_once.py
@@ -133,10 +133,6 @@
     _store.write(state, out, UnclaimPurpose(), checks, {}, (key,))
 
 
-def _gang_key(job: str) -> str:
-    return f'g:{job}'
-
-
 def _not_claimed(
     state: _state.State,
     held: _state.Slice,
@@ -149,3 +145,7 @@
         _requests.not_claimed(state, held, task, found, out)
     else:
         _jobs.not_claimed(state, held, task, found, out)
+
+
+def _gang_key(job: str) -> str:
+    return f'g:{job}'
--- a/packages/core/celeryshift_core/_queue.py
+++ b/packages/core/celeryshift_core/_queue.py
@@ -112,6 +112,15 @@
                 self._order.add((load, team))
                 self._load_by_team[team] = load
 
+    def waiting_by_team(self) -> dict[str, int]:
+        """Count the tasks in the lines of each team, cancelled ones too."""
+        return {
+            team: sum(
+                len(group.lines_by_team[team]) for group in groups.values()
+            )
+            for team, groups in self._groups_by_team.items()
+        }
+
     def hints(self, task: _tasks.Task) -> Iterable[str] | None:
         """Name the workers that alone may have room; None means any."""
         return self._group_by_key[_key(task)].hints
--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -4,6 +4,7 @@
 from celeryshift_core import _gangs
 from celeryshift_core import _ids
 from celeryshift_core import _jobs
+from celeryshift_core import _leaving
 from celeryshift_core import _ledger
 from celeryshift_core import _queue
 from celeryshift_core import _shares
@@ -157,15 +158,19 @@
             _take_in(state, held, vm, out)
     for held in list(state.slices_by_number.values()):
         check_accounted(state, held, out)
+        if event.vms:
+            _leaving.reroute(state, held)
 
 
 def _list(state: _state.State, vm: events.Vm) -> None:
     slices = state.options.slices
     before = state.vms_by_name.pop(vm.name, None)
-    if before is not None:
+    if before is not None and before.state is events.VmState.LIVE:
         state.fleet.remove(before, slices)
     if vm.state is not events.VmState.GONE:
         state.vms_by_name[vm.name] = vm
+    if vm.state is events.VmState.LIVE:
+        # What leaves takes no new work, so that it counts for nothing.
         state.fleet.add(vm, slices)
 
 
