Urgent work preempts batch that may be preempted; events start 512 tasks

Cause: an urgent request without a slot waited for a task of hours to end, and its expected wait counted the whole batch queue, which it does not wait for. One event could start as many tasks as the fleet has slots.

Ruled out: preempting by size or share (harder to explain); preempting gangs (the whole gang would restart).

Change: a kind may say preemptible, if it is repeatable batch. An urgent task without room takes reserved room of a gang, else stops the latest started preemptible task of eight whose room suffices, after a checkpoint, one at a time for each urgent task. A pass starts 512 tasks at most and goes on with the next event.

Conclusion: urgent work waits for one stop in place of one task.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -23,6 +23,14 @@
 US = 1e6
 
 
+def pump_all(state: _state.State, held: _state.Slice, out: _state.Out) -> None:
+    """Pump until nothing more can start, as event after event would."""
+    placed = -1
+    while placed != state.counters['placements']:
+        placed = state.counters['placements']
+        _placement.pump(state, held, out)
+
+
 def fill(workers: int) -> tuple[_state.State, _state.Slice]:
     """Fill an empty slice from its queue, and print what that took."""
     state, held = fleets.slice_of(workers)
@@ -30,7 +38,7 @@
     gc.collect()
     began = time.perf_counter()
     out: _state.Out = []
-    _placement.pump(state, held, out)
+    pump_all(state, held, out)
     took_s = time.perf_counter() - began
     placed = sum(isinstance(effect, effects.StartTask) for effect in out)
     print(
@@ -40,7 +48,7 @@
         f'{held.queue.touched / placed:4.1f} queue entries touched each'
     )
     fleets.fill_queue(state, held, WAITING - held.queue.length, SEED + 1)
-    _placement.pump(state, held, [])
+    pump_all(state, held, [])
     return state, held
 
 
--- a/packages/core/celeryshift_core/_config.py
+++ b/packages/core/celeryshift_core/_config.py
@@ -77,6 +77,7 @@
     policy: Policy = Policy.BATCH
     urgent: bool = False
     repeatable: bool = True
+    preemptible: bool = False
     size: _size.Size = _size.ONE_SLOT
     timeout_s: float = 10.0
     max_run_s: float = 3600.0
@@ -190,6 +191,10 @@
         yield f'must be above 0, {MAX_TIMEOUT_S} at most @ {path}.timeout_s'
     if not 0 < kind.max_run_s <= MAX_RUN_S:
         yield f'must be above 0, {MAX_RUN_S} at most @ {path}.max_run_s'
+    if kind.preemptible and not (
+        kind.policy is Policy.BATCH and kind.repeatable
+    ):
+        yield f'only repeatable batch may be preempted @ {path}.preemptible'
     if kind.max_attempts < 1:
         yield f'must be 1 or more @ {path}.max_attempts'
     for field in attrs.asdict(kind.size):
--- a/packages/core/celeryshift_core/_gangs.py
+++ b/packages/core/celeryshift_core/_gangs.py
@@ -6,6 +6,7 @@
 so that small tasks starve no gang and no gang stops small tasks for good.
 """
 
+from celeryshift_core import _allotments
 from celeryshift_core import _config
 from celeryshift_core import _launch
 from celeryshift_core import _ledger
@@ -120,6 +121,8 @@
     for task in list(gang.waiting.values())[:TASKS_PER_EVENT]:
         if not _limits.may_start(state, held, task):
             task.note(state.now, 'waits', 'team is at its upper limit')
+            slots = len(gang.waiting) * task.size.slots
+            _allotments.want(state, held, task.team, slots)
             return False
         worker = _choose(held, task)
         if worker is None:
@@ -130,7 +133,7 @@
         del gang.waiting[task.id]
         gang.reserved[task.id] = task
     if gang.waiting:
-        _go_on(state, held)
+        go_on(state, held)
     return not gang.waiting
 
 
@@ -148,7 +151,7 @@
         state.counters['placements'] += 1
         _launch.send(state, held, task, out)
     if gang.reserved:
-        _go_on(state, held)
+        go_on(state, held)
     else:
         _leave(state, held, gang)
         gang.phase = GangPhase.RUNNING
@@ -287,6 +290,7 @@
     )
 
 
-def _go_on(state: _state.State, held: _state.Slice) -> None:
+def go_on(state: _state.State, held: _state.Slice) -> None:
+    """Go on with placements in another event, so that others get a turn."""
     key = _timers.PumpDue(held.number, held.epoch)
     state.timers.set(key, state.now)
--- a/packages/core/celeryshift_core/_jobs.py
+++ b/packages/core/celeryshift_core/_jobs.py
@@ -6,6 +6,7 @@
 from celeryshift_core import _explain
 from celeryshift_core import _gangs
 from celeryshift_core import _ledger
+from celeryshift_core import _preemption
 from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _store
@@ -140,6 +141,7 @@
 ) -> None:
     """Note that a task of an earlier owner is running."""
     held.jobs_by_id[task.job].running.add(task.id)
+    _preemption.started(state, held, task)
 
 
 def task_ended(
--- a/packages/core/celeryshift_core/_launch.py
+++ b/packages/core/celeryshift_core/_launch.py
@@ -64,12 +64,13 @@
     held: _state.Slice,
     task: _tasks.Task,
     out: _state.Out,
+    checkpoint: bool = False,
 ) -> None:
     """Stop a task; its room stays taken until the worker says it ended."""
     task.state = _tasks.TaskState.STOPPING
     worker = held.ledger.workers_by_name.get(task.worker)
     if worker is not None:
-        send_stop(state, held, worker, task.run_id, out)
+        send_stop(state, held, worker, task.run_id, out, checkpoint)
 
 
 def send_stop(
@@ -78,8 +79,9 @@
     worker: _ledger.Worker,
     run_id: str,
     out: _state.Out,
+    checkpoint: bool = False,
 ) -> None:
-    """Ask a worker to stop a run."""
+    """Ask a worker to stop a run, after a checkpoint if one is wanted."""
     out.append(
         effects.StopTask(
             held.number,
@@ -88,6 +90,7 @@
             worker.address,
             run_id,
             _rights.until(state),
+            checkpoint,
         )
     )
 
@@ -147,3 +150,6 @@
     job = held.jobs_by_id.get(task.job)
     if job is not None:
         job.running.discard(task.id)
+        running = held.preemptible_by_upstream.get(task.upstream)
+        if running is not None:
+            running.pop(task.id, None)
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -7,12 +7,14 @@
 from celeryshift_core import _limits
 from celeryshift_core import _once
 from celeryshift_core import _placers
+from celeryshift_core import _preemption
 from celeryshift_core import _queue
 from celeryshift_core import _rights
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 
 MAX_HINTS = 32
+STARTS_PER_EVENT = 512
 SEARCH_AGAIN_S = 1.0
 
 
@@ -40,10 +42,12 @@
     state: _state.State, held: _state.Slice, urgent: bool, out: _state.Out
 ) -> None:
     skipped: set[_queue.TeamKind] = set()
-    head = held.queue.next(urgent, skipped)
-    while head is not None:
-        _start(state, held, head, skipped, out)
+    for _ in range(STARTS_PER_EVENT):
         head = held.queue.next(urgent, skipped)
+        if head is None:
+            return
+        _start(state, held, head, skipped, out)
+    _gangs.go_on(state, held)
 
 
 def _advance(
@@ -106,8 +110,11 @@
     if worker is None and task.urgent:
         worker = _gangs.yield_room(state, held, task)
     if worker is None:
+        why = 'no worker examined has room'
+        if task.urgent:
+            why = _preemption.make_room(state, held, task, out)
         held.queue.close(task)
-        task.note(state.now, 'waits', 'no worker examined has room')
+        task.note(state.now, 'waits', why)
         return
     held.queue.pop(task)
     _book(state, held, task, kind, worker, out)
@@ -154,6 +161,8 @@
     _launch.book(state, held, task, worker, task.size)
     task.state = _tasks.TaskState.STARTING
     state.counters['placements'] += 1
+    if kind.preemptible:
+        _preemption.started(state, held, task)
     if kind.repeatable:
         _launch.send(state, held, task, out)
     else:
--- /dev/null
+++ b/packages/core/celeryshift_core/_preemption.py
@@ -0,0 +1,73 @@
+"""Preemption: urgent work gets room that preemptible work holds.
+
+Only batch tasks whose kind says so are preempted, the latest started first,
+since they lose the least. Each urgent task waits for one of them at a time.
+"""
+
+import itertools
+
+from celeryshift_core import _config
+from celeryshift_core import _launch
+from celeryshift_core import _state
+from celeryshift_core import _tasks
+
+CANDIDATES = 8
+
+
+def started(
+    state: _state.State, held: _state.Slice, task: _tasks.Task
+) -> None:
+    """Note that a task runs which may have to make room."""
+    kind = state.config.kinds.get(task.kind)
+    if kind is not None and kind.preemptible:
+        tasks = held.preemptible_by_upstream.setdefault(task.upstream, {})
+        tasks[task.id] = task
+
+
+def make_room(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    out: _state.Out,
+) -> str:
+    """Stop a task in favour of an urgent one; give why that one waits."""
+    kind = state.config.kinds.get(task.kind)
+    if kind is None or kind.policy is _config.Policy.GANG:
+        return 'no worker examined has room'
+    if _is_coming(held, task):
+        return 'a preempted task is being stopped'
+    victim = _choose(held, task)
+    if victim is None:
+        return 'no worker examined has room, and nothing may be preempted'
+    task.room_on = victim.worker
+    task.room_from = victim.run_id
+    victim.note(state.now, 'preempted', f'urgent {task.id} needs the room')
+    _launch.stop(state, held, victim, out, checkpoint=True)
+    held.preemptible_by_upstream[victim.upstream].pop(victim.id)
+    state.counters['preemptions'] += 1
+    return f'{victim.id} is preempted for it'
+
+
+def _is_coming(held: _state.Slice, task: _tasks.Task) -> bool:
+    worker = held.ledger.workers_by_name.get(task.room_on)
+    return worker is not None and task.room_from in worker.holds_by_run
+
+
+def _choose(held: _state.Slice, task: _tasks.Task) -> _tasks.Task | None:
+    running = held.preemptible_by_upstream.get(task.upstream, {})
+    latest = list(itertools.islice(reversed(running), CANDIDATES))
+    for task_id in latest:
+        victim = running[task_id]
+        if victim.state not in (
+            _tasks.TaskState.RUNNING,
+            _tasks.TaskState.STARTING,
+        ):
+            del running[task_id]
+            continue
+        worker = held.ledger.workers_by_name.get(victim.worker)
+        if worker is None or not worker.usable:
+            continue
+        hold = worker.holds_by_run.get(victim.run_id)
+        if hold and task.size.fits(worker.free + hold.size):
+            return victim
+    return None
--- a/packages/core/celeryshift_core/_queue.py
+++ b/packages/core/celeryshift_core/_queue.py
@@ -49,12 +49,13 @@
         self._load_by_team: dict[str, float] = {}
         self._order: SortedList = SortedList()
         self.length = 0
+        self.urgent_length = 0
         self.touched = 0
 
     def push(self, task: _tasks.Task, front: bool = False) -> None:
         """Add a task to the line of its team and kind."""
         task.state = _tasks.TaskState.QUEUED
-        self.length += 1
+        self._count(task, 1)
         key = _key(task)
         group = self._group_by_key.get(key)
         if group is None:
@@ -89,7 +90,7 @@
 
     def pop(self, task: _tasks.Task) -> None:
         """Take a task from the front of its line."""
-        self.length -= 1
+        self._count(task, -1)
         group = self._group_by_key[_key(task)]
         line = group.lines_by_team[task.team]
         line.popleft()
@@ -100,7 +101,11 @@
         """Take out a task wherever it stands."""
         if task.state is _tasks.TaskState.QUEUED:
             task.state = state
-            self.length -= 1
+            self._count(task, -1)
+
+    def ahead_of(self, urgent: bool) -> int:
+        """Count the tasks that a new one has to wait for."""
+        return self.urgent_length if urgent else self.length
 
     def rank(self, team: str) -> None:
         """Place a team anew after its load has changed."""
@@ -165,6 +170,11 @@
                 group.hints = None
                 self._open[key[0]][key] = group
 
+    def _count(self, task: _tasks.Task, change: int) -> None:
+        self.length += change
+        if task.urgent:
+            self.urgent_length += change
+
     def _join(self, team: str, group: _Group) -> None:
         groups = self._groups_by_team.get(team)
         if groups is None:
--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -479,7 +479,7 @@
     """
     run_s = state.run_s_by_kind.get(kind_name, 0.0)
     slots = held.ledger.capacity_slots(kind.upstream)
-    return held.queue.length * run_s / max(1, slots)
+    return held.queue.ahead_of(kind.urgent) * run_s / max(1, slots)
 
 
 def _learn_run_time(state: _state.State, kind_name: str, run_s: float) -> None:
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -61,6 +61,9 @@
     unconfirmed: set[str] = attrs.field(factory=set)
     gangs_by_job: dict[str, _tasks.Gang] = attrs.field(factory=dict)
     reserving_by_upstream: dict[str, str] = attrs.field(factory=dict)
+    preemptible_by_upstream: dict[str, dict[str, _tasks.Task]] = attrs.field(
+        factory=dict
+    )
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     writing_jobs: bool = False
     finished_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
--- a/packages/core/celeryshift_core/effects.py
+++ b/packages/core/celeryshift_core/effects.py
@@ -84,7 +84,7 @@
 
 @attrs.frozen(slots=True)
 class StopTask(Effect):
-    """Stop a task on a worker."""
+    """Stop a task on a worker, after a checkpoint if one is wanted."""
 
     slice: int
     epoch: int
@@ -92,6 +92,7 @@
     address: str
     task: str
     deadline: float
+    checkpoint: bool = False
 
 
 @attrs.frozen(slots=True)
--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -82,7 +82,7 @@
 
     async def stop(self, effect: effects.StopTask) -> Outcome:
         """Stop a task."""
-        body = {'run_id': effect.task}
+        body = {'run_id': effect.task, 'checkpoint': effect.checkpoint}
         return _outcome(await self._post(effect.address, 'stop', body))
 
     async def request(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 import random
 
+from bench import placement
 import builders
 import pytest
 
@@ -12,6 +13,8 @@
 from celeryshift_core import _placers
 from celeryshift_core import _tasks
 from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_standins import world as worlds
 
 EXAMINED = 160
 TOUCHED = 250
@@ -26,7 +29,7 @@
 def test_the_work_for_a_placement_does_not_grow_with_the_fleet(workers):
     state, held = builders.full_slice(workers, 10_000)
     out = []
-    _placement.pump(state, held, out)
+    placement.pump_all(state, held, out)
     starts = [item for item in out if isinstance(item, effects.StartTask)]
     assert len(starts) == state.counters['placements'] > 600
     assert held.ledger.examined <= 64 * len(starts) + EXAMINED * 10
@@ -35,7 +38,7 @@
 
 def test_an_end_on_a_full_slice_touches_little():
     state, held = builders.full_slice(756, 50_000)
-    _placement.pump(state, held, [])
+    placement.pump_all(state, held, [])
     examined, touched = held.ledger.examined, held.queue.touched
     ends = 0
     for worker in list(held.ledger.workers_by_name.values())[:100]:
@@ -107,3 +110,56 @@
     _jobs.accept(state, held, _job(held, 'a', 'k0', 1, 't40'))
     _placement.pump(state, held, [])
     assert state.counters['placements'] == 1
+
+
+def test_an_event_starts_a_bounded_number_of_tasks():
+    state, held = builders.full_slice(756, 50_000)
+    most = 0
+    while held.ledger.free_slots(builders.UPSTREAM):
+        before = state.counters['placements']
+        held.ledger.refresh(next(iter(held.ledger.workers_by_name.values())))
+        state.touched[held.number] = None
+        core.reduce(state, events.Tick(state.now))
+        most = max(most, state.counters['placements'] - before)
+    assert most == _placement.STARTS_PER_EVENT
+
+
+def _busy_world(kind):
+    world = worlds.World(seed=1, slices=1)
+    world.add_worker('w0', 'dc1')
+    fleet = builders.fleet()
+    fleet.batch('spare', builders.UPSTREAM, preemptible=True)
+    world.configure(fleet.document())
+    world.add_node('n0', 'dc1')
+    world.run(3.0)
+    token = builders.token()
+    world.submit('n0', 'b', kind, 'field', token, tasks=8, run_s=30.0)
+    world.run(1.0)
+    urgent = [
+        world.request('n0', f'u{n}', 'validate', 'field', token, run_s=0.1)
+        for n in range(3)
+    ]
+    world.run(1.0)
+    return world, urgent
+
+
+def test_urgent_work_preempts_what_may_be_preempted():
+    world, urgent = _busy_world('spare')
+    assert max(call.waited_s for call in urgent) < 0.5
+    assert all(call.answer for call in urgent)
+    asked = world.ask_job('n0', 'b', 'explain', 'field', builders.token())
+    world.run(60.0)
+    assert 'preempted' in str(asked.answer)
+    assert 'urgent r:ministry:u' in str(asked.answer)
+    asked = world.ask_job('n0', 'b', 'show', 'field', builders.token())
+    world.run(1.0)
+    assert asked.answer['done'] == 8
+    stopped = [span for span in world.spans() if span.until < 10.0]
+    assert len([span for span in stopped if ':b.' in span.run_id]) <= 3
+
+
+def test_work_that_may_not_be_preempted_runs_on():
+    world, _ = _busy_world('recode')
+    world.run(40.0)
+    runs = [span for span in world.spans() if ':b.' in span.run_id]
+    assert len(runs) == 8
