Quarantine bad workers, hold bad jobs, cancel large jobs in parts

Cause: a worker that fails everything got every task it failed again, until their attempts were used up; a job that can never run used every slot for three attempts of each task; one event cancelled a job of any size.

A job is held after failures on three workers or 16 in a row, and tried with one task after each hold. A failed task waits for another worker. Jobs are cancelled 1000 tasks an event.

Conclusion: bad workers and bad jobs are told apart, and both have a way back.

--- /dev/null
+++ b/packages/core/celeryshift_core/_holds.py
@@ -0,0 +1,95 @@
+"""Hold of jobs that fail on unlike workers, or many times in a row.
+
+While a job is on hold its tasks are set aside; one of them is tried after
+each hold, and the rest follow once one has succeeded.
+"""
+
+import itertools
+
+from celeryshift_core import _state
+from celeryshift_core import _tasks
+from celeryshift_core import _timers
+
+FAILED_WORKERS = 3
+FAILURES = 16
+FIRST_S = 30.0
+LONGEST_S = 3600.0
+TASKS_PER_EVENT = 512
+
+
+def failed(
+    state: _state.State,
+    held: _state.Slice,
+    job: _tasks.Job,
+    task: _tasks.Task,
+) -> None:
+    """Note that a task failed, and hold its job if need be."""
+    job.failed_workers.add(task.worker)
+    if job.on_hold or job.id in held.gangs_by_job:
+        return
+    job.failures += 1
+    if (
+        job.holds
+        or len(job.failed_workers) >= FAILED_WORKERS
+        or job.failures >= FAILURES
+    ):
+        for_s = min(FIRST_S * 2**job.holds, LONGEST_S)
+        job.holds += 1
+        job.on_hold = True
+        names = ', '.join(sorted(job.failed_workers)[:FAILED_WORKERS])
+        why = f'for {for_s:.0f} s: it failed on {names}'
+        task.note(state.now, 'job held', why)
+        state.counters['jobs.held'] += 1
+        key = _timers.JobHoldEnds(held.number, held.epoch, job.id)
+        state.timers.set(key, state.now + for_s)
+
+
+def succeeded(
+    state: _state.State, held: _state.Slice, job: _tasks.Job
+) -> None:
+    """Let a job go on of which a task has succeeded."""
+    job.failed_workers.clear()
+    job.failures = 0
+    if job.holds:
+        job.holds = 0
+        job.on_hold = False
+        key = _timers.JobHoldEnds(held.number, held.epoch, job.id)
+        state.timers.set(key, state.now)
+
+
+def keep(
+    state: _state.State,
+    held: _state.Slice,
+    job: _tasks.Job,
+    task: _tasks.Task,
+) -> bool:
+    """Set a task aside whose turn has come, if its job is on hold."""
+    if not job.holds or (task.id == job.probe and not job.on_hold):
+        return False
+    held.queue.pop(task)
+    task.state = _tasks.TaskState.HELD
+    task.note(state.now, 'held', 'its job failed too often')
+    job.set_aside[task.id] = task
+    return True
+
+
+def ends(
+    state: _state.State, timer: _timers.JobHoldEnds, out: _state.Out
+) -> None:
+    """Try one task of a job on hold, or queue all if it is on hold no more."""
+    held = state.slices_by_number.get(timer.slice)
+    if held is None or held.epoch != timer.epoch:
+        return
+    job = held.jobs_by_id.get(timer.job)
+    if job is None or job.cancelled:
+        return
+    job.on_hold = False
+    most = 1 if job.holds else TASKS_PER_EVENT
+    for task in list(itertools.islice(job.set_aside.values(), most)):
+        del job.set_aside[task.id]
+        job.probe = task.id
+        task.note(state.now, 'queued', 'tried after a hold')
+        held.queue.push(task)
+        state.touched[held.number] = None
+    if job.set_aside and not job.holds:
+        state.timers.set(timer, state.now)
--- a/packages/core/celeryshift_core/_jobs.py
+++ b/packages/core/celeryshift_core/_jobs.py
@@ -5,8 +5,11 @@
 from celeryshift_core import _config
 from celeryshift_core import _explain
 from celeryshift_core import _gangs
+from celeryshift_core import _holds
+from celeryshift_core import _launch
 from celeryshift_core import _ledger
 from celeryshift_core import _preemption
+from celeryshift_core import _quarantine
 from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _store
@@ -17,6 +20,7 @@
 
 REQUEUE_S = 1.0
 MAX_FINISHED = 1000
+CANCELLED_PER_EVENT = 1000
 
 TaskState = _tasks.TaskState
 
@@ -62,6 +66,7 @@
         _tasks.from_ranges(value['failed']),
         _tasks.from_ranges(value['unknown']),
         value['cancelled'],
+        cancelled_to=value['tasks'] if value['cancelled'] else 0,
     )
 
 
@@ -159,6 +164,8 @@
     if phase is events.TaskPhase.DONE and not (service or job.cancelled):
         job.done.add(task.index)
         job.ended_runs[task.run_id] = worker.name
+        _quarantine.succeeded(state, held, worker, task.kind, out)
+        _holds.succeeded(state, held, job)
         _end(state, held, job, task, TaskState.DONE, 'done')
         return
     worker.to_acknowledge.add(task.run_id)
@@ -244,26 +251,54 @@
 
 
 def cancel(
-    state: _state.State, held: _state.Slice, job: _tasks.Job
-) -> list[_tasks.Task]:
-    """Cancel a job; give the tasks that have to be stopped."""
+    state: _state.State,
+    held: _state.Slice,
+    job: _tasks.Job,
+    out: _state.Out,
+) -> None:
+    """Cancel a job; a large one in several events."""
     job.cancelled = True
-    running = []
-    for index in range(job.tasks):
+    first = job.cancelled_to
+    job.cancelled_to = min(first + CANCELLED_PER_EVENT, job.tasks)
+    for index in range(first, job.cancelled_to):
         task = held.tasks_by_id.get(job.task_id(index))
-        if task is None:
-            continue
-        if task.state is TaskState.QUEUED:
-            held.queue.leave(task, TaskState.CANCELLED)
-            task.note(state.now, 'cancelled')
-        elif task.state in (TaskState.GATHERING, TaskState.RESERVED):
-            _gangs.withdraw(state, held, task)
-            task.state = TaskState.CANCELLED
-            task.note(state.now, 'cancelled')
-        elif task.state in (TaskState.STARTING, TaskState.RUNNING):
-            running.append(task)
+        if task is not None:
+            _cancel_task(state, held, task, out)
+    if job.cancelled_to < job.tasks:
+        key = _timers.CancelDue(held.number, held.epoch, job.id)
+        state.timers.set(key, state.now)
     _changed(state, held, job)
-    return running
+
+
+def cancel_on(
+    state: _state.State, timer: _timers.CancelDue, out: _state.Out
+) -> None:
+    """Go on with the cancellation of a large job."""
+    held = state.slices_by_number.get(timer.slice)
+    if held is not None and held.epoch == timer.epoch:
+        job = held.jobs_by_id.get(timer.job)
+        if job is not None:
+            cancel(state, held, job, out)
+
+
+def _cancel_task(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    out: _state.Out,
+) -> None:
+    if task.state in (TaskState.STARTING, TaskState.RUNNING):
+        _launch.stop(state, held, task, out)
+        task.note(state.now, 'stopped', 'its job is cancelled')
+        return
+    if task.state is TaskState.QUEUED:
+        held.queue.leave(task, TaskState.CANCELLED)
+    elif task.state in (TaskState.GATHERING, TaskState.RESERVED):
+        _gangs.withdraw(state, held, task)
+    elif task.state is not TaskState.HELD:
+        return
+    task.state = TaskState.CANCELLED
+    task.note(state.now, 'cancelled')
 
 
 def flush(state: _state.State, out: _state.Out) -> None:
@@ -340,6 +375,8 @@
     out: _state.Out,
 ) -> None:
     task.failed_on += (worker.name,)
+    _quarantine.failed(state, held, worker, task, out)
+    _holds.failed(state, held, job, task)
     may_retry = (
         kind is not None
         and kind.repeatable
--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -34,6 +34,9 @@
     answered: bool = False
     listed: bool = True
     quarantined: bool = False
+    quarantines: int = 0
+    probation: bool = False
+    failed_kind_by_job: dict[str, str] = attrs.field(factory=dict)
     resting: bool = False
     refusals: int = 0
     cursor: str = ''
@@ -57,6 +60,7 @@
             and self.listed
             and self.silent_since is None
             and not self.quarantined
+            and not (self.probation and self.holds_by_run)
             and not self.resting
             and self.state is events.VmState.LIVE
         )
@@ -241,6 +245,10 @@
         """Name the upstreams that have workers here which are to stay."""
         return tuple(self._staying_by_upstream)
 
+    def staying(self, upstream: str) -> int:
+        """Count the workers of an upstream that are to stay."""
+        return len(self._staying_by_upstream.get(upstream, ()))
+
     def _note_staying(self, worker: Worker, stays: bool) -> None:
         names = self._staying_by_upstream.setdefault(worker.upstream, set())
         (names.add if stays else names.discard)(worker.name)
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -2,6 +2,7 @@
 
 from celeryshift_core import _config
 from celeryshift_core import _gangs
+from celeryshift_core import _holds
 from celeryshift_core import _launch
 from celeryshift_core import _ledger
 from celeryshift_core import _limits
@@ -58,6 +59,8 @@
 ) -> None:
     """Reserve more room for a gang, or start it once it has all."""
     phase = gang.phase
+    if gang.job.cancelled:
+        return
     if phase is _tasks.GangPhase.RESERVING:
         kind = state.config.kinds.get(gang.job.kind)
         if kind is None or not state.config.takes_work(gang.upstream):
@@ -97,6 +100,13 @@
     out: _state.Out,
 ) -> None:
     """Start the task that is next in a line, or pass over it."""
+    job = held.jobs_by_id.get(task.job)
+    if job is not None and job.cancelled:
+        held.queue.pop(task)
+        task.state = _tasks.TaskState.CANCELLED
+        return
+    if job is not None and _holds.keep(state, held, job, task):
+        return
     kind = state.config.kinds.get(task.kind)
     why = _why_not(state, held, task, kind)
     if kind is None or why:
@@ -106,7 +116,12 @@
     if kind.policy is _config.Policy.GANG:
         _start_gang(state, held, task, skipped, out)
         return
-    worker = _choose(state, held, task, kind)
+    found = _find(state, held, task, kind)
+    worker = _choose(held, task, kind, found)
+    if found and worker is None:
+        skipped.add((task.team, task.kind))
+        task.note(state.now, 'waits', 'it failed where there is room')
+        return
     if worker is None and task.urgent:
         worker = _gangs.yield_room(state, held, task)
     if worker is None:
@@ -169,27 +184,35 @@
         _once.claim(state, held, task, out)
 
 
-def _choose(
+def _find(
     state: _state.State,
     held: _state.Slice,
     task: _tasks.Task,
     kind: _config.Kind,
-) -> _ledger.Worker | None:
-    """Choose a worker with room, one that has not failed the task if any."""
-    placer = _placers.BY_POLICY[kind.policy]
+) -> list[_ledger.Worker]:
+    """List some workers that have room for a task."""
     hints = held.queue.hints(task)
-    if hints is None:
-        found = placer.find(held, task, task.size)
-        gave_up = not found and held.ledger.gave_up(task.upstream)
-        again_at = state.now + SEARCH_AGAIN_S if gave_up else None
-        held.queue.search_again(task, again_at)
-    else:
-        found = list(held.ledger.fitting(hints, task.size))
-    if task.failed_on:
-        fresh = [
+    if hints is not None:
+        return list(held.ledger.fitting(hints, task.size))
+    found = _placers.BY_POLICY[kind.policy].find(held, task, task.size)
+    gave_up = not found and held.ledger.gave_up(task.upstream)
+    again_at = state.now + SEARCH_AGAIN_S if gave_up else None
+    held.queue.search_again(task, again_at)
+    return found
+
+
+def _choose(
+    held: _state.Slice,
+    task: _tasks.Task,
+    kind: _config.Kind,
+    found: list[_ledger.Worker],
+) -> _ledger.Worker | None:
+    """Choose a worker, one that has not failed the task if there is any."""
+    if 0 < len(task.failed_on) < held.ledger.staying(task.upstream):
+        found = [
             worker for worker in found if worker.name not in task.failed_on
         ]
-        found = fresh or found
+    placer = _placers.BY_POLICY[kind.policy]
     return min(
         found,
         key=lambda worker: placer.rank(held, task, worker),
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -9,12 +9,14 @@
 from celeryshift_core import _departures
 from celeryshift_core import _errors
 from celeryshift_core import _gangs
+from celeryshift_core import _holds
 from celeryshift_core import _jobs
 from celeryshift_core import _keys
 from celeryshift_core import _once
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _placement
+from celeryshift_core import _quarantine
 from celeryshift_core import _refusing
 from celeryshift_core import _requests
 from celeryshift_core import _slices
@@ -181,6 +183,9 @@
     _timers.RequeueTask: _jobs.requeue,
     _timers.StopDue: _workers.stop_again,
     _timers.GangDue: _gangs.due,
+    _timers.QuarantineEnds: _quarantine.ends,
+    _timers.JobHoldEnds: _holds.ends,
+    _timers.CancelDue: _jobs.cancel_on,
     _timers.PumpDue: _pump_due,
     _timers.RequestDue: _requests.due,
     _timers.ReplyDue: _submission.reply_due,
--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -6,6 +6,7 @@
 from celeryshift_core import _ids
 from celeryshift_core import _launch
 from celeryshift_core import _peers
+from celeryshift_core import _quarantine
 from celeryshift_core import _refusals
 from celeryshift_core import _refusing
 from celeryshift_core import _state
@@ -321,6 +322,7 @@
 ) -> None:
     placed_at = task.decisions[-1].at
     _learn_run_time(state, request.kind, state.now - placed_at)
+    _note_outcome(state, request, task, failed, out)
     if failed:
         detail = f'worker {task.worker} ran it and reported a failure'
         _refuse(state, request, Reason.UPSTREAM_FAILED, Ran.YES, detail, out)
@@ -331,6 +333,25 @@
     _finish(state, request, 'answered', '')
 
 
+def _note_outcome(
+    state: _state.State,
+    request: _state.Request,
+    task: _tasks.Task,
+    failed: bool,
+    out: _state.Out,
+) -> None:
+    held = state.slices_by_number.get(request.slice)
+    if held is None:
+        return
+    worker = held.ledger.workers_by_name.get(task.worker)
+    if worker is None:
+        return
+    if failed:
+        _quarantine.failed(state, held, worker, task, out)
+    else:
+        _quarantine.succeeded(state, held, worker, task.kind, out)
+
+
 def _take_failure(
     state: _state.State,
     request: _state.Request,
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -59,6 +59,7 @@
     allotment: _escrow.Allotment = attrs.field(factory=_escrow.Allotment)
     unaccounted: set[str] = attrs.field(factory=set)
     unconfirmed: set[str] = attrs.field(factory=set)
+    quarantined: set[str] = attrs.field(factory=set)
     gangs_by_job: dict[str, _tasks.Gang] = attrs.field(factory=dict)
     reserving_by_upstream: dict[str, str] = attrs.field(factory=dict)
     preemptible_by_upstream: dict[str, dict[str, _tasks.Task]] = attrs.field(
@@ -178,6 +179,14 @@
     failing_since: float | None = None
 
 
+@attrs.frozen(slots=True)
+class Success:
+    """Hold when and where a task of a kind succeeded last."""
+
+    at: float
+    worker: str
+
+
 @attrs.define(eq=False)
 class Withdrawals:
     """Hold the withdrawals of keys that the store has not yet."""
@@ -230,6 +239,7 @@
         factory=collections.OrderedDict
     )
     run_s_by_kind: dict[str, float] = attrs.field(factory=dict)
+    success_by_kind: dict[str, Success] = attrs.field(factory=dict)
     gauges: dict[str, float] = attrs.field(factory=dict)
     counters: collections.Counter[str] = attrs.field(
         factory=collections.Counter
--- a/packages/core/celeryshift_core/_submission.py
+++ b/packages/core/celeryshift_core/_submission.py
@@ -7,7 +7,6 @@
 from celeryshift_core import _explain
 from celeryshift_core import _ids
 from celeryshift_core import _jobs
-from celeryshift_core import _launch
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _refusals
@@ -237,8 +236,7 @@
         if job is None:
             continue
         if act is events.JobAct.CANCEL and job_id in held.jobs_by_id:
-            for task in _jobs.cancel(state, held, job):
-                _launch.stop(state, held, task, out)
+            _jobs.cancel(state, held, job, out)
         if act is events.JobAct.EXPLAIN:
             return _explain.explain_job(state, held, job)
         return _explain.describe_job(job)
--- a/packages/core/celeryshift_core/_tasks.py
+++ b/packages/core/celeryshift_core/_tasks.py
@@ -18,6 +18,7 @@
     GATHERING = 'gathering'
     QUEUED = 'queued'
     RESERVED = 'reserved'
+    HELD = 'held'
     STARTING = 'starting'
     RUNNING = 'running'
     STOPPING = 'stopping'
@@ -111,6 +112,13 @@
     cancelled: bool = False
     running: set[str] = attrs.field(factory=set)
     ended_runs: dict[str, str] = attrs.field(factory=dict)
+    cancelled_to: int = 0
+    failed_workers: set[str] = attrs.field(factory=set)
+    failures: int = 0
+    holds: int = 0
+    on_hold: bool = False
+    probe: str = ''
+    set_aside: dict[str, Task] = attrs.field(factory=dict)
 
     def task_id(self, index: int) -> str:
         """Name a task of this job."""
@@ -125,7 +133,7 @@
     def finished(self) -> bool:
         """Tell whether nothing of the job is left to run or to stop."""
         if self.cancelled:
-            return not self.running
+            return not self.running and self.cancelled_to == self.tasks
         return self.ended == self.tasks
 
     @property
@@ -133,6 +141,8 @@
         """Name the state that callers are told."""
         if self.cancelled:
             return 'cancelled' if self.finished else 'cancelling'
+        if self.on_hold:
+            return 'held'
         if not self.finished:
             return 'running' if self.running or self.ended else 'queued'
         return 'failed' if self.failed or self.unknown else 'done'
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -98,6 +98,33 @@
     job: str
 
 
+@attrs.frozen(slots=True)
+class QuarantineEnds:
+    """Put a worker on probation."""
+
+    slice: int
+    epoch: int
+    worker: str
+
+
+@attrs.frozen(slots=True)
+class JobHoldEnds:
+    """Try a job again that was held."""
+
+    slice: int
+    epoch: int
+    job: str
+
+
+@attrs.frozen(slots=True)
+class CancelDue:
+    """Go on with the cancellation of a job."""
+
+    slice: int
+    epoch: int
+    job: str
+
+
 @attrs.frozen(slots=True)
 class PumpDue:
     """Go on with placements that were left for another event."""
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,127 @@
+"""Bad workers, bad jobs and waves of cancellation."""
+
+from bench import placement
+import builders
+
+from celeryshift_core import _holds
+from celeryshift_core import _jobs
+from celeryshift_core import _quarantine
+from celeryshift_core import events
+from celeryshift_standins import world as worlds
+
+TOUCHED = 3
+
+
+def _world(workers=6):
+    world = worlds.World(seed=1, slices=1)
+    for number in range(workers):
+        world.add_worker(f'w{number}', 'dc1')
+    fleet = builders.fleet()
+    fleet.batch('other', builders.UPSTREAM)
+    world.configure(fleet.document())
+    world.add_node('n0', 'dc1')
+    world.run(3.0)
+    return world
+
+
+def _submit(world, name, kind='recode', tasks=1, **payload):
+    token = builders.token()
+    return world.submit(
+        'n0', name, kind, 'field', token, tasks=tasks, **payload
+    )
+
+
+def _ask(world, name, act='show'):
+    asked = world.ask_job('n0', name, act, 'field', builders.token())
+    world.run(0.1)
+    return asked.answer
+
+
+def test_a_worker_on_which_unlike_jobs_fail_is_quarantined():
+    world = _world()
+    bad = world.workers_by_name['w0']
+    bad.tasks.fails_all = True
+    for number in range(30):
+        kind = ('recode', 'other')[number % 2]
+        _submit(world, f'j{number}', kind, tasks=2, run_s=1.0)
+    world.run(10.0)
+    # Twice its slots: the first failures come before any success is known.
+    assert bad.starts <= 16
+    assert all(_ask(world, f'j{n}')['done'] == 2 for n in range(30))
+    said = [str(_ask(world, f'j{n}', 'explain')) for n in range(30)]
+    assert any('unlike jobs failed in a row' in text for text in said)
+    before = bad.starts
+    bad.tasks.fails_all = False
+    world.run(_quarantine.FIRST_S)
+    for number in range(60):
+        _submit(world, f'k{number}', tasks=1, run_s=1.0)
+    world.run(5.0)
+    assert bad.starts > before + 1
+
+
+def test_a_worker_that_still_fails_on_probation_gets_one_task():
+    world = _world()
+    bad = world.workers_by_name['w0']
+    bad.tasks.fails_all = True
+    for number in range(30):
+        kind = ('recode', 'other')[number % 2]
+        _submit(world, f'j{number}', kind, tasks=2, run_s=1.0)
+    world.run(10.0)
+    before = bad.starts
+    world.run(_quarantine.FIRST_S)
+    for number in range(60):
+        _submit(world, f'k{number}', tasks=1, run_s=1.0)
+    world.run(5.0)
+    assert bad.starts == before + 1
+
+
+def test_a_job_that_fails_everywhere_is_held_and_harms_no_worker():
+    world = _world()
+    _submit(world, 'good', tasks=40, run_s=2.0)
+    _submit(world, 'bad', 'other', tasks=500, run_s=0.05, fail=True)
+    world.run(20.0)
+    starts = [span for span in world.spans() if ':bad.' in span.run_id]
+    # What is in flight on every slot when the job is held, and what led there.
+    assert len(starts) <= 6 * 8 + _holds.FAILURES
+    assert _ask(world, 'bad')['state'] == 'held'
+    assert 'job held' in str(_ask(world, 'bad', 'explain'))
+    assert _ask(world, 'good')['done'] == 40
+    state = world.nodes_by_name['n0'].state
+    assert not state.slices_by_number[0].quarantined
+    before = len(starts)
+    world.run(_holds.FIRST_S + 1.0)
+    starts = [span for span in world.spans() if ':bad.' in span.run_id]
+    assert 1 <= len(starts) - before <= 3
+
+
+def test_a_wave_of_cancellations_touches_each_task_a_few_times():
+    state, held = builders.full_slice(95, 20_000)
+    placement.pump_all(state, held, [])
+    jobs = list(held.jobs_by_id.values())
+    touched = held.queue.touched
+    stops = 0
+    for job in jobs:
+        out = []
+        _jobs.cancel(state, held, job, out)
+        stops += len(out)
+    placement.pump_all(state, held, [])
+    assert held.queue.length == 0
+    assert stops == held.ledger.capacity_slots(builders.UPSTREAM)
+    assert held.queue.touched - touched <= TOUCHED * 20_000
+
+
+def test_a_large_job_is_cancelled_over_several_events():
+    world = _world()
+    _submit(world, 'large', tasks=10_000, run_s=30.0)
+    world.run(1.0)
+    node = world.nodes_by_name['n0']
+    held = node.state.slices_by_number[0]
+    job = held.jobs_by_id['ministry:large']
+    _jobs.cancel(node.state, held, job, [])
+    assert job.cancelled_to == _jobs.CANCELLED_PER_EVENT
+    for _ in range(20):
+        world.feed(node, events.Tick(world.now))
+    assert job.cancelled_to == 10_000
+    assert held.queue.length == 0
+    world.run(40.0)
+    assert _ask(world, 'large')['state'] == 'cancelled'
