Learn what tasks really use, and relieve workers that are full in fact

Cause: room was booked by declared sizes alone, which are far off; what workers report of real use was not read.

Ruled out: booking less than declared (a task may still use what it declared, and no VM may be given more than it can hold); a mean (half of the tasks are above it).

Change: for each kind and declared size the 95th percentile of what ended tasks used is followed; after 20 samples it is booked where it is above what was declared, four times that at most. What a running task is reported to use is booked at once, so that a full worker gets nothing new; for lack of processor time the run furthest above its declaration is throttled, for lack of memory it is stopped after a checkpoint and queued again.

Conclusion: real use bounds placement once it is known. Requests are not learned from, since workers report them with their answers alone.

--- a/packages/core/celeryshift_core/_gangs.py
+++ b/packages/core/celeryshift_core/_gangs.py
@@ -9,9 +9,11 @@
 from celeryshift_core import _allotments
 from celeryshift_core import _config
 from celeryshift_core import _launch
+from celeryshift_core import _learning
 from celeryshift_core import _ledger
 from celeryshift_core import _limits
 from celeryshift_core import _placers
+from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
@@ -124,11 +126,12 @@
             slots = len(gang.waiting) * task.size.slots
             _allotments.want(state, held, task.team, slots)
             return False
-        worker = _choose(held, task)
+        size = _learning.size(state, task)
+        worker = _choose(held, task, size)
         if worker is None:
             task.note(state.now, 'waits', 'no room for the whole gang yet')
             return False
-        _launch.book(state, held, task, worker, task.size)
+        _launch.book(state, held, task, worker, size)
         task.state = TaskState.RESERVED
         del gang.waiting[task.id]
         gang.reserved[task.id] = task
@@ -159,7 +162,10 @@
 
 
 def yield_room(
-    state: _state.State, held: _state.Slice, task: _tasks.Task
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    size: _size.Size,
 ) -> _ledger.Worker | None:
     """Free room that a gang has reserved for a task that is urgent."""
     gang = _reserving(held, task.upstream)
@@ -168,7 +174,7 @@
     for other in list(gang.reserved.values())[: -YIELDED - 1 : -1]:
         worker = held.ledger.workers_by_name[other.worker]
         _unreserve(state, held, gang, other, 'urgent work needs the room')
-        if task.size.fits(worker.free):
+        if size.fits(worker.free):
             return worker
     return None
 
@@ -281,8 +287,10 @@
     return held.gangs_by_job.get(job) if job else None
 
 
-def _choose(held: _state.Slice, task: _tasks.Task) -> _ledger.Worker | None:
-    found = PLACER.find(held, task, task.size)
+def _choose(
+    held: _state.Slice, task: _tasks.Task, size: _size.Size
+) -> _ledger.Worker | None:
+    found = PLACER.find(held, task, size)
     return min(
         found,
         key=lambda worker: PLACER.rank(held, task, worker),
--- a/packages/core/celeryshift_core/_launch.py
+++ b/packages/core/celeryshift_core/_launch.py
@@ -27,6 +27,20 @@
     task.note(state.now, 'placed', f'attempt {task.attempt}')
 
 
+def grow(
+    state: _state.State,
+    held: _state.Slice,
+    worker: _ledger.Worker,
+    run_id: str,
+    size: _size.Size,
+) -> None:
+    """Book at least what a run really uses."""
+    hold = worker.holds_by_run.get(run_id)
+    added = held.ledger.grow(worker.name, run_id, size)
+    if hold is not None and added != _size.ZERO:
+        _shares.charge(state, held, hold.team, added)
+
+
 def send(
     state: _state.State,
     held: _state.Slice,
--- /dev/null
+++ b/packages/core/celeryshift_core/_learning.py
@@ -0,0 +1,78 @@
+"""Learning of what tasks really use, from the reports of their workers.
+
+Declared sizes are far off. For each kind and declared size a high quantile
+of the processor time and memory that ended tasks used is kept; where it is
+above what was declared, room is booked for it. A size is never corrected
+below what was declared, since a task may still use that.
+"""
+
+import attrs
+
+from celeryshift_core import _size
+from celeryshift_core import _state
+from celeryshift_core import _tasks
+
+QUANTILE = 0.95
+STEP = 0.02
+MIN_SAMPLES = 20
+MOST_TIMES = 4
+MAX_ESTIMATES = 1000
+
+
+def observe(state: _state.State, task: _tasks.Task, used: _size.Size) -> None:
+    """Take in what a task used in all."""
+    key = (task.kind, task.size)
+    estimate = state.estimates.pop(key, None)
+    if estimate is None:
+        estimate = _state.Estimate(task.size)
+    # The least recently used estimate is the first to be dropped.
+    state.estimates[key] = estimate
+    if len(state.estimates) > MAX_ESTIMATES:
+        del state.estimates[next(iter(state.estimates))]
+    estimate.samples += 1
+    first = estimate.samples <= MIN_SAMPLES
+    estimate.cpu_milli = _follow(estimate.cpu_milli, used.cpu_milli, first)
+    estimate.memory_mb = _follow(estimate.memory_mb, used.memory_mb, first)
+    if estimate.samples >= MIN_SAMPLES:
+        estimate.size = _correct(state, task, estimate)
+
+
+def size(state: _state.State, task: _tasks.Task) -> _size.Size:
+    """Give the size to book for a task."""
+    if not state.estimates:
+        return task.size
+    estimate = state.estimates.get((task.kind, task.size))
+    return task.size if estimate is None else estimate.size
+
+
+def _follow(quantile: float, used: int, first: bool) -> float:
+    """Move the estimate of a quantile by one sample.
+
+    Source: Robbins and Monro, A stochastic approximation method, 1951.
+    """
+    if first:
+        return max(quantile, float(used))
+    step = STEP * max(quantile, 1.0)
+    if used > quantile:
+        return quantile + step * QUANTILE
+    return quantile - step * (1 - QUANTILE)
+
+
+def _correct(
+    state: _state.State, task: _tasks.Task, estimate: _state.Estimate
+) -> _size.Size:
+    capacities = state.fleet.capacities(task.upstream)
+    declared = task.size
+    most_cpu = max((room.cpu_milli for room in capacities), default=0)
+    most_memory = max((room.memory_mb for room in capacities), default=0)
+    return attrs.evolve(
+        declared,
+        cpu_milli=_bound(declared.cpu_milli, estimate.cpu_milli, most_cpu),
+        memory_mb=_bound(declared.memory_mb, estimate.memory_mb, most_memory),
+    )
+
+
+def _bound(declared: int, learned: float, capacity: int) -> int:
+    """Keep a correction within what was declared and what can be held."""
+    most = min(declared * MOST_TIMES or capacity, capacity)
+    return max(declared, min(int(learned), most))
--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -187,6 +187,23 @@
         self.refresh(worker)
         return True
 
+    def grow(self, name: str, run_id: str, size: _size.Size) -> _size.Size:
+        """Book at least a size for a run, even beyond what its worker has.
+
+        Gives what was added, which is nothing for a run not booked here.
+        """
+        worker = self.workers_by_name[name]
+        hold = worker.holds_by_run.get(run_id)
+        if hold is None:
+            return _size.ZERO
+        added = hold.size.at_least(size) - hold.size
+        if added != _size.ZERO:
+            grown = attrs.evolve(hold, size=hold.size + added)
+            worker.holds_by_run[run_id] = grown
+            worker.used += added
+            self.refresh(worker)
+        return added
+
     def release(self, name: str, run_id: str) -> Hold | None:
         """Free the room of a task; give what was booked, if anything."""
         worker = self.workers_by_name.get(name)
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -4,6 +4,7 @@
 from celeryshift_core import _gangs
 from celeryshift_core import _holds
 from celeryshift_core import _launch
+from celeryshift_core import _learning
 from celeryshift_core import _ledger
 from celeryshift_core import _limits
 from celeryshift_core import _once
@@ -11,6 +12,7 @@
 from celeryshift_core import _preemption
 from celeryshift_core import _queue
 from celeryshift_core import _rights
+from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 
@@ -116,23 +118,24 @@
     if kind.policy is _config.Policy.GANG:
         _start_gang(state, held, task, skipped, out)
         return
-    found = _find(state, held, task, kind)
+    size = _learning.size(state, task)
+    found = _find(state, held, task, kind, size)
     worker = _choose(held, task, kind, found)
     if found and worker is None:
         skipped.add((task.team, task.kind))
         task.note(state.now, 'waits', 'it failed where there is room')
         return
     if worker is None and task.urgent:
-        worker = _gangs.yield_room(state, held, task)
+        worker = _gangs.yield_room(state, held, task, size)
     if worker is None:
         why = 'no worker examined has room'
         if task.urgent:
-            why = _preemption.make_room(state, held, task, out)
+            why = _preemption.make_room(state, held, task, size, out)
         held.queue.close(task)
         task.note(state.now, 'waits', why)
         return
     held.queue.pop(task)
-    _book(state, held, task, kind, worker, out)
+    _book(state, held, task, kind, worker, size, out)
 
 
 def _start_gang(
@@ -171,9 +174,10 @@
     task: _tasks.Task,
     kind: _config.Kind,
     worker: _ledger.Worker,
+    size: _size.Size,
     out: _state.Out,
 ) -> None:
-    _launch.book(state, held, task, worker, task.size)
+    _launch.book(state, held, task, worker, size)
     task.state = _tasks.TaskState.STARTING
     state.counters['placements'] += 1
     if kind.preemptible:
@@ -189,12 +193,13 @@
     held: _state.Slice,
     task: _tasks.Task,
     kind: _config.Kind,
+    size: _size.Size,
 ) -> list[_ledger.Worker]:
     """List some workers that have room for a task."""
     hints = held.queue.hints(task)
     if hints is not None:
-        return list(held.ledger.fitting(hints, task.size))
-    found = _placers.BY_POLICY[kind.policy].find(held, task, task.size)
+        return list(held.ledger.fitting(hints, size))
+    found = _placers.BY_POLICY[kind.policy].find(held, task, size)
     gave_up = not found and held.ledger.gave_up(task.upstream)
     again_at = state.now + SEARCH_AGAIN_S if gave_up else None
     held.queue.search_again(task, again_at)
--- a/packages/core/celeryshift_core/_preemption.py
+++ b/packages/core/celeryshift_core/_preemption.py
@@ -8,6 +8,7 @@
 
 from celeryshift_core import _config
 from celeryshift_core import _launch
+from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 
@@ -28,6 +29,7 @@
     state: _state.State,
     held: _state.Slice,
     task: _tasks.Task,
+    size: _size.Size,
     out: _state.Out,
 ) -> str:
     """Stop a task in favour of an urgent one; give why that one waits."""
@@ -36,7 +38,7 @@
         return 'no worker examined has room'
     if _is_coming(held, task):
         return 'a preempted task is being stopped'
-    victim = _choose(held, task)
+    victim = _choose(held, task.upstream, size)
     if victim is None:
         return 'no worker examined has room, and nothing may be preempted'
     task.room_on = victim.worker
@@ -53,8 +55,10 @@
     return worker is not None and task.room_from in worker.holds_by_run
 
 
-def _choose(held: _state.Slice, task: _tasks.Task) -> _tasks.Task | None:
-    running = held.preemptible_by_upstream.get(task.upstream, {})
+def _choose(
+    held: _state.Slice, upstream: str, size: _size.Size
+) -> _tasks.Task | None:
+    running = held.preemptible_by_upstream.get(upstream, {})
     latest = list(itertools.islice(reversed(running), CANDIDATES))
     for task_id in latest:
         victim = running[task_id]
@@ -68,6 +72,6 @@
         if worker is None or not worker.usable:
             continue
         hold = worker.holds_by_run.get(victim.run_id)
-        if hold and task.size.fits(worker.free + hold.size):
+        if hold and size.fits(worker.free + hold.size):
             return victim
     return None
--- a/packages/core/celeryshift_core/_quarantine.py
+++ b/packages/core/celeryshift_core/_quarantine.py
@@ -60,6 +60,24 @@
         out.append(effects.LogChange('worker-trusted', fields))
 
 
+def request_ended(
+    state: _state.State,
+    number: int,
+    task: _tasks.Task,
+    failure: bool,
+    out: _state.Out,
+) -> None:
+    """Note how a request ended on its worker."""
+    held = state.slices_by_number.get(number)
+    worker = held.ledger.workers_by_name.get(task.worker) if held else None
+    if held is None or worker is None:
+        return
+    if failure:
+        failed(state, held, worker, task, out)
+    else:
+        succeeded(state, held, worker, task.kind, out)
+
+
 def ends(
     state: _state.State, timer: _timers.QuarantineEnds, out: _state.Out
 ) -> None:
--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -322,7 +322,7 @@
 ) -> None:
     placed_at = task.decisions[-1].at
     _learn_run_time(state, request.kind, state.now - placed_at)
-    _note_outcome(state, request, task, failed, out)
+    _quarantine.request_ended(state, request.slice, task, failed, out)
     if failed:
         detail = f'worker {task.worker} ran it and reported a failure'
         _refuse(state, request, Reason.UPSTREAM_FAILED, Ran.YES, detail, out)
@@ -333,25 +333,6 @@
     _finish(state, request, 'answered', '')
 
 
-def _note_outcome(
-    state: _state.State,
-    request: _state.Request,
-    task: _tasks.Task,
-    failed: bool,
-    out: _state.Out,
-) -> None:
-    held = state.slices_by_number.get(request.slice)
-    if held is None:
-        return
-    worker = held.ledger.workers_by_name.get(task.worker)
-    if worker is None:
-        return
-    if failed:
-        _quarantine.failed(state, held, worker, task, out)
-    else:
-        _quarantine.succeeded(state, held, worker, task.kind, out)
-
-
 def _take_failure(
     state: _state.State,
     request: _state.Request,
--- a/packages/core/celeryshift_core/_size.py
+++ b/packages/core/celeryshift_core/_size.py
@@ -28,6 +28,15 @@
             self.accelerators - other.accelerators,
         )
 
+    def at_least(self, other: 'Size') -> 'Size':
+        """Give the larger amount of each resource."""
+        return Size(
+            max(self.slots, other.slots),
+            max(self.cpu_milli, other.cpu_milli),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
     def fits(self, room: 'Size') -> bool:
         """Tell whether this amount fits into the room given."""
         return (
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -187,6 +187,16 @@
     worker: str
 
 
+@attrs.define(eq=False)
+class Estimate:
+    """Hold what tasks of a kind and declared size use, and what is booked."""
+
+    size: _size.Size
+    samples: int = 0
+    cpu_milli: float = 0.0
+    memory_mb: float = 0.0
+
+
 @attrs.define(eq=False)
 class Withdrawals:
     """Hold the withdrawals of keys that the store has not yet."""
@@ -239,6 +249,9 @@
         factory=collections.OrderedDict
     )
     run_s_by_kind: dict[str, float] = attrs.field(factory=dict)
+    estimates: dict[tuple[str, _size.Size], Estimate] = attrs.field(
+        factory=dict
+    )
     success_by_kind: dict[str, Success] = attrs.field(factory=dict)
     gauges: dict[str, float] = attrs.field(factory=dict)
     counters: collections.Counter[str] = attrs.field(
--- a/packages/core/celeryshift_core/_tasks.py
+++ b/packages/core/celeryshift_core/_tasks.py
@@ -59,6 +59,7 @@
     epoch: int = 0
     attempt: int = 0
     failed_on: tuple[str, ...] = ()
+    throttled: str = ''
     room_on: str = ''
     room_from: str = ''
     decisions: list[Decision] = attrs.field(factory=list)
--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -2,9 +2,12 @@
 
 from celeryshift_core import _jobs
 from celeryshift_core import _launch
+from celeryshift_core import _learning
 from celeryshift_core import _ledger
+from celeryshift_core import _overload
 from celeryshift_core import _refusing
 from celeryshift_core import _rights
+from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
@@ -71,6 +74,9 @@
         out.append(effects.LogChange('worker-back', {'worker': worker.name}))
     for report in event.reports:
         _take_report(state, held, worker, report, out)
+        running = report.phase is events.TaskPhase.RUNNING
+        if running and report.used != _size.ZERO:
+            _overload.used(state, held, worker, report.id, report.used, out)
     if event.whole:
         _drop_unlisted(state, held, worker, event.reports, out)
     held.ledger.refresh(worker)
@@ -230,6 +236,8 @@
         if task.state is _tasks.TaskState.UNACCOUNTED:
             task.take_run(report.id, worker.name)
         if task.run_id == report.id and task.state not in _tasks.ENDED:
+            if report.used != _size.ZERO:
+                _learning.observe(state, task, report.used)
             _launch.unbook(state, held, task)
             _jobs.task_ended(state, held, task, worker, report.phase, out)
             return
--- a/packages/core/celeryshift_core/effects.py
+++ b/packages/core/celeryshift_core/effects.py
@@ -95,6 +95,18 @@
     checkpoint: bool = False
 
 
+@attrs.frozen(slots=True)
+class ThrottleTask(Effect):
+    """Let a task on a worker use no more than it declared."""
+
+    slice: int
+    epoch: int
+    worker: str
+    address: str
+    task: str
+    deadline: float
+
+
 @attrs.frozen(slots=True)
 class SendRequest(Effect):
     """Send a request to a worker and wait for its answer."""
--- a/packages/node/celeryshift_node/_runner.py
+++ b/packages/node/celeryshift_node/_runner.py
@@ -143,6 +143,7 @@
             effects.SyncWorker: lambda e: spawn(self._sync_worker(e)),
             effects.StartTask: lambda e: spawn(self._start_task(e)),
             effects.StopTask: lambda e: spawn(self._stop_task(e)),
+            effects.ThrottleTask: lambda e: spawn(self._throttle_task(e)),
             effects.SendRequest: lambda e: spawn(self._send_request(e)),
             effects.AskOutcome: lambda e: spawn(self._ask_outcome(e)),
             effects.ForwardRequest: lambda e: spawn(self._forward_request(e)),
@@ -216,6 +217,10 @@
             )
         )
 
+    async def _throttle_task(self, effect: effects.ThrottleTask) -> None:
+        if self.now < effect.deadline:
+            await self._workers.throttle(effect)
+
     async def _stop_task(self, effect: effects.StopTask) -> None:
         outcome = Outcome.UNSENT
         if self.now < effect.deadline:
--- a/packages/node/celeryshift_node/_wire.py
+++ b/packages/node/celeryshift_node/_wire.py
@@ -25,6 +25,7 @@
         document['team'],
         core.Size(**document['size']),
         document['request'],
+        core.Size(**{'slots': 0, **document.get('used', {})}),
     )
 
 
--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -85,6 +85,11 @@
         body = {'run_id': effect.task, 'checkpoint': effect.checkpoint}
         return _outcome(await self._post(effect.address, 'stop', body))
 
+    async def throttle(self, effect: effects.ThrottleTask) -> Outcome:
+        """Throttle a task."""
+        body = {'run_id': effect.task}
+        return _outcome(await self._post(effect.address, 'throttle', body))
+
     async def request(
         self, effect: effects.SendRequest, payload: Any
     ) -> tuple[Outcome, bool, Any]:
--- a/packages/standins/celeryshift_standins/_tasktable.py
+++ b/packages/standins/celeryshift_standins/_tasktable.py
@@ -37,6 +37,8 @@
     phase: Phase = Phase.RUNNING
     ended_at: float | None = None
     sequence: int = 0
+    used: dict[str, int] = attrs.field(factory=dict)
+    throttled: bool = False
 
 
 class TaskTable:
--- a/packages/standins/celeryshift_standins/_worker_effects.py
+++ b/packages/standins/celeryshift_standins/_worker_effects.py
@@ -97,7 +97,7 @@
             net.after(node, _network.NEAR_S, answer(Outcome.REFUSED))
         else:
             payload = effect.payload or {}
-            worker.tasks.start(
+            run = worker.tasks.start(
                 net.now,
                 effect.task,
                 effect.team,
@@ -107,6 +107,7 @@
                 effect.lease_s,
                 payload.get('fail', False),
             )
+            run.used = payload.get('used', {})
             worker.starts += 1
             _watch(net, worker)
             if net.hears(node, worker, asked_at):
@@ -122,6 +123,21 @@
         net.at(net.now + net.way(node, worker), begin)
 
 
+def throttle(
+    net: _network.Network, node: Node, effect: effects.ThrottleTask
+) -> None:
+    """Throttle a task on a worker."""
+    worker = net.workers_by_name[effect.worker]
+
+    def begin() -> None:
+        run = worker.tasks.runs_by_id.get(effect.task)
+        if run is not None and net.reach(node, worker):
+            run.throttled = True
+
+    net.messages += 1
+    net.at(net.now + net.way(node, worker), begin)
+
+
 def stop(net: _network.Network, node: Node, effect: effects.StopTask) -> None:
     """Stop a task on a worker."""
     worker = net.workers_by_name[effect.worker]
@@ -243,4 +259,5 @@
         run.team,
         core.Size(**run.size),
         run.request,
+        core.Size(**{'slots': 0, **run.used}),
     )
--- a/packages/standins/celeryshift_standins/worker.py
+++ b/packages/standins/celeryshift_standins/worker.py
@@ -39,6 +39,7 @@
         app.router.add_post('/v1/sync', self._sync)
         app.router.add_post('/v1/tasks', self._start)
         app.router.add_post('/v1/stop', self._stop)
+        app.router.add_post('/v1/throttle', self._throttle)
         app.router.add_post('/v1/requests', self._request)
         app.router.add_post('/v1/outcomes', self._outcome)
         app.router.add_post('/v1/status', self._status)
@@ -93,6 +94,13 @@
         stopped = self.tasks.stop(time.monotonic(), body['run_id'])
         return web.json_response({'stopped': stopped})
 
+    async def _throttle(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        run = self.tasks.runs_by_id.get(body['run_id'])
+        if run is not None:
+            run.throttled = True
+        return web.json_response({'throttled': run is not None})
+
     async def _request(self, request: web.Request) -> web.Response:
         body = await request.json()
         if self.refuses:
@@ -181,6 +189,7 @@
         'kind': run.kind,
         'size': run.size,
         'request': run.request,
+        'used': run.used,
     }
 
 
--- a/packages/standins/celeryshift_standins/world.py
+++ b/packages/standins/celeryshift_standins/world.py
@@ -34,6 +34,7 @@
     effects.SyncWorker: _worker_effects.sync,
     effects.StartTask: _worker_effects.start,
     effects.StopTask: _worker_effects.stop,
+    effects.ThrottleTask: _worker_effects.throttle,
     effects.SendRequest: _worker_effects.send_request,
     effects.AskOutcome: _worker_effects.ask_outcome,
     effects.ForwardRequest: _peer_effects.forward_request,
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -125,3 +125,48 @@
     assert held.queue.length == 0
     world.run(40.0)
     assert _ask(world, 'large')['state'] == 'cancelled'
+
+
+def test_real_sizes_are_learned_and_room_is_booked_for_them():
+    world = _world()
+    used = {'cpu_milli': 1_000, 'memory_mb': 60_000}
+    _submit(world, 'first', tasks=24, run_s=1.0, used=used)
+    world.run(30.0)
+    assert _ask(world, 'first')['done'] == 24
+    _submit(world, 'second', tasks=12, run_s=5.0, used=used)
+    world.run(2.0)
+    held = world.nodes_by_name['n0'].state.slices_by_number[0]
+    for worker in held.ledger.workers_by_name.values():
+        assert len(worker.holds_by_run) == 2
+        assert worker.used.memory_mb <= worker.capacity.memory_mb
+    state = world.nodes_by_name['n0'].state
+    before = state.counters['overload.stopped']
+    world.run(10.0)
+    assert state.counters['overload.stopped'] == before
+    assert _ask(world, 'second')['done'] == 12
+
+
+def test_a_worker_that_is_full_in_fact_gets_nothing_new_and_is_relieved():
+    world = _world(workers=1)
+    worker = world.workers_by_name['w0']
+    used = {'memory_mb': 50_000}
+    _submit(world, 'greedy', tasks=3, run_s=20.0, used=used)
+    world.run(1.0)
+    _submit(world, 'next', 'other', run_s=1.0)
+    world.run(1.0)
+    running = [run.id for run in worker.tasks.running()]
+    assert len(running) == 3
+    assert sum(':next.' in name for name in running) == 1
+    assert 'w0 is full' in str(_ask(world, 'greedy', 'explain'))
+
+
+def test_what_uses_more_processor_time_than_there_is_is_throttled():
+    world = _world(workers=1)
+    worker = world.workers_by_name['w0']
+    used = {'cpu_milli': 20_000}
+    _submit(world, 'greedy', tasks=2, run_s=20.0, used=used)
+    world.run(1.0)
+    runs = worker.tasks.running()
+    assert len(runs) == 2
+    assert [run.throttled for run in runs].count(True) == 1
+    assert 'throttled' in str(_ask(world, 'greedy', 'explain'))
