Explain decisions of a whole job beside those of its first tasks

Cause: explain showed the first twenty tasks, so that a preemption, a hold, a quarantine or the release of a reservation was told only by chance.

--- a/packages/core/celeryshift_core/_explain.py
+++ b/packages/core/celeryshift_core/_explain.py
@@ -15,20 +15,26 @@
         state.ended_by_id.popitem(last=False)
 
 
+def decide(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    what: str,
+    why: str,
+) -> None:
+    """Record a decision about a task, also with the job that it is of."""
+    task.note(state.now, what, why)
+    job = held.jobs_by_id.get(task.job)
+    if job is not None:
+        job.note(task.decisions[-1])
+
+
 def explain_task(state: _state.State, task: _tasks.Task) -> dict:
     """Write down the decisions about a task, with the age of each."""
     return {
         'task': task.id,
         'state': task.state.value,
-        'decisions': [
-            {
-                'ago_s': round(state.now - decision.at, 3),
-                'what': decision.what,
-                'why': decision.why,
-                'worker': decision.worker,
-            }
-            for decision in task.decisions
-        ],
+        'decisions': _describe(state, task.decisions),
     }
 
 
@@ -44,13 +50,19 @@
 def explain_job(
     state: _state.State, held: _state.Slice, job: _tasks.Job
 ) -> dict:
-    """Write down the decisions about the tasks of a job."""
+    """Write down the decisions about a job and about its first tasks."""
     shown = []
     for index in range(min(job.tasks, MAX_TASKS_SHOWN)):
         task = find(state, job.task_id(index))
         if task is not None:
             shown.append(explain_task(state, task))
-    return {**describe_job(job), 'slice': held.number, 'explained': shown}
+    return {
+        **describe_job(job),
+        'slice': held.number,
+        'gang': _describe_gang(held.gangs_by_job.get(job.id)),
+        'decisions': _describe(state, job.decisions),
+        'explained': shown,
+    }
 
 
 def describe_job(job: _tasks.Job) -> dict:
@@ -66,3 +78,29 @@
         'failed': len(job.failed),
         'unknown': len(job.unknown),
     }
+
+
+def _describe(
+    state: _state.State, decisions: list[_tasks.Decision]
+) -> list[dict]:
+    return [
+        {
+            'ago_s': round(state.now - decision.at, 3),
+            'what': decision.what,
+            'why': decision.why,
+            'worker': decision.worker,
+        }
+        for decision in decisions
+    ]
+
+
+def _describe_gang(gang: _tasks.Gang | None) -> dict | None:
+    if gang is None:
+        return None
+    return {
+        'phase': gang.phase.value,
+        'reserved': len(gang.reserved),
+        'waiting': len(gang.waiting),
+        'window_s': gang.window_s,
+        'restarts': gang.restarts,
+    }
--- a/packages/core/celeryshift_core/_gangs.py
+++ b/packages/core/celeryshift_core/_gangs.py
@@ -8,6 +8,7 @@
 
 from celeryshift_core import _allotments
 from celeryshift_core import _config
+from celeryshift_core import _explain
 from celeryshift_core import _launch
 from celeryshift_core import _learning
 from celeryshift_core import _ledger
@@ -231,7 +232,9 @@
     for other in list(gang.reserved.values()):
         _unreserve(state, held, gang, other, 'its gang is restarted')
     _leave(state, held, gang)
-    task.note(state.now, 'gang restarted', f'restart {gang.restarts}')
+    _explain.decide(
+        state, held, task, 'gang restarted', f'restart {gang.restarts}'
+    )
     _stop_running(state, held, gang, out)
 
 
@@ -272,7 +275,7 @@
     del gang.reserved[task.id]
     gang.waiting[task.id] = task
     task.state = TaskState.GATHERING
-    task.note(state.now, 'released', why)
+    _explain.decide(state, held, task, 'released', why)
 
 
 def _leave(state: _state.State, held: _state.Slice, gang: _tasks.Gang) -> None:
--- a/packages/core/celeryshift_core/_holds.py
+++ b/packages/core/celeryshift_core/_holds.py
@@ -6,6 +6,7 @@
 
 import itertools
 
+from celeryshift_core import _explain
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
@@ -38,7 +39,7 @@
         job.on_hold = True
         names = ', '.join(sorted(job.failed_workers)[:FAILED_WORKERS])
         why = f'for {for_s:.0f} s: it failed on {names}'
-        task.note(state.now, 'job held', why)
+        _explain.decide(state, held, task, 'job held', why)
         state.counters['jobs.held'] += 1
         key = _timers.JobHoldEnds(held.number, held.epoch, job.id)
         state.timers.set(key, state.now + for_s)
--- a/packages/core/celeryshift_core/_overload.py
+++ b/packages/core/celeryshift_core/_overload.py
@@ -7,6 +7,7 @@
 """
 
 from celeryshift_core import _config
+from celeryshift_core import _explain
 from celeryshift_core import _launch
 from celeryshift_core import _ledger
 from celeryshift_core import _rights
@@ -51,7 +52,7 @@
             excess, task = above, other
     if task is not None:
         why = f'{worker.name} is full: {excess} MB more than declared'
-        task.note(state.now, 'stopped', why)
+        _explain.decide(state, held, task, 'stopped', why)
         _launch.stop(state, held, task, out, checkpoint=True)
         state.counters['overload.stopped'] += 1
 
@@ -73,7 +74,7 @@
     if task is not None:
         task.throttled = task.run_id
         why = f'{worker.name} is full: {excess} mCPU more than declared'
-        task.note(state.now, 'throttled', why)
+        _explain.decide(state, held, task, 'throttled', why)
         out.append(
             effects.ThrottleTask(
                 held.number,
--- a/packages/core/celeryshift_core/_preemption.py
+++ b/packages/core/celeryshift_core/_preemption.py
@@ -7,6 +7,7 @@
 import itertools
 
 from celeryshift_core import _config
+from celeryshift_core import _explain
 from celeryshift_core import _launch
 from celeryshift_core import _size
 from celeryshift_core import _state
@@ -43,7 +44,9 @@
         return 'no worker examined has room, and nothing may be preempted'
     task.room_on = victim.worker
     task.room_from = victim.run_id
-    victim.note(state.now, 'preempted', f'urgent {task.id} needs the room')
+    _explain.decide(
+        state, held, victim, 'preempted', f'urgent {task.id} needs the room'
+    )
     _launch.stop(state, held, victim, out, checkpoint=True)
     held.preemptible_by_upstream[victim.upstream].pop(victim.id)
     state.counters['preemptions'] += 1
--- a/packages/core/celeryshift_core/_quarantine.py
+++ b/packages/core/celeryshift_core/_quarantine.py
@@ -6,6 +6,7 @@
 one succeeds or fails.
 """
 
+from celeryshift_core import _explain
 from celeryshift_core import _ledger
 from celeryshift_core import _state
 from celeryshift_core import _tasks
@@ -118,7 +119,7 @@
     held.ledger.refresh(worker)
     key = _timers.QuarantineEnds(held.number, held.epoch, worker.name)
     state.timers.set(key, state.now + for_s)
-    task.note(state.now, 'quarantined', f'{worker.name}: {why}')
+    _explain.decide(state, held, task, 'quarantined', f'{worker.name}: {why}')
     state.counters['quarantines'] += 1
     fields = {'worker': worker.name, 'why': why, 'for_s': for_s}
     out.append(effects.LogChange('worker-quarantined', fields))
--- a/packages/core/celeryshift_core/_tasks.py
+++ b/packages/core/celeryshift_core/_tasks.py
@@ -83,12 +83,17 @@
 
     def note(self, at: float, what: str, why: str = '') -> None:
         """Record a decision, unless it only repeats the last one."""
-        last = self.decisions[-1] if self.decisions else None
-        if last and (last.what, last.why) == (what, why):
-            return
-        if len(self.decisions) >= MAX_DECISIONS:
-            del self.decisions[1]
-        self.decisions.append(Decision(at, what, why, self.worker))
+        _record(self.decisions, Decision(at, what, why, self.worker))
+
+
+def _record(decisions: list[Decision], decision: Decision) -> None:
+    """Add a decision; the first and the latest ones are kept."""
+    last = decisions[-1] if decisions else None
+    if last and (last.what, last.why) == (decision.what, decision.why):
+        return
+    if len(decisions) >= MAX_DECISIONS:
+        del decisions[1]
+    decisions.append(decision)
 
 
 def base_id(run_id: str) -> str:
@@ -120,11 +125,16 @@
     on_hold: bool = False
     probe: str = ''
     set_aside: dict[str, Task] = attrs.field(factory=dict)
+    decisions: list[Decision] = attrs.field(factory=list)
 
     def task_id(self, index: int) -> str:
         """Name a task of this job."""
         return _ids.task_of_job(self.id, index)
 
+    def note(self, decision: Decision) -> None:
+        """Record a decision that concerns more than one task."""
+        _record(self.decisions, decision)
+
     @property
     def ended(self) -> int:
         """Count the tasks that will not run again."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -84,7 +84,9 @@
     # What is in flight on every slot when the job is held, and what led there.
     assert len(starts) <= 6 * 8 + _holds.FAILURES
     assert _ask(world, 'bad')['state'] == 'held'
-    assert 'job held' in str(_ask(world, 'bad', 'explain'))
+    held = _ask(world, 'bad', 'explain')['decisions']
+    assert held[-1]['what'] == 'job held'
+    assert 'it failed on w' in held[-1]['why']
     assert _ask(world, 'good')['done'] == 40
     state = world.nodes_by_name['n0'].state
     assert not state.slices_by_number[0].quarantined
