--- a/bench/placement.py
+++ b/bench/placement.py
@@ -7,6 +7,7 @@
 import random
 import time
 
+from bench import baseline
 from bench import fleets
 from celeryshift_core import _placement
 from celeryshift_core import _state
@@ -95,6 +96,7 @@
     for workers in WORKERS:
         state, held = fill(workers)
         turn_over(state, held)
+    baseline.compare(SEED)
 
 
 if __name__ == '__main__':
