Save workers for large tasks that small ones keep out

Change: a worker with new room is saved for a task that has waited 2 s, of the least served team, for 60 s at most and an eighth of the workers at most; urgent work may use its room.

Conclusion: large tasks start in bounded turns; they still wait longer than under first in, first out when the fleet is over-full.

--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -183,8 +183,9 @@
 
 
 def _booked(held: _state.Slice) -> float:
-    whole = held.ledger.capacity_slots(fleets.UPSTREAM)
-    return 1 - held.ledger.free_slots(fleets.UPSTREAM) / whole
+    workers = held.ledger.workers_by_name.values()
+    used = sum(worker.used.slots for worker in workers)
+    return used / held.ledger.capacity_slots(fleets.UPSTREAM)
 
 
 def _print(name: str, items: list[Item], outcome: Outcome) -> None:
--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -36,6 +36,7 @@
     quarantined: bool = False
     quarantines: int = 0
     probation: bool = False
+    saved_for: str = ''
     failed_kind_by_job: dict[str, str] = attrs.field(factory=dict)
     resting: bool = False
     refusals: int = 0
@@ -130,7 +131,10 @@
         self._note_staying(worker, worker.state is events.VmState.LIVE)
         room = _room.NOTHING
         slots = 0
-        if worker.usable:
+        if worker.saved_for:
+            grown = self._grown_by_upstream.setdefault(worker.upstream, {})
+            grown[worker.name] = None
+        elif worker.usable:
             capacity, used = worker.capacity, worker.used
             slots = capacity.slots - used.slots
             if slots > 0:
@@ -242,7 +246,9 @@
         """Yield those of the workers named that have room."""
         for name in names:
             worker = self.workers_by_name.get(name)
-            if worker and worker.usable and size.fits(worker.free):
+            if worker is None or worker.saved_for or not worker.usable:
+                continue
+            if size.fits(worker.free):
                 yield worker
 
     def tasks_by_rack(self, job: str) -> collections.Counter[str]:
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -12,6 +12,7 @@
 from celeryshift_core import _preemption
 from celeryshift_core import _queue
 from celeryshift_core import _rights
+from celeryshift_core import _saving
 from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
@@ -34,7 +35,7 @@
     """Start waiting tasks as long as any of those next in line has room."""
     if not _may_place(state, held):
         return
-    _reopen(state, held)
+    _reopen(state, held, out)
     _start_tier(state, held, True, out)
     for job in list(held.reserving_by_upstream.values()):
         _advance(state, held, held.gangs_by_job[job], out)
@@ -77,13 +78,44 @@
         _gangs.send(state, held, gang, out)
 
 
-def _reopen(state: _state.State, held: _state.Slice) -> None:
+def _reopen(state: _state.State, held: _state.Slice, out: _state.Out) -> None:
     """Look again at waiting work that may fit where room has come up."""
-    for upstream, room_by_worker in held.ledger.take_grown().items():
+    ledger = held.ledger
+    for upstream, room_by_worker in ledger.take_grown().items():
         if len(room_by_worker) > MAX_HINTS:
             held.queue.reopen_all(upstream)
-        else:
-            held.queue.reopen(upstream, room_by_worker, state.now)
+            continue
+        held.queue.reopen(upstream, room_by_worker, state.now)
+        for name in room_by_worker:
+            worker = ledger.workers_by_name[name]
+            if worker.saved_for:
+                _use_saved(state, held, worker, out)
+            else:
+                _saving.save(state, held, worker)
+    # Workers that are saved no more are looked at by all.
+    for upstream, room_by_worker in ledger.take_grown().items():
+        held.queue.reopen(upstream, room_by_worker, state.now)
+
+
+def _use_saved(
+    state: _state.State,
+    held: _state.Slice,
+    worker: _ledger.Worker,
+    out: _state.Out,
+) -> None:
+    """Start the task that a worker is saved for, once it fits."""
+    task = _saving.fitting(state, held, worker)
+    if task is None:
+        return
+    job = held.jobs_by_id.get(task.job)
+    kind = state.config.kinds.get(task.kind)
+    if kind is None or _why_not(state, held, task, kind):
+        return
+    if job is not None and (job.cancelled or job.holds):
+        return
+    held.queue.leave(task, _tasks.TaskState.STARTING)
+    size = _learning.size(state, task)
+    _book(state, held, task, kind, worker, size, out)
 
 
 def _may_place(state: _state.State, held: _state.Slice) -> bool:
@@ -125,6 +157,8 @@
         skipped.add((task.team, task.kind))
         task.note(state.now, 'waits', 'it failed where there is room')
         return
+    if worker is None and task.urgent:
+        worker = _saving.yield_room(held, task.upstream, size)
     if worker is None and task.urgent:
         worker = _gangs.yield_room(state, held, task, size)
     if worker is None:
--- a/packages/core/celeryshift_core/_queue.py
+++ b/packages/core/celeryshift_core/_queue.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Set
 
@@ -117,6 +118,29 @@
                 self._order.add((load, team))
                 self._load_by_team[team] = load
 
+    def kept_out(
+        self, upstream: str, before: float, skipped: Collection[str]
+    ) -> _tasks.Task | None:
+        """Give a task that found no room and arrived before a time.
+
+        It is of the least served team that has one.
+        """
+        closed = [
+            group
+            for key, group in self._group_by_key.items()
+            if group.upstream == upstream and key not in self._open[key[0]]
+        ]
+        for _, team in list(self._order) if closed else ():
+            for group in closed:
+                self.touched += 1
+                if team not in group.lines_by_team:
+                    continue
+                head = self._head(group, team)
+                old = head is not None and head.arrived < before
+                if head is not None and old and head.id not in skipped:
+                    return head
+        return None
+
     def waiting_by_team(self) -> dict[str, int]:
         """Count the tasks in the lines of each team, cancelled ones too."""
         return {
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -19,6 +19,7 @@
 from celeryshift_core import _quarantine
 from celeryshift_core import _refusing
 from celeryshift_core import _requests
+from celeryshift_core import _saving
 from celeryshift_core import _slices
 from celeryshift_core import _state
 from celeryshift_core import _store
@@ -185,6 +186,7 @@
     _timers.GangDue: _gangs.due,
     _timers.QuarantineEnds: _quarantine.ends,
     _timers.JobHoldEnds: _holds.ends,
+    _timers.SavedEnds: _saving.ends,
     _timers.CancelDue: _jobs.cancel_on,
     _timers.PumpDue: _pump_due,
     _timers.RequestDue: _requests.due,
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -62,6 +62,8 @@
     quarantined: set[str] = attrs.field(factory=set)
     gangs_by_job: dict[str, _tasks.Gang] = attrs.field(factory=dict)
     reserving_by_upstream: dict[str, str] = attrs.field(factory=dict)
+    saved_by_upstream: dict[str, dict[str, str]] = attrs.field(factory=dict)
+    save_after: float = 0.0
     preemptible_by_upstream: dict[str, dict[str, _tasks.Task]] = attrs.field(
         factory=dict
     )
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -116,6 +116,15 @@
     job: str
 
 
+@attrs.frozen(slots=True)
+class SavedEnds:
+    """Save a worker for one task no more."""
+
+    slice: int
+    epoch: int
+    worker: str
+
+
 @attrs.frozen(slots=True)
 class CancelDue:
     """Go on with the cancellation of a job."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -163,3 +163,26 @@
     world.run(40.0)
     runs = [span for span in world.spans() if ':b.' in span.run_id]
     assert len(runs) == 8
+
+
+def test_small_tasks_do_not_keep_a_large_one_out():
+    world = worlds.World(seed=1, slices=1)
+    world.add_worker('w0', 'dc1')
+    world.add_worker('w1', 'dc1')
+    fleet = builders.fleet()
+    fleet.batch('whole', builders.UPSTREAM, slots=8)
+    world.configure(fleet.document())
+    world.add_node('n0', 'dc1')
+    world.run(3.0)
+    token = builders.token()
+    for number in range(100):
+        name, tasks = f's{number}', 3 + number % 5
+        world.submit(
+            'n0', name, 'recode', 'field', token, tasks=tasks, run_s=2.0
+        )
+        world.run(0.2)
+        if number == 10:
+            world.submit('n0', 'large', 'whole', 'field', token, run_s=0.5)
+    runs = [span for span in world.spans() if ':large.' in span.run_id]
+    assert len(runs) == 1
+    assert runs[0].started_at < 3.0 + 11 * 0.2 + 10.0
