--- a/packages/client/celeryshift_client/_api.py
+++ b/packages/client/celeryshift_client/_api.py
@@ -1,42 +1,46 @@
 """Calls to the HTTP interface of a node."""
 
+from collections.abc import Sequence
 from types import TracebackType
 from typing import Any
+from urllib import parse
+import uuid
 
 import aiohttp
 
+from celeryshift_client import _errors
 import celeryshift_core as core
 
 DEFAULT_TIMEOUT_S = 60.0
-
-
-class ProblemError(core.CeleryshiftError):
-    """Carry the problem document that a node answered with."""
-
-    def __init__(self, status: int, problem: dict[str, Any]) -> None:
-        self.status = status
-        self.problem = problem
-        self.reason = problem.get('type', '').rpartition(':')[2]
-        self.ran = problem.get('ran', 'unknown')
-        self.retry_after_s = problem.get('retry_after_s')
-        detail = problem.get('detail', '')
-        super().__init__(f'{self.reason} (ran: {self.ran}): {detail}')
-
-
-class UnreachableError(core.CeleryshiftError):
-    """Report that a node gave no answer."""
+UNSENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+FAILED = (aiohttp.ClientError, TimeoutError, ValueError, RecursionError)
+# Another node may do what this one cannot do at the moment.
+TRY_NEXT = frozenset(
+    reason.value
+    for reason in (
+        core.Reason.DRAINING,
+        core.Reason.NOT_READY,
+        core.Reason.KEYS_UNCONFIRMED,
+    )
+)
+RAN = frozenset(ran.value for ran in core.Ran)
 
 
 class Client:
-    """Call a node as a caller with a key, or as an operator."""
+    """Call nodes as a caller with a key, or as an operator.
+
+    Given several URLs, it turns to the next when a call surely did nothing
+    at the one before, or may safely be made twice.
+    """
 
     def __init__(
         self,
-        url: str,
+        url: str | Sequence[str],
         token: str = '',
         timeout_s: float = DEFAULT_TIMEOUT_S,
     ) -> None:
-        self._url = url.rstrip('/')
+        urls = [url] if isinstance(url, str) else list(url)
+        self._urls = [each.rstrip('/') for each in urls]
         self._headers = {'Authorization': f'Bearer {token}'} if token else {}
         self._timeout = aiohttp.ClientTimeout(timeout_s)
         self._session: aiohttp.ClientSession | None = None
@@ -64,26 +68,40 @@
         body = {'kind': kind, 'queue': queue, 'payload': payload, **fields}
         return await self.call('POST', '/v1/requests', body)
 
+    async def explain_request(self, name: str, queue: str) -> dict[str, Any]:
+        """Show the decisions of a node about a request."""
+        path = f'/v1/requests/{_quote(name)}/explain?queue={_quote(queue)}'
+        return await self.call('GET', path)
+
     async def submit(
         self, kind: str, queue: str, payload: Any = None, **fields: Any
     ) -> dict[str, Any]:
         """Submit a job; it is accepted once this returns.
 
-        Raises ProblemError when it is refused.
+        The job gets an id, so that it may be sent again without being
+        doubled. Raises ProblemError when it is refused.
         """
         body = {'kind': kind, 'queue': queue, 'payload': payload, **fields}
-        return await self.call('POST', '/v1/jobs', body)
+        if body.get('id') is None:
+            body['id'] = uuid.uuid4().hex
+        return await self.call('POST', '/v1/jobs', body, repeatable=True)
 
     async def job(
         self, job: str, queue: str, explain: bool = False
     ) -> dict[str, Any]:
         """Show how far a job has come, or why."""
         tail = '/explain' if explain else ''
-        return await self.call('GET', f'/v1/jobs/{job}{tail}?queue={queue}')
+        path = f'/v1/jobs/{_quote(job)}{tail}?queue={_quote(queue)}'
+        return await self.call('GET', path)
 
     async def cancel(self, job: str, queue: str) -> dict[str, Any]:
         """Cancel a job."""
-        return await self.call('DELETE', f'/v1/jobs/{job}?queue={queue}')
+        path = f'/v1/jobs/{_quote(job)}?queue={_quote(queue)}'
+        return await self.call('DELETE', path, repeatable=True)
+
+    async def configuration(self) -> dict[str, Any]:
+        """Show the configuration in force, and on which nodes it is."""
+        return await self.call('GET', '/operator/v1/config')
 
     async def hand_in(
         self, base_version: int, configuration: dict[str, Any]
@@ -95,22 +113,69 @@
         }
         return await self.call('PUT', '/operator/v1/config', body)
 
+    async def withdraw_key(self, key_id: str) -> dict[str, Any]:
+        """Withdraw a key for good."""
+        path = f'/operator/v1/keys/{_quote(key_id)}'
+        return await self.call('DELETE', path, repeatable=True)
+
     async def call(
-        self, method: str, path: str, body: Any = None
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        repeatable: bool = False,
     ) -> dict[str, Any]:
-        """Make one call.
+        """Make one call, at one node after another where that is safe.
 
         Raises ProblemError for a problem, UnreachableError for no answer.
         """
+        failure: Exception = _errors.UnreachableError('', 'no URL is given')
+        repeatable = repeatable or method == 'GET'
+        for url in self._urls:
+            try:
+                return await self._call(url, method, path, body)
+            except _errors.UnreachableError as error:
+                failure = error
+                if error.ran is not core.Ran.NO and not repeatable:
+                    break
+            except _errors.ProblemError as error:
+                failure = error
+                if error.reason not in TRY_NEXT or error.ran != 'no':
+                    break
+        raise failure
+
+    async def _call(
+        self, url: str, method: str, path: str, body: Any
+    ) -> dict[str, Any]:
         if self._session is None:
-            raise UnreachableError('the client is not open')
+            raise _errors.UnreachableError(url, 'the client is not open')
+        # A call that only reads has nothing that could have run.
+        ran = core.Ran.NO if method == 'GET' else core.Ran.UNKNOWN
         try:
             async with self._session.request(
-                method, self._url + path, json=body, headers=self._headers
+                method, url + path, json=body, headers=self._headers
             ) as response:
                 document = await response.json(content_type=None)
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-            raise UnreachableError(f'{self._url}: {error!r}') from error
-        if response.status >= 400:
-            raise ProblemError(response.status, document)
+        except UNSENT as error:
+            raise _errors.UnreachableError(url, repr(error)) from error
+        except FAILED as error:
+            raise _errors.UnreachableError(url, repr(error), ran) from error
+        status = response.status
+        if status >= 400 and _is_problem(document):
+            raise _errors.ProblemError(status, document)
+        if status >= 400 or not isinstance(document, dict):
+            cause = f'not an answer of a node (status {status})'
+            raise _errors.UnreachableError(url, cause, ran)
         return document
+
+
+def _is_problem(document: Any) -> bool:
+    return (
+        isinstance(document, dict)
+        and isinstance(document.get('type'), str)
+        and document.get('ran') in RAN
+    )
+
+
+def _quote(text: str) -> str:
+    return parse.quote(text, safe='')
--- /dev/null
+++ b/packages/client/celeryshift_client/_errors.py
@@ -0,0 +1,33 @@
+"""Errors of calls to a node, and of the command line."""
+
+from typing import Any
+
+import celeryshift_core as core
+
+
+class ProblemError(core.CeleryshiftError):
+    """Carry the problem document that a node answered with."""
+
+    def __init__(self, status: int, problem: dict[str, Any]) -> None:
+        self.status = status
+        self.problem = problem
+        self.reason = problem['type'].rpartition(':')[2]
+        self.ran = problem['ran']
+        self.retry_after_s = problem.get('retry_after_s')
+        detail = problem.get('detail', '')
+        super().__init__(f'{self.reason} (ran: {self.ran}): {detail}')
+
+
+class UnreachableError(core.CeleryshiftError):
+    """Report that a node gave no answer, or none that can be understood."""
+
+    def __init__(
+        self, url: str, cause: str, ran: core.Ran = core.Ran.NO
+    ) -> None:
+        self.url = url
+        self.ran = ran
+        super().__init__(f'{url} (ran: {ran.value}): {cause}')
+
+
+class UsageError(core.CeleryshiftError):
+    """Report a command line that makes no sense."""
--- a/packages/client/celeryshift_client/_main.py
+++ b/packages/client/celeryshift_client/_main.py
@@ -1,8 +1,50 @@
 """The command celeryshift."""
 
+import asyncio
+from collections.abc import Sequence
+import sys
+from typing import Any
+
 import fire
 
+from celeryshift_client import _commands
+from celeryshift_client import _exits
+from celeryshift_client import _output
+import celeryshift_core as core
+
+SWITCH = '--json'
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run a command; give its exit code."""
+    try:
+        act = fire.Fire(
+            _commands.Commands,
+            command=[_as_switch(argument) for argument in arguments],
+            name='celeryshift',
+            serialize=_hide_act,
+        )
+        if not isinstance(act, _commands.Act):
+            return _exits.ExitCode.OK
+        result, as_json = asyncio.run(_commands.perform(act))
+    except core.CeleryshiftError as error:
+        sys.stderr.write(f'celeryshift: {error}\n')
+        return _exits.code_of(error)
+    except KeyboardInterrupt:
+        return _exits.ExitCode.REFUSED_UNKNOWN
+    sys.stdout.write(_output.write(result.document, as_json))
+    return result.code
+
 
 def main() -> None:
     """Start celeryshift from the command line."""
-    fire.Fire({}, name='celeryshift')
+    raise SystemExit(int(run(sys.argv[1:])))
+
+
+def _as_switch(argument: str) -> str:
+    # A bare switch would take the next word as its value.
+    return f'{SWITCH}=True' if argument == SWITCH else argument
+
+
+def _hide_act(result: Any) -> Any:
+    return None if isinstance(result, _commands.Act) else result
--- /dev/null
+++ b/packages/client/celeryshift_client/_output.py
@@ -0,0 +1,44 @@
+"""What the command line prints: for people, or as JSON."""
+
+import json
+from typing import Any
+
+INDENT = '  '
+
+
+def write(document: Any, as_json: bool) -> str:
+    """Write a document as JSON, or as indented lines."""
+    if as_json:
+        return json.dumps(document, indent=2, sort_keys=True) + '\n'
+    if isinstance(document, str):
+        return document if document.endswith('\n') else f'{document}\n'
+    return ''.join(f'{line}\n' for line in _lines(document, ''))
+
+
+def _lines(value: Any, indent: str) -> list[str]:
+    if isinstance(value, dict):
+        return _entries(value.items(), indent)
+    if isinstance(value, list):
+        lines = []
+        for item in value:
+            first, *rest = _lines(item, indent + INDENT) or ['']
+            lines += [f'{indent}- {first.strip()}', *rest]
+        return lines
+    return [f'{indent}{_scalar(value)}']
+
+
+def _entries(items: Any, indent: str) -> list[str]:
+    lines = []
+    for key, value in items:
+        if isinstance(value, (dict, list)) and value:
+            lines.append(f'{indent}{key}:')
+            lines += _lines(value, indent + INDENT)
+        else:
+            lines.append(f'{indent}{key}: {_scalar(value)}')
+    return lines
+
+
+def _scalar(value: Any) -> str:
+    if value in ({}, []):
+        return 'none'
+    return value if isinstance(value, str) else json.dumps(value)
--- a/packages/core/celeryshift_core/__init__.py
+++ b/packages/core/celeryshift_core/__init__.py
@@ -1,6 +1,7 @@
 """The decisions of celeryshift, as a pure reducer over events."""
 
 from celeryshift_core._config import Access
+from celeryshift_core._config import check
 from celeryshift_core._config import Config
 from celeryshift_core._config import Key
 from celeryshift_core._config import Kind
@@ -46,6 +47,7 @@
     'Team',
     'Upstream',
     'UpstreamState',
+    'check',
     'parse',
     'reduce',
     'structure',
--- a/packages/core/celeryshift_core/_config.py
+++ b/packages/core/celeryshift_core/_config.py
@@ -1,18 +1,27 @@
 """The configuration that operators hand in, and its checks."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import enum
 import hashlib
 import hmac
+import math
+import re
 from typing import Any
 
 import attrs
 import cattrs
 
 from celeryshift_core import _errors
+from celeryshift_core import _pruning
 from celeryshift_core import _size
 
 MAX_TIMEOUT_S = 3600.0
 MAX_RUN_S = 30 * 86400.0
+NAME = re.compile(r'[A-Za-z0-9_-][A-Za-z0-9._-]{0,127}')
+# A token is the id of a key, a dot, and the secret.
+KEY_ID = re.compile(r'[A-Za-z0-9_-]{1,128}')
+SHA256 = re.compile(r'[0-9a-f]{64}')
 
 
 class Policy(enum.Enum):
@@ -127,7 +136,7 @@
     except cattrs.BaseValidationError as error:
         mistakes = cattrs.transform_error(error, path='$')
         raise _errors.DocumentError(kind.__name__, mistakes) from error
-    except (TypeError, ValueError) as error:
+    except (AttributeError, TypeError, ValueError) as error:
         raise _errors.DocumentError(kind.__name__, [f'{error} @ $']) from error
 
 
@@ -141,18 +150,28 @@
 
     Raises ConfigurationError, which lists every mistake with its path.
     """
-    try:
-        config = structure(document, Config)
-    except _errors.DocumentError as error:
-        raise _errors.ConfigurationError(
-            'configuration', error.mistakes
-        ) from error
-    mistakes = list(_mistakes(config))
+    config, mistakes = check(document, Config, _mistakes)
     if mistakes:
         raise _errors.ConfigurationError('configuration', mistakes)
     return config
 
 
+def check(
+    document: Any, kind: type, find: Callable[[Any], Iterable[str]]
+) -> tuple[Any, list[str]]:
+    """Build an object and list every mistake, of form and of sense."""
+    try:
+        made = structure(document, kind)
+    except _errors.DocumentError as error:
+        wrong = list(error.mistakes)
+        try:
+            rest = structure(_pruning.prune(document, error.mistakes), kind)
+        except _errors.DocumentError:
+            return None, wrong
+        return None, wrong + list(find(rest))
+    return made, list(find(made))
+
+
 def team_of_key(config: Config, key_id: str, secret: str) -> str | None:
     """Name the team whose key this is, or None for a wrong key."""
     key = config.keys.get(key_id)
@@ -163,15 +182,20 @@
 
 
 def _mistakes(config: Config) -> Any:
+    for section in ('teams', 'keys', 'queues', 'upstreams', 'kinds'):
+        pattern = KEY_ID if section == 'keys' else NAME
+        for name in getattr(config, section):
+            if not pattern.fullmatch(name):
+                yield f'not a name ({pattern.pattern}) @ $.{section}.{name}'
     for name, team in config.teams.items():
-        if not team.share > 0:
-            yield f'share must be above 0 @ $.teams.{name}.share'
+        if not 0 < team.share < math.inf:
+            yield f'share must be above 0 and finite @ $.teams.{name}.share'
         if team.limit_slots < 0:
             yield f'limit must be 0 or more @ $.teams.{name}.limit_slots'
     for name, key in config.keys.items():
         if key.team not in config.teams:
             yield f'unknown team {key.team!r} @ $.keys.{name}.team'
-        if len(key.sha256) != hashlib.sha256().digest_size * 2:
+        if not SHA256.fullmatch(key.sha256):
             yield f'not a SHA-256 in hexadecimal @ $.keys.{name}.sha256'
     for name, queue in config.queues.items():
         if queue.access is Access.OPEN and queue.team not in config.teams:
--- /dev/null
+++ b/packages/core/celeryshift_core/_pruning.py
@@ -0,0 +1,49 @@
+"""Taking the wrong parts out of a document, so that the rest is checked."""
+
+import copy
+import re
+from typing import Any
+
+EXTRA = re.compile(r'extra fields found \((.*)\)$')
+MISSING = 'required field missing'
+STEP = re.compile(r"\.(\w+)|\['(.*?)'\](?=[.\[]|$)|\[(\d+)\]")
+
+
+def prune(document: Any, mistakes: tuple[str, ...]) -> Any:
+    """Copy a document without the parts that mistakes were found in."""
+    pruned = copy.deepcopy(document)
+    # The last first, so that the numbers in earlier paths stay right.
+    for mistake in reversed(mistakes):
+        what, _, path = mistake.rpartition(' @ $')
+        steps = _steps(path)
+        extra = EXTRA.match(what)
+        if extra is not None:
+            for name in extra.group(1).split(', '):
+                _remove(pruned, [*steps, name])
+        elif what == MISSING:
+            _remove(pruned, steps[:-1])
+        else:
+            _remove(pruned, steps)
+    return pruned
+
+
+def _steps(path: str) -> list[Any]:
+    return [
+        int(number) if number else field or key
+        for field, key, number in STEP.findall(path)
+    ]
+
+
+def _remove(document: Any, steps: list[Any]) -> None:
+    if not steps:
+        return
+    for step in steps[:-1]:
+        try:
+            document = document[step]
+        except (KeyError, IndexError, TypeError):
+            return
+    last = steps[-1]
+    if isinstance(document, dict):
+        document.pop(last, None)
+    elif isinstance(document, list) and last < len(document):
+        del document[last]
