--- a/packages/client/celeryshift_client/_api.py
+++ b/packages/client/celeryshift_client/_api.py
@@ -157,9 +157,10 @@
             ) as response:
                 document = await response.json(content_type=None)
         except UNSENT as error:
-            raise _errors.UnreachableError(url, repr(error)) from error
+            raise _errors.UnreachableError(url, _cause(error)) from error
         except FAILED as error:
-            raise _errors.UnreachableError(url, repr(error), ran) from error
+            cause = _cause(error)
+            raise _errors.UnreachableError(url, cause, ran) from error
         status = response.status
         if status >= 400 and _is_problem(document):
             raise _errors.ProblemError(status, document)
@@ -177,5 +178,9 @@
     )
 
 
+def _cause(error: Exception) -> str:
+    return f'{type(error).__name__}: {error}'
+
+
 def _quote(text: str) -> str:
     return parse.quote(text, safe='')
--- a/packages/client/celeryshift_client/_commands.py
+++ b/packages/client/celeryshift_client/_commands.py
@@ -24,6 +24,9 @@
 TOKEN_VARIABLE = 'CELERYSHIFT_TOKEN'
 AUDIT_PAGE = 20
 
+# Fire would list the metadata of a command in its help as a group.
+decorators.FIRE_METADATA = '_fire_metadata'
+
 Number = TypeVar('Number', int, float)
 Work = Callable[[], Awaitable['Result']]
 as_text = decorators.SetParseFn(str)
--- a/packages/client/celeryshift_client/_main.py
+++ b/packages/client/celeryshift_client/_main.py
@@ -25,8 +25,10 @@
             serialize=_hide_act,
         )
         if not isinstance(act, _commands.Act):
-            return _exits.ExitCode.OK
+            return _exits.ExitCode.USAGE
         result, as_json = asyncio.run(_commands.perform(act))
+    except fire.core.FireExit as ending:
+        return int(ending.code)
     except core.CeleryshiftError as error:
         sys.stderr.write(f'celeryshift: {error}\n')
         return _exits.code_of(error)
