Node: who may do what is checked at the edge, slow callers end, audit and keys are shown

Cause: a list as body, malformed peer messages and a deeply nested body ended in 500; a negative size was taken; a token outside ASCII raised inside the reducer; a connection that never sent a whole header stayed open for good, and an idle one for the hour that aiohttp gives; nobody could read the audit trail.

Change: bodies are built from typed classes, bounded in bytes and time, with every mistake and its path; the bound of hand-ins and of what peers pass on is their own, so that a largest body can be forwarded; Listener closes connections without a first request in time; unknown paths are problems too; audit pages are read by key, 100 versions at most; keys are listed without hashes; config show tells where a version is in force, from summaries. Waits are kept in a bounded histogram per kind.

--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -126,6 +126,7 @@
     peer.slices = tuple(message.slices)
     peer.free_slots_by_upstream = dict(message.free_slots_by_upstream)
     peer.draining = message.draining
+    peer.config_version = max(peer.config_version, message.config_version)
 
 
 def _take_withdrawn(
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -13,6 +13,7 @@
 from celeryshift_core import _shares
 from celeryshift_core import _state
 from celeryshift_core import _tasks
+from celeryshift_core import _waits
 
 CANDIDATES = 8
 BLOCKED_HEADS = 8
@@ -120,6 +121,7 @@
     _shares.charge(state, held, task.team, task.size.slots)
     task.note(state.now, 'placed', f'attempt {task.attempt}')
     state.counters['placements'] += 1
+    _waits.note(state, task)
     if kind.repeatable:
         _launch.send(state, held, task, out)
     else:
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -11,6 +11,7 @@
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _placement
+from celeryshift_core import _questions
 from celeryshift_core import _requests
 from celeryshift_core import _slices
 from celeryshift_core import _state
@@ -144,6 +145,8 @@
     events.CallForwarded: _submission.forwarded,
     events.ConfigHandedIn: _configuration.handed_in,
     events.KeyWithdrawn: _configuration.key_withdrawn,
+    events.AuditAsked: _questions.audit_asked,
+    events.RequestAsked: _questions.request_asked,
     events.PeerMessageArrived: _peers.arrived,
     events.PeerUnreachable: _peers.unreachable,
     events.DrainRequested: _drain,
@@ -184,4 +187,5 @@
     _configuration.HeadPurpose: _configuration.head_read,
     _configuration.DocumentPurpose: _configuration.document_read,
     _configuration.BasePurpose: _configuration.base_read,
+    _questions.AuditPurpose: _questions.audit_read,
 }
--- a/packages/core/celeryshift_core/_refusals.py
+++ b/packages/core/celeryshift_core/_refusals.py
@@ -20,6 +20,8 @@
     UNKNOWN_KIND = 'unknown-kind'
     UNKNOWN_QUEUE = 'unknown-queue'
     UNKNOWN_JOB = 'unknown-job'
+    UNKNOWN_REQUEST = 'unknown-request'
+    UNKNOWN_PATH = 'unknown-path'
     WRONG_KEY = 'wrong-key'
     WITHDRAWN_KEY = 'withdrawn-key'
     KEYS_UNCONFIRMED = 'keys-unconfirmed'
@@ -38,6 +40,7 @@
     UPSTREAM_FAILED = 'upstream-failed'
     CONFIGURATION_CONFLICT = 'configuration-conflict'
     TOO_LARGE = 'too-large'
+    SLOW_CALLER = 'slow-caller'
     INTERNAL = 'internal-error'
 
 
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -164,6 +164,9 @@
         factory=collections.OrderedDict
     )
     run_s_by_kind: dict[str, float] = attrs.field(factory=dict)
+    waits_by_kind: dict[tuple[str, bool], list[int]] = attrs.field(
+        factory=dict
+    )
     counters: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
--- a/packages/core/celeryshift_core/events.py
+++ b/packages/core/celeryshift_core/events.py
@@ -276,6 +276,24 @@
     wall_time: str
 
 
+@attrs.frozen(slots=True)
+class AuditAsked(Event):
+    """Take in a question about the changes before a version."""
+
+    reply_id: str
+    before: int | None
+    limit: int
+
+
+@attrs.frozen(slots=True)
+class RequestAsked(Event):
+    """Take in a question about what became of a request."""
+
+    reply_id: str
+    name: str
+    credentials: Credentials
+
+
 @attrs.frozen(slots=True)
 class PeerMessageArrived(Event):
     """Take in a message from another node."""
--- a/packages/node/celeryshift_node/_http.py
+++ b/packages/node/celeryshift_node/_http.py
@@ -1,69 +1,30 @@
 """The HTTP interface: callers, operators and peers."""
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import hashlib
-import hmac
 import json
-import re
 from typing import Any
-import uuid
 
 from aiohttp import web
-import attrs
 
 import celeryshift_core as core
 from celeryshift_core import events
+from celeryshift_node import _auth
+from celeryshift_node import _bodies
+from celeryshift_node import _listener
 from celeryshift_node import _problems
 from celeryshift_node import _runner
 from celeryshift_node import _settings
 from celeryshift_node import _wire
 
-NAME = re.compile(r'[A-Za-z0-9._-]{1,128}')
+WRAPPING_BYTES = 65_536
+AUDIT_PAGE = 20
+UNREAD = frozenset((core.Reason.SLOW_CALLER, core.Reason.TOO_LARGE))
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 Reason = core.Reason
 
 
-@attrs.frozen
-class RequestBody:
-    """Describe what a caller sends to run a request."""
-
-    kind: str
-    queue: str
-    id: str | None = None
-    timeout_s: float | None = None
-    payload: Any = None
-
-
-@attrs.frozen
-class JobBody:
-    """Describe what a caller sends to submit a job."""
-
-    kind: str
-    queue: str
-    id: str | None = None
-    tasks: int = 1
-    size: core.Size | None = None
-    payload: Any = None
-
-
-@attrs.frozen
-class ConfigBody:
-    """Describe what an operator sends to hand in a configuration."""
-
-    base_version: int
-    configuration: dict[str, Any]
-
-
-class RefusedError(core.CeleryshiftError):
-    """Carry a refusal out of a handler."""
-
-    def __init__(self, refusal: core.Refusal) -> None:
-        self.refusal = refusal
-        super().__init__(refusal.reason.value)
-
-
 class Api:
     """Serve the HTTP interface of a node."""
 
@@ -72,16 +33,17 @@
     def __init__(self, settings: _settings.Settings) -> None:
         self._settings = settings
         self._bounds = settings.bounds
+        self.openings = _listener.Openings(settings.bounds.header_timeout_s)
 
     def app(self) -> web.Application:
         """Build the application."""
         app = web.Application(
-            client_max_size=self._bounds.max_body_bytes,
             middlewares=[self._answer_problems],
         )
         router = app.router
         router.add_post('/v1/requests', self._request)
         router.add_post('/v1/jobs', self._submit)
+        router.add_get('/v1/requests/{request}/explain', self._why_request)
         router.add_get('/v1/jobs/{job}', self._job_act('show'))
         router.add_get('/v1/jobs/{job}/explain', self._job_act('explain'))
         router.add_delete('/v1/jobs/{job}', self._job_act('cancel'))
@@ -89,6 +51,8 @@
         router.add_get('/readyz', self._ready)
         router.add_get('/operator/v1/config', self._show_config)
         router.add_put('/operator/v1/config', self._hand_in)
+        router.add_get('/operator/v1/audit', self._audit)
+        router.add_get('/operator/v1/keys', self._list_keys)
         router.add_delete('/operator/v1/keys/{key}', self._withdraw_key)
         router.add_get('/operator/v1/node', self._node)
         router.add_post('/operator/v1/drain', self._drain)
@@ -102,33 +66,35 @@
     async def _answer_problems(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
+        self.openings.seen(request.protocol)
         try:
             response = await handler(request)
-        except RefusedError as error:
-            response = _problems.response(error.refusal)
+        except _bodies.RefusedError as error:
+            response = self._refuse(error.refusal)
+            # The rest of such a body is not waited for.
+            if error.refusal.reason in UNREAD:
+                response.force_close()
         except core.DocumentError as error:
-            refusal = core.Refusal(
-                Reason.BAD_REQUEST, detail='; '.join(error.mistakes)
-            )
-            response = _problems.response(refusal)
-        except web.HTTPRequestEntityTooLarge:
-            detail = f'a body has {self._bounds.max_body_bytes} bytes at most'
-            refusal = core.Refusal(Reason.TOO_LARGE, detail=detail)
-            response = _problems.response(refusal)
-        except web.HTTPException:
-            raise
+            detail = '; '.join(error.mistakes)
+            refusal = core.Refusal(Reason.BAD_REQUEST, detail=detail)
+            response = self._refuse(refusal)
+        except web.HTTPException as error:
+            detail = f'{request.method} {request.path[:200]}'
+            refusal = core.Refusal(Reason.UNKNOWN_PATH, detail=detail)
+            response = self._refuse(refusal)
+            response.set_status(error.status)
         except Exception:
             _runner.log.exception('handler failed')
             refusal = core.Refusal(Reason.INTERNAL, core.Ran.UNKNOWN)
-            response = _problems.response(refusal)
+            response = self._refuse(refusal)
         if self.runner.state.phase.value != 'serving':
             response.force_close()
         return response
 
     async def _request(self, request: web.Request) -> web.Response:
-        body = await self._body(request, RequestBody)
-        name = _name(body.id)
-        credentials = _credentials(request, body.queue)
+        body = await self._body(request, _bodies.RequestBody)
+        name = _bodies.name(body.id)
+        credentials = _auth.credentials(request, body.queue)
         answer = await self.runner.request(
             lambda request_id: events.RequestArrived(
                 self.runner.now,
@@ -142,17 +108,28 @@
         )
         return _json({'id': name, **_document(answer)})
 
+    async def _why_request(self, request: web.Request) -> web.Response:
+        queue = request.query.get('queue', '')
+        credentials = _auth.credentials(request, queue)
+        name = _bodies.name(request.match_info['request'])
+        reply = await self.runner.ask(
+            lambda reply_id: events.RequestAsked(
+                self.runner.now, reply_id, name, credentials
+            )
+        )
+        return _json(_document(reply))
+
     async def _submit(self, request: web.Request) -> web.Response:
-        body = await self._body(request, JobBody)
+        body = await self._body(request, _bodies.JobBody)
         spec = events.JobSpec(
-            _name(body.id),
+            _bodies.name(body.id),
             '',
             body.kind,
             body.tasks,
             body.payload,
             body.size,
         )
-        credentials = _credentials(request, body.queue)
+        credentials = _auth.credentials(request, body.queue)
         reply = await self.runner.ask(
             lambda reply_id: events.JobSubmitted(
                 self.runner.now, reply_id, spec, credentials
@@ -165,8 +142,8 @@
 
         async def handle(request: web.Request) -> web.Response:
             queue = request.query.get('queue', '')
-            credentials = _credentials(request, queue)
-            job = _name(request.match_info['job'])
+            credentials = _auth.credentials(request, queue)
+            job = _bodies.name(request.match_info['job'])
             reply = await self.runner.ask(
                 lambda reply_id: events.JobAsked(
                     self.runner.now, reply_id, job, act, credentials
@@ -192,18 +169,24 @@
             peer.id: peer.config_version
             for peer in state.membership.peers_by_id.values()
         }
-        versions[state.node] = state.config.version
+        versions[state.node] = current = state.config.version
         return _json(
             {
-                'version': state.config.version,
+                'version': current,
                 'configuration': core.unstructure(state.config),
-                'version_by_node': versions,
+                'in_force_on': sorted(
+                    node for node, at in versions.items() if at >= current
+                ),
+                'not_in_force_on': {
+                    node: at for node, at in versions.items() if at < current
+                },
             }
         )
 
     async def _hand_in(self, request: web.Request) -> web.Response:
         operator = self._operator(request)
-        body = await self._body(request, ConfigBody)
+        document = await self._json(request, self._bounds.max_config_bytes)
+        body = _bodies.build(document, _bodies.ConfigBody)
         reply = await self.runner.ask(
             lambda reply_id: events.ConfigHandedIn(
                 self.runner.now,
@@ -216,9 +199,32 @@
         )
         return _json(_document(reply))
 
+    async def _audit(self, request: web.Request) -> web.Response:
+        self._operator(request)
+        before = _bodies.number(request, 'before')
+        limit = _bodies.number(request, 'limit') or AUDIT_PAGE
+        reply = await self.runner.ask(
+            lambda reply_id: events.AuditAsked(
+                self.runner.now, reply_id, before, limit
+            )
+        )
+        return _json(_document(reply))
+
+    async def _list_keys(self, request: web.Request) -> web.Response:
+        self._operator(request)
+        state = self.runner.state
+        keys = {
+            key_id: {
+                'team': key.team,
+                'withdrawn': key_id in state.withdrawn_keys,
+            }
+            for key_id, key in sorted(state.config.keys.items())
+        }
+        return _json({'version': state.config.version, 'keys': keys})
+
     async def _withdraw_key(self, request: web.Request) -> web.Response:
         operator = self._operator(request)
-        key_id = _name(request.match_info['key'])
+        key_id = _bodies.name(request.match_info['key'])
         reply = await self.runner.ask(
             lambda reply_id: events.KeyWithdrawn(
                 self.runner.now,
@@ -253,119 +259,93 @@
         return _json({'phase': self.runner.state.phase.value})
 
     async def _peer_message(self, request: web.Request) -> web.Response:
-        self._peer(request)
-        document = await self._json_body(request)
-        message = _wire.read_message(document)
+        body = await self._peer_body(request, _bodies.PeerMessage)
+        if body.type not in _wire.MESSAGES_BY_NAME:
+            detail = f'unknown message {body.type[:80]!r}'
+            raise _bodies.refused(Reason.BAD_REQUEST, detail)
+        message = _wire.read_message({'type': body.type, 'body': body.body})
         self.runner.handle(
-            events.PeerMessageArrived(
-                self.runner.now, document['sender'], message
-            )
+            events.PeerMessageArrived(self.runner.now, body.sender, message)
         )
         return _json({})
 
     async def _peer_request(self, request: web.Request) -> web.Response:
-        self._peer(request)
-        body = await self._json_body(request)
+        body = await self._peer_body(request, _bodies.PeerRequest)
         answer = await self.runner.request(
             lambda request_id: events.RequestArrived(
                 self.runner.now,
                 request_id,
-                body['name'],
-                body['kind'],
+                body.name,
+                body.kind,
                 None,
-                body['team'],
-                body['timeout_s'],
-                body['hops'],
+                body.team,
+                body.timeout_s,
+                body.hops,
             ),
-            body['payload'],
+            body.payload,
         )
         return _json(_document(answer))
 
     async def _peer_job(self, request: web.Request) -> web.Response:
-        self._peer(request)
-        body = await self._json_body(request)
-        spec = core.structure(body['spec'], events.JobSpec)
+        body = await self._peer_body(request, _bodies.PeerJob)
         reply = await self.runner.ask(
             lambda reply_id: events.JobSubmitted(
-                self.runner.now, reply_id, spec, None, body['hops']
+                self.runner.now, reply_id, body.spec, None, body.hops
             )
         )
         return _json(_document(reply))
 
     async def _peer_job_act(self, request: web.Request) -> web.Response:
-        self._peer(request)
-        body = await self._json_body(request)
+        body = await self._peer_body(request, _bodies.PeerJobAct)
         reply = await self.runner.ask(
             lambda reply_id: events.JobAsked(
                 self.runner.now,
                 reply_id,
-                body['job'],
-                events.JobAct(body['act']),
+                body.job,
+                body.act,
                 None,
-                body['team'],
-                body['hops'],
+                body.team,
+                body.hops,
             )
         )
         return _json(_document(reply))
 
     async def _body(self, request: web.Request, kind: type) -> Any:
-        return core.structure(await self._json_body(request), kind)
-
-    async def _json_body(self, request: web.Request) -> Any:
-        try:
-            async with asyncio.timeout(self._bounds.read_timeout_s):
-                raw = await request.read()
-            return json.loads(raw)
-        except TimeoutError as error:
-            detail = 'the body did not arrive in time'
-            raise RefusedError(
-                core.Refusal(Reason.BAD_REQUEST, detail=detail)
-            ) from error
-        except ValueError as error:
-            detail = f'the body is not JSON: {error}'
-            raise RefusedError(
-                core.Refusal(Reason.BAD_REQUEST, detail=detail)
-            ) from error
+        return _bodies.build(await self._json(request), kind)
+
+    async def _json(
+        self, request: web.Request, max_bytes: int | None = None
+    ) -> Any:
+        bounds = self._bounds
+        document, _ = await _bodies.read(
+            request, max_bytes or bounds.max_body_bytes, bounds.read_timeout_s
+        )
+        return document
+
+    async def _peer_body(self, request: web.Request, kind: type) -> Any:
+        _auth.check_peer(request, self._settings.cluster_token)
+        bounds = self._bounds
+        # What a peer passes on is wrapped in a message of its own.
+        most = bounds.max_body_bytes + WRAPPING_BYTES
+        document, length = await _bodies.read(
+            request, most, bounds.read_timeout_s
+        )
+        counters = self.runner.counters
+        counters['control.received'] += 1
+        counters['control.received_bytes'] += length
+        return _bodies.build(document, kind)
 
     def _operator(self, request: web.Request) -> str:
-        given = hashlib.sha256(_bearer(request).encode()).hexdigest()
-        name = None
-        for operator, digest in self._settings.operators.items():
-            if hmac.compare_digest(given, digest):
-                name = operator
-        if name is None:
-            raise RefusedError(core.Refusal(Reason.NOT_OPERATOR))
-        return name
-
-    def _peer(self, request: web.Request) -> None:
-        given = _bearer(request).encode()
-        expected = self._settings.cluster_token.encode()
-        if not hmac.compare_digest(given, expected):
-            raise RefusedError(core.Refusal(Reason.NOT_OPERATOR))
-
-
-def _bearer(request: web.Request) -> str:
-    scheme, _, token = request.headers.get('Authorization', '').partition(' ')
-    return token if scheme.lower() == 'bearer' else ''
-
-
-def _credentials(request: web.Request, queue: str) -> events.Credentials:
-    key_id, _, secret = _bearer(request).partition('.')
-    return events.Credentials(queue, key_id, secret)
-
+        return _auth.operator(request, self._settings.operators)
 
-def _name(given: str | None) -> str:
-    if given is None:
-        return uuid.uuid4().hex
-    if not NAME.fullmatch(given):
-        detail = f'{given[:130]!r} is not a name: {NAME.pattern}'
-        raise RefusedError(core.Refusal(Reason.BAD_REQUEST, detail=detail))
-    return given
+    def _refuse(self, refusal: core.Refusal) -> web.Response:
+        self.runner.counters[f'http.refused.{refusal.reason.value}'] += 1
+        return _problems.response(refusal)
 
 
 def _document(reply: Any) -> dict:
     if isinstance(reply, core.Refusal):
-        raise RefusedError(reply)
+        raise _bodies.RefusedError(reply)
     return reply
 
 
--- a/packages/node/celeryshift_node/_runner.py
+++ b/packages/node/celeryshift_node/_runner.py
@@ -1,6 +1,7 @@
 """The runner: it feeds the reducer and carries out its effects."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Coroutine
 import datetime
@@ -33,6 +34,7 @@
     ) -> None:
         self.state = core.State(options)
         self.stopped = asyncio.Event()
+        self.counters: collections.Counter[str] = collections.Counter()
         self._platform = platform
         self._workers = workers
         self._make_peers = make_peers
@@ -154,10 +156,14 @@
             effects.Reply: lambda e: self._resolve(
                 e.reply_id, e.refusal or e.document
             ),
-            effects.LogChange: _log_change,
+            effects.LogChange: self._log_change,
             effects.StopNode: lambda e: self.stopped.set(),
         }
 
+    def _log_change(self, effect: effects.LogChange) -> None:
+        self.counters[f'changes.{effect.name}'] += 1
+        log.info(effect.name, extra=dict(effect.fields))
+
     def _resolve(self, reply_id: str, value: Any) -> None:
         future = self._replies_by_id.get(reply_id)
         if future is not None and not future.done():
@@ -296,7 +302,3 @@
 def wall_time() -> str:
     """Give the wall clock's time as RFC 3339 writes it."""
     return datetime.datetime.now(datetime.UTC).isoformat()
-
-
-def _log_change(effect: effects.LogChange) -> None:
-    log.info(effect.name, extra=dict(effect.fields))
--- a/packages/node/celeryshift_node/_service.py
+++ b/packages/node/celeryshift_node/_service.py
@@ -11,6 +11,7 @@
 import celeryshift_core as core
 from celeryshift_core import events
 from celeryshift_node import _http
+from celeryshift_node import _listener
 from celeryshift_node import _metrics
 from celeryshift_node import _peers
 from celeryshift_node import _platform
@@ -64,11 +65,8 @@
     async def _listen(self) -> tuple[web.AppRunner, str]:
         listen = self.settings.listen
         self._api = _http.Api(self.settings)
-        runner = web.AppRunner(
-            self._api.app(),
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=self.settings.bounds.drain_timeout_s,
+        runner = _listener.Listener(
+            self._api.app(), self._api.openings, self.settings.bounds
         )
         await runner.setup()
         site = web.TCPSite(runner, listen.host, listen.port, backlog=BACKLOG)
--- a/packages/node/celeryshift_node/_settings.py
+++ b/packages/node/celeryshift_node/_settings.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import re
 from typing import Any
 
 import attrs
@@ -9,7 +10,7 @@
 import celeryshift_core as core
 
 MIN_TOKEN_LENGTH = 16
-SHA256_HEX_LENGTH = 64
+SHA256 = re.compile(r'[0-9a-f]{64}')
 
 
 @attrs.frozen
@@ -44,7 +45,12 @@
     """Bound what callers may send, and for how long."""
 
     max_body_bytes: int = 262_144
+    max_config_bytes: int = 4_194_304
+    max_header_bytes: int = 8190
+    max_headers: int = 64
+    header_timeout_s: float = 10.0
     read_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
     drain_timeout_s: float = 30.0
     idle_grace_s: float = 1.0
     max_connections_per_worker: int = 64
@@ -87,7 +93,7 @@
     """
     try:
         document = json.loads(pathlib.Path(path).read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise core.SettingsError(path, [f'{error} @ $']) from error
     return parse(document, path)
 
@@ -97,11 +103,7 @@
 
     Raises SettingsError, which lists every mistake with its path.
     """
-    try:
-        settings = core.structure(document, Settings)
-    except core.DocumentError as error:
-        raise core.SettingsError(name, error.mistakes) from error
-    mistakes = list(_mistakes(settings))
+    settings, mistakes = core.check(document, Settings, _mistakes)
     if mistakes:
         raise core.SettingsError(name, mistakes)
     return settings
@@ -119,12 +121,17 @@
     if settings.slices < 1:
         yield 'must be 1 or more @ $.slices'
     for name, digest in settings.operators.items():
-        if len(digest) != SHA256_HEX_LENGTH:
+        if not SHA256.fullmatch(digest):
             yield f'not a SHA-256 in hexadecimal @ $.operators.{name}'
     if settings.log.format not in ('text', 'json'):
         yield "must be 'text' or 'json' @ $.log.format"
     if settings.log.level not in ('DEBUG', 'INFO', 'WARNING', 'ERROR'):
         yield 'must be DEBUG, INFO, WARNING or ERROR @ $.log.level'
+    if settings.statsd is not None:
+        if not 1 <= settings.statsd.port <= 65535:
+            yield 'must be 1 to 65535 @ $.statsd.port'
+        if not settings.statsd.flush_s > 0:
+            yield 'must be above 0 @ $.statsd.flush_s'
     yield from _positive(settings.timing, '$.timing')
     yield from _positive(settings.bounds, '$.bounds')
     if settings.timing.node_renew_s * 2 > settings.timing.node_lease_s:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -13,6 +13,7 @@
     made.team('ministry', share=4, limit_slots=64)
     made.team('public', share=1, limit_slots=64)
     made.key('k1', 'ministry', SECRET)
+    made.withdraw('k0')
     made.queue('field')
     made.queue('walk-in', open_for='public')
     made.request('validate', UPSTREAM, urgent=True, timeout_s=5.0)
