--- a/packages/client/celeryshift_client/_commands.py
+++ b/packages/client/celeryshift_client/_commands.py
@@ -38,6 +38,7 @@
 
     document: Any
     code: _exits.ExitCode = _exits.ExitCode.OK
+    errors: tuple[str, ...] = ()
 
 
 @attrs.frozen(eq=False)
@@ -291,16 +292,18 @@
 
         async def work() -> Result:
             shown: dict[str, Any] = {}
-            code = _exits.ExitCode.OK
+            errors = []
             for url in self._context.urls:
                 try:
                     async with self._context.client(url) as client:
                         path = '/operator/v1/node'
                         shown[url] = await client.call('GET', path)
                 except _errors.UnreachableError as error:
-                    shown[url] = {'unreachable': str(error)}
-                    code = _exits.ExitCode.UNREACHABLE
-            return Result(shown, code)
+                    shown[url] = 'unreachable'
+                    errors.append(str(error))
+            codes = _exits.ExitCode
+            code = codes.UNREACHABLE if errors else codes.OK
+            return Result(shown, code, tuple(errors))
 
         return self._context.act(work)
 
--- a/packages/client/celeryshift_client/_main.py
+++ b/packages/client/celeryshift_client/_main.py
@@ -34,6 +34,8 @@
         return _exits.code_of(error)
     except KeyboardInterrupt:
         return _exits.ExitCode.REFUSED_UNKNOWN
+    for message in result.errors:
+        sys.stderr.write(f'celeryshift: {message}\n')
     sys.stdout.write(_output.write(result.document, as_json))
     return result.code
 
--- /dev/null
+++ b/tests/entries.py
@@ -0,0 +1,108 @@
+"""A node in this process, for the tests of its edge."""
+
+import asyncio
+import contextlib
+import hashlib
+
+from aiohttp import web
+import attrs
+import builders
+
+import celeryshift_core as core
+from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_core import schema
+from celeryshift_node import _http
+from celeryshift_node import _listener
+from celeryshift_node import _runner
+from celeryshift_node import _settings
+from celeryshift_standins import _table
+
+OPERATOR = 'operator-token'
+CLUSTER = 'token-of-the-cluster'
+
+
+class Platform:
+    """Stand in for the platform: a table, and no VM."""
+
+    def __init__(self):
+        self.table = _table.Table()
+        self.answers_to_lose = 0
+        self.before_write = []
+
+    def configure(self, document):
+        """Put a configuration into the store, one version on."""
+        head = self.table.rows_by_key.get(schema.CONFIG_HEAD)
+        version = head[1]['version'] + 1 if head else 1
+        puts = {
+            schema.CONFIG_HEAD: {'version': version},
+            schema.CONFIG: {**document, 'version': version},
+        }
+        self.table.transact({}, puts, [], [])
+
+    async def write(self, effect: effects.WriteStore):
+        """Make a transaction; its answer may be lost."""
+        if schema.CONFIG in effect.puts and self.before_write:
+            self.before_write.pop()()
+        answer = self.table.transact(
+            effect.checks, effect.puts, effect.deletes, effect.prefixes
+        )
+        if schema.CONFIG in effect.puts and self.answers_to_lose:
+            self.answers_to_lose -= 1
+            return events.Outcome.UNKNOWN, 0, {}
+        outcome = events.Outcome.OK if answer.ok else events.Outcome.REFUSED
+        return outcome, answer.version, _rows(answer)
+
+    async def read(self, effect: effects.ReadStore):
+        """Read rows."""
+        return _rows(self.table.read(effect.keys, effect.prefixes))
+
+    async def vms(self, revision):
+        """Show no VM."""
+        return 0, []
+
+
+def _rows(answer):
+    return {key: schema.Row(*row) for key, row in answer.rows.items()}
+
+
+@attrs.frozen
+class Entry:
+    """Hold where a node listens, and its platform."""
+
+    url: str
+    platform: Platform
+
+
+@contextlib.asynccontextmanager
+async def node(**bounds):
+    """Run a node on loopback, configured, without a lease."""
+    settings = _settings.parse(
+        {
+            'data_centre': 'dc1',
+            'platform_url': 'http://127.0.0.1:1',
+            'cluster_token': CLUSTER,
+            'operators': {
+                'ana': hashlib.sha256(b'operator-token').hexdigest()
+            },
+            'bounds': bounds,
+        }
+    )
+    api = _http.Api(settings)
+    listener = _listener.Listener(api.app(), api.openings, settings.bounds)
+    platform = Platform()
+    platform.configure(builders.fleet().document())
+    options = core.Options('127.0.0.1:1', 'dc1')
+    runner = _runner.Runner(options, platform, None, lambda node: None)
+    api.runner = runner
+    await listener.setup()
+    site = web.TCPSite(listener, '127.0.0.1', 0)
+    await site.start()
+    runner.start()
+    while not runner.state.config.version:
+        await asyncio.sleep(0.001)
+    try:
+        yield Entry('http://{}:{}'.format(*listener.addresses[0]), platform)
+    finally:
+        await listener.cleanup()
+        await runner.close()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,92 +2,17 @@
 
 import asyncio
 import contextlib
-import hashlib
 import json
 
 import aiohttp
 import builders
+import entries
 import pytest
 
 import celeryshift_client
 import celeryshift_core as core
-from celeryshift_core import effects
-from celeryshift_core import events
-from celeryshift_core import schema
-from celeryshift_node import _http
-from celeryshift_node import _listener
-from celeryshift_node import _runner
-from celeryshift_node import _settings
-
-OPERATOR = 'operator-token'
-CLUSTER = 'token-of-the-cluster'
-BOUNDS = {'read_timeout_s': 0.2, 'header_timeout_s': 0.2, 'max_body_bytes': 99}
-
 
-class _Platform:
-    """Stand in for the platform: one row of configuration, no lease."""
-
-    def __init__(self):
-        self.rows = {}
-        self.version = 0
-
-    def configure(self, document):
-        row = {**document, 'version': 1}
-        self._put({schema.CONFIG_HEAD: {'version': 1}, schema.CONFIG: row})
-
-    async def write(self, effect: effects.WriteStore):
-        found = {
-            key: self.rows[key] for key in effect.checks if key in self.rows
-        }
-        for key, version in effect.checks.items():
-            if (found[key].version if key in found else 0) != version:
-                return events.Outcome.REFUSED, 0, found
-        self._put(effect.puts)
-        return events.Outcome.OK, self.version, {}
-
-    async def read(self, effect: effects.ReadStore):
-        return {key: self.rows[key] for key in effect.keys if key in self.rows}
-
-    async def vms(self, revision):
-        return 0, []
-
-    def _put(self, puts):
-        self.version += 1
-        for key, value in puts.items():
-            self.rows[key] = schema.Row(self.version, value)
-
-
-@contextlib.asynccontextmanager
-async def _node(**bounds):
-    settings = _settings.parse(
-        {
-            'data_centre': 'dc1',
-            'platform_url': 'http://127.0.0.1:1',
-            'cluster_token': CLUSTER,
-            'operators': {
-                'ana': hashlib.sha256(b'operator-token').hexdigest()
-            },
-            'bounds': bounds,
-        }
-    )
-    api = _http.Api(settings)
-    listener = _listener.Listener(api.app(), api.openings, settings.bounds)
-    platform = _Platform()
-    platform.configure(builders.fleet().document())
-    options = core.Options('127.0.0.1:1', 'dc1')
-    runner = _runner.Runner(options, platform, None, lambda node: None)
-    api.runner = runner
-    await listener.setup()
-    site = aiohttp.web.TCPSite(listener, '127.0.0.1', 0)
-    await site.start()
-    runner.start()
-    while not runner.state.config.version:
-        await asyncio.sleep(0.001)
-    try:
-        yield 'http://{}:{}'.format(*listener.addresses[0])
-    finally:
-        await listener.cleanup()
-        await runner.close()
+BOUNDS = {'read_timeout_s': 0.2, 'header_timeout_s': 0.2, 'max_body_bytes': 99}
 
 
 async def _call(url, method, path, token='', **options):
@@ -107,8 +32,8 @@
 
 def _refused_call(method, path, token='', bounds=BOUNDS, **options):
     async def call():
-        async with _node(**bounds) as url:
-            return await _call(url, method, path, token, **options)
+        async with entries.node(**bounds) as entry:
+            return await _call(entry.url, method, path, token, **options)
 
     return asyncio.run(call())
 
@@ -161,7 +86,7 @@
     assert said in reply[1]['detail']
 
 
-@pytest.mark.parametrize('token', ['', KEY, CLUSTER])
+@pytest.mark.parametrize('token', ['', KEY, entries.CLUSTER])
 @pytest.mark.parametrize(
     ('method', 'path'),
     [
@@ -179,12 +104,12 @@
     assert _problem(reply) == (403, 'not-operator', 'no')
 
 
-@pytest.mark.parametrize('token', ['', KEY, OPERATOR])
+@pytest.mark.parametrize('token', ['', KEY, entries.OPERATOR])
 @pytest.mark.parametrize('path', ['messages', 'requests', 'jobs', 'job-acts'])
 def test_only_nodes_speak_as_peers(path, token):
     reply = _refused_call('POST', f'/peer/v1/{path}', token, json={})
     assert _problem(reply) == (403, 'not-operator', 'no')
-    reply = _refused_call('POST', f'/peer/v1/{path}', CLUSTER, json={})
+    reply = _refused_call('POST', f'/peer/v1/{path}', entries.CLUSTER, json={})
     assert _problem(reply) == (400, 'bad-request', 'no')
 
 
@@ -202,8 +127,8 @@
 )
 def test_a_connection_without_a_whole_header_is_closed(sent):
     async def connect():
-        async with _node(**BOUNDS) as url:
-            port = int(url.rpartition(':')[2])
+        async with entries.node(**BOUNDS) as entry:
+            port = int(entry.url.rpartition(':')[2])
             reader, writer = await asyncio.open_connection('127.0.0.1', port)
             writer.write(sent)
             with contextlib.suppress(ConnectionResetError):
@@ -221,9 +146,9 @@
 
 async def _long_header(headers):
     async with (
-        _node() as url,
+        entries.node() as entry,
         aiohttp.ClientSession() as session,
-        session.get(f'{url}/healthz', headers=headers) as response,
+        session.get(f'{entry.url}/healthz', headers=headers) as response,
     ):
         return response.status, await response.text()
 
@@ -231,8 +156,8 @@
 def test_changes_leave_an_audit_trail_and_no_hash_is_shown():
     async def change():
         async with (
-            _node() as url,
-            celeryshift_client.Client(url, OPERATOR) as operator,
+            entries.node() as entry,
+            celeryshift_client.Client(entry.url, entries.OPERATOR) as operator,
         ):
             shown = await operator.configuration()
             document = shown['configuration']
