--- a/packages/core/celeryshift_core/__init__.py
+++ b/packages/core/celeryshift_core/__init__.py
@@ -25,6 +25,7 @@
 from celeryshift_core._refusals import Refusal
 from celeryshift_core._size import Size
 from celeryshift_core._state import State
+from celeryshift_core._waits import percentile
 
 __all__ = [
     'Access',
@@ -49,6 +50,7 @@
     'UpstreamState',
     'check',
     'parse',
+    'percentile',
     'reduce',
     'structure',
     'unstructure',
--- a/packages/node/celeryshift_node/_logs.py
+++ b/packages/node/celeryshift_node/_logs.py
@@ -1,8 +1,11 @@
 """Log lines: as text for people, or as JSON."""
 
+import contextlib
 import json
+from typing import Any
 
 import logbook
+from logbook import compat
 
 from celeryshift_node import _settings
 
@@ -13,16 +16,15 @@
     def __call__(
         self, record: logbook.LogRecord, handler: logbook.Handler
     ) -> str:
-        return json.dumps(
-            {
-                'at': record.time.isoformat(),
-                'level': record.level_name,
-                'change': record.message,
-                'trace': _trace(record),
-                **record.extra,
-            },
-            default=str,
-        )
+        document = {
+            **record.extra,
+            'at': record.time.isoformat(),
+            'level': record.level_name,
+            'change': record.message,
+        }
+        if trace := record.formatted_exception:
+            document['trace'] = trace
+        return json.dumps(document, default=str)
 
 
 class TextFormatter:
@@ -31,14 +33,11 @@
     def __call__(
         self, record: logbook.LogRecord, handler: logbook.Handler
     ) -> str:
-        fields = ' '.join(f'{k}={v}' for k, v in record.extra.items())
+        fields = ''.join(f' {k}={_text(v)}' for k, v in record.extra.items())
         at = record.time.isoformat(timespec='milliseconds')
-        line = f'{at} {record.level_name} {record.message} {fields}'.rstrip()
-        return f'{line}\n{trace}' if (trace := _trace(record)) else line
-
-
-def _trace(record: logbook.LogRecord) -> str | None:
-    return record.formatted_exception
+        line = f'{at} {record.level_name} {record.message}{fields}'
+        trace = record.formatted_exception
+        return f'{line}\n{trace}' if trace else line
 
 
 def handler(settings: _settings.Log) -> logbook.Handler:
@@ -47,3 +46,18 @@
     is_json = settings.format == 'json'
     made.formatter = JsonFormatter() if is_json else TextFormatter()
     return made
+
+
+@contextlib.contextmanager
+def writing(settings: _settings.Log) -> Any:
+    """Write the lines of this program, and those of its libraries."""
+    redirected = compat.redirected_logging(set_root_logger_level=False)
+    with handler(settings).applicationbound(), redirected:
+        yield
+
+
+def _text(value: Any) -> str:
+    # A value with blanks in it must not look like further fields.
+    text = value if isinstance(value, str) else json.dumps(value, default=str)
+    is_plain = text.isprintable() and ' ' not in text and text
+    return text if is_plain else json.dumps(text)
--- a/packages/node/celeryshift_node/_main.py
+++ b/packages/node/celeryshift_node/_main.py
@@ -24,7 +24,7 @@
     stop_s = bounds.drain_timeout_s + bounds.idle_grace_s + 5
     service = _service.NodeService(settings=checked)
     with (
-        _logs.handler(checked.log).applicationbound(),
+        _logs.writing(checked.log),
         aiomisc.entrypoint(
             service, log_config=False, shutdown_timeout=stop_s
         ) as loop,
