--- a/packages/client/celeryshift_client/_errors.py
+++ b/packages/client/celeryshift_client/_errors.py
@@ -14,8 +14,9 @@
         self.reason = problem['type'].rpartition(':')[2]
         self.ran = problem['ran']
         self.retry_after_s = problem.get('retry_after_s')
-        detail = problem.get('detail', '')
-        super().__init__(f'{self.reason} (ran: {self.ran}): {detail}')
+        detail = problem.get('detail')
+        text = f'{self.reason} (ran: {self.ran})'
+        super().__init__(f'{text}: {detail}' if detail else text)
 
 
 class UnreachableError(core.CeleryshiftError):
--- a/packages/client/celeryshift_client/_output.py
+++ b/packages/client/celeryshift_client/_output.py
@@ -33,7 +33,7 @@
         if isinstance(value, (dict, list)) and value:
             lines.append(f'{indent}{key}:')
             lines += _lines(value, indent + INDENT)
-        else:
+        elif value != '':
             lines.append(f'{indent}{key}: {_scalar(value)}')
     return lines
 
--- a/packages/core/celeryshift_core/_configuration.py
+++ b/packages/core/celeryshift_core/_configuration.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from celeryshift_core import _audit
 from celeryshift_core import _config
 from celeryshift_core import _errors
 from celeryshift_core import _peers
@@ -130,7 +131,7 @@
     record = {
         'who': event.operator,
         'at': event.wall_time,
-        'what': 'configuration',
+        'what': _what(state, event),
         'from_version': current,
         'to_version': version,
     }
@@ -190,6 +191,13 @@
     )
 
 
+def _what(state: _state.State, event: events.ConfigHandedIn) -> list[str]:
+    if state.config.version != event.base_version:
+        # This node is behind: it cannot tell what the change began from.
+        return [f'compared with version {event.base_version}: not known']
+    return _audit.changes(state.config, _config.parse(event.document))
+
+
 def _conflict(
     state: _state.State,
     event: events.ConfigHandedIn,
