A playground, so that every command of the README can be run

Cause: on a clean clone make demo ran (47 s with the environment), but the README's commands after it had no node to talk to, nor celeryshift on the path.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 STEPS ?= 2000
 
-.PHONY: setup demo test lint types unit format scenarios bench capacity
+.PHONY: setup demo playground test lint types unit format scenarios bench capacity
 
 setup: $(VENV)/.ready
 
@@ -19,6 +19,9 @@
 demo: setup
 	$(PY) -m celeryshift_standins.demo
 
+playground: setup
+	@$(PY) -m celeryshift_standins.playground
+
 test: lint types unit
 
 lint: setup
