--- a/packages/standins/celeryshift_standins/playground.py
+++ b/packages/standins/celeryshift_standins/playground.py
@@ -13,8 +13,8 @@
 async def _run() -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stopped.set)
+    for each in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(each, stopped.set)
     async with beds.Bed() as bed:
         await bed.add_workers('dc1', WORKERS, 'coding')
         for number in range(NODES):
