--- a/packages/client/celeryshift_client/_api.py
+++ b/packages/client/celeryshift_client/_api.py
@@ -14,13 +14,14 @@
 DEFAULT_TIMEOUT_S = 60.0
 UNSENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 FAILED = (aiohttp.ClientError, TimeoutError, ValueError, RecursionError)
-# Another node may do what this one cannot do at the moment.
+# Another node may do, or know, what this one does not at the moment.
 TRY_NEXT = frozenset(
     reason.value
     for reason in (
         core.Reason.DRAINING,
         core.Reason.NOT_READY,
         core.Reason.KEYS_UNCONFIRMED,
+        core.Reason.UNKNOWN_REQUEST,
     )
 )
 RAN = frozenset(ran.value for ran in core.Ran)
--- a/packages/core/celeryshift_core/_configuration.py
+++ b/packages/core/celeryshift_core/_configuration.py
@@ -191,11 +191,12 @@
     )
 
 
-def _what(state: _state.State, event: events.ConfigHandedIn) -> list[str]:
+def _what(state: _state.State, event: events.ConfigHandedIn) -> str:
     if state.config.version != event.base_version:
         # This node is behind: it cannot tell what the change began from.
-        return [f'compared with version {event.base_version}: not known']
-    return _audit.changes(state.config, _config.parse(event.document))
+        return f'compared with version {event.base_version}: not known'
+    found = _audit.changes(state.config, _config.parse(event.document))
+    return '; '.join(found) or 'nothing'
 
 
 def _conflict(
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -23,7 +23,7 @@
 
 
 class Platform:
-    """Stand in for the platform: a table, and no VM."""
+    """Stand in for the platform: a table, and a VM list."""
 
     def __init__(self):
         self.table = _table.Table()
@@ -58,8 +58,13 @@
         return _rows(self.table.read(effect.keys, effect.prefixes))
 
     async def vms(self, revision):
-        """Show no VM."""
-        return 0, []
+        """Show a worker of another data centre."""
+        capacity = core.Size(8, 32_000, 131_072, 0)
+        role = events.VmRole.WORKER
+        vm = events.Vm(
+            'w0', role, 'w0', 'dc2', 'r0', builders.UPSTREAM, capacity=capacity
+        )
+        return 1, [vm]
 
 
 def _rows(answer):
@@ -99,7 +104,7 @@
     site = web.TCPSite(listener, '127.0.0.1', 0)
     await site.start()
     runner.start()
-    while not runner.state.config.version:
+    while not (runner.state.config.version and runner.state.vm_revision):
         await asyncio.sleep(0.001)
     try:
         yield Entry('http://{}:{}'.format(*listener.addresses[0]), platform)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -137,7 +137,7 @@
     assert [code for code, _, _ in ended] == [Code.REFUSED_NOT_RUN] * 4
     reasons = [err.split()[1] for _, _, err in ended]
     assert reasons == [
-        'no-upstream',
+        'not-ready',
         'unknown-request',
         'unknown-job',
         'not-operator',
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -64,7 +64,7 @@
         ('requests', 'k0.old', REQUEST, 401, 'withdrawn-key', ''),
         ('requests', KEY, {**REQUEST, 'kind': 'x'}, 404, 'unknown-kind', ''),
         ('requests', KEY, {**REQUEST, 'queue': 'x'}, 404, 'unknown-queue', ''),
-        ('requests', KEY, REQUEST, 503, 'no-upstream', 'no workers'),
+        ('requests', KEY, REQUEST, 503, 'not-ready', 'no workers'),
         ('jobs', KEY, {**JOB, 'tasks': 0}, 400, 'bad-request', '$.tasks'),
         (
             'jobs',
@@ -74,6 +74,7 @@
             'bad-request',
             '$.size.slots',
         ),
+        ('jobs', KEY, {**JOB, 'size': {'slots': 9}}, 422, 'never-fits', ''),
         ('nothing', KEY, JOB, 404, 'unknown-path', 'POST /v1/nothing'),
     ],
 )
@@ -113,6 +114,18 @@
     assert _problem(reply) == (400, 'bad-request', 'no')
 
 
+def test_a_hand_in_with_mistakes_is_refused_with_all_of_them():
+    document = builders.fleet().document()
+    document['keys']['k1']['team'] = 'nobody'
+    document['kinds']['seal']['size']['slots'] = 0
+    body = {'base_version': 1, 'configuration': document}
+    path = '/operator/v1/config'
+    reply = _refused_call('PUT', path, entries.OPERATOR, json=body)
+    assert _problem(reply) == (400, 'bad-request', 'no')
+    assert '$.keys.k1.team' in reply[1]['detail']
+    assert '$.kinds.seal.size.slots' in reply[1]['detail']
+
+
 def test_a_slow_body_ends_in_a_problem():
     async def drip():
         yield b'{'
@@ -185,13 +198,13 @@
     del record['at']
     assert record == {
         'who': 'ana',
-        'what': ['teams.late added', 'teams.public changed'],
+        'what': 'teams.late added; teams.public changed',
         'from_version': 2,
         'to_version': 3,
     }
     assert last['next_before'] == 3
     assert first['records'][0]['to_version'] == 2
-    assert first['records'][0]['what'] == []
+    assert first['records'][0]['what'] == 'nothing'
     assert keys['keys']['k1'] == {'team': 'ministry', 'withdrawn': False}
     assert shown['version'] == 3
     assert shown['not_in_force_on'] == {}
