--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -142,6 +142,7 @@
     _confirmation.by_peer(state, peer, message)
     if message.config_version > state.config.version:
         _configuration.heard_newer(state, peer, out)
+    peer.config_version = max(peer.config_version, message.config_version)
 
 
 _HANDLERS_BY_TYPE: dict[
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -11,6 +11,7 @@
 from celeryshift_core import _rights
 from celeryshift_core import _state
 from celeryshift_core import _tasks
+from celeryshift_core import _waits
 
 MAX_HINTS = 32
 SEARCH_AGAIN_S = 1.0
@@ -154,6 +155,7 @@
     _launch.book(state, held, task, worker, task.size)
     task.state = _tasks.TaskState.STARTING
     state.counters['placements'] += 1
+    _waits.note(state, task)
     if kind.repeatable:
         _launch.send(state, held, task, out)
     else:
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -15,6 +15,7 @@
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _placement
+from celeryshift_core import _questions
 from celeryshift_core import _refusing
 from celeryshift_core import _requests
 from celeryshift_core import _slices
@@ -159,6 +160,8 @@
     events.CallForwarded: _submission.forwarded,
     events.ConfigHandedIn: _configuration.handed_in,
     events.KeyWithdrawn: _keys.withdrawn,
+    events.AuditAsked: _questions.audit_asked,
+    events.RequestAsked: _questions.request_asked,
     events.PeerMessageArrived: _peers.arrived,
     events.PeerUnreachable: _peers.unreachable,
     events.DrainRequested: _drain,
@@ -218,4 +221,5 @@
     _configuration.BasePurpose: _configuration.base_read,
     _keys.BasePurpose: _keys.base_read,
     _allotments.PoolsPurpose: _allotments.pools_read,
+    _questions.AuditPurpose: _questions.audit_read,
 }
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -228,6 +228,9 @@
     )
     run_s_by_kind: dict[str, float] = attrs.field(factory=dict)
     gauges: dict[str, float] = attrs.field(factory=dict)
+    waits_by_kind: dict[tuple[str, bool], list[int]] = attrs.field(
+        factory=dict
+    )
     counters: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -13,7 +13,7 @@
 
 def _fleet(limit=LIMIT):
     made = builders.fleet()
-    made.team('ministry', share=4, limit_slots=limit)
+    made.change_team('ministry', limit_slots=limit)
     return made.document()
 
 
