--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -106,23 +106,31 @@
 
 async def _survive(faults: str) -> Load:
     async with beds.Bed(**TIMING) as bed:
-        nodes = await _set_up(bed)
-        load = Load(bed)
-        senders = [
-            asyncio.create_task(load.requests(node)) for node in nodes[1:]
-        ]
-        submitters = [
-            asyncio.create_task(load.jobs(node, 10)) for node in nodes[1:]
-        ]
-        await asyncio.sleep(0.5)
-        await FAULTS_BY_NAME[faults](bed, nodes, load)
-        await asyncio.gather(*submitters)
-        load.end()
-        await asyncio.gather(*senders)
-        await bed.until(
-            lambda: load.all_done(nodes[1]), 'every accepted job is done', 60
-        )
-        await _check(bed)
+        try:
+            return await _survive_on(bed, faults)
+        except BaseException:
+            bed.print_logs()
+            raise
+
+
+async def _survive_on(bed: beds.Bed, faults: str) -> Load:
+    nodes = await _set_up(bed)
+    load = Load(bed)
+    senders = [
+        asyncio.create_task(load.requests(node)) for node in nodes[1:]
+    ]
+    submitters = [
+        asyncio.create_task(load.jobs(node, 10)) for node in nodes[1:]
+    ]
+    await asyncio.sleep(0.5)
+    await FAULTS_BY_NAME[faults](bed, nodes, load)
+    await asyncio.gather(*submitters)
+    load.end()
+    await asyncio.gather(*senders)
+    await bed.until(
+        lambda: load.all_done(nodes[1]), 'every accepted job is done', 60
+    )
+    await _check(bed)
     return load
 
 
