--- a/packages/core/celeryshift_core/_ownership.py
+++ b/packages/core/celeryshift_core/_ownership.py
@@ -270,7 +270,7 @@
     if owner and owner != state.node:
         peer = state.membership.peers_by_id.get(owner)
         if peer is not None:
-            if state.now - peer.changed_at <= options.takeover_s:
+            if _may_be_live(state, peer):
                 return
             if not _promises.may_take(state, peer, out):
                 return
@@ -400,3 +400,8 @@
 def _is_stable(state: _state.State) -> bool:
     since = state.now - state.membership.stable_since
     return since > STABLE_LEASES * state.options.node_lease_s
+
+
+def _may_be_live(state: _state.State, peer: _state.Peer) -> bool:
+    """Tell whether the lease of a peer may still run."""
+    return state.now - peer.changed_at <= state.options.takeover_s
--- a/packages/core/celeryshift_core/_promises.py
+++ b/packages/core/celeryshift_core/_promises.py
@@ -84,7 +84,7 @@
     """Promise a peer not to take from it nor to vouch against it."""
     peer = state.membership.peers_by_id.get(sender)
     if (
-        message.to != state.node
+        not _is_to(state, message.to)
         or peer is None
         or not _is_asked(state, message.basis)
         or _is_fenced(state, sender, message.basis)
@@ -104,7 +104,7 @@
     """Take in a promise; tell whether this node may act for longer."""
     promises = state.promises
     if (
-        message.to != state.node
+        not _is_to(state, message.to)
         or message.basis != promises.basis_version
         or sender not in promises.address_by_peer
         or _has_lapsed(state)
@@ -153,10 +153,8 @@
     out: _state.Out,
 ) -> None:
     """Promise an owner nothing more, and say how long promises run."""
-    peer = state.membership.peers_by_id.get(sender)
     if (
-        message.to != state.node
-        or peer is None
+        not _is_to(state, message.to)
         or state.phase is not _state.NodePhase.SERVING
         or not _is_asked(state, message.basis)
     ):
@@ -166,7 +164,7 @@
     reply = messages.Vouched(
         sender, message.owner, message.version, max(0.0, until - state.now)
     )
-    out.append(effects.SendPeer(peer.id, peer.address, reply))
+    out.append(effects.SendPeer(sender, message.address, reply))
 
 
 def vouched(
@@ -176,7 +174,7 @@
     out: _state.Out,
 ) -> None:
     """Take in that a node promises an owner nothing more."""
-    if message.to == state.node:
+    if _is_to(state, message.to):
         wait_s = message.wait_s * (1 + state.options.clock_margin)
         state.promises.vouch_by_node[message.owner] = _state.Vouch(
             message.version, state.now + wait_s
@@ -198,7 +196,11 @@
             and peer.id != owner.id
         ):
             message = messages.VouchAsked(
-                peer.id, owner.id, owner.row_version, owner.basis
+                peer.id,
+                state.options.address,
+                owner.id,
+                owner.row_version,
+                owner.basis,
             )
             out.append(effects.SendPeer(peer.id, peer.address, message))
 
@@ -233,6 +235,11 @@
     return message.asked_at
 
 
+def _is_to(state: _state.State, node: str) -> bool:
+    """Tell whether a message is to this process, and to no earlier one."""
+    return node == state.node
+
+
 def _is_asked(state: _state.State, basis: int) -> bool:
     """Tell whether an owner with this basis needs this node's promise."""
     return 0 < state.membership.since_version <= basis
--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -1,5 +1,7 @@
 """The life of a slice at its owner: recovery, workers, release."""
 
+import attrs
+
 from celeryshift_core import _departures
 from celeryshift_core import _ids
 from celeryshift_core import _jobs
@@ -15,6 +17,17 @@
 from celeryshift_core import schema
 
 
+@attrs.define(eq=False)
+class _Load:
+    """Give the load of a team on a slice, by which its queue ranks teams."""
+
+    state: _state.State
+    held: _state.Slice = attrs.field(init=False)
+
+    def __call__(self, team: str) -> float:
+        return _shares.load(self.state, self.held, team)
+
+
 def recover(
     state: _state.State,
     number: int,
@@ -28,14 +41,15 @@
     No task of an earlier owner starts again until each worker has said what
     it runs, or the leases that the earlier owner gave have surely ended.
     """
-    held: _state.Slice
+    load = _Load(state)
     held = _state.Slice(
         number,
         epoch,
         row.version,
-        _queue.Queue(lambda team: _shares.load(state, held, team)),
+        _queue.Queue(load),
         row.value['vm_revision'],
     )
+    load.held = held
     state.slices_by_number[number] = held
     out.append(_change('slice-taken', held))
     for row in job_rows.values():
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -108,7 +108,7 @@
 
     def __init__(self) -> None:
         self._at_by_key: dict[Hashable, tuple[float, int]] = {}
-        self._due: SortedList = SortedList(key=lambda entry: entry[:2])
+        self._due: SortedList = SortedList(key=_due_order)
         self._count = 0
 
     def __len__(self) -> int:
@@ -148,3 +148,7 @@
             _, _, key = self._due.pop(0)
             del self._at_by_key[key]
             yield key
+
+
+def _due_order(entry: tuple[float, int, Hashable]) -> tuple[float, int]:
+    return entry[:2]
--- a/packages/core/celeryshift_core/messages.py
+++ b/packages/core/celeryshift_core/messages.py
@@ -46,6 +46,7 @@
     """Ask a node to promise an owner nothing more."""
 
     to: str
+    address: str
     owner: str
     version: int
     basis: int
--- /dev/null
+++ b/tests/takeover.py
@@ -0,0 +1,280 @@
+"""A small model of takeover: real reducers, every schedule of few faults."""
+
+import hashlib
+import heapq
+import pickle
+import sys
+import time
+
+import attrs
+
+import celeryshift_core as core
+from celeryshift_core import _rights
+from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_core import schema
+from celeryshift_standins import _table
+
+OPTIONS = {
+    'slices': 1,
+    'node_lease_s': 3.0,
+    'node_renew_s': 1.0,
+    'vm_poll_s': 2.0,
+    'config_poll_s': 1e6,
+    'nodes_poll_s': 1e6,
+    'summary_s': 1e6,
+    'settle_s': 0.5,
+}
+NODES = ('a', 'b', 'c')
+PHASE_S = 0.7
+SETTLED_S = 5.9
+FAST_S = 0.01
+SLOW_S = 0.45
+
+Outcome = events.Outcome
+DEFAULT_ACTIONS = (
+    *(f'{act} {name}' for act in ('cut', 'crash', 'vm') for name in 'ab'),
+    *(f'{act} {name}' for act in ('restart', 'pause') for name in 'ab'),
+    *('cut ab', 'store', 'join', 'lose', 'tear', 'slow', 'link ab', 'link ac'),
+)
+
+
+class OwnedTwiceError(AssertionError):
+    """Report that two nodes could act on the slice at once."""
+
+
+@attrs.define(eq=False)
+class Model:
+    """Hold the nodes, the store, what is cut, and what is on its way."""
+
+    now: float = 0.0
+    states: dict[str, core.State] = attrs.field(factory=dict)
+    paused: set[str] = attrs.field(factory=set)
+    table: _table.Table = attrs.field(factory=_table.Table)
+    vms: dict[str, tuple[int, events.Vm]] = attrs.field(factory=dict)
+    cut: set[str] = attrs.field(factory=set)
+    lose: bool = False
+    tear: bool = False
+    slow: bool = False
+    count: int = 0
+    queue: list[tuple] = attrs.field(factory=list)
+    held_back: list[tuple] = attrs.field(factory=list)
+
+    def start(self, name: str) -> None:
+        """Start a node, or start it again as another incarnation."""
+        self.count += 1
+        state = core.State(core.Options(name, 'dc1', **OPTIONS))
+        state.now = self.now
+        self.states[name] = state
+        self.list_vm(name, events.VmState.LIVE)
+        self._feed(name, events.Started(self.now, f'{self.count}'))
+        state.rng = None  # Large, and of no use without requests.
+
+    def list_vm(self, name: str, vm_state: events.VmState) -> None:
+        """Change what the VM list says of a node."""
+        role = events.VmRole.ENTRY
+        vm = events.Vm(name, role, name, 'dc1', state=vm_state)
+        self.vms[name] = (len(self.vms) + self.count, vm)
+        self.count += 1
+
+    def act(self, action: str) -> None:
+        """Let a fault befall the model, or undo one that lasts."""
+        what, _, whom = action.partition(' ')
+        if what == 'cut':
+            self.cut.symmetric_difference_update(whom)
+        elif what == 'store':
+            self.cut.symmetric_difference_update(NODES)
+        elif what == 'link':
+            self.cut.symmetric_difference_update((whom,))
+        elif what == 'join':
+            self.start('c')
+        elif what in ('lose', 'tear'):
+            self.lose = True
+            self.tear = what == 'tear'
+        elif what == 'slow':
+            self.slow = not self.slow
+        elif what == 'pause':
+            self.paused.symmetric_difference_update(whom)
+            held_back, self.held_back = self.held_back, []
+            for node, event in held_back:
+                self._after(0.0, node, event)
+        else:
+            self.states.pop(whom, None)
+            if what == 'restart':
+                self.start(whom)
+            elif what == 'vm':
+                self.list_vm(whom, events.VmState.GONE)
+
+    def run(self, until: float) -> None:
+        """Let time pass, in the order in which things fall due."""
+        while True:
+            timers = [
+                (state.timers.next_at, name)
+                for name, state in self.states.items()
+                if name not in self.paused
+            ]
+            at, name = min(timers, default=(until, ''))
+            if self.queue and self.queue[0][0] <= min(at, until):
+                self.now, _, name, event = heapq.heappop(self.queue)
+                self._deliver(name, event)
+            elif at <= until and name:
+                self.now = max(self.now, at)
+                self._feed(name, events.Tick(self.now))
+            else:
+                break
+            self.check()
+        self.now = until
+
+    def check(self) -> None:
+        """Raise OwnedTwiceError if two nodes may act on the slice."""
+        acting = [
+            name
+            for name, state in self.states.items()
+            if name not in self.paused
+            and state.slices_by_number
+            and self.now + _rights.SEND_ALLOWANCE_S < _rights.until(state)
+        ]
+        if len(acting) > 1:
+            raise OwnedTwiceError(f'{acting} at {self.now:.2f} s')
+
+    def _after(self, delay_s: float, name: str, event: events.Event) -> None:
+        self.count += 1
+        entry = (self.now + delay_s, self.count, name, event)
+        heapq.heappush(self.queue, entry)
+
+    def _deliver(self, node: str, event: events.Event) -> None:
+        """Give an event to the process it is for, if that still runs."""
+        name = node.partition('/')[0]
+        state = self.states.get(name)
+        to_process = isinstance(event, events.PeerMessageArrived)
+        if name in self.paused:
+            self.held_back.append((node, event))
+        elif state is not None and (to_process or state.node == node):
+            self._feed(name, attrs.evolve(event, now=self.now))
+
+    def _feed(self, name: str, event: events.Event) -> None:
+        state = self.states[name]
+        for effect in core.reduce(state, event):
+            if isinstance(effect, effects.WriteStore):
+                self._write(name, state.node, effect)
+            elif isinstance(effect, effects.ReadStore):
+                self._read(name, state.node, effect)
+            elif isinstance(effect, effects.FetchVms):
+                self._fetch(name, state.node, effect)
+            elif isinstance(effect, effects.SendPeer):
+                self._send(name, state.node, effect)
+
+    def _write(self, name: str, node: str, effect: effects.WriteStore) -> None:
+        unknown = events.StoreWritten(0.0, effect.op_id, Outcome.UNKNOWN)
+        if name in self.cut:
+            self._after(0.6, node, unknown)
+            return
+        found = self.table.transact(
+            effect.checks, effect.puts, effect.deletes, effect.prefixes
+        )
+        outcome = Outcome.OK if found.ok else Outcome.REFUSED
+        answer = events.StoreWritten(
+            0.0, effect.op_id, outcome, found.version, _rows(found)
+        )
+        self._after(FAST_S, node, unknown if self.lose else answer)
+        if self.tear:
+            self.cut.add(name)
+        self.lose = self.tear = False
+
+    def _read(self, name: str, node: str, effect: effects.ReadStore) -> None:
+        rows = None
+        if name not in self.cut:
+            rows = _rows(self.table.read(effect.keys, effect.prefixes))
+        self._after(FAST_S, node, events.StoreRead(0.0, effect.op_id, rows))
+
+    def _fetch(self, name: str, node: str, effect: effects.FetchVms) -> None:
+        vms = [vm for at, vm in self.vms.values() if at > effect.revision]
+        event = events.VmsFetched(
+            0.0,
+            max(at for at, _ in self.vms.values()),
+            None if name in self.cut else vms,
+        )
+        self._after(FAST_S, node, event)
+
+    def _send(self, name: str, node: str, effect: effects.SendPeer) -> None:
+        link = ''.join(sorted((name, effect.address)))
+        if link not in self.cut:
+            message = events.PeerMessageArrived(0.0, node, effect.message)
+            delay_s = SLOW_S if self.slow else FAST_S
+            self._after(delay_s, effect.address, message)
+
+
+@attrs.define
+class Exploration:
+    """Count the states that every schedule of few faults leads to."""
+
+    faults: int
+    steps: int
+    actions: tuple[str, ...] = DEFAULT_ACTIONS
+    step_s: float = 1.0
+    runs: int = 0
+    ownerless: int = 0
+    _seen: set[bytes] = attrs.field(factory=set)
+
+    @property
+    def states(self) -> int:
+        """Count the unlike states that were reached."""
+        return len(self._seen)
+
+    def explore(self) -> None:
+        """Run every schedule.
+
+        Raises OwnedTwiceError with the schedule that broke the rule.
+        """
+        model = Model()
+        for name in 'ab':
+            model.start(name)
+            model.run(model.now + PHASE_S)
+        model.run(SETTLED_S)
+        self._explore(pickle.dumps(model, -1), self.faults, self.steps, ())
+
+    def _explore(
+        self, saved: bytes, faults: int, steps: int, path: tuple[str, ...]
+    ) -> None:
+        for action in (*(self.actions if faults else ()), ''):
+            model = pickle.loads(saved)
+            schedule = (*path, action or '-')
+            if action == 'join' and 'c' in model.states:
+                continue
+            try:
+                if action:
+                    model.act(action)
+                    model.check()
+                model.run(model.now + self.step_s)
+            except OwnedTwiceError as error:
+                raise OwnedTwiceError(f'{error}: {schedule}') from None
+            self.runs += 1
+            after = pickle.dumps(model, -1)
+            left = faults - bool(action)
+            key = hashlib.blake2b(after + bytes((left,))).digest()
+            if steps > 1 and key not in self._seen:
+                self._explore(after, left, steps - 1, schedule)
+            self._seen.add(key)
+
+
+def _rows(answer: _table.Answer) -> dict[str, schema.Row]:
+    return {
+        key: schema.Row(version, value)
+        for key, (version, value) in answer.rows.items()
+    }
+
+
+def main(faults: int, steps: int) -> None:
+    """Explore, and print the count of states."""
+    began = time.monotonic()
+    exploration = Exploration(faults, steps)
+    exploration.explore()
+    sys.stdout.write(
+        f'{faults} faults in {steps} s: {exploration.runs} steps, '
+        f'{exploration.states} states, no slice owned twice, '
+        f'{time.monotonic() - began:.0f} s\n'
+    )
+
+
+if __name__ == '__main__':
+    main(int(sys.argv[1]), int(sys.argv[2]))
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,100 @@
+"""No two nodes may act on a slice at once, whatever befalls them."""
+
+import pytest
+import takeover
+
+from celeryshift_core import _assignment
+from celeryshift_core import _ownership
+from celeryshift_core import _promises
+
+FAULTS = 1
+STEPS = 12
+
+
+def _any_promise(state):
+    """Leave out: every node that is asked has to promise."""
+    return max(state.promises.until_by_peer.values(), default=0.0)
+
+
+def _row_version(state, owner, out):
+    """Leave out: who is asked goes by the basis, not by the row."""
+    owner.basis = owner.row_version
+    return MAY_TAKE(state, owner, out)
+
+
+def _is_to_address(state, node):
+    """Leave out: the incarnation is part of a node's name."""
+    return node.partition('/')[0] == state.options.address
+
+
+def _is_asked_by_address(state, basis):
+    """Leave out: a restarted process answers for none before it."""
+    return state.options.address == 'b' or IS_ASKED(state, basis)
+
+
+IS_ASKED = _promises._is_asked
+MAY_TAKE = _promises.may_take
+
+# What is left out, the faults that show it, and in how many seconds.
+LEFT_OUT = {
+    'every node promises': (
+        ((_promises, '_covered_until', _any_promise),),
+        ('join', 'cut a', 'link ab'),
+    ),
+    'a promise is waited out': (
+        ((_promises, '_own_promise_ended', lambda state, owner: True),),
+        ('cut a',),
+    ),
+    'a taker promises nothing more': (
+        ((_promises, '_fence', lambda state, node, version: None),),
+        ('cut ab', 'join'),
+    ),
+    'only nodes that are asked may take': (
+        ((_promises, '_is_asked', lambda state, basis: True),),
+        ('cut ab', 'join'),
+    ),
+    'promises count from the question': (
+        ((_promises, '_counted_from', lambda state, message: state.now),),
+        ('cut a', 'slow'),
+    ),
+    'the basis goes by confirmed renewals': (
+        ((_promises, 'may_take', _row_version),),
+        ('join', 'tear', 'cut b'),
+    ),
+    'a silent node is not a gone one': (
+        ((_promises, 'is_gone', lambda state, peer: True),),
+        ('cut a',),
+    ),
+    'a lease is waited out': (
+        (
+            (_ownership, '_may_be_live', lambda state, peer: False),
+            (_assignment, 'is_registered_fresh', lambda state, peer: False),
+        ),
+        ('cut a',),
+    ),
+    'a restarted process is another node': (
+        (
+            (_promises, '_is_to', _is_to_address),
+            (_promises, '_is_asked', _is_asked_by_address),
+        ),
+        ('cut ab', 'join', 'restart b'),
+    ),
+}
+
+
+def test_no_schedule_lets_two_nodes_act():
+    exploration = takeover.Exploration(FAULTS, STEPS)
+    exploration.explore()
+    assert exploration.states > 1000
+
+
+@pytest.mark.parametrize('rule', LEFT_OUT)
+def test_the_exploration_sees_a_rule_left_out(rule, monkeypatch):
+    patches, actions = LEFT_OUT[rule]
+    for patch in patches:
+        monkeypatch.setattr(*patch)
+    exploration = takeover.Exploration(
+        len(actions), 2 * STEPS, actions, step_s=0.5
+    )
+    with pytest.raises(takeover.OwnedTwiceError):
+        exploration.explore()
