--- a/packages/core/celeryshift_core/_promises.py
+++ b/packages/core/celeryshift_core/_promises.py
@@ -153,11 +153,7 @@
     out: _state.Out,
 ) -> None:
     """Promise an owner nothing more, and say how long promises run."""
-    if (
-        not _is_to(state, message.to)
-        or state.phase is not _state.NodePhase.SERVING
-        or not _is_asked(state, message.basis)
-    ):
+    if not _is_to(state, message.to) or not _may_vouch(state, message.basis):
         return
     _fence(state, message.owner, message.version)
     until = state.promises.given_by_node.get(message.owner, -math.inf)
@@ -245,6 +241,12 @@
     return 0 < state.membership.since_version <= basis
 
 
+def _may_vouch(state: _state.State, basis: int) -> bool:
+    """Tell whether this node is asked for promises, and stays."""
+    serving = state.phase is _state.NodePhase.SERVING
+    return serving and _is_asked(state, basis)
+
+
 def _is_fenced(state: _state.State, node: str, basis: int) -> bool:
     return basis <= state.promises.fence_by_node.get(node, 0)
 
