--- a/packages/core/celeryshift_core/_jobs.py
+++ b/packages/core/celeryshift_core/_jobs.py
@@ -269,6 +269,7 @@
         if job is None:
             continue
         if not answer.ok:
+            _catch_up(state, held, job, answer)
             held.dirty_jobs[job_id] = None
             continue
         job.row_version = answer.version
@@ -284,6 +285,23 @@
         _schedule(state, REQUEUE_S if not answer.ok else None)
 
 
+def _catch_up(
+    state: _state.State,
+    held: _state.Slice,
+    job: _tasks.Job,
+    answer: _store.Written,
+) -> None:
+    """Go on from the row that stood in the way of a record.
+
+    Only the owner of a slice writes its jobs, and each write checks the row
+    of the slice: what is found is this node's own, or the slice is lost.
+    """
+    key = schema.job(state.options.data_centre, held.number, job.id)
+    row = answer.rows.get(key)
+    if row is not None:
+        job.row_version = max(job.row_version, row.version)
+
+
 def _write(state: _state.State, held: _state.Slice, out: _state.Out) -> None:
     data_centre = state.options.data_centre
     row_key = schema.slice_(data_centre, held.number)
@@ -356,8 +374,8 @@
 
 
 def _schedule(state: _state.State, delay_s: float | None) -> None:
-    delay_s = delay_s or state.options.flush_s
-    state.timers.set_once(_timers.FlushRecords(), state.now + delay_s)
+    delay_s = delay_s or state.options.record_s
+    state.timers.set_once(_timers.RecordJobs(), state.now + delay_s)
 
 
 def _forget(state: _state.State, held: _state.Slice, job: _tasks.Job) -> None:
--- a/packages/core/celeryshift_core/_options.py
+++ b/packages/core/celeryshift_core/_options.py
@@ -22,6 +22,7 @@
     nodes_poll_s: float = 5.0
     summary_s: float = 0.25
     flush_s: float = 0.05
+    record_s: float = 0.5
     settle_s: float = 0.5
     reply_s: float = 5.0
     retry_after_s: float = 1.0
--- a/packages/core/celeryshift_core/_ownership.py
+++ b/packages/core/celeryshift_core/_ownership.py
@@ -382,9 +382,16 @@
 
 
 def _is_store_lost(state: _state.State) -> bool:
+    """Tell whether the store has failed for as long as peers may need.
+
+    In that time each peer that goes on asks for promises, and is promised
+    for good that this node takes nothing from it any more.
+    """
     since = state.store.failing_since
-    lost_s = state.options.node_lease_s
-    return since is not None and state.now - since > lost_s
+    if since is None:
+        return False
+    since = max(since, state.membership.draining_since)
+    return state.now - since > state.options.node_lease_s
 
 
 def _is_fresh(state: _state.State, peer: _state.Peer) -> bool:
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -77,6 +77,7 @@
 ) -> None:
     if state.phase is _state.NodePhase.SERVING:
         state.phase = _state.NodePhase.DRAINING
+        state.membership.draining_since = state.now
         out.append(effects.LogChange('draining', {'node': state.node}))
         _peers.summarize(state, out)
         _ownership.balance(state, out)
@@ -120,13 +121,6 @@
         _slices.open_slice(state, held, out)
 
 
-def _flush_records(
-    state: _state.State, timer: _timers.FlushRecords, out: _state.Out
-) -> None:
-    _submission.flush(state, out)
-    _jobs.flush(state, out)
-
-
 _HANDLERS_BY_EVENT: dict[type, Handler] = {
     events.Started: _start,
     events.Tick: _pass,
@@ -156,7 +150,8 @@
     _timers.PollConfig: lambda state, _, out: _configuration.poll(state, out),
     _timers.PollNodes: lambda state, _, out: _ownership.poll_nodes(state, out),
     _timers.Summarize: lambda state, _, out: _peers.summarize(state, out),
-    _timers.FlushRecords: _flush_records,
+    _timers.FlushRecords: lambda state, _, out: _submission.flush(state, out),
+    _timers.RecordJobs: lambda state, _, out: _jobs.flush(state, out),
     _timers.SettleWrite: lambda state, timer, out: _store.settle(
         state, timer.op_id, out
     ),
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -89,6 +89,7 @@
     renewed_at: float = -math.inf
     vm_revision: int = 0
     renewing: bool = False
+    draining_since: float = 0.0
     leaving: bool = False
     left: bool = False
     peers_by_id: dict[str, Peer] = attrs.field(factory=dict)
--- a/packages/core/celeryshift_core/_submission.py
+++ b/packages/core/celeryshift_core/_submission.py
@@ -122,7 +122,8 @@
         place = answer.rows.get(schema.job_place(submission.job.id))
         if answer.ok:
             submission.job.row_version = answer.version
-            if held is not None:
+            if held is not None and held.row_version < answer.version:
+                # Else the slice was taken since, and the job read with it.
                 _jobs.accept(state, held, submission.job)
             _accepted(state, submission, False, out)
         elif place is not None:
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -34,7 +34,12 @@
 
 @attrs.frozen(slots=True)
 class FlushRecords:
-    """Write the job records that have changed."""
+    """Write the jobs that wait to be accepted."""
+
+
+@attrs.frozen(slots=True)
+class RecordJobs:
+    """Write the jobs that have changed."""
 
 
 @attrs.frozen(slots=True)
--- a/packages/standins/celeryshift_standins/world.py
+++ b/packages/standins/celeryshift_standins/world.py
@@ -89,6 +89,7 @@
         self.table = _table.Table()
         self.vms_by_name: dict[str, tuple[int, events.Vm]] = {}
         self.vm_revision = 0
+        self.vm_revision_by_node: dict[str, int] = {}
         self.nodes_by_name: dict[str, Node] = {}
         self.workers_by_name: dict[str, Worker] = {}
         self.calls: list[Call] = []
@@ -442,16 +443,16 @@
                 lambda: events.VmsFetched(self.now, 0, None),
             )
             return
+        latest = self.vm_revision_by_node.get(node.name, self.vm_revision)
         changed = [
             vm
             for revision, vm in self.vms_by_name.values()
-            if revision > effect.revision
+            if effect.revision < revision <= latest
         ]
-        revision = self.vm_revision
         self._after(
             node,
             STORE_S,
-            lambda: events.VmsFetched(self.now, revision, changed),
+            lambda: events.VmsFetched(self.now, latest, changed),
         )
 
     def _reach(self, node: Node, worker: Worker) -> bool:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders of test data."""
 
 import celeryshift_client
+import celeryshift_core as core
 
 SECRET = 'secret-of-the-tests'
 UPSTREAM = 'coding'
@@ -26,3 +27,8 @@
 def token() -> str:
     """Give the key that the fleet's callers show."""
     return f'k1.{SECRET}'
+
+
+def roomy() -> core.Size:
+    """Build the capacity of a worker with room for many tasks."""
+    return core.Size(64, 64_000, 262_144, 0)
