--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,10 @@
 
 explore: setup
 	$(PY) tests/takeover.py $(EXPLORE)
+
+scenarios: setup
+	$(PY) -m celeryshift_standins.scenarios scenarios/*.scn \
+		--seed=$(SEED) --steps=$(STEPS) --known=KNOWN-RED.txt
+
+bench: setup
+	$(PY) -m bench.placement
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -1,60 +1,19 @@
 """Placement: which waiting task starts next, and on which worker."""
 
-from collections.abc import Iterable
-import itertools
-from typing import Protocol
-
 from celeryshift_core import _config
+from celeryshift_core import _gangs
 from celeryshift_core import _launch
 from celeryshift_core import _ledger
 from celeryshift_core import _limits
 from celeryshift_core import _once
+from celeryshift_core import _placers
+from celeryshift_core import _queue
 from celeryshift_core import _rights
-from celeryshift_core import _shares
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 
-CANDIDATES = 8
-BLOCKED_HEADS = 8
-
-
-class Placer(Protocol):
-    """Choose a worker for a task of one policy."""
-
-    def choose(
-        self, held: _state.Slice, task: _tasks.Task
-    ) -> _ledger.Worker | None:
-        """Give the worker to use, or None when none examined has room."""
-
-
-class Packing:
-    """Fill the fullest worker first, so that large tasks find room."""
-
-    def choose(
-        self, held: _state.Slice, task: _tasks.Task
-    ) -> _ledger.Worker | None:
-        """Give the worker with the fewest free slots that has room."""
-        found = held.ledger.tightest(task.upstream, task.size, CANDIDATES)
-        return _first(found, task)
-
-
-class Spreading:
-    """Use the emptiest worker first, so that waiting stays short."""
-
-    def choose(
-        self, held: _state.Slice, task: _tasks.Task
-    ) -> _ledger.Worker | None:
-        """Give the worker with the most free slots that has room."""
-        found = held.ledger.widest(task.upstream, task.size, CANDIDATES)
-        return _first(found, task)
-
-
-PLACERS_BY_POLICY: dict[_config.Policy, Placer] = {
-    _config.Policy.REQUEST: Spreading(),
-    _config.Policy.BATCH: Packing(),
-    _config.Policy.GANG: Packing(),
-    _config.Policy.SERVICE: Spreading(),
-}
+MAX_HINTS = 32
+SEARCH_AGAIN_S = 1.0
 
 
 def pump_touched(state: _state.State, out: _state.Out) -> None:
@@ -68,39 +27,120 @@
 
 def pump(state: _state.State, held: _state.Slice, out: _state.Out) -> None:
     """Start waiting tasks as long as any of those next in line has room."""
-    while _may_place(state, held) and _start_one(state, held, out):
-        pass
+    if not _may_place(state, held):
+        return
+    _reopen(state, held)
+    _start_tier(state, held, True, out)
+    for job in list(held.reserving_by_upstream.values()):
+        _advance(state, held, held.gangs_by_job[job], out)
+    _start_tier(state, held, False, out)
+
+
+def _start_tier(
+    state: _state.State, held: _state.Slice, urgent: bool, out: _state.Out
+) -> None:
+    skipped: set[_queue.TeamKind] = set()
+    head = held.queue.next(urgent, skipped)
+    while head is not None:
+        _start(state, held, head, skipped, out)
+        head = held.queue.next(urgent, skipped)
+
+
+def _advance(
+    state: _state.State,
+    held: _state.Slice,
+    gang: _tasks.Gang,
+    out: _state.Out,
+) -> None:
+    """Reserve more room for a gang, or start it once it has all."""
+    phase = gang.phase
+    if phase is _tasks.GangPhase.RESERVING:
+        kind = state.config.kinds.get(gang.job.kind)
+        if kind is None or not state.config.takes_work(gang.upstream):
+            _gangs.pause(state, held, gang, 'upstream or kind has gone')
+        elif not _gangs.reserve(state, held, gang):
+            return
+        elif kind.repeatable or gang.claimed:
+            _gangs.send(state, held, gang, out)
+        else:
+            _once.claim_gang(state, held, gang, out)
+    elif phase is _tasks.GangPhase.SENDING:
+        _gangs.send(state, held, gang, out)
+
+
+def _reopen(state: _state.State, held: _state.Slice) -> None:
+    """Look again at waiting work that may fit where room has come up."""
+    for upstream, room_by_worker in held.ledger.take_grown().items():
+        if len(room_by_worker) > MAX_HINTS:
+            held.queue.reopen_all(upstream)
+        else:
+            held.queue.reopen(upstream, room_by_worker, state.now)
 
 
 def _may_place(state: _state.State, held: _state.Slice) -> bool:
     return (
-        held.queue.length > 0
+        (held.queue.length > 0 or bool(held.reserving_by_upstream))
         and held.phase is not _state.SlicePhase.RELEASING
         and _rights.holds(state)
     )
 
 
-def _start_one(
-    state: _state.State, held: _state.Slice, out: _state.Out
-) -> bool:
-    for task in itertools.islice(held.queue.heads(), BLOCKED_HEADS):
-        kind = state.config.kinds.get(task.kind)
-        worker = None
-        if kind is None:
-            task.note(state.now, 'waits', 'kind is not configured')
-        elif not state.config.takes_work(task.upstream):
-            task.note(state.now, 'waits', 'upstream is leaving')
-        elif not _limits.may_start(state, held, task):
-            task.note(state.now, 'waits', 'team is at its upper limit')
-        else:
-            worker = PLACERS_BY_POLICY[kind.policy].choose(held, task)
-            if worker is None:
-                task.note(state.now, 'waits', 'no worker examined has room')
-        if worker is not None and kind is not None:
-            held.queue.pop(task)
-            _book(state, held, task, kind, worker, out)
-            return True
-    return False
+def _start(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    skipped: set[_queue.TeamKind],
+    out: _state.Out,
+) -> None:
+    """Start the task that is next in a line, or pass over it."""
+    kind = state.config.kinds.get(task.kind)
+    why = _why_not(state, held, task, kind)
+    if kind is None or why:
+        skipped.add((task.team, task.kind))
+        task.note(state.now, 'waits', why)
+        return
+    if kind.policy is _config.Policy.GANG:
+        _start_gang(state, held, task, skipped, out)
+        return
+    worker = _choose(state, held, task, kind)
+    if worker is None and task.urgent:
+        worker = _gangs.yield_room(state, held, task)
+    if worker is None:
+        held.queue.close(task)
+        task.note(state.now, 'waits', 'no worker examined has room')
+        return
+    held.queue.pop(task)
+    _book(state, held, task, kind, worker, out)
+
+
+def _start_gang(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    skipped: set[_queue.TeamKind],
+    out: _state.Out,
+) -> None:
+    if not _gangs.begin(state, held, task, out):
+        skipped.add((task.team, task.kind))
+        return
+    job = held.reserving_by_upstream.get(task.upstream)
+    if job == task.job:
+        _advance(state, held, held.gangs_by_job[job], out)
+
+
+def _why_not(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    kind: _config.Kind | None,
+) -> str:
+    if kind is None:
+        return 'kind is not configured'
+    if not state.config.takes_work(task.upstream):
+        return 'upstream is leaving'
+    if not _limits.may_start(state, held, task):
+        return 'team is at its upper limit'
+    return ''
 
 
 def _book(
@@ -111,14 +151,8 @@
     worker: _ledger.Worker,
     out: _state.Out,
 ) -> None:
-    task.attempt += 1
-    task.worker = worker.name
+    _launch.book(state, held, task, worker, task.size)
     task.state = _tasks.TaskState.STARTING
-    hold = _ledger.Hold(task.team, task.size)
-    held.ledger.hold(worker.name, task.run_id, hold)
-    held.unconfirmed.add(task.run_id)
-    _shares.charge(state, held, task.team, task.size.slots)
-    task.note(state.now, 'placed', f'attempt {task.attempt}')
     state.counters['placements'] += 1
     if kind.repeatable:
         _launch.send(state, held, task, out)
@@ -126,13 +160,29 @@
         _once.claim(state, held, task, out)
 
 
-def _first(
-    found: Iterable[_ledger.Worker], task: _tasks.Task
+def _choose(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    kind: _config.Kind,
 ) -> _ledger.Worker | None:
-    """Give the first worker that has not failed the task, if any has not."""
-    last = None
-    for worker in found:
-        if worker.name not in task.failed_on:
-            return worker
-        last = worker
-    return last
+    """Choose a worker with room, one that has not failed the task if any."""
+    placer = _placers.BY_POLICY[kind.policy]
+    hints = held.queue.hints(task)
+    if hints is None:
+        found = placer.find(held, task, task.size)
+        gave_up = not found and held.ledger.gave_up(task.upstream)
+        again_at = state.now + SEARCH_AGAIN_S if gave_up else None
+        held.queue.search_again(task, again_at)
+    else:
+        found = list(held.ledger.fitting(hints, task.size))
+    if task.failed_on:
+        fresh = [
+            worker for worker in found if worker.name not in task.failed_on
+        ]
+        found = fresh or found
+    return min(
+        found,
+        key=lambda worker: placer.rank(held, task, worker),
+        default=None,
+    )
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -4,20 +4,25 @@
 import random
 from typing import Any
 
+from celeryshift_core import _allotments
 from celeryshift_core import _configuration
 from celeryshift_core import _departures
 from celeryshift_core import _errors
+from celeryshift_core import _gangs
 from celeryshift_core import _jobs
+from celeryshift_core import _keys
 from celeryshift_core import _once
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _placement
+from celeryshift_core import _refusing
 from celeryshift_core import _requests
 from celeryshift_core import _slices
 from celeryshift_core import _state
 from celeryshift_core import _store
 from celeryshift_core import _submission
 from celeryshift_core import _timers
+from celeryshift_core import _usage
 from celeryshift_core import _workers
 from celeryshift_core import effects
 from celeryshift_core import events
@@ -60,6 +65,7 @@
     _ownership.renew(state, out)
     _ownership.poll_nodes(state, out)
     _peers.summarize(state, out)
+    state.timers.set(_timers.TellUsage(), state.now + state.rng.random())
 
 
 def _pass(state: _state.State, event: events.Tick, out: _state.Out) -> None:
@@ -111,6 +117,7 @@
     if _workers.synced(state, event, out):
         held = state.slices_by_number[event.slice]
         _slices.check_accounted(state, held, out)
+        _allotments.check_accounted(state, held)
 
 
 def _recovery_ends(
@@ -121,6 +128,13 @@
         _slices.open_slice(state, held, out)
 
 
+def _pump_due(
+    state: _state.State, timer: _timers.PumpDue, out: _state.Out
+) -> None:
+    if _workers.owned(state, timer.slice, timer.epoch) is not None:
+        state.touched[timer.slice] = None
+
+
 _HANDLERS_BY_EVENT: dict[type, Handler] = {
     events.Started: _start,
     events.Tick: _pass,
@@ -129,7 +143,7 @@
     events.VmsFetched: _slices.vms_fetched,
     events.WorkerSynced: _worker_synced,
     events.TaskStarted: _workers.started,
-    events.TaskStopped: _pass,
+    events.TaskStopped: _workers.stopped,
     events.RequestArrived: _requests.arrived,
     events.RequestAbandoned: _requests.abandoned,
     events.RequestAnswered: _requests.answered,
@@ -138,7 +152,7 @@
     events.JobAsked: _submission.asked,
     events.CallForwarded: _submission.forwarded,
     events.ConfigHandedIn: _configuration.handed_in,
-    events.KeyWithdrawn: _configuration.key_withdrawn,
+    events.KeyWithdrawn: _keys.withdrawn,
     events.PeerMessageArrived: _peers.arrived,
     events.PeerUnreachable: _peers.unreachable,
     events.DrainRequested: _drain,
@@ -160,8 +174,20 @@
     _timers.RecoveryEnds: _recovery_ends,
     _timers.HoldEnds: _workers.hold_ends,
     _timers.RequeueTask: _jobs.requeue,
+    _timers.StopDue: _workers.stop_again,
+    _timers.GangDue: _gangs.due,
+    _timers.PumpDue: _pump_due,
     _timers.RequestDue: _requests.due,
     _timers.ReplyDue: _submission.reply_due,
+    _timers.RestEnds: _refusing.rest_ends,
+    _timers.TellKeys: _keys.tell,
+    _timers.SaveKeys: _keys.save,
+    _timers.WithdrawalReplyDue: _keys.reply_due,
+    _timers.HandInReplyDue: _configuration.reply_due,
+    _timers.TellUsage: _usage.tell,
+    _timers.ReviewAllotments: _allotments.review,
+    _timers.MoveAllotments: _allotments.move,
+    _timers.InheritedEnds: _allotments.inherited_ends,
 }
 
 _HANDLERS_BY_WRITE: dict[type, WriteHandler] = {
@@ -170,9 +196,12 @@
     _ownership.ReleasePurpose: _ownership.released,
     _departures.LeavePurpose: _departures.left,
     _once.ClaimPurpose: _once.claimed,
+    _once.GangClaimPurpose: _once.gang_claimed,
     _jobs.RecordPurpose: _jobs.recorded,
     _submission.SubmitPurpose: _submission.written,
     _configuration.HandInPurpose: _configuration.written,
+    _keys.SavePurpose: _configuration.keys_saved,
+    _allotments.MovePurpose: _allotments.moved,
 }
 
 _HANDLERS_BY_READ: dict[type, ReadHandler] = {
@@ -182,4 +211,6 @@
     _configuration.HeadPurpose: _configuration.head_read,
     _configuration.DocumentPurpose: _configuration.document_read,
     _configuration.BasePurpose: _configuration.base_read,
+    _keys.BasePurpose: _keys.base_read,
+    _allotments.PoolsPurpose: _allotments.pools_read,
 }
--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -3,8 +3,10 @@
 import attrs
 
 from celeryshift_core import _departures
+from celeryshift_core import _gangs
 from celeryshift_core import _ids
 from celeryshift_core import _jobs
+from celeryshift_core import _leaving
 from celeryshift_core import _ledger
 from celeryshift_core import _queue
 from celeryshift_core import _shares
@@ -48,6 +50,7 @@
         row.version,
         _queue.Queue(load),
         row.value['vm_revision'],
+        row.version,
     )
     load.held = held
     state.slices_by_number[number] = held
@@ -114,6 +117,7 @@
     held = state.slices_by_number[number]
     if held.phase is not _state.SlicePhase.RELEASING:
         held.phase = _state.SlicePhase.RELEASING
+        _gangs.release_all(state, held)
         out.append(_change('slice-releasing', held))
 
 
@@ -164,13 +168,25 @@
     state.vm_revision = max(state.vm_revision, event.revision)
     for vm in event.vms:
         _departures.note_vm(state, vm)
-        state.vms_by_name[vm.name] = vm
-        if vm.state is events.VmState.GONE:
-            del state.vms_by_name[vm.name]
+        _list(state, vm)
         for held in state.slices_by_number.values():
             _take_in(state, held, vm, out)
     for held in list(state.slices_by_number.values()):
         check_accounted(state, held, out)
+        if event.vms:
+            _leaving.reroute(state, held)
+
+
+def _list(state: _state.State, vm: events.Vm) -> None:
+    slices = state.options.slices
+    before = state.vms_by_name.pop(vm.name, None)
+    if before is not None and before.state is events.VmState.LIVE:
+        state.fleet.remove(before, slices)
+    if vm.state is not events.VmState.GONE:
+        state.vms_by_name[vm.name] = vm
+    if vm.state is events.VmState.LIVE:
+        # What leaves takes no new work, so that it counts for nothing.
+        state.fleet.add(vm, slices)
 
 
 def _take_in(
--- a/packages/core/celeryshift_core/_submission.py
+++ b/packages/core/celeryshift_core/_submission.py
@@ -7,6 +7,7 @@
 from celeryshift_core import _explain
 from celeryshift_core import _ids
 from celeryshift_core import _jobs
+from celeryshift_core import _launch
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _refusals
@@ -14,7 +15,6 @@
 from celeryshift_core import _store
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
-from celeryshift_core import _workers
 from celeryshift_core import effects
 from celeryshift_core import events
 from celeryshift_core import schema
@@ -60,7 +60,7 @@
         refusal = refusal or Refusal(Reason.UNKNOWN_KIND)
         _refuse(state, event.reply_id, refusal, out)
         return
-    held = _choose(state, kind)
+    held = _choose(state, kind, spec)
     if held is None:
         _hand_over(state, event, kind, team, out)
         return
@@ -91,18 +91,24 @@
     checks: dict[str, int] = {}
     puts: dict[str, dict] = {}
     ready = []
+    again = []
     for submission in batch:
         held = state.slices_by_number.get(submission.slice)
         place_key = schema.job_place(submission.job.id)
-        if held is None or place_key in puts:
+        if held is None:
             _give_up(state, submission, Reason.NOT_READY, out)
             continue
+        if place_key in puts:
+            # The same job again: the next write finds it accepted.
+            again.append(submission)
+            continue
         checks[schema.slice_(data_centre, held.number)] = held.row_version
         checks[place_key] = 0
         puts[place_key] = {'data_centre': data_centre, 'slice': held.number}
         row_key = schema.job(data_centre, held.number, submission.job.id)
         puts[row_key] = _jobs.to_row(submission.job)
         ready.append(submission)
+    state.submissions[:0] = again
     if ready:
         state.submitting = True
         purpose = SubmitPurpose(tuple(ready))
@@ -122,7 +128,7 @@
         place = answer.rows.get(schema.job_place(submission.job.id))
         if answer.ok:
             submission.job.row_version = answer.version
-            if held is not None and held.row_version < answer.version:
+            if held is not None and held.taken_version < answer.version:
                 # Else the slice was taken since, and the job read with it.
                 _jobs.accept(state, held, submission.job)
             _accepted(state, submission, False, out)
@@ -233,7 +239,7 @@
             continue
         if act is events.JobAct.CANCEL and job_id in held.jobs_by_id:
             for task in _jobs.cancel(state, held, job):
-                _workers.stop(state, held, task, out)
+                _launch.stop(state, held, task, out)
         if act is events.JobAct.EXPLAIN:
             return _explain.explain_job(state, held, job)
         return _explain.describe_job(job)
@@ -261,16 +267,31 @@
     if not 1 <= spec.tasks <= MAX_TASKS:
         detail = f'a job has 1 to {MAX_TASKS} tasks, not {spec.tasks}'
         return Refusal(Reason.BAD_REQUEST, detail=detail)
-    return _admission.check_kind(state, kind, spec.size or kind.size)
-
-
-def _choose(state: _state.State, kind: _config.Kind) -> _state.Slice | None:
+    size = spec.size or kind.size
+    refusal = _admission.check_kind(state, kind, size)
+    if refusal is None and kind.policy is _config.Policy.GANG:
+        most = state.fleet.most_tasks(kind.upstream, size)
+        if most < spec.tasks:
+            detail = (
+                f'{spec.tasks} tasks of {size} must start at once, and no '
+                f'slice of {kind.upstream!r} could hold more than {most}'
+            )
+            return Refusal(Reason.NEVER_FITS, detail=detail)
+    return refusal
+
+
+def _choose(
+    state: _state.State, kind: _config.Kind, spec: events.JobSpec
+) -> _state.Slice | None:
     able = [
         held
         for held in state.slices_by_number.values()
         if held.phase is not _state.SlicePhase.RELEASING
         and kind.upstream in held.ledger.upstreams
     ]
+    if kind.policy is _config.Policy.GANG:
+        numbers = _able_here(state, kind, spec)
+        able = [held for held in able if held.number in numbers]
     if not able:
         return None
     return max(
@@ -281,6 +302,30 @@
     )
 
 
+def _able_here(
+    state: _state.State, kind: _config.Kind, spec: events.JobSpec
+) -> set[int]:
+    """Number the slices of this data centre that could hold a gang."""
+    size = spec.size or kind.size
+    return {
+        name.number
+        for name in state.fleet.able(kind.upstream, size, spec.tasks)
+        if name.data_centre == state.options.data_centre
+    }
+
+
+def _able_peer(
+    state: _state.State, kind: _config.Kind, spec: events.JobSpec
+) -> _state.Peer | None:
+    """Give a peer that owns a slice which could hold a gang."""
+    size = spec.size or kind.size
+    for name in state.fleet.able(kind.upstream, size, spec.tasks):
+        peer = _holder(state, name.data_centre, name.number)
+        if peer is not None:
+            return peer
+    return None
+
+
 def _hand_over(
     state: _state.State,
     event: events.JobSubmitted,
@@ -290,7 +335,10 @@
 ) -> None:
     peer = None
     if event.hops < state.options.max_hops:
-        peer = _peers.with_workers(state, kind.upstream)
+        if kind.policy is _config.Policy.GANG:
+            peer = _able_peer(state, kind, event.spec)
+        else:
+            peer = _peers.with_workers(state, kind.upstream)
     if peer is None:
         retry_s = state.options.retry_after_s
         detail = 'no node that owns workers of the upstream is known yet'
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -94,6 +94,33 @@
     task: str
 
 
+@attrs.frozen(slots=True)
+class GangDue:
+    """End the time for which a gang reserves room, or its pause."""
+
+    slice: int
+    epoch: int
+    job: str
+
+
+@attrs.frozen(slots=True)
+class PumpDue:
+    """Go on with placements that were left for another event."""
+
+    slice: int
+    epoch: int
+
+
+@attrs.frozen(slots=True)
+class StopDue:
+    """Stop a run again whose stop may not have arrived."""
+
+    slice: int
+    epoch: int
+    worker: str
+    run: str
+
+
 @attrs.frozen(slots=True)
 class RequestDue:
     """Refuse a request that still waits at its deadline."""
@@ -108,6 +135,62 @@
     reply_id: str
 
 
+@attrs.frozen(slots=True)
+class RestEnds:
+    """Ask a worker again that refused work."""
+
+    slice: int
+    epoch: int
+    worker: str
+
+
+@attrs.frozen(slots=True)
+class TellKeys:
+    """Tell the peers which keys were withdrawn."""
+
+
+@attrs.frozen(slots=True)
+class SaveKeys:
+    """Write the withdrawals that the store has not yet."""
+
+
+@attrs.frozen(slots=True)
+class WithdrawalReplyDue:
+    """Tell an operator how far a withdrawal has got."""
+
+    reply_id: str
+
+
+@attrs.frozen(slots=True)
+class HandInReplyDue:
+    """Tell an operator that a hand-in is still not settled."""
+
+    reply_id: str
+
+
+@attrs.frozen(slots=True)
+class TellUsage:
+    """Tell the peers what the teams use."""
+
+
+@attrs.frozen(slots=True)
+class ReviewAllotments:
+    """Look at which allotments lie idle."""
+
+
+@attrs.frozen(slots=True)
+class MoveAllotments:
+    """Move the allotments that have to move."""
+
+
+@attrs.frozen(slots=True)
+class InheritedEnds:
+    """Take whatever an earlier owner left unseen as ended."""
+
+    slice: int
+    epoch: int
+
+
 class Timers:
     """Keep the times at which keys fall due."""
 
--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -44,6 +44,14 @@
     """Report that two nodes could act on the slice at once."""
 
 
+class Even:
+    """Give the same number each time."""
+
+    def random(self) -> float:
+        """Give a half."""
+        return 0.5
+
+
 @attrs.define(eq=False)
 class Model:
     """Hold the nodes, the store, what is cut, and what is on its way."""
@@ -69,7 +77,7 @@
         self.states[name] = state
         self.list_vm(name, events.VmState.LIVE)
         self._feed(name, events.Started(self.now, f'{self.count}'))
-        state.rng = None  # Large, and of no use without requests.
+        state.rng = Even()  # A generator is large, and slow to save.
 
     def list_vm(self, name: str, vm_state: events.VmState) -> None:
         """Change what the VM list says of a node."""
