--- a/packages/core/celeryshift_core/_jobs.py
+++ b/packages/core/celeryshift_core/_jobs.py
@@ -5,6 +5,7 @@
 from celeryshift_core import _config
 from celeryshift_core import _explain
 from celeryshift_core import _gangs
+from celeryshift_core import _indices
 from celeryshift_core import _ledger
 from celeryshift_core import _size
 from celeryshift_core import _state
@@ -39,9 +40,9 @@
         'tasks': job.tasks,
         'payload': job.payload,
         'size': _config.unstructure(job.size),
-        'done': _tasks.to_ranges(job.done),
-        'failed': _tasks.to_ranges(job.failed),
-        'unknown': _tasks.to_ranges(job.unknown),
+        'done': job.done.to_ranges(),
+        'failed': job.failed.to_ranges(),
+        'unknown': job.unknown.to_ranges(),
         'cancelled': job.cancelled,
     }
 
@@ -57,9 +58,9 @@
         value['payload'],
         _config.structure(value['size'], _size.Size),
         row.version,
-        _tasks.from_ranges(value['done']),
-        _tasks.from_ranges(value['failed']),
-        _tasks.from_ranges(value['unknown']),
+        _indices.IndexSet(value['done']),
+        _indices.IndexSet(value['failed']),
+        _indices.IndexSet(value['unknown']),
         value['cancelled'],
     )
 
--- a/packages/core/celeryshift_core/_tasks.py
+++ b/packages/core/celeryshift_core/_tasks.py
@@ -6,6 +6,7 @@
 import attrs
 
 from celeryshift_core import _ids
+from celeryshift_core import _indices
 from celeryshift_core import _size
 
 MAX_DECISIONS = 16
@@ -103,9 +104,9 @@
     payload: Any
     size: _size.Size
     row_version: int = 0
-    done: set[int] = attrs.field(factory=set)
-    failed: set[int] = attrs.field(factory=set)
-    unknown: set[int] = attrs.field(factory=set)
+    done: _indices.IndexSet = attrs.field(factory=_indices.IndexSet)
+    failed: _indices.IndexSet = attrs.field(factory=_indices.IndexSet)
+    unknown: _indices.IndexSet = attrs.field(factory=_indices.IndexSet)
     cancelled: bool = False
     running: set[str] = attrs.field(factory=set)
     ended_runs: dict[str, str] = attrs.field(factory=dict)
@@ -167,22 +168,3 @@
         left = self.job.tasks - self.job.ended
         here = len(self.waiting) + len(self.reserved)
         return 0 < here == left and not self.job.running
-
-
-def to_ranges(numbers: set[int]) -> list[list[int]]:
-    """Write a set of numbers as inclusive ranges."""
-    ranges: list[list[int]] = []
-    for number in sorted(numbers):
-        if ranges and ranges[-1][1] == number - 1:
-            ranges[-1][1] = number
-        else:
-            ranges.append([number, number])
-    return ranges
-
-
-def from_ranges(ranges: list[list[int]]) -> set[int]:
-    """Read inclusive ranges as a set of numbers."""
-    numbers: set[int] = set()
-    for low, high in ranges:
-        numbers.update(range(low, high + 1))
-    return numbers
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,8 +1,13 @@
 """Slices change hands, and nothing accepted is lost or doubled."""
 
+import itertools
+
 import builders
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
+from celeryshift_core import _indices
 from celeryshift_core import schema
 from celeryshift_standins import invariants
 from celeryshift_standins import world as worlds
@@ -215,3 +220,18 @@
     assert sum(worker.starts for worker in workers) > 1000
     per_node = (world.table.writes - before) / 20.0 / 3
     assert per_node < 8.0
+
+
+@hypothesis.given(st.lists(st.integers(0, 30)))
+def test_an_index_set_holds_what_was_added(numbers):
+    made = _indices.IndexSet()
+    for number in numbers:
+        made.add(number)
+    again = _indices.IndexSet(made.to_ranges())
+    assert {n for n in range(31) if n in again} == set(numbers)
+    assert len(made) == len(again) == len(set(numbers))
+    ranges = made.to_ranges()
+    assert all(
+        low > before + 1
+        for (_, before), (low, _) in itertools.pairwise(ranges)
+    )
