--- a/tests/builders.py
+++ b/tests/builders.py
@@ -43,6 +43,11 @@
     return f'k1.{SECRET}'
 
 
+def roomy() -> core.Size:
+    """Build the capacity of a worker with room for many tasks."""
+    return core.Size(64, 64_000, 262_144, 0)
+
+
 def full_slice(
     workers: int, waiting: int
 ) -> tuple[_state.State, _state.Slice]:
