--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -34,6 +34,9 @@
     answered: bool = False
     listed: bool = True
     quarantined: bool = False
+    quarantines: int = 0
+    probation: bool = False
+    failed_kind_by_job: dict[str, str] = attrs.field(factory=dict)
     resting: bool = False
     refusals: int = 0
     cursor: str = ''
@@ -57,6 +60,7 @@
             and self.listed
             and self.silent_since is None
             and not self.quarantined
+            and not (self.probation and self.holds_by_run)
             and not self.resting
             and self.state is events.VmState.LIVE
         )
@@ -183,6 +187,23 @@
         self.refresh(worker)
         return True
 
+    def grow(self, name: str, run_id: str, size: _size.Size) -> _size.Size:
+        """Book at least a size for a run, even beyond what its worker has.
+
+        Gives what was added, which is nothing for a run not booked here.
+        """
+        worker = self.workers_by_name[name]
+        hold = worker.holds_by_run.get(run_id)
+        if hold is None:
+            return _size.ZERO
+        added = hold.size.at_least(size) - hold.size
+        if added != _size.ZERO:
+            grown = attrs.evolve(hold, size=hold.size + added)
+            worker.holds_by_run[run_id] = grown
+            worker.used += added
+            self.refresh(worker)
+        return added
+
     def release(self, name: str, run_id: str) -> Hold | None:
         """Free the room of a task; give what was booked, if anything."""
         worker = self.workers_by_name.get(name)
@@ -241,6 +262,10 @@
         """Name the upstreams that have workers here which are to stay."""
         return tuple(self._staying_by_upstream)
 
+    def staying(self, upstream: str) -> int:
+        """Count the workers of an upstream that are to stay."""
+        return len(self._staying_by_upstream.get(upstream, ()))
+
     def _note_staying(self, worker: Worker, stays: bool) -> None:
         names = self._staying_by_upstream.setdefault(worker.upstream, set())
         (names.add if stays else names.discard)(worker.name)
--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -6,6 +6,7 @@
 from celeryshift_core import _ids
 from celeryshift_core import _launch
 from celeryshift_core import _peers
+from celeryshift_core import _quarantine
 from celeryshift_core import _refusals
 from celeryshift_core import _refusing
 from celeryshift_core import _state
@@ -321,6 +322,7 @@
 ) -> None:
     placed_at = task.decisions[-1].at
     _learn_run_time(state, request.kind, state.now - placed_at)
+    _quarantine.request_ended(state, request.slice, task, failed, out)
     if failed:
         detail = f'worker {task.worker} ran it and reported a failure'
         _refuse(state, request, Reason.UPSTREAM_FAILED, Ran.YES, detail, out)
@@ -479,7 +481,7 @@
     """
     run_s = state.run_s_by_kind.get(kind_name, 0.0)
     slots = held.ledger.capacity_slots(kind.upstream)
-    return held.queue.length * run_s / max(1, slots)
+    return held.queue.ahead_of(kind.urgent) * run_s / max(1, slots)
 
 
 def _learn_run_time(state: _state.State, kind_name: str, run_s: float) -> None:
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -60,8 +60,12 @@
     allotment: _escrow.Allotment = attrs.field(factory=_escrow.Allotment)
     unaccounted: set[str] = attrs.field(factory=set)
     unconfirmed: set[str] = attrs.field(factory=set)
+    quarantined: set[str] = attrs.field(factory=set)
     gangs_by_job: dict[str, _tasks.Gang] = attrs.field(factory=dict)
     reserving_by_upstream: dict[str, str] = attrs.field(factory=dict)
+    preemptible_by_upstream: dict[str, dict[str, _tasks.Task]] = attrs.field(
+        factory=dict
+    )
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     writing_jobs: bool = False
     finished_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
@@ -177,6 +181,24 @@
     failing_since: float | None = None
 
 
+@attrs.frozen(slots=True)
+class Success:
+    """Hold when and where a task of a kind succeeded last."""
+
+    at: float
+    worker: str
+
+
+@attrs.define(eq=False)
+class Estimate:
+    """Hold what tasks of a kind and declared size use, and what is booked."""
+
+    size: _size.Size
+    samples: int = 0
+    cpu_milli: float = 0.0
+    memory_mb: float = 0.0
+
+
 @attrs.define(eq=False)
 class Withdrawals:
     """Hold the withdrawals of keys that the store has not yet."""
@@ -229,6 +251,10 @@
         factory=collections.OrderedDict
     )
     run_s_by_kind: dict[str, float] = attrs.field(factory=dict)
+    estimates: dict[tuple[str, _size.Size], Estimate] = attrs.field(
+        factory=dict
+    )
+    success_by_kind: dict[str, Success] = attrs.field(factory=dict)
     gauges: dict[str, float] = attrs.field(factory=dict)
     waits_by_kind: dict[tuple[str, bool], list[int]] = attrs.field(
         factory=dict
