Base allotments are drawn where the pool is shared by many slices

Cause: with 36 slices and a limit of 40 nothing was drawn ahead of demand, so that an outage would have found no allotment: 0 moves in the first 30 s. Change: the base itself is what is needed, at least one slot.

--- a/packages/core/celeryshift_core/_allotments.py
+++ b/packages/core/celeryshift_core/_allotments.py
@@ -410,7 +410,7 @@
         for held in state.slices_by_number.values():
             own = held.allotment.slots_by_team.get(name, 0)
             if own < base and held.ledger.upstreams:
-                held.allotment.need_by_team.setdefault(name, 0)
+                held.allotment.need_by_team.setdefault(name, base - own)
 
 
 def _slices_of_fleet(state: _state.State) -> int:
