--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -7,6 +7,7 @@
 from celeryshift_core import _confirmation
 from celeryshift_core import _keys
 from celeryshift_core import _ownership
+from celeryshift_core import _promises
 from celeryshift_core import _state
 from celeryshift_core import _timers
 from celeryshift_core import _usage
@@ -148,6 +149,10 @@
 ]
 _HANDLERS_BY_TYPE = {
     messages.Summary: _take_summary,
+    messages.PromiseAsked: _promises.asked,
+    messages.Promised: _ownership.promised,
+    messages.VouchAsked: _promises.vouch_asked,
+    messages.Vouched: _promises.vouched,
     messages.KeysWithdrawn: _keys.told,
     messages.KeysHeard: _keys.heard,
     messages.ConfigAsked: _configuration.peer_asked,
--- a/packages/core/celeryshift_core/messages.py
+++ b/packages/core/celeryshift_core/messages.py
@@ -40,6 +40,45 @@
     key_ids: list[str]
 
 
+@attrs.frozen(slots=True)
+class PromiseAsked:
+    """Ask a node not to take from the sender for a lease's time."""
+
+    to: str
+    basis: int
+    asked_at: float
+
+
+@attrs.frozen(slots=True)
+class Promised:
+    """Promise what was asked; a leaving node promises it for good."""
+
+    to: str
+    basis: int
+    asked_at: float
+    leaving: bool
+
+
+@attrs.frozen(slots=True)
+class VouchAsked:
+    """Ask a node to promise an owner nothing more."""
+
+    to: str
+    owner: str
+    version: int
+    basis: int
+
+
+@attrs.frozen(slots=True)
+class Vouched:
+    """Tell after which wait no promise to an owner runs any more."""
+
+    to: str
+    owner: str
+    version: int
+    wait_s: float
+
+
 @attrs.frozen(slots=True)
 class ConfigAsked:
     """Ask for the configuration in force, if it is newer."""
@@ -65,6 +104,26 @@
 
 
 Message = (
-    Summary | KeysWithdrawn | KeysHeard | ConfigAsked | ConfigTold | Usage
+    Summary
+    | KeysWithdrawn
+    | KeysHeard
+    | ConfigAsked
+    | ConfigTold
+    | Usage
+    | PromiseAsked
+    | Promised
+    | VouchAsked
+    | Vouched
+)
+ALL = (
+    Summary,
+    KeysWithdrawn,
+    KeysHeard,
+    ConfigAsked,
+    ConfigTold,
+    Usage,
+    PromiseAsked,
+    Promised,
+    VouchAsked,
+    Vouched,
 )
-ALL = (Summary, KeysWithdrawn, KeysHeard, ConfigAsked, ConfigTold, Usage)
