--- a/packages/core/celeryshift_core/_allotments.py
+++ b/packages/core/celeryshift_core/_allotments.py
@@ -20,7 +20,8 @@
 MOVE_GAP_S = 0.25
 RETRY_S = 0.01
 REVIEW_S = 3.0
-EXCESS_REVIEW_S = 1.0
+HURRIED_REVIEW_S = 1.0
+STABLE_S = 1.5
 RESERVE_MARGIN_S = 2.0
 SCARCE_DIVISOR = 8
 BASE_DIVISOR = 4
@@ -156,7 +157,8 @@
         excess = excess or any(
             _in_excess(state, team) for team in held.allotment.slots_by_team
         )
-    wait_s = EXCESS_REVIEW_S if excess else REVIEW_S
+    hurried = excess or not _is_stable(state)
+    wait_s = HURRIED_REVIEW_S if hurried else REVIEW_S
     wait_s *= 1 + state.rng.random() / SCARCE_DIVISOR
     state.timers.set(_timers.ReviewAllotments(), state.now + wait_s)
     read_pools(state, out)
@@ -194,6 +196,7 @@
         releasing = held.phase is _state.SlicePhase.RELEASING
         if not (held.allotment.fenced or releasing):
             plan.add_drawn(held)
+            plan.add_base(held)
     if plan.moves:
         escrow.moving = True
         escrow.moved_at = state.now
@@ -214,8 +217,9 @@
             continue
         if answer.ok:
             held.allotment.row_version = answer.version
-            if entry.slots > 0:
-                held.allotment.need_by_team.pop(entry.team, None)
+            idle = held.allotment.idle_by_team
+            need = held.allotment.need_by_team
+            (need if entry.slots > 0 else idle).pop(entry.team, None)
         if answer.ok == (entry.slots > 0):
             held.allotment.change(entry.team, abs(entry.slots))
             state.touched[held.number] = None
@@ -247,7 +251,6 @@
             slots = _to_give_back(self.state, held, team)
             if slots > 0 and self._left(team) is not None:
                 held.allotment.change(team, -slots)
-                held.allotment.idle_by_team.pop(team, None)
                 self._add(held, team, -slots)
 
     def add_drawn(self, held: _state.Slice) -> None:
@@ -266,6 +269,15 @@
             elif not need:
                 del allotment.need_by_team[team]
 
+    def add_base(self, held: _state.Slice) -> None:
+        """Draw what an outage is to find here, from a pool little used."""
+        wanted, held.allotment.base_by_team = held.allotment.base_by_team, {}
+        for team, slots in wanted.items():
+            most = limit(self.state, team)
+            after = self._slots(team) + slots
+            if self._left(team) and BASE_DIVISOR * after <= most:
+                self._add(held, team, slots)
+
     def _left(self, team: str) -> int | None:
         """Give what may be drawn for a team, or None when unknown."""
         if self.state.escrow.pool(team).former_limit is None:
@@ -398,19 +410,20 @@
 
 def _want_base(state: _state.State) -> None:
     """Want a few slots for every team, so that an outage finds some here."""
-    if state.now - state.membership.stable_since < REVIEW_S:
+    if not _is_stable(state):
         # The number of data centres is not known yet.
         return
     slices = _slices_of_fleet(state)
     for name, team in state.config.teams.items():
-        most = team.limit_slots
-        if 2 * state.escrow.pool(name).slots > most:
-            continue
-        base = max(1, most // (BASE_DIVISOR * slices))
+        base = max(1, team.limit_slots // (BASE_DIVISOR * slices))
         for held in state.slices_by_number.values():
             own = held.allotment.slots_by_team.get(name, 0)
             if own < base and held.ledger.upstreams:
-                held.allotment.need_by_team.setdefault(name, base - own)
+                held.allotment.base_by_team[name] = base - own
+
+
+def _is_stable(state: _state.State) -> bool:
+    return state.now - state.membership.stable_since > STABLE_S
 
 
 def _slices_of_fleet(state: _state.State) -> int:
