--- a/packages/core/celeryshift_core/_jobs.py
+++ b/packages/core/celeryshift_core/_jobs.py
@@ -5,8 +5,8 @@
 from celeryshift_core import _config
 from celeryshift_core import _explain
 from celeryshift_core import _gangs
-from celeryshift_core import _indices
 from celeryshift_core import _holds
+from celeryshift_core import _indices
 from celeryshift_core import _launch
 from celeryshift_core import _ledger
 from celeryshift_core import _preemption
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -16,8 +16,8 @@
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _placement
-from celeryshift_core import _questions
 from celeryshift_core import _quarantine
+from celeryshift_core import _questions
 from celeryshift_core import _refusing
 from celeryshift_core import _requests
 from celeryshift_core import _slices
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -116,9 +116,7 @@
 async def _survive_on(bed: beds.Bed, faults: str) -> Load:
     nodes = await _set_up(bed)
     load = Load(bed)
-    senders = [
-        asyncio.create_task(load.requests(node)) for node in nodes[1:]
-    ]
+    senders = [asyncio.create_task(load.requests(node)) for node in nodes[1:]]
     submitters = [
         asyncio.create_task(load.jobs(node, 10)) for node in nodes[1:]
     ]
