--- a/packages/standins/celeryshift_standins/_faults.py
+++ b/packages/standins/celeryshift_standins/_faults.py
@@ -87,11 +87,13 @@
 def silent(play: _play.Play, name: str) -> None:
     """Let nothing reach a worker, which goes on running."""
     play.world.workers_by_name[name].silent = True
+    play.world.links.changed_at = play.world.now
 
 
 def hear(play: _play.Play, name: str) -> None:
     """Let a silent worker be reached again."""
     play.world.workers_by_name[name].silent = False
+    play.world.links.changed_at = play.world.now
 
 
 def cut(words: Words) -> _play.Act:
--- a/packages/standins/celeryshift_standins/_links.py
+++ b/packages/standins/celeryshift_standins/_links.py
@@ -48,6 +48,7 @@
 
         Calls are lost on them until a caller gives one up and closes it.
         """
+        self.changed_at = now
         self._silenced_at[(one, other)] = now
         if both:
             self._silenced_at[(other, one)] = now
--- a/packages/standins/celeryshift_standins/watch.py
+++ b/packages/standins/celeryshift_standins/watch.py
@@ -171,11 +171,25 @@
 
     def _check_once(self, task: str, run: Run) -> None:
         runs = self.runs_by_task[task]
+        if not run.request:
+            self._check_not_done(task, runs)
         runs.append(run)
         kind = self.versions[-1].config.kinds.get(run.kind)
         if len(runs) > 1 and kind is not None and not kind.repeatable:
             self._violate(f'{task} must not be repeated and ran {len(runs)}x')
 
+    def _check_not_done(self, task: str, runs: list[Run]) -> None:
+        """Check that no task runs again that every node could see was done."""
+        for before in runs:
+            name = self.worker_by_run[before.id]
+            worker = self._world.workers_by_name[name]
+            always_heard = (
+                worker.alive
+                and self._world.links.changed_at < before.started_at
+            )
+            if before.phase is Phase.DONE and always_heard:
+                self._violate(f'{task} ran again after it was done')
+
     # Calls.
 
     def _take_calls(self) -> None:
@@ -247,7 +261,9 @@
             done = any(run.phase is Phase.DONE for run in runs)
             failures = sum(run.phase is Phase.FAILED for run in runs)
             done = done or failures >= kind.max_attempts
-            started = bool(runs) and not kind.repeatable
+            # Nobody can tell whether work ran once its start went unheard.
+            claimed = schema.once(task) in self._world.table.rows_by_key
+            started = claimed and not kind.repeatable
             serving = kind.policy is core.Policy.SERVICE and any(
                 run.phase is Phase.RUNNING for run in runs
             )
