--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -1,7 +1,10 @@
 """The life of a slice at its owner: recovery, workers, release."""
 
+from celeryshift_core import _departures
+from celeryshift_core import _gangs
 from celeryshift_core import _ids
 from celeryshift_core import _jobs
+from celeryshift_core import _leaving
 from celeryshift_core import _ledger
 from celeryshift_core import _queue
 from celeryshift_core import _shares
@@ -18,7 +21,7 @@
     state: _state.State,
     number: int,
     epoch: int,
-    row_version: int,
+    row: schema.Row,
     job_rows: dict[str, schema.Row],
     out: _state.Out,
 ) -> None:
@@ -31,8 +34,9 @@
     held = _state.Slice(
         number,
         epoch,
-        row_version,
+        row.version,
         _queue.Queue(lambda team: _shares.load(state, held, team)),
+        row.value['vm_revision'],
     )
     state.slices_by_number[number] = held
     out.append(_change('slice-taken', held))
@@ -52,8 +56,11 @@
     """Open a slice once every worker has said what it runs."""
     if held.phase is not _state.SlicePhase.RECOVERING:
         return
+    # The former owner may have known workers that this node does not yet.
+    if state.vm_revision < max(1, held.vm_revision):
+        return
     workers = held.ledger.workers_by_name.values()
-    if state.vm_revision and all(worker.answered for worker in workers):
+    if all(worker.answered for worker in workers):
         open_slice(state, held, out)
 
 
@@ -95,6 +102,7 @@
     held = state.slices_by_number[number]
     if held.phase is not _state.SlicePhase.RELEASING:
         held.phase = _state.SlicePhase.RELEASING
+        _gangs.release_all(state, held)
         out.append(_change('slice-releasing', held))
 
 
@@ -121,6 +129,21 @@
         state.touched[held.number] = None
 
 
+def use_listed(state: _state.State) -> None:
+    """Use the workers that this node's registration says it knows.
+
+    Whoever takes the slice next waits until it knows them too.
+    """
+    if state.membership.vm_revision < state.vm_revision:
+        return
+    unlisted, state.unlisted = state.unlisted, []
+    for held, worker in unlisted:
+        worker.listed = True
+        if worker.name in held.ledger.workers_by_name:
+            held.ledger.refresh(worker)
+            state.touched[held.number] = None
+
+
 def vms_fetched(
     state: _state.State, event: events.VmsFetched, out: _state.Out
 ) -> None:
@@ -129,13 +152,26 @@
         return
     state.vm_revision = max(state.vm_revision, event.revision)
     for vm in event.vms:
-        state.vms_by_name[vm.name] = vm
-        if vm.state is events.VmState.GONE:
-            del state.vms_by_name[vm.name]
+        _departures.note_vm(state, vm)
+        _list(state, vm)
         for held in state.slices_by_number.values():
             _take_in(state, held, vm, out)
     for held in list(state.slices_by_number.values()):
         check_accounted(state, held, out)
+        if event.vms:
+            _leaving.reroute(state, held)
+
+
+def _list(state: _state.State, vm: events.Vm) -> None:
+    slices = state.options.slices
+    before = state.vms_by_name.pop(vm.name, None)
+    if before is not None and before.state is events.VmState.LIVE:
+        state.fleet.remove(before, slices)
+    if vm.state is not events.VmState.GONE:
+        state.vms_by_name[vm.name] = vm
+    if vm.state is events.VmState.LIVE:
+        # What leaves takes no new work, so that it counts for nothing.
+        state.fleet.add(vm, slices)
 
 
 def _take_in(
@@ -162,6 +198,9 @@
         worker = _ledger.Worker(
             vm.name, vm.address, vm.rack, vm.upstream, vm.capacity, vm.state
         )
+        worker.listed = state.vm_revision <= state.membership.vm_revision
+        if not worker.listed:
+            state.unlisted.append((held, worker))
         held.ledger.add(worker)
         _workers.sync(state, held, worker, out)
     else:
