--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,7 @@
 format: setup
 	-$(VENV)/bin/ruff check --fix packages tests bench
 	$(VENV)/bin/ruff format packages tests bench
+
+scenarios: setup
+	$(PY) -m celeryshift_standins.scenarios scenarios/*.scn \
+		--seed=$(SEED) --steps=$(STEPS) --known=KNOWN-RED.txt
--- a/packages/client/celeryshift_client/_fleet.py
+++ b/packages/client/celeryshift_client/_fleet.py
@@ -17,10 +17,12 @@
     """Collect teams, keys, queues, upstreams and kinds of work.
 
     Mistakes are not raised where they are made: document() and to_json()
-    report all of them at once, each with its path.
+    report all of them at once, each with its path. A name that is given
+    twice is a mistake, unless later entries are to replace earlier ones.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, replace: bool = False) -> None:
+        self._replace = replace
         self._sections: dict[str, dict[str, Any]] = {
             'teams': {},
             'keys': {},
@@ -115,7 +117,7 @@
 
     def _add(self, section: str, name: str, entry: dict[str, Any]) -> str:
         entries = self._sections[section]
-        if name in entries:
+        if name in entries and not self._replace:
             self._mistakes.append(f'is given twice @ $.{section}.{name}')
         entries[name] = entry
         return name
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -2,12 +2,14 @@
 
 import collections
 import enum
+import math
 import random
 from typing import Any
 
 import attrs
 
 from celeryshift_core import _config
+from celeryshift_core import _escrow
 from celeryshift_core import _ledger
 from celeryshift_core import _options
 from celeryshift_core import _queue
@@ -16,6 +18,7 @@
 from celeryshift_core import _timers
 from celeryshift_core import effects
 from celeryshift_core import events
+from celeryshift_core import messages
 from celeryshift_core import schema
 
 Out = list[effects.Effect]
@@ -46,11 +49,13 @@
     epoch: int
     row_version: int
     queue: _queue.Queue
+    vm_revision: int = 0
     phase: SlicePhase = SlicePhase.RECOVERING
     ledger: _ledger.Ledger = attrs.field(factory=_ledger.Ledger)
     jobs_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
     tasks_by_id: dict[str, _tasks.Task] = attrs.field(factory=dict)
-    slots_by_team: dict[str, int] = attrs.field(factory=dict)
+    used_by_team: dict[str, _size.Size] = attrs.field(factory=dict)
+    allotment: _escrow.Allotment = attrs.field(factory=_escrow.Allotment)
     unaccounted: set[str] = attrs.field(factory=set)
     unconfirmed: set[str] = attrs.field(factory=set)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
@@ -69,9 +74,13 @@
     changed_at: float
     draining: bool = False
     config_version: int = 0
+    basis: int = 0
+    vm_revision: int = 0
+    gone_since: float | None = None
     slices: tuple[int, ...] = ()
     free_slots_by_upstream: dict[str, int] = attrs.field(factory=dict)
     heard_at: float | None = None
+    unreachable_at: float = float('-inf')
 
 
 @attrs.define(eq=False)
@@ -79,12 +88,39 @@
     """Hold the registration of this node and those of its peers."""
 
     row_version: int = 0
-    lease_until: float = 0.0
+    since_version: int = 0
+    until: float = 0.0
+    renewed_at: float = -math.inf
+    vm_revision: int = 0
     renewing: bool = False
+    leaving: bool = False
+    left: bool = False
     peers_by_id: dict[str, Peer] = attrs.field(factory=dict)
     slice_rows_by_number: dict[int, schema.Row] = attrs.field(factory=dict)
     taking: set[int] = attrs.field(factory=set)
     stable_since: float = 0.0
+    nodes_read_at: float = 0.0
+
+
+@attrs.frozen(slots=True)
+class Vouch:
+    """Hold from when on no promise to an owner runs, and at which version."""
+
+    version: int
+    at: float
+
+
+@attrs.define(eq=False)
+class Promises:
+    """Hold what this node was promised, and what it has promised."""
+
+    basis_version: int = 0
+    address_by_peer: dict[str, str] = attrs.field(factory=dict)
+    until_by_peer: dict[str, float] = attrs.field(factory=dict)
+    left: set[str] = attrs.field(factory=set)
+    given_by_node: dict[str, float] = attrs.field(factory=dict)
+    fence_by_node: dict[str, int] = attrs.field(factory=dict)
+    vouch_by_node: dict[str, Vouch] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -122,6 +158,7 @@
     purpose: Any
     sent_at: float
     dropped_markers: tuple[str, ...]
+    marked: bool
 
 
 @attrs.define(eq=False)
@@ -135,6 +172,16 @@
     failing_since: float | None = None
 
 
+@attrs.define(eq=False)
+class Withdrawals:
+    """Hold the withdrawals of keys that the store has not yet."""
+
+    pending_by_key: dict[str, messages.Withdrawal] = attrs.field(factory=dict)
+    heard_by_key: dict[str, set[str]] = attrs.field(factory=dict)
+    key_by_reply: dict[str, str] = attrs.field(factory=dict)
+    saving: bool = False
+
+
 @attrs.define(eq=False)
 class State:
     """Hold everything that a node knows."""
@@ -147,12 +194,27 @@
     timers: _timers.Timers = attrs.field(factory=_timers.Timers)
     store: Store = attrs.field(factory=Store)
     membership: Membership = attrs.field(factory=Membership)
+    promises: Promises = attrs.field(factory=Promises)
     config: _config.Config = attrs.field(factory=_config.Config)
     config_row_version: int = 0
     config_confirmed_at: float | None = None
+    config_asked_at: float = float('-inf')
     withdrawn_keys: set[str] = attrs.field(factory=set)
+    withdrawals: Withdrawals = attrs.field(factory=Withdrawals)
+    usage_by_node: dict[str, tuple[float, messages.Usage]] = attrs.field(
+        factory=dict
+    )
+    escrow: _escrow.Escrow = attrs.field(factory=_escrow.Escrow)
     vms_by_name: dict[str, events.Vm] = attrs.field(factory=dict)
     vm_revision: int = 0
+    gone_addresses: collections.OrderedDict[str, float] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    unlisted: list[tuple[Slice, _ledger.Worker]] = attrs.field(factory=list)
+    weights: tuple[int, dict[int, int]] = (-1, {})
+    capacities_by_upstream: dict[str, collections.Counter[_size.Size]] = (
+        attrs.field(factory=dict)
+    )
     slices_by_number: dict[int, Slice] = attrs.field(factory=dict)
     touched: dict[int, None] = attrs.field(factory=dict)
     requests_by_id: dict[str, Request] = attrs.field(factory=dict)
@@ -167,6 +229,7 @@
     waits_by_kind: dict[tuple[str, bool], list[int]] = attrs.field(
         factory=dict
     )
+    gauges: dict[str, float] = attrs.field(factory=dict)
     counters: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
@@ -182,9 +245,5 @@
 
 
 def biggest(state: State, upstream: str) -> list[_size.Size]:
-    """List the capacities of the workers of an upstream that are not gone."""
-    return [
-        vm.capacity
-        for vm in state.vms_by_name.values()
-        if vm.upstream == upstream and vm.state is not events.VmState.GONE
-    ]
+    """List the capacities of the workers of an upstream that stay."""
+    return list(state.capacities_by_upstream.get(upstream, ()))
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -178,6 +178,7 @@
             document['teams']['late'] = {}
             document['teams']['public']['share'] = 2.0
             await operator.hand_in(2, document)
+            document['teams']['late']['share'] = 3.0
             with pytest.raises(celeryshift_client.ProblemError) as caught:
                 await operator.hand_in(2, document)
             call = operator.call
