--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,6 @@
 scenarios: setup
 	$(PY) -m celeryshift_standins.scenarios scenarios/*.scn \
 		--seed=$(SEED) --steps=$(STEPS) --known=KNOWN-RED.txt
+
+bench: setup
+	$(PY) -m bench.placement
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -10,6 +10,7 @@
 
 from celeryshift_core import _config
 from celeryshift_core import _escrow
+from celeryshift_core import _fleet
 from celeryshift_core import _ledger
 from celeryshift_core import _options
 from celeryshift_core import _queue
@@ -58,6 +59,8 @@
     allotment: _escrow.Allotment = attrs.field(factory=_escrow.Allotment)
     unaccounted: set[str] = attrs.field(factory=set)
     unconfirmed: set[str] = attrs.field(factory=set)
+    gangs_by_job: dict[str, _tasks.Gang] = attrs.field(factory=dict)
+    reserving_by_upstream: dict[str, str] = attrs.field(factory=dict)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     writing_jobs: bool = False
     finished_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
@@ -206,15 +209,13 @@
     )
     escrow: _escrow.Escrow = attrs.field(factory=_escrow.Escrow)
     vms_by_name: dict[str, events.Vm] = attrs.field(factory=dict)
+    fleet: _fleet.Fleet = attrs.field(factory=_fleet.Fleet)
     vm_revision: int = 0
     gone_addresses: collections.OrderedDict[str, float] = attrs.field(
         factory=collections.OrderedDict
     )
     unlisted: list[tuple[Slice, _ledger.Worker]] = attrs.field(factory=list)
     weights: tuple[int, dict[int, int]] = (-1, {})
-    capacities_by_upstream: dict[str, collections.Counter[_size.Size]] = (
-        attrs.field(factory=dict)
-    )
     slices_by_number: dict[int, Slice] = attrs.field(factory=dict)
     touched: dict[int, None] = attrs.field(factory=dict)
     requests_by_id: dict[str, Request] = attrs.field(factory=dict)
@@ -242,8 +243,3 @@
         for upstream in held.ledger.upstreams:
             free[upstream] += held.ledger.free_slots(upstream)
     return dict(free)
-
-
-def biggest(state: State, upstream: str) -> list[_size.Size]:
-    """List the capacities of the workers of an upstream that stay."""
-    return list(state.capacities_by_upstream.get(upstream, ()))
