TLS by settings: listener, peers, platform and workers, and --ca for callers

Change: certificate and key for the listener, a file of those to trust for what a node calls; nodes with tls call their peers by https. A connection has the time of the handshake on top of the time for its first header.

Ruled out: a context for each client without --ca; loading the system's certificates costs each short-lived client, so aiohttp's own is used.

--- a/packages/client/celeryshift_client/_api.py
+++ b/packages/client/celeryshift_client/_api.py
@@ -1,6 +1,7 @@
 """Calls to the HTTP interface of a node."""
 
 from collections.abc import Sequence
+import ssl
 from types import TracebackType
 from typing import Any
 from urllib import parse
@@ -39,7 +40,9 @@
         url: str | Sequence[str],
         token: str = '',
         timeout_s: float = DEFAULT_TIMEOUT_S,
+        ca: str | None = None,
     ) -> None:
+        self._ca = ca
         urls = [url] if isinstance(url, str) else list(url)
         self._urls = [each.rstrip('/') for each in urls]
         self._headers = {'Authorization': f'Bearer {token}'} if token else {}
@@ -47,7 +50,12 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> 'Client':
-        self._session = aiohttp.ClientSession(timeout=self._timeout)
+        trust: ssl.SSLContext | bool = True
+        if self._ca is not None:
+            trust = ssl.create_default_context(cafile=self._ca)
+        self._session = aiohttp.ClientSession(
+            timeout=self._timeout, connector=aiohttp.TCPConnector(ssl=trust)
+        )
         return self
 
     async def __aexit__(
--- a/packages/client/celeryshift_client/_commands.py
+++ b/packages/client/celeryshift_client/_commands.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import json
 import os
+import ssl
 from typing import Any
 from typing import TypeVar
 
@@ -22,6 +23,7 @@
 
 URL_VARIABLE = 'CELERYSHIFT_URL'
 TOKEN_VARIABLE = 'CELERYSHIFT_TOKEN'
+CA_VARIABLE = 'CELERYSHIFT_CA'
 AUDIT_PAGE = 20
 
 # Fire would list the metadata of a command in its help as a group.
@@ -55,6 +57,7 @@
     token: str
     as_json: bool
     timeout_s: float
+    ca: str | None
 
     def act(self, work: Work) -> Act:
         return Act(work, self.as_json)
@@ -68,7 +71,8 @@
         return urls
 
     def client(self, *urls: str) -> _api.Client:
-        return _api.Client(urls or self.urls, self.token, self.timeout_s)
+        chosen = urls or self.urls
+        return _api.Client(chosen, self.token, self.timeout_s, self.ca)
 
     def call(self, make_call: Callable[[_api.Client], Awaitable[Any]]) -> Act:
         async def work() -> Result:
@@ -317,12 +321,13 @@
         )
 
 
-@decorators.SetParseFns(url=str, token=str, timeout_s=str)
+@decorators.SetParseFns(url=str, token=str, timeout_s=str, ca=str)
 class Commands:
     """Operate celeryshift, and use it.
 
     Nodes: --url, or CELERYSHIFT_URL (several, separated by commas).
     Operator token or key: --token, or CELERYSHIFT_TOKEN.
+    Certificates to trust: --ca, or CELERYSHIFT_CA.
     """
 
     def __init__(
@@ -332,12 +337,14 @@
         token: str = '',
         json: bool = False,
         timeout_s: str = str(_api.DEFAULT_TIMEOUT_S),
+        ca: str = '',
     ) -> None:
         context = _Context(
             url or os.environ.get(URL_VARIABLE, ''),
             token or os.environ.get(TOKEN_VARIABLE, ''),
             json,
             _number(float, 'timeout_s', timeout_s),
+            _readable(ca or os.environ.get(CA_VARIABLE, '')),
         )
         self._context = context
         self.config = ConfigCommands(context)
@@ -370,6 +377,15 @@
         raise _errors.UsageError(message) from error
 
 
+def _readable(path: str) -> str | None:
+    try:
+        if path:
+            ssl.create_default_context(cafile=path)
+    except OSError as error:
+        raise _errors.UsageError(f'--ca {path}: {error}') from error
+    return path or None
+
+
 def _payload(text: str) -> Any:
     try:
         return json.loads(text)
--- a/packages/node/celeryshift_node/_channels.py
+++ b/packages/node/celeryshift_node/_channels.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import ssl
 
 import aiohttp
 
@@ -49,8 +50,13 @@
 class Channels:
     """Keep a channel for each address."""
 
-    def __init__(self, limit_per_address: int = MAX_CONNECTIONS) -> None:
+    def __init__(
+        self,
+        limit_per_address: int = MAX_CONNECTIONS,
+        context: ssl.SSLContext | None = None,
+    ) -> None:
         self._limit = limit_per_address
+        self._context = context or True
         self._channels_by_address: dict[str, Channel] = {}
 
     def to(self, address: str) -> Channel:
@@ -63,7 +69,7 @@
 
     def fresh(self) -> Channel:
         """Give a channel whose connections are used for one call each."""
-        return Channel(_make_single_use_session)
+        return Channel(self._make_single_use_session)
 
     async def forget(self, address: str) -> None:
         """Close the channel to an address that is not called any more."""
@@ -77,10 +83,9 @@
             await self.forget(address)
 
     def _make_session(self) -> aiohttp.ClientSession:
-        connector = aiohttp.TCPConnector(limit=self._limit)
+        connector = aiohttp.TCPConnector(limit=self._limit, ssl=self._context)
         return aiohttp.ClientSession(connector=connector)
 
-
-def _make_single_use_session() -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(force_close=True)
-    return aiohttp.ClientSession(connector=connector)
+    def _make_single_use_session(self) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(force_close=True, ssl=self._context)
+        return aiohttp.ClientSession(connector=connector)
--- a/packages/node/celeryshift_node/_http.py
+++ b/packages/node/celeryshift_node/_http.py
@@ -15,6 +15,7 @@
 from celeryshift_node import _problems
 from celeryshift_node import _runner
 from celeryshift_node import _settings
+from celeryshift_node import _tls
 from celeryshift_node import _wire
 
 WRAPPING_BYTES = 65_536
@@ -33,7 +34,10 @@
     def __init__(self, settings: _settings.Settings) -> None:
         self._settings = settings
         self._bounds = settings.bounds
-        self.openings = _listener.Openings(settings.bounds.header_timeout_s)
+        handshake_s = _tls.HANDSHAKE_S if settings.tls else 0.0
+        self.openings = _listener.Openings(
+            settings.bounds.header_timeout_s + handshake_s
+        )
 
     def app(self) -> web.Application:
         """Build the application."""
--- a/packages/node/celeryshift_node/_main.py
+++ b/packages/node/celeryshift_node/_main.py
@@ -9,6 +9,7 @@
 from celeryshift_node import _logs
 from celeryshift_node import _service
 from celeryshift_node import _settings
+from celeryshift_node import _tls
 
 BAD_SETTINGS = 2
 
@@ -17,6 +18,8 @@
     """Run a node with the settings in a JSON file, until SIGTERM."""
     try:
         checked = _settings.load(settings)
+        _tls.serving(checked.tls)
+        _tls.calling(checked.tls)
     except core.SettingsError as error:
         sys.stderr.write(f'celeryshiftd: {error}\n')
         raise SystemExit(BAD_SETTINGS) from error
--- a/packages/node/celeryshift_node/_peers.py
+++ b/packages/node/celeryshift_node/_peers.py
@@ -20,8 +20,13 @@
     """Call other nodes."""
 
     def __init__(
-        self, channels: _channels.Channels, token: str, node: str
+        self,
+        channels: _channels.Channels,
+        token: str,
+        node: str,
+        scheme: str = 'http',
     ) -> None:
+        self._scheme = scheme
         self._channels = channels
         self._headers = {'Authorization': f'Bearer {token}'}
         self._node = node
@@ -74,7 +79,7 @@
     async def _post(
         self, address: str, path: str, body: Any, timeout_s: float
     ) -> _calls.Reply:
-        url = f'http://{address}/peer/v1/{path}'
+        url = f'{self._scheme}://{address}/peer/v1/{path}'
         channel = self._channels.to(address)
         return await _calls.call(
             channel, 'POST', url, body, timeout_s, self._headers
--- a/packages/node/celeryshift_node/_service.py
+++ b/packages/node/celeryshift_node/_service.py
@@ -17,6 +17,7 @@
 from celeryshift_node import _platform
 from celeryshift_node import _runner
 from celeryshift_node import _settings
+from celeryshift_node import _tls
 from celeryshift_node import _workers
 
 BACKLOG = 1024
@@ -31,7 +32,8 @@
         """Serve, then work until the node has stopped."""
         settings = self.settings
         per_worker = settings.bounds.max_connections_per_worker
-        self._channels = _channels.Channels(per_worker)
+        context = _tls.calling(settings.tls)
+        self._channels = _channels.Channels(per_worker, context)
         self._web, address = await self._listen()
         self._runner = self._make_runner(address)
         self._api.runner = self._runner
@@ -71,7 +73,13 @@
             self._api.app(), self._api.openings, self.settings.bounds
         )
         await runner.setup()
-        site = web.TCPSite(runner, listen.host, listen.port, backlog=BACKLOG)
+        site = web.TCPSite(
+            runner,
+            listen.host,
+            listen.port,
+            backlog=BACKLOG,
+            ssl_context=_tls.serving(self.settings.tls),
+        )
         await site.start()
         port = runner.addresses[0][1]
         host = listen.advertise_host or listen.host
@@ -85,11 +93,18 @@
         )
         channels = self._channels
         self._workers = _workers.Workers(
-            channels, settings.bounds.silent_after_s
+            channels,
+            settings.bounds.silent_after_s,
+            _tls.scheme(settings.tls is not None and settings.tls.workers),
         )
         return _runner.Runner(
             options,
             _platform.Platform(channels, settings.platform_url),
             self._workers,
-            lambda node: _peers.Peers(channels, settings.cluster_token, node),
+            lambda node: _peers.Peers(
+                channels,
+                settings.cluster_token,
+                node,
+                _tls.scheme(settings.tls is not None),
+            ),
         )
--- a/packages/node/celeryshift_node/_settings.py
+++ b/packages/node/celeryshift_node/_settings.py
@@ -22,6 +22,16 @@
     advertise_host: str | None = None
 
 
+@attrs.frozen
+class Tls:
+    """Name the files of TLS, and say whether workers are called by it."""
+
+    certificate: str
+    key: str
+    ca: str | None = None
+    workers: bool = False
+
+
 @attrs.frozen
 class Statsd:
     """Say where metrics go."""
@@ -81,6 +91,7 @@
     listen: Listen = attrs.field(factory=Listen)
     slices: int = 4
     operators: dict[str, str] = attrs.field(factory=dict)
+    tls: Tls | None = None
     statsd: Statsd | None = None
     log: Log = attrs.field(factory=Log)
     bounds: Bounds = attrs.field(factory=Bounds)
--- /dev/null
+++ b/packages/node/celeryshift_node/_tls.py
@@ -0,0 +1,44 @@
+"""TLS: what a node shows, and whom it trusts."""
+
+import ssl
+
+import celeryshift_core as core
+from celeryshift_node import _settings
+
+# A connection says nothing before its handshake, which the loop bounds.
+HANDSHAKE_S = 60.0
+
+
+def serving(tls: _settings.Tls | None) -> ssl.SSLContext | None:
+    """Build what a listener shows, None without TLS.
+
+    Raises SettingsError for files that cannot be used.
+    """
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    try:
+        context.load_cert_chain(tls.certificate, tls.key)
+    except OSError as error:
+        mistake = f'{error} @ $.tls.certificate, $.tls.key'
+        raise core.SettingsError('settings', [mistake]) from error
+    return context
+
+
+def calling(tls: _settings.Tls | None) -> ssl.SSLContext | None:
+    """Build what checks others, None to trust whom the system trusts.
+
+    Raises SettingsError for a file that cannot be used.
+    """
+    if tls is None or tls.ca is None:
+        return None
+    try:
+        return ssl.create_default_context(cafile=tls.ca)
+    except OSError as error:
+        mistake = f'{error} @ $.tls.ca'
+        raise core.SettingsError('settings', [mistake]) from error
+
+
+def scheme(secured: bool) -> str:
+    """Name the scheme of an address."""
+    return 'https' if secured else 'http'
--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -36,8 +36,12 @@
     """
 
     def __init__(
-        self, channels: _channels.Channels, silent_after_s: float
+        self,
+        channels: _channels.Channels,
+        silent_after_s: float,
+        scheme: str = 'http',
     ) -> None:
+        self._scheme = scheme
         self._channels = channels
         self._fresh = channels.fresh()
         self._silent_after_s = silent_after_s
@@ -185,7 +189,7 @@
         return await _calls.call(
             channel or self._channels.to(address),
             'POST',
-            f'http://{address}/v1/{path}',
+            f'{self._scheme}://{address}/v1/{path}',
             body,
             timeout_s,
         )
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -16,6 +16,7 @@
 from celeryshift_node import _listener
 from celeryshift_node import _runner
 from celeryshift_node import _settings
+from celeryshift_node import _tls
 from celeryshift_standins import _table
 
 OPERATOR = 'operator-token'
@@ -80,7 +81,7 @@
 
 
 @contextlib.asynccontextmanager
-async def node(**bounds):
+async def node(tls=None, **bounds):
     """Run a node on loopback, configured, without a lease."""
     settings = _settings.parse(
         {
@@ -91,6 +92,7 @@
                 'ana': hashlib.sha256(b'operator-token').hexdigest()
             },
             'bounds': bounds,
+            'tls': tls,
         }
     )
     api = _http.Api(settings)
@@ -103,13 +105,15 @@
     runner = _runner.Runner(options, platform, None, lambda node: None)
     api.runner = runner
     await listener.setup()
-    site = web.TCPSite(listener, '127.0.0.1', 0)
+    context = _tls.serving(settings.tls)
+    site = web.TCPSite(listener, '127.0.0.1', 0, ssl_context=context)
     await site.start()
     runner.start()
     while not (runner.state.config.version and runner.state.vm_revision):
         await asyncio.sleep(0.001)
     try:
-        yield Entry('http://{}:{}'.format(*listener.addresses[0]), platform)
+        address = '{}:{}'.format(*listener.addresses[0])
+        yield Entry(f'{_tls.scheme(tls is not None)}://{address}', platform)
     finally:
         await listener.cleanup()
         await runner.close()
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -75,6 +75,7 @@
     listed = {name: rows[name] for name in rows if not name.startswith('-')}
     expected = dict(_defaults(_settings.Settings))
     expected |= dict(_defaults(_settings.Statsd, 'statsd.'))
+    expected |= dict(_defaults(_settings.Tls, 'tls.'))
     assert listed == expected
 
 
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,70 @@
+"""TLS between callers, operators and nodes."""
+
+import asyncio
+import pathlib
+
+import entries
+import pytest
+
+import celeryshift_client
+import celeryshift_core as core
+from celeryshift_node import _calls
+from celeryshift_node import _channels
+from celeryshift_node import _settings
+from celeryshift_node import _tls
+
+DATA = pathlib.Path(__file__).parent / 'data'
+CERTIFICATE = str(DATA / 'certificate.pem')
+TLS = {
+    'certificate': CERTIFICATE,
+    'key': str(DATA / 'key.pem'),
+    'ca': CERTIFICATE,
+}
+
+
+async def _show(ca):
+    async with (
+        entries.node(tls=TLS) as entry,
+        celeryshift_client.Client(
+            entry.url, entries.OPERATOR, ca=ca
+        ) as operator,
+    ):
+        return await operator.configuration()
+
+
+def test_an_operator_trusts_the_certificate_that_is_named():
+    assert asyncio.run(_show(CERTIFICATE))['version'] == 1
+
+
+def test_nothing_is_sent_to_a_node_that_is_not_trusted():
+    with pytest.raises(celeryshift_client.UnreachableError) as caught:
+        asyncio.run(_show(None))
+    assert caught.value.ran is core.Ran.NO
+
+
+@pytest.mark.parametrize(
+    ('tls', 'outcome'),
+    [
+        (_settings.Tls(**TLS), _calls.Outcome.OK),
+        (None, _calls.Outcome.UNSENT),
+    ],
+)
+def test_a_node_calls_those_that_it_trusts(tls, outcome):
+    async def call():
+        async with entries.node(tls=TLS) as entry:
+            channels = _channels.Channels(context=_tls.calling(tls))
+            channel = channels.to(entry.url)
+            reply = await _calls.call(channel, 'GET', f'{entry.url}/healthz')
+            await channels.close()
+            return reply
+
+    assert asyncio.run(call()).outcome is outcome
+
+
+@pytest.mark.parametrize('field', ['certificate', 'key', 'ca'])
+def test_a_file_that_cannot_be_used_is_a_mistake_of_settings(field):
+    tls = _settings.Tls(**{**TLS, field: '/no/such/file'})
+    with pytest.raises(core.SettingsError) as caught:
+        _tls.serving(tls)
+        _tls.calling(tls)
+    assert f'$.tls.{field}' in caught.value.mistakes[0]
