Control traffic is counted by what is called; pages list every change and counter

Change: calls encode their body once and count its bytes, and those of the reply; peers, platform and workers are told apart. Ruled out: traces of aiohttp, which call back for each event of each request.

--- a/packages/node/celeryshift_node/_calls.py
+++ b/packages/node/celeryshift_node/_calls.py
@@ -1,6 +1,7 @@
 """Calls to other processes, and what is known when one fails."""
 
 import asyncio
+import json
 from typing import Any
 
 import aiohttp
@@ -11,6 +12,7 @@
 
 Outcome = events.Outcome
 
+JSON_HEADERS = {'Content-Type': 'application/json'}
 NOT_CONNECTED = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
@@ -44,15 +46,19 @@
 
     The outcome is UNSENT only if no byte of the call can have left.
     """
+    data = b'' if body is None else json.dumps(body).encode()
+    headers = {**JSON_HEADERS, **(headers or {})}
+    channel.traffic.sent(len(data))
     session = channel.acquire()
     silent = False
     try:
         async with (
             asyncio.timeout(timeout_s),
             session.request(
-                method, url, json=body, headers=headers
+                method, url, data=data or None, headers=headers
             ) as response,
         ):
+            channel.traffic.received(len(await response.read()))
             decoded = await response.json(content_type=None)
             return Reply(Outcome.OK, response.status, decoded)
     except NOT_CONNECTED:
--- a/packages/node/celeryshift_node/_channels.py
+++ b/packages/node/celeryshift_node/_channels.py
@@ -5,18 +5,44 @@
 address: calls under way may still end, and new calls connect anew.
 """
 
+import collections
 from collections.abc import Callable
 import ssl
 
 import aiohttp
 
 MAX_CONNECTIONS = 64
+PEERS = 'peers'
+PLATFORM = 'platform'
+WORKERS = 'workers'
+
+
+class Traffic:
+    """Count the calls to one kind of process, and the bytes of bodies."""
+
+    def __init__(self, name: str, counters: collections.Counter[str]) -> None:
+        self._counters = counters
+        self._calls = f'control.{name}.calls'
+        self._sent = f'control.{name}.sent_bytes'
+        self._received = f'control.{name}.received_bytes'
+
+    def sent(self, length: int) -> None:
+        """Count a call."""
+        self._counters[self._calls] += 1
+        self._counters[self._sent] += length
+
+    def received(self, length: int) -> None:
+        """Count the reply to a call."""
+        self._counters[self._received] += length
 
 
 class Channel:
     """Keep the connections to one address."""
 
-    def __init__(self, make: Callable[[], aiohttp.ClientSession]) -> None:
+    def __init__(
+        self, make: Callable[[], aiohttp.ClientSession], traffic: Traffic
+    ) -> None:
+        self.traffic = traffic
         self._make = make
         self._session: aiohttp.ClientSession | None = None
         self._open_by_session: dict[aiohttp.ClientSession, int] = {}
@@ -58,18 +84,21 @@
         self._limit = limit_per_address
         self._context = context or True
         self._channels_by_address: dict[str, Channel] = {}
+        self.counters: collections.Counter[str] = collections.Counter()
 
-    def to(self, address: str) -> Channel:
-        """Give the channel to an address."""
+    def to(self, address: str, kind: str = WORKERS) -> Channel:
+        """Give the channel to an address of a kind of process."""
         channel = self._channels_by_address.get(address)
         if channel is None:
-            channel = Channel(self._make_session)
+            traffic = Traffic(kind, self.counters)
+            channel = Channel(self._make_session, traffic)
             self._channels_by_address[address] = channel
         return channel
 
     def fresh(self) -> Channel:
         """Give a channel whose connections are used for one call each."""
-        return Channel(self._make_single_use_session)
+        traffic = Traffic(WORKERS, self.counters)
+        return Channel(self._make_single_use_session, traffic)
 
     async def forget(self, address: str) -> None:
         """Close the channel to an address that is not called any more."""
--- a/packages/node/celeryshift_node/_metrics.py
+++ b/packages/node/celeryshift_node/_metrics.py
@@ -23,9 +23,13 @@
     """Send what was counted since the last time, and the gauges of now."""
 
     def __init__(
-        self, runner: _runner.Runner, settings: _settings.Statsd
+        self,
+        runner: _runner.Runner,
+        traffic: collections.Counter[str],
+        settings: _settings.Statsd,
     ) -> None:
         self._runner = runner
+        self._traffic = traffic
         self._flush_s = settings.flush_s
         self._client = statsd.StatsClient(
             settings.host, settings.port, settings.prefix
@@ -50,6 +54,7 @@
 
     def _send_counters(self, pipe: statsd.StatsClient) -> None:
         counts = self._runner.state.counters + self._runner.counters
+        counts += self._traffic
         counts['process.cpu_ms'] = int(time.process_time() * 1000)
         for name, count in counts.items():
             if count != self._sent[name]:
--- a/packages/node/celeryshift_node/_peers.py
+++ b/packages/node/celeryshift_node/_peers.py
@@ -80,7 +80,7 @@
         self, address: str, path: str, body: Any, timeout_s: float
     ) -> _calls.Reply:
         url = f'{self._scheme}://{address}/peer/v1/{path}'
-        channel = self._channels.to(address)
+        channel = self._channels.to(address, _channels.PEERS)
         return await _calls.call(
             channel, 'POST', url, body, timeout_s, self._headers
         )
--- a/packages/node/celeryshift_node/_platform.py
+++ b/packages/node/celeryshift_node/_platform.py
@@ -18,7 +18,7 @@
 
     def __init__(self, channels: _channels.Channels, url: str) -> None:
         self._url = url.rstrip('/')
-        self._channel = channels.to(self._url)
+        self._channel = channels.to(self._url, _channels.PLATFORM)
 
     async def write(
         self, effect: effects.WriteStore
--- a/packages/node/celeryshift_node/_service.py
+++ b/packages/node/celeryshift_node/_service.py
@@ -42,8 +42,10 @@
         sys.stdout.flush()
         metrics = None
         if settings.statsd is not None:
-            work = _metrics.Metrics(self._runner, settings.statsd).run()
-            metrics = asyncio.create_task(work)
+            work = _metrics.Metrics(
+                self._runner, self._channels.counters, settings.statsd
+            )
+            metrics = asyncio.create_task(work.run())
         self.start_event.set()
         await self._runner.stopped.wait()
         if metrics is not None:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -15,6 +15,9 @@
 ROOT = pathlib.Path(__file__).parent.parent
 DOCS = ROOT / 'docs'
 ROW = re.compile(r'^\| (.+?) \| (.+?) \|', re.MULTILINE)
+CHANGE = re.compile(r"(?:LogChange|_change)\(\s*'([a-z-]+)'")
+COUNTED = re.compile(r"(?:counters|gauges|counts)\[f?'([^']+)'\]")
+GAUGE = re.compile(r"yield f?'([a-z]+\.[^' ]+)',")
 CODE = re.compile(r'`([^`]+)`')
 
 
@@ -100,10 +103,21 @@
 def test_logged_changes_are_those_of_the_code():
     section = _page('OPERATIONS.md').partition('## Log lines')[2]
     table = section.partition('## Metrics')[0].partition('| --- |')[2]
+    rows = ROW.findall(table)
+    listed = {name for names, _ in rows for name in CODE.findall(names)}
+    assert listed == set(CHANGE.findall(_source()))
+
+
+def test_every_counter_and_gauge_is_listed():
+    page = _page('OPERATIONS.md').partition('## Metrics')[2]
     source = _source()
-    for names, _ in ROW.findall(table):
-        for name in CODE.findall(names):
-            assert f"'{name}'" in source
+    names = COUNTED.findall(source) + GAUGE.findall(source)
+    assert len(names) > 30
+    for name in names:
+        start, _, rest = name.partition('{')
+        ends = rest.rpartition('}')[2]
+        assert f'`{start}' in page
+        assert f'{ends}`' in page
 
 
 def test_the_example_and_the_pages_examples_are_valid(tmp_path):
--- a/tests/test_node_reports.py
+++ b/tests/test_node_reports.py
@@ -127,7 +127,8 @@
     )
     port = statsd.getsockname()[1]
     settings = _settings.Statsd(port=port, prefix='cs')
-    metrics = _metrics.Metrics(runner, settings)
+    traffic = collections.Counter({'control.peers.sent_bytes': 9})
+    metrics = _metrics.Metrics(runner, traffic, settings)
     metrics.flush()
     sent = _received(statsd)
     assert sent['cs.placements'] == '8|c'
@@ -136,6 +137,7 @@
     assert sent['cs.slots.coding.used'] == '8|g'
     assert sent['cs.refused.unknown-kind'] == '1|c'
     assert sent['cs.changes.slice-taken'] == '4|c'
+    assert sent['cs.control.peers.sent_bytes'] == '9|c'
     assert sent['cs.store.failing_s'] == '0|g'
     assert sent['cs.wait.normal.recode.p99'].endswith('|ms')
     metrics.flush()
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -53,12 +53,14 @@
     async def call():
         async with entries.node(tls=TLS) as entry:
             channels = _channels.Channels(context=_tls.calling(tls))
-            channel = channels.to(entry.url)
+            channel = channels.to(entry.url, _channels.PEERS)
             reply = await _calls.call(channel, 'GET', f'{entry.url}/healthz')
             await channels.close()
-            return reply
+            return reply, channels.counters['control.peers.received_bytes']
 
-    assert asyncio.run(call()).outcome is outcome
+    reply, received = asyncio.run(call())
+    assert reply.outcome is outcome
+    assert received == (len('{"phase": "serving"}') if reply.ok else 0)
 
 
 @pytest.mark.parametrize('field', ['certificate', 'key', 'ca'])
