--- a/packages/client/celeryshift_client/_main.py
+++ b/packages/client/celeryshift_client/_main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+import os
 import sys
 from typing import Any
 
@@ -34,9 +35,12 @@
         return _exits.code_of(error)
     except KeyboardInterrupt:
         return _exits.ExitCode.REFUSED_UNKNOWN
+    except Exception as error:
+        sys.stderr.write(f'celeryshift: internal error: {error!r}\n')
+        return _exits.ExitCode.INTERNAL
     for message in result.errors:
         sys.stderr.write(f'celeryshift: {message}\n')
-    sys.stdout.write(_output.write(result.document, as_json))
+    _print(_output.write(result.document, as_json))
     return result.code
 
 
@@ -45,6 +49,15 @@
     raise SystemExit(int(run(sys.argv[1:])))
 
 
+def _print(text: str) -> None:
+    try:
+        sys.stdout.write(text)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # Who reads has seen enough; the interpreter flushes once more.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+
+
 def _as_switch(argument: str) -> str:
     # A bare switch would take the next word as its value.
     return f'{SWITCH}=True' if argument == SWITCH else argument
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -97,6 +97,12 @@
     assert _run(capsys, 'config', 'check', path)[0] == Code.USAGE
 
 
+def test_a_fault_of_the_program_has_a_code_of_its_own(capsys, monkeypatch):
+    monkeypatch.setattr('json.loads', None)
+    ended = _run(capsys, 'job', 'submit', 'a', 'b', url=DEAD)
+    assert ended[0] == Code.INTERNAL
+
+
 def test_no_node_is_unreachable(capsys):
     assert _run(capsys, 'config', 'show', url=DEAD)[0] == Code.UNREACHABLE
     ended = _run(capsys, 'request', 'send', 'validate', 'field', url=DEAD)
