--- a/packages/core/celeryshift_core/_ownership.py
+++ b/packages/core/celeryshift_core/_ownership.py
@@ -326,7 +326,9 @@
             peer.row_version = row.version
             peer.changed_at = state.now
         peer.draining = row.value['draining']
-        peer.config_version = row.value['config_version']
+        # Summaries are fresher than rows, and versions only rise.
+        version = row.value['config_version']
+        peer.config_version = max(peer.config_version, version)
         peer.basis = row.value['basis'] or row.version
         peer.vm_revision = row.value['vm_revision']
     own = state.options.data_centre
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -23,7 +23,7 @@
 
 def fleet() -> celeryshift_client.Fleet:
     """Build a configuration with a kind of work for each policy."""
-    made = celeryshift_client.Fleet()
+    made = celeryshift_client.Fleet(replace=True)
     made.upstream(UPSTREAM)
     made.team('ministry', share=4, limit_slots=64)
     made.team('public', share=1, limit_slots=64)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -93,7 +93,9 @@
 
 
 def test_all_mistakes_are_told_at_once_with_their_paths():
-    fleet = builders.fleet()
+    fleet = celeryshift_client.Fleet()
+    fleet.upstream('coding')
+    fleet.team('ministry')
     fleet.team('ministry')
     fleet.team('late', shares=2)
     fleet.key('k9', 'nobody', 'secret')
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -14,7 +14,7 @@
 
 def _fleet(limit=LIMIT):
     made = builders.fleet()
-    made.change_team('ministry', limit_slots=limit)
+    made.team('ministry', share=4, limit_slots=limit)
     return made.document()
 
 
