--- a/packages/core/celeryshift_core/_configuration.py
+++ b/packages/core/celeryshift_core/_configuration.py
@@ -3,6 +3,7 @@
 import attrs
 
 from celeryshift_core import _allotments
+from celeryshift_core import _audit
 from celeryshift_core import _config
 from celeryshift_core import _confirmation
 from celeryshift_core import _errors
@@ -211,7 +212,7 @@
     record = {
         'who': event.operator,
         'at': event.wall_time,
-        'what': 'configuration',
+        'what': _what(state, event),
         'from_version': current,
         'to_version': current + 1,
     }
@@ -305,6 +306,14 @@
     }
 
 
+def _what(state: _state.State, event: events.ConfigHandedIn) -> str:
+    if state.config.version != event.base_version:
+        # This node is behind: it cannot tell what the change began from.
+        return f'compared with version {event.base_version}: not known'
+    found = _audit.changes(state.config, _config.parse(event.document))
+    return '; '.join(found) or 'nothing'
+
+
 def _conflict(
     state: _state.State,
     event: events.ConfigHandedIn,
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -16,6 +16,7 @@
 from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
+from celeryshift_core import _waits
 
 MAX_HINTS = 32
 STARTS_PER_EVENT = 512
@@ -214,6 +215,7 @@
     _launch.book(state, held, task, worker, size)
     task.state = _tasks.TaskState.STARTING
     state.counters['placements'] += 1
+    _waits.note(state, task)
     if kind.preemptible:
         _preemption.started(state, held, task)
     if kind.repeatable:
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -17,6 +17,7 @@
 from celeryshift_core import _peers
 from celeryshift_core import _placement
 from celeryshift_core import _quarantine
+from celeryshift_core import _questions
 from celeryshift_core import _refusing
 from celeryshift_core import _requests
 from celeryshift_core import _saving
@@ -86,6 +87,7 @@
 ) -> None:
     if state.phase is _state.NodePhase.SERVING:
         state.phase = _state.NodePhase.DRAINING
+        state.membership.draining_since = state.now
         out.append(effects.LogChange('draining', {'node': state.node}))
         _peers.summarize(state, out)
         _ownership.balance(state, out)
@@ -137,13 +139,6 @@
         state.touched[timer.slice] = None
 
 
-def _flush_records(
-    state: _state.State, timer: _timers.FlushRecords, out: _state.Out
-) -> None:
-    _submission.flush(state, out)
-    _jobs.flush(state, out)
-
-
 _HANDLERS_BY_EVENT: dict[type, Handler] = {
     events.Started: _start,
     events.Tick: _pass,
@@ -162,6 +157,8 @@
     events.CallForwarded: _submission.forwarded,
     events.ConfigHandedIn: _configuration.handed_in,
     events.KeyWithdrawn: _keys.withdrawn,
+    events.AuditAsked: _questions.audit_asked,
+    events.RequestAsked: _questions.request_asked,
     events.PeerMessageArrived: _peers.arrived,
     events.PeerUnreachable: _peers.unreachable,
     events.DrainRequested: _drain,
@@ -173,7 +170,8 @@
     _timers.PollConfig: lambda state, _, out: _configuration.poll(state, out),
     _timers.PollNodes: lambda state, _, out: _ownership.poll_nodes(state, out),
     _timers.Summarize: lambda state, _, out: _peers.summarize(state, out),
-    _timers.FlushRecords: _flush_records,
+    _timers.FlushRecords: lambda state, _, out: _submission.flush(state, out),
+    _timers.RecordJobs: lambda state, _, out: _jobs.flush(state, out),
     _timers.SettleWrite: lambda state, timer, out: _store.settle(
         state, timer.op_id, out
     ),
@@ -225,4 +223,5 @@
     _configuration.BasePurpose: _configuration.base_read,
     _keys.BasePurpose: _keys.base_read,
     _allotments.PoolsPurpose: _allotments.pools_read,
+    _questions.AuditPurpose: _questions.audit_read,
 }
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -51,6 +51,7 @@
     row_version: int
     queue: _queue.Queue
     vm_revision: int = 0
+    taken_version: int = 0
     phase: SlicePhase = SlicePhase.RECOVERING
     ledger: _ledger.Ledger = attrs.field(factory=_ledger.Ledger)
     jobs_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
@@ -102,6 +103,7 @@
     renewed_at: float = -math.inf
     vm_revision: int = 0
     renewing: bool = False
+    draining_since: float = 0.0
     leaving: bool = False
     left: bool = False
     peers_by_id: dict[str, Peer] = attrs.field(factory=dict)
@@ -256,6 +258,9 @@
     )
     success_by_kind: dict[str, Success] = attrs.field(factory=dict)
     gauges: dict[str, float] = attrs.field(factory=dict)
+    waits_by_kind: dict[tuple[str, bool], list[int]] = attrs.field(
+        factory=dict
+    )
     counters: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
--- a/packages/node/celeryshift_node/_service.py
+++ b/packages/node/celeryshift_node/_service.py
@@ -11,11 +11,13 @@
 from celeryshift_core import events
 from celeryshift_node import _channels
 from celeryshift_node import _http
+from celeryshift_node import _listener
 from celeryshift_node import _metrics
 from celeryshift_node import _peers
 from celeryshift_node import _platform
 from celeryshift_node import _runner
 from celeryshift_node import _settings
+from celeryshift_node import _tls
 from celeryshift_node import _workers
 
 BACKLOG = 1024
@@ -30,7 +32,8 @@
         """Serve, then work until the node has stopped."""
         settings = self.settings
         per_worker = settings.bounds.max_connections_per_worker
-        self._channels = _channels.Channels(per_worker)
+        context = _tls.calling(settings.tls)
+        self._channels = _channels.Channels(per_worker, context)
         self._web, address = await self._listen()
         self._runner = self._make_runner(address)
         self._api.runner = self._runner
@@ -39,8 +42,10 @@
         sys.stdout.flush()
         metrics = None
         if settings.statsd is not None:
-            work = _metrics.Metrics(self._runner, settings.statsd).run()
-            metrics = asyncio.create_task(work)
+            work = _metrics.Metrics(
+                self._runner, self._channels.counters, settings.statsd
+            )
+            metrics = asyncio.create_task(work.run())
         self.start_event.set()
         await self._runner.stopped.wait()
         if metrics is not None:
@@ -66,14 +71,17 @@
     async def _listen(self) -> tuple[web.AppRunner, str]:
         listen = self.settings.listen
         self._api = _http.Api(self.settings)
-        runner = web.AppRunner(
-            self._api.app(),
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=self.settings.bounds.drain_timeout_s,
+        runner = _listener.Listener(
+            self._api.app(), self._api.openings, self.settings.bounds
         )
         await runner.setup()
-        site = web.TCPSite(runner, listen.host, listen.port, backlog=BACKLOG)
+        site = web.TCPSite(
+            runner,
+            listen.host,
+            listen.port,
+            backlog=BACKLOG,
+            ssl_context=_tls.serving(self.settings.tls),
+        )
         await site.start()
         port = runner.addresses[0][1]
         host = listen.advertise_host or listen.host
@@ -87,11 +95,18 @@
         )
         channels = self._channels
         self._workers = _workers.Workers(
-            channels, settings.bounds.silent_after_s
+            channels,
+            settings.bounds.silent_after_s,
+            _tls.scheme(settings.tls is not None and settings.tls.workers),
         )
         return _runner.Runner(
             options,
             _platform.Platform(channels, settings.platform_url),
             self._workers,
-            lambda node: _peers.Peers(channels, settings.cluster_token, node),
+            lambda node: _peers.Peers(
+                channels,
+                settings.cluster_token,
+                node,
+                _tls.scheme(settings.tls is not None),
+            ),
         )
