--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,4 @@
 
 bench: setup
 	$(PY) -m bench.placement
+	$(PY) -m bench.ownership
