--- a/packages/standins/celeryshift_standins/_set_up.py
+++ b/packages/standins/celeryshift_standins/_set_up.py
@@ -95,19 +95,31 @@
 
 
 def kind(words: Words) -> _play.Act:
-    """Read `kind seal request [urgent] [once] [timeout 5s] [slots 2]`."""
+    """Read `kind seal request [urgent] [once] [timeout 5s] [slots 2]`.
+
+    Batch may also be `preemptible`.
+    """
     name = words.word('a kind')
     policy = words.one_of('request', 'batch', 'gang', 'service')
     fields: dict[str, Any] = {}
     on = 'coding'
     while words.peek():
         word = words.one_of(
-            'urgent', 'once', 'timeout', 'max-run', 'slots', 'memory', 'on'
+            'urgent',
+            'once',
+            'preemptible',
+            'timeout',
+            'max-run',
+            'slots',
+            'memory',
+            'on',
         )
         if word == 'urgent':
             fields['urgent'] = True
         elif word == 'once':
             fields['repeatable'] = False
+        elif word == 'preemptible':
+            fields['preemptible'] = True
         elif word == 'timeout':
             fields['timeout_s'] = words.time_s()
         elif word == 'max-run':
