--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -154,16 +154,16 @@
     document = json.loads(fleet.read_text())
     document['teams']['ministry']['share'] = 5
     fleet.write_text(json.dumps(document))
-    raced_with = fleet.with_name('other.json')
+    other = fleet.with_name('other.json')
     document['teams']['ministry']['share'] = 6
-    raced_with.write_text(json.dumps(document))
+    other.write_text(json.dumps(document))
     differ, applied, same, shown, raced, trail = _at_node(
         capsys,
         ('config', 'diff', fleet, '--json'),
         ('config', 'apply', fleet),
         ('config', 'diff', fleet),
         ('config', 'show', '--json'),
-        ('config', 'apply', raced_with, '--base_version', '1'),
+        ('config', 'apply', other, '--base_version', '1'),
         ('audit', '--json'),
     )
     assert differ[0] == Code.DIFFERENT
