Requests: looked at again while they wait, headroom for urgent work, sure refusals

Causes: (1) a request stayed in the first queue it was put into until its deadline, also in a slice that was being released and so served nobody; (2) batch work that runs for a minute filled every slot; (3) a refusal "not run" of one call was untrue when another call of its name had run. Ruled out for (2): preemption by default, since tasks would be run again; for (3): claiming each name on arrival, which leaves claims of requests that were never sent when their node dies. Change: waiting requests are looked at again every 0.25 s; releasing a slice routes its queue anew at once; slices keep back the recent peak of urgent slots, one at least; refusals of named calls that must not be repeated are checked against the claims; retries and second forwards come out of a budget for each team. Routing is a module of its own.

--- /dev/null
+++ b/packages/core/celeryshift_core/_budget.py
@@ -0,0 +1,31 @@
+"""Budgets of retries: a part of what each team sends, and a few to spare.
+
+When everything fails, retries would multiply the load; with a budget they
+add a tenth to it.
+
+Source: Beyer et al., Site Reliability Engineering, chapter 21, 2016.
+"""
+
+import attrs
+
+EARNED_BY_REQUEST = 0.1
+MOST = 10.0
+COST = 1.0
+
+
+@attrs.define(eq=False)
+class Budget:
+    """Hold the retries that a team may still make from this node."""
+
+    left: float = MOST
+
+    def earn(self) -> None:
+        """Note a request that is sent for the first time."""
+        self.left = min(MOST, self.left + EARNED_BY_REQUEST)
+
+    def spend(self) -> bool:
+        """Take the cost of one retry, if there is enough left."""
+        if self.left < COST:
+            return False
+        self.left -= COST
+        return True
--- a/packages/core/celeryshift_core/_config.py
+++ b/packages/core/celeryshift_core/_config.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import enum
+import functools
 import hashlib
 import hmac
 import math
@@ -105,6 +106,13 @@
     upstreams: dict[str, Upstream] = attrs.field(factory=dict)
     kinds: dict[str, Kind] = attrs.field(factory=dict)
 
+    @functools.cached_property
+    def urgent_upstreams(self) -> frozenset[str]:
+        """Name the upstreams that have an urgent kind of work."""
+        return frozenset(
+            kind.upstream for kind in self.kinds.values() if kind.urgent
+        )
+
     def takes_work(self, upstream: str) -> bool:
         """Tell whether an upstream takes new work."""
         found = self.upstreams.get(upstream)
--- /dev/null
+++ b/packages/core/celeryshift_core/_headroom.py
@@ -0,0 +1,41 @@
+"""Headroom: slots that only urgent work may fill.
+
+Work that cannot be preempted would otherwise fill every slot for as long as
+it runs. A slice keeps back what urgent work held at its recent peak, and one
+slot where the configuration knows an urgent kind at all.
+"""
+
+from celeryshift_core import _peaks
+from celeryshift_core import _state
+
+LARGEST_PART = 4
+
+
+def change(
+    state: _state.State, held: _state.Slice, upstream: str, slots: int
+) -> None:
+    """Note that urgent work of an upstream holds more, or less."""
+    peak = held.urgent_by_upstream.get(upstream)
+    if peak is None:
+        peak = held.urgent_by_upstream[upstream] = _peaks.Peak()
+    peak.change(slots, state.now)
+
+
+def allows(
+    state: _state.State, held: _state.Slice, upstream: str, slots: int
+) -> bool:
+    """Tell whether work that is not urgent leaves the headroom free."""
+    free = held.ledger.free_slots(upstream)
+    return free - slots >= reserve(state, held, upstream)
+
+
+def reserve(state: _state.State, held: _state.Slice, upstream: str) -> int:
+    """Give the free slots of a slice that are kept for urgent work."""
+    if upstream not in state.config.urgent_upstreams:
+        return 0
+    capacity = held.ledger.capacity_slots(upstream)
+    peak = held.urgent_by_upstream.get(upstream)
+    wanted = 1
+    if peak is not None:
+        wanted = max(wanted, peak.recent(state.now) - peak.slots)
+    return min(wanted, capacity // LARGEST_PART)
--- a/packages/core/celeryshift_core/_launch.py
+++ b/packages/core/celeryshift_core/_launch.py
@@ -1,5 +1,6 @@
 """Sending placed tasks to their workers, and taking bookings back."""
 
+from celeryshift_core import _headroom
 from celeryshift_core import _ledger
 from celeryshift_core import _rights
 from celeryshift_core import _shares
@@ -20,8 +21,10 @@
     task.epoch = held.epoch
     task.attempt += 1
     task.worker = worker.name
-    hold = _ledger.Hold(task.team, size, task.job)
+    hold = _ledger.Hold(task.team, size, task.job, task.urgent)
     held.ledger.hold(worker.name, task.run_id, hold)
+    if task.urgent:
+        _headroom.change(state, held, worker.upstream, size.slots)
     held.unconfirmed.add(task.run_id)
     _shares.charge(state, held, task.team, size)
     task.note(state.now, 'placed', f'attempt {task.attempt}')
@@ -156,6 +159,9 @@
     hold = held.ledger.release(worker, run_id)
     if hold is not None:
         _shares.refund(state, held, hold.team, hold.size)
+        if hold.urgent:
+            upstream = held.ledger.workers_by_name[worker].upstream
+            _headroom.change(state, held, upstream, -hold.size.slots)
 
 
 def unbook(state: _state.State, held: _state.Slice, task: _tasks.Task) -> None:
--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -19,6 +19,7 @@
     team: str
     size: _size.Size
     job: str = ''
+    urgent: bool = False
 
 
 @attrs.define(eq=False)
--- a/packages/core/celeryshift_core/_limits.py
+++ b/packages/core/celeryshift_core/_limits.py
@@ -19,3 +19,9 @@
     if most - needed < most // AHEAD_DIVISOR or needed > most:
         _allotments.want(state, held, task.team, needed)
     return needed <= most
+
+
+def left(state: _state.State, held: _state.Slice, team: str) -> int:
+    """Give the slots of a slice that a team may still take."""
+    most = _allotments.usable(state, held, team)
+    return most - _allotments.used(held, team)
--- a/packages/core/celeryshift_core/_ownership.py
+++ b/packages/core/celeryshift_core/_ownership.py
@@ -213,6 +213,7 @@
         state.phase is not _state.NodePhase.DRAINING
         or state.requests_by_id
         or state.replies_due
+        or state.refusals_in_doubt
     ):
         return
     if state.membership.left or _is_store_lost(state):
--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -97,6 +97,18 @@
     return max(pair, key=lambda peer: peer.free_slots_by_upstream[upstream])
 
 
+def has_room(
+    state: _state.State, upstream: str, tried: tuple[str, ...]
+) -> bool:
+    """Tell whether any peer that was not tried has room."""
+    return any(
+        peer.free_slots_by_upstream.get(upstream, 0) > 0
+        and peer.heard_at is not None
+        and peer.id not in tried
+        for peer in _ownership.live_peers(state)
+    )
+
+
 def with_workers(state: _state.State, upstream: str) -> _state.Peer | None:
     """Choose the peer with the most room among those with workers."""
     able = [
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -2,6 +2,7 @@
 
 from celeryshift_core import _config
 from celeryshift_core import _gangs
+from celeryshift_core import _headroom
 from celeryshift_core import _holds
 from celeryshift_core import _launch
 from celeryshift_core import _learning
@@ -200,6 +201,11 @@
         return 'upstream is leaving'
     if not _limits.may_start(state, held, task):
         return 'team is at its upper limit'
+    slots = task.size.slots
+    if not task.urgent and not _headroom.allows(
+        state, held, task.upstream, slots
+    ):
+        return 'the room left is kept for urgent work'
     return ''
 
 
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -27,6 +27,7 @@
 from celeryshift_core import _submission
 from celeryshift_core import _timers
 from celeryshift_core import _usage
+from celeryshift_core import _verdicts
 from celeryshift_core import _workers
 from celeryshift_core import effects
 from celeryshift_core import events
@@ -189,6 +190,7 @@
     _timers.PumpDue: _pump_due,
     _timers.RequestDue: _requests.due,
     _timers.ReplyDue: _submission.reply_due,
+    _timers.CheckDue: _verdicts.check_due,
     _timers.RestEnds: _refusing.rest_ends,
     _timers.TellKeys: _keys.tell,
     _timers.SaveKeys: _keys.save,
@@ -218,6 +220,7 @@
     _ownership.NodesPurpose: _ownership.nodes_read,
     _departures.SweepPurpose: _departures.markers_read,
     _submission.PlacePurpose: _submission.place_read,
+    _verdicts.CheckPurpose: _verdicts.checked,
     _configuration.HeadPurpose: _configuration.head_read,
     _configuration.DocumentPurpose: _configuration.document_read,
     _configuration.BasePurpose: _configuration.base_read,
--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -1,22 +1,23 @@
 """Requests: routing, deadlines, answers, retries and refusals."""
 
 from celeryshift_core import _admission
+from celeryshift_core import _budget
 from celeryshift_core import _config
 from celeryshift_core import _explain
-from celeryshift_core import _ids
 from celeryshift_core import _launch
 from celeryshift_core import _peers
 from celeryshift_core import _quarantine
 from celeryshift_core import _refusals
 from celeryshift_core import _refusing
+from celeryshift_core import _routing
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
+from celeryshift_core import _verdicts
 from celeryshift_core import effects
 from celeryshift_core import events
 from celeryshift_core import schema
 
-MAX_FORWARDS = 2
 RUN_TIME_WEIGHT = 0.1
 HOLD_MARGIN_S = 1.0
 
@@ -47,16 +48,18 @@
         state.now,
         state.now + timeout_s,
         event.hops,
+        event.named,
     )
     state.requests_by_id[request.id] = request
-    state.timers.set(_timers.RequestDue(request.id), request.deadline)
+    _budget_of(state, request.team).earn()
+    _routing.look_again(state, request)
     _route(state, request, kind, out)
 
 
 def due(
     state: _state.State, timer: _timers.RequestDue, out: _state.Out
 ) -> None:
-    """Refuse a request at its deadline, if it was never sent."""
+    """Route a waiting request anew, or refuse it at its deadline."""
     request = state.requests_by_id.get(timer.id)
     if request is None or request.sent or request.forwarding:
         return
@@ -66,9 +69,12 @@
         _refuse(state, request, Reason.NO_UPSTREAM, Ran.NO, detail, out)
         return
     if state.now < request.deadline:
-        _unqueue(state, request)
-        state.timers.set(timer, request.deadline)
-        _route(state, request, kind, out)
+        _routing.look_again(state, request)
+        if request.task is None or _routing.waits_in_vain(
+            state, request, kind
+        ):
+            _routing.unqueue(state, request)
+            _route(state, request, kind, out)
         return
     detail = 'it waited for room until its deadline'
     _refuse(state, request, Reason.DEADLINE, Ran.NO, detail, out)
@@ -139,14 +145,15 @@
     if (
         again
         and kind is not None
-        and len(request.forwarded_to) < MAX_FORWARDS
+        and len(request.forwarded_to) < _routing.MAX_FORWARDS
         and state.now < request.deadline
         and not (refusal and refusal.reason in FINAL)
+        and _budget_of(state, request.team).spend()
     ):
         state.counters['requests.retried'] += 1
         _route(state, request, kind, out)
         return
-    refusal = refusal or _no_room(state, state.options.retry_after_s)
+    refusal = refusal or _routing.no_room(state, state.options.retry_after_s)
     _give_refusal(state, request, refusal, out)
 
 
@@ -182,120 +189,11 @@
     return admitted
 
 
-def _route(
-    state: _state.State,
-    request: _state.Request,
-    kind: _config.Kind,
-    out: _state.Out,
-) -> None:
-    """Use room of this node, else of a peer, else wait in a queue."""
-    best = _own_slice(state, kind)
-    if best is not None and _has_room(best, kind):
-        _enqueue(state, request, kind, best, out)
-        return
-    peer = None
-    if request.hops < state.options.max_hops:
-        peer = _peers.with_room(
-            state, kind.upstream, request.forwarded_to, best is None
-        )
-    if peer is not None:
-        _forward(state, request, kind, peer, out)
-    elif best is None:
-        detail = 'this node owns no workers of the upstream yet'
-        _refuse(state, request, Reason.NOT_READY, Ran.NO, detail, out)
-    else:
-        wait_s = _expected_wait(state, best, request.kind, kind)
-        if state.now + wait_s >= request.deadline:
-            _give_refusal(state, request, _no_room(state, wait_s), out)
-        else:
-            _enqueue(state, request, kind, best, out)
-
-
-def _own_slice(state: _state.State, kind: _config.Kind) -> _state.Slice | None:
-    """Give the slice with the most room left after its queue is served."""
-    best = None
-    most = 0
-    for held in state.slices_by_number.values():
-        if held.phase is _state.SlicePhase.RELEASING:
-            continue
-        if kind.upstream not in held.ledger.upstreams:
-            continue
-        room = held.ledger.free_slots(kind.upstream) - held.queue.length
-        if best is None or room > most:
-            best, most = held, room
-    return best
-
-
-def _has_room(held: _state.Slice, kind: _config.Kind) -> bool:
-    waiting = 0 if kind.urgent else held.queue.length
-    free = held.ledger.free_slots(kind.upstream)
-    return free - waiting >= kind.size.slots
-
-
-def _enqueue(
-    state: _state.State,
-    request: _state.Request,
-    kind: _config.Kind,
-    held: _state.Slice,
-    out: _state.Out,
-) -> None:
-    task_id = _ids.task_of_request(request.team, request.name)
-    if task_id in held.tasks_by_id:
-        detail = 'a request of this name is being run now'
-        _refuse(state, request, Reason.DUPLICATE, Ran.UNKNOWN, detail, out)
-        return
-    task = _tasks.Task(
-        task_id,
-        request.team,
-        request.kind,
-        kind.upstream,
-        kind.size,
-        kind.urgent,
-        request.arrived,
-        request=request.id,
-    )
-    task.note(state.now, 'queued', f'slice {held.number}')
-    held.tasks_by_id[task_id] = task
-    request.task = task
-    request.slice = held.number
-    held.queue.push(task)
-    state.touched[held.number] = None
-
-
-def _unqueue(state: _state.State, request: _state.Request) -> None:
-    task = request.task
-    held = state.slices_by_number.get(request.slice)
-    request.task = None
-    request.slice = -1
-    if task is not None and held is not None:
-        held.queue.leave(task, _tasks.TaskState.CANCELLED)
-        if held.tasks_by_id.get(task.id) is task:
-            del held.tasks_by_id[task.id]
-
-
-def _forward(
-    state: _state.State,
-    request: _state.Request,
-    kind: _config.Kind,
-    peer: _state.Peer,
-    out: _state.Out,
-) -> None:
-    request.forwarding = True
-    request.forwarded_to += (peer.id,)
-    _peers.charge(peer, kind.upstream, kind.size.slots)
-    state.counters['requests.forwarded'] += 1
-    out.append(
-        effects.ForwardRequest(
-            request.id,
-            request.name,
-            peer.id,
-            peer.address,
-            request.team,
-            request.kind,
-            request.deadline - state.now,
-            request.hops + 1,
-        )
-    )
+def _budget_of(state: _state.State, team: str) -> _budget.Budget:
+    budget = state.budgets_by_team.get(team)
+    if budget is None:
+        budget = state.budgets_by_team[team] = _budget.Budget()
+    return budget
 
 
 def _keep_room(
@@ -352,6 +250,7 @@
         and (repeatable or surely_not_run)
         and task.attempt < kind.max_attempts
         and state.now < request.deadline
+        and _budget_of(state, request.team).spend()
     )
     if may_retry and kind is not None:
         _retry(state, request, task, kind, surely_not_run, out)
@@ -406,15 +305,26 @@
     if (
         held is None
         or held.phase is _state.SlicePhase.RELEASING
-        or (elsewhere and not _has_room(held, kind))
+        or (elsewhere and not _routing.has_room(state, held, task.team, kind))
     ):
-        _unqueue(state, request)
+        _routing.unqueue(state, request)
         _route(state, request, kind, out)
     else:
         held.queue.push(task, front=True)
         state.touched[held.number] = None
 
 
+def _route(
+    state: _state.State,
+    request: _state.Request,
+    kind: _config.Kind,
+    out: _state.Out,
+) -> None:
+    refusal = _routing.route(state, request, kind, out)
+    if refusal is not None:
+        _give_refusal(state, request, refusal, out)
+
+
 def _refuse(
     state: _state.State,
     request: _state.Request,
@@ -434,8 +344,7 @@
     refusal: Refusal,
     out: _state.Out,
 ) -> None:
-    _count_refusal(state, refusal)
-    out.append(effects.RefuseRequest(request.id, refusal))
+    _verdicts.refuse(state, request, refusal, out)
     why = f'{refusal.reason.value}: {refusal.detail}'
     _finish(state, request, 'refused', why)
 
@@ -460,30 +369,10 @@
     _explain.remember(state, task)
 
 
-def _no_room(state: _state.State, wait_s: float) -> Refusal:
-    retry_s = max(wait_s, state.options.retry_after_s)
-    return Refusal(Reason.NO_ROOM, Ran.NO, retry_s, 'no room in time')
-
-
 def _count_refusal(state: _state.State, refusal: Refusal) -> None:
     state.counters[f'refused.{refusal.reason.value}'] += 1
 
 
-def _expected_wait(
-    state: _state.State,
-    held: _state.Slice,
-    kind_name: str,
-    kind: _config.Kind,
-) -> float:
-    """Estimate the wait from the queue and the mean run time of the kind.
-
-    Source: Little, A proof for the queuing formula L = λW, 1961.
-    """
-    run_s = state.run_s_by_kind.get(kind_name, 0.0)
-    slots = held.ledger.capacity_slots(kind.upstream)
-    return held.queue.ahead_of(kind.urgent) * run_s / max(1, slots)
-
-
 def _learn_run_time(state: _state.State, kind_name: str, run_s: float) -> None:
     before = state.run_s_by_kind.get(kind_name, run_s)
     state.run_s_by_kind[kind_name] = (
--- /dev/null
+++ b/packages/core/celeryshift_core/_routing.py
@@ -0,0 +1,202 @@
+"""Routing of requests: to a slice of this node, to a peer, or to a queue."""
+
+from celeryshift_core import _config
+from celeryshift_core import _ids
+from celeryshift_core import _limits
+from celeryshift_core import _peers
+from celeryshift_core import _refusals
+from celeryshift_core import _state
+from celeryshift_core import _tasks
+from celeryshift_core import _timers
+from celeryshift_core import effects
+
+MAX_FORWARDS = 2
+LOOK_AGAIN_S = 0.25
+
+Ran = _refusals.Ran
+Reason = _refusals.Reason
+Refusal = _refusals.Refusal
+
+
+def route(
+    state: _state.State,
+    request: _state.Request,
+    kind: _config.Kind,
+    out: _state.Out,
+) -> Refusal | None:
+    """Use room of this node, else of a peer, else wait in a queue.
+
+    Gives the refusal where none of them will do.
+    """
+    best = _own_slice(state, request.team, kind)
+    if best is not None and has_room(state, best, request.team, kind):
+        return _enqueue(state, request, kind, best)
+    peer = None
+    if request.hops < state.options.max_hops:
+        peer = _peers.with_room(
+            state, kind.upstream, request.forwarded_to, best is None
+        )
+    if peer is not None:
+        _forward(state, request, kind, peer, out)
+        return None
+    if best is None:
+        detail = 'this node owns no workers of the upstream yet'
+        retry_s = state.options.retry_after_s
+        return Refusal(Reason.NOT_READY, Ran.NO, retry_s, detail)
+    wait_s = _expected_wait(state, best, request.kind, kind)
+    if state.now + wait_s >= request.deadline:
+        return no_room(state, wait_s)
+    return _enqueue(state, request, kind, best)
+
+
+def look_again(state: _state.State, request: _state.Request) -> None:
+    """Look again soon whether a request finds room elsewhere."""
+    at = min(request.deadline, state.now + LOOK_AGAIN_S)
+    state.timers.set(_timers.RequestDue(request.id), at)
+
+
+def waits_in_vain(
+    state: _state.State, request: _state.Request, kind: _config.Kind
+) -> bool:
+    """Tell whether a queued request would find room elsewhere."""
+    task = request.task
+    if task is None or task.state is not _tasks.TaskState.QUEUED:
+        return False
+    held = state.slices_by_number.get(request.slice)
+    if held is None or held.phase is _state.SlicePhase.RELEASING:
+        return True
+    best = _own_slice(state, request.team, kind)
+    if (
+        best is not None
+        and best.number != request.slice
+        and has_room(state, best, request.team, kind)
+    ):
+        return True
+    may_forward = (
+        request.hops < state.options.max_hops
+        and len(request.forwarded_to) < MAX_FORWARDS
+    )
+    return may_forward and _peers.has_room(
+        state, kind.upstream, request.forwarded_to
+    )
+
+
+def has_room(
+    state: _state.State, held: _state.Slice, team: str, kind: _config.Kind
+) -> bool:
+    """Tell whether a slice has room for one more request of a team."""
+    waiting = 0 if kind.urgent else held.queue.length
+    free = held.ledger.free_slots(kind.upstream) - waiting
+    return (
+        free >= kind.size.slots
+        and _limits.left(state, held, team) >= kind.size.slots
+    )
+
+
+def unqueue(state: _state.State, request: _state.Request) -> None:
+    """Take a request out of the queue that it waits in."""
+    task = request.task
+    held = state.slices_by_number.get(request.slice)
+    request.task = None
+    request.slice = -1
+    if task is not None and held is not None:
+        held.queue.leave(task, _tasks.TaskState.CANCELLED)
+        if held.tasks_by_id.get(task.id) is task:
+            del held.tasks_by_id[task.id]
+
+
+def no_room(state: _state.State, wait_s: float) -> Refusal:
+    """Give the refusal of a request that would wait for too long."""
+    retry_s = max(wait_s, state.options.retry_after_s)
+    return Refusal(Reason.NO_ROOM, Ran.NO, retry_s, 'no room in time')
+
+
+def _own_slice(
+    state: _state.State, team: str, kind: _config.Kind
+) -> _state.Slice | None:
+    """Give the slice with the most room left after its queue is served.
+
+    A slice whose allotment of the team is used up counts as full.
+    """
+    best = None
+    most = 0
+    for held in state.slices_by_number.values():
+        if held.phase is _state.SlicePhase.RELEASING:
+            continue
+        if kind.upstream not in held.ledger.upstreams:
+            continue
+        room = held.ledger.free_slots(kind.upstream)
+        room = min(room, _limits.left(state, held, team)) - held.queue.length
+        if best is None or room > most:
+            best, most = held, room
+    return best
+
+
+def _enqueue(
+    state: _state.State,
+    request: _state.Request,
+    kind: _config.Kind,
+    held: _state.Slice,
+) -> Refusal | None:
+    task_id = _ids.task_of_request(request.team, request.name)
+    if task_id in held.tasks_by_id:
+        detail = 'a request of this name is being run now'
+        retry_s = state.options.retry_after_s
+        return Refusal(Reason.DUPLICATE, Ran.UNKNOWN, retry_s, detail)
+    task = _tasks.Task(
+        task_id,
+        request.team,
+        request.kind,
+        kind.upstream,
+        kind.size,
+        kind.urgent,
+        request.arrived,
+        request=request.id,
+    )
+    task.note(state.now, 'queued', f'slice {held.number}')
+    held.tasks_by_id[task_id] = task
+    request.task = task
+    request.slice = held.number
+    held.queue.push(task)
+    state.touched[held.number] = None
+    return None
+
+
+def _forward(
+    state: _state.State,
+    request: _state.Request,
+    kind: _config.Kind,
+    peer: _state.Peer,
+    out: _state.Out,
+) -> None:
+    request.forwarding = True
+    request.forwarded_to += (peer.id,)
+    _peers.charge(peer, kind.upstream, kind.size.slots)
+    state.counters['requests.forwarded'] += 1
+    out.append(
+        effects.ForwardRequest(
+            request.id,
+            request.name,
+            peer.id,
+            peer.address,
+            request.team,
+            request.kind,
+            request.deadline - state.now,
+            request.hops + 1,
+        )
+    )
+
+
+def _expected_wait(
+    state: _state.State,
+    held: _state.Slice,
+    kind_name: str,
+    kind: _config.Kind,
+) -> float:
+    """Estimate the wait from the queue and the mean run time of the kind.
+
+    Source: Little, A proof for the queuing formula L = λW, 1961.
+    """
+    run_s = state.run_s_by_kind.get(kind_name, 0.0)
+    slots = held.ledger.capacity_slots(kind.upstream)
+    return held.queue.ahead_of(kind.urgent) * run_s / max(1, slots)
--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -101,15 +101,9 @@
     """Forget a slice: it was released, or another node took it."""
     held = state.slices_by_number.pop(number)
     out.append(_change('slice-dropped', held))
-    for request in list(state.requests_by_id.values()):
-        task = request.task
-        if request.slice != number or task is None:
-            continue
-        if task.state is _tasks.TaskState.QUEUED:
-            request.task = None
-            request.slice = -1
-            # Its timer routes it anew, or refuses it at its deadline.
-            state.timers.set(_timers.RequestDue(request.id), state.now)
+    for request in _queued_in(state, number):
+        request.task = None
+        request.slice = -1
 
 
 def begin_release(state: _state.State, number: int, out: _state.Out) -> None:
@@ -121,6 +115,20 @@
         out.append(_change('slice-releasing', held))
 
 
+def _queued_in(state: _state.State, number: int) -> list[_state.Request]:
+    """List the requests that wait in a slice, to be routed anew at once."""
+    queued = [
+        request
+        for request in state.requests_by_id.values()
+        if request.slice == number
+        and request.task is not None
+        and request.task.state is _tasks.TaskState.QUEUED
+    ]
+    for request in queued:
+        state.timers.set(_timers.RequestDue(request.id), state.now)
+    return queued
+
+
 def is_quiet(state: _state.State, held: _state.Slice) -> bool:
     """Tell whether a slice being released has nothing outstanding."""
     return (
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -8,12 +8,15 @@
 
 import attrs
 
+from celeryshift_core import _budget
 from celeryshift_core import _config
 from celeryshift_core import _escrow
 from celeryshift_core import _fleet
 from celeryshift_core import _ledger
 from celeryshift_core import _options
+from celeryshift_core import _peaks
 from celeryshift_core import _queue
+from celeryshift_core import _refusals
 from celeryshift_core import _size
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
@@ -57,6 +60,7 @@
     jobs_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
     tasks_by_id: dict[str, _tasks.Task] = attrs.field(factory=dict)
     used_by_team: dict[str, _size.Size] = attrs.field(factory=dict)
+    urgent_by_upstream: dict[str, _peaks.Peak] = attrs.field(factory=dict)
     allotment: _escrow.Allotment = attrs.field(factory=_escrow.Allotment)
     unaccounted: set[str] = attrs.field(factory=set)
     unconfirmed: set[str] = attrs.field(factory=set)
@@ -145,6 +149,7 @@
     arrived: float
     deadline: float
     hops: int
+    named: bool = True
     task: _tasks.Task | None = None
     slice: int = -1
     sent: bool = False
@@ -257,6 +262,8 @@
         factory=dict
     )
     success_by_kind: dict[str, Success] = attrs.field(factory=dict)
+    refusals_in_doubt: dict[str, _refusals.Refusal] = attrs.field(factory=dict)
+    budgets_by_team: dict[str, _budget.Budget] = attrs.field(factory=dict)
     gauges: dict[str, float] = attrs.field(factory=dict)
     waits_by_kind: dict[tuple[str, bool], list[int]] = attrs.field(
         factory=dict
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -164,6 +164,13 @@
     id: str
 
 
+@attrs.frozen(slots=True)
+class CheckDue:
+    """Refuse a request without knowing whether it is claimed."""
+
+    request: str
+
+
 @attrs.frozen(slots=True)
 class ReplyDue:
     """Reply to a caller whose write is still not settled."""
--- /dev/null
+++ b/packages/core/celeryshift_core/_verdicts.py
@@ -0,0 +1,91 @@
+"""Refusals of requests, made sure of where they say that nothing ran.
+
+A call that must not be repeated may be sent again under its name, through
+any node. A refusal of one such call says "not run" only after no claim was
+found under the name; when the store cannot tell, it says that it is unknown.
+"""
+
+import attrs
+
+from celeryshift_core import _ids
+from celeryshift_core import _refusals
+from celeryshift_core import _state
+from celeryshift_core import _store
+from celeryshift_core import _timers
+from celeryshift_core import effects
+from celeryshift_core import schema
+
+CHECK_S = 0.25
+
+Ran = _refusals.Ran
+Refusal = _refusals.Refusal
+
+
+@attrs.frozen(slots=True)
+class CheckPurpose:
+    """Say that a read looks for the claim of a request to be refused."""
+
+    request: str
+    key: str
+
+
+def refuse(
+    state: _state.State,
+    request: _state.Request,
+    refusal: Refusal,
+    out: _state.Out,
+) -> None:
+    """Refuse a request, at once unless it has to be made sure of."""
+    state.counters[f'refused.{refusal.reason.value}'] += 1
+    if not _is_in_doubt(state, request, refusal):
+        out.append(effects.RefuseRequest(request.id, refusal))
+        return
+    state.refusals_in_doubt[request.id] = refusal
+    if state.store.failing_since is not None:
+        _answer(state, request.id, Ran.UNKNOWN, out)
+        return
+    task = _ids.task_of_request(request.team, request.name)
+    key = schema.once(task)
+    _store.read(state, out, CheckPurpose(request.id, key), (key,))
+    timer = _timers.CheckDue(request.id)
+    state.timers.set(timer, state.now + CHECK_S)
+
+
+def checked(
+    state: _state.State,
+    purpose: CheckPurpose,
+    rows: dict[str, schema.Row] | None,
+    out: _state.Out,
+) -> None:
+    """Take in whether a claim was found."""
+    sure = rows is not None and purpose.key not in rows
+    _answer(state, purpose.request, Ran.NO if sure else Ran.UNKNOWN, out)
+
+
+def check_due(
+    state: _state.State, timer: _timers.CheckDue, out: _state.Out
+) -> None:
+    """Refuse without being sure: the store has not answered in time."""
+    _answer(state, timer.request, Ran.UNKNOWN, out)
+
+
+def _is_in_doubt(
+    state: _state.State, request: _state.Request, refusal: Refusal
+) -> bool:
+    kind = state.config.kinds.get(request.kind)
+    return (
+        refusal.ran is Ran.NO
+        and request.named
+        and request.hops == 0
+        and (kind is None or not kind.repeatable)
+    )
+
+
+def _answer(
+    state: _state.State, request_id: str, ran: Ran, out: _state.Out
+) -> None:
+    refusal = state.refusals_in_doubt.pop(request_id, None)
+    if refusal is not None:
+        state.timers.cancel(_timers.CheckDue(request_id))
+        refusal = attrs.evolve(refusal, ran=ran)
+        out.append(effects.RefuseRequest(request_id, refusal))
--- a/packages/core/celeryshift_core/events.py
+++ b/packages/core/celeryshift_core/events.py
@@ -177,7 +177,8 @@
 class RequestArrived(Event):
     """Take in a request from a caller, or from a peer with its team.
 
-    The id is this node's own; the name is the caller's, and scoped by team.
+    The id is this node's own. The name is the caller's, scoped by team, or
+    one that was made for a request that was not named.
     """
 
     id: str
@@ -187,6 +188,7 @@
     team: str = ''
     timeout_s: float | None = None
     hops: int = 0
+    named: bool = True
 
 
 @attrs.frozen(slots=True)
--- a/packages/node/celeryshift_node/_http.py
+++ b/packages/node/celeryshift_node/_http.py
@@ -107,6 +107,7 @@
                 body.kind,
                 credentials,
                 timeout_s=body.timeout_s,
+                named=body.id is not None,
             ),
             body.payload,
         )
--- a/packages/standins/celeryshift_standins/watch.py
+++ b/packages/standins/celeryshift_standins/watch.py
@@ -210,7 +210,12 @@
                 task = task_of_job(call, 0)
             if task in self.runs_by_task:
                 self._violate(f'{task} ran, and was refused as not run')
-            self._not_run.add(task)
+            # Another call of the same name may still run it, in truth.
+            names = (
+                (other.team, other.name) for other in self._open_calls.values()
+            )
+            if (call.team, call.name) not in names:
+                self._not_run.add(task)
         if call.answer is not None and 'worker' in call.answer:
             runs = self.runs_by_task.get(task_of_request(call), [])
             if not any(run.phase is Phase.DONE for run in runs):
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -21,9 +21,9 @@
 )
 
 
-def fleet() -> celeryshift_client.Fleet:
+def fleet(replace: bool = True) -> celeryshift_client.Fleet:
     """Build a configuration with a kind of work for each policy."""
-    made = celeryshift_client.Fleet(replace=True)
+    made = celeryshift_client.Fleet(replace)
     made.upstream(UPSTREAM)
     made.team('ministry', share=4, limit_slots=64)
     made.team('public', share=1, limit_slots=64)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -93,7 +93,7 @@
 
 
 def test_all_mistakes_are_told_at_once_with_their_paths():
-    fleet = builders.fleet()
+    fleet = builders.fleet(replace=False)
     fleet.team('ministry')
     fleet.team('late', shares=2)
     fleet.key('k9', 'nobody', 'secret')
