--- a/packages/node/celeryshift_node/_metrics.py
+++ b/packages/node/celeryshift_node/_metrics.py
@@ -108,10 +108,6 @@
     yield 'peers.registered', len(state.membership.peers_by_id)
 
 
-def _decisions(state: core.State) -> Iterator[Gauge]:
-    yield from state.gauges.items()
-
-
 def _process(state: core.State) -> Iterator[Gauge]:
     most_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     yield 'process.memory_mb', most_kb / KB_PER_MB
@@ -126,7 +122,6 @@
     _work,
     _packing,
     _platform,
-    _decisions,
     _process,
     _shares,
 )
