Relieve a full worker at each of its answers, and end long probations

Change: what a worker lacks is looked at after each of its answers; a task that has run for a minute without a failure ends a probation.

--- a/packages/core/celeryshift_core/_overload.py
+++ b/packages/core/celeryshift_core/_overload.py
@@ -11,22 +11,18 @@
 from celeryshift_core import _launch
 from celeryshift_core import _ledger
 from celeryshift_core import _rights
-from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import effects
 
 
-def used(
+def relieve(
     state: _state.State,
     held: _state.Slice,
     worker: _ledger.Worker,
-    run_id: str,
-    size: _size.Size,
     out: _state.Out,
 ) -> None:
-    """Book what a run really uses, and relieve its worker if need be."""
-    _launch.grow(state, held, worker, run_id, size)
+    """Let one run give way if a worker has less than its runs use."""
     lack = worker.used - worker.capacity
     if lack.memory_mb > 0:
         _stop_one(state, held, worker, out)
--- a/packages/core/celeryshift_core/_quarantine.py
+++ b/packages/core/celeryshift_core/_quarantine.py
@@ -17,6 +17,7 @@
 RECENT_S = 300.0
 FIRST_S = 30.0
 LONGEST_S = 3600.0
+PROBATION_S = 60.0
 MOST_DIVISOR = 5
 
 
@@ -54,11 +55,8 @@
     state.success_by_kind[kind] = _state.Success(state.now, worker.name)
     worker.failed_kind_by_job.clear()
     if worker.probation:
-        worker.probation = False
         worker.quarantines = 0
-        held.ledger.refresh(worker)
-        fields = {'worker': worker.name}
-        out.append(effects.LogChange('worker-trusted', fields))
+        _trust(held, worker, out)
 
 
 def request_ended(
@@ -82,20 +80,38 @@
 def ends(
     state: _state.State, timer: _timers.QuarantineEnds, out: _state.Out
 ) -> None:
-    """Let a worker show whether it works again."""
+    """Let a worker show whether it works again, and end its probation.
+
+    A task that runs for long without a failure counts like a success.
+    """
     held = state.slices_by_number.get(timer.slice)
     if held is None or held.epoch != timer.epoch:
         return
-    worker = held.ledger.workers_by_name.get(timer.worker)
     held.quarantined.discard(timer.worker)
-    if worker is not None:
+    worker = held.ledger.workers_by_name.get(timer.worker)
+    if worker is None:
+        return
+    if worker.quarantined:
         worker.quarantined = False
         worker.probation = True
         worker.failed_kind_by_job.clear()
-        held.ledger.refresh(worker)
-        state.touched[held.number] = None
         fields = {'worker': worker.name}
         out.append(effects.LogChange('worker-on-probation', fields))
+    elif worker.probation and worker.holds_by_run:
+        _trust(held, worker, out)
+    if worker.probation:
+        state.timers.set(timer, state.now + PROBATION_S)
+    held.ledger.refresh(worker)
+    state.touched[held.number] = None
+
+
+def _trust(
+    held: _state.Slice, worker: _ledger.Worker, out: _state.Out
+) -> None:
+    worker.probation = False
+    held.ledger.refresh(worker)
+    fields = {'worker': worker.name}
+    out.append(effects.LogChange('worker-trusted', fields))
 
 
 def _quarantine(
--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -76,7 +76,8 @@
         _take_report(state, held, worker, report, out)
         running = report.phase is events.TaskPhase.RUNNING
         if running and report.used != _size.ZERO:
-            _overload.used(state, held, worker, report.id, report.used, out)
+            _launch.grow(state, held, worker, report.id, report.used)
+    _overload.relieve(state, held, worker, out)
     if event.whole:
         _drop_unlisted(state, held, worker, event.reports, out)
     held.ledger.refresh(worker)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -6,6 +6,7 @@
 from celeryshift_core import _holds
 from celeryshift_core import _jobs
 from celeryshift_core import _quarantine
+from celeryshift_core import _timers
 from celeryshift_core import events
 from celeryshift_standins import world as worlds
 
@@ -75,6 +76,22 @@
     assert bad.starts == before + 1
 
 
+def test_a_long_task_without_a_failure_ends_a_probation():
+    world = _world()
+    node = world.nodes_by_name['n0']
+    held = node.state.slices_by_number[0]
+    worker = held.ledger.workers_by_name['w0']
+    worker.probation = True
+    _quarantine.ends(
+        node.state, _timers.QuarantineEnds(0, held.epoch, 'w0'), []
+    )
+    _submit(world, 'long', 'keeper', tasks=48, run_s=1000.0)
+    world.run(2.0)
+    assert len(worker.holds_by_run) == 1
+    world.run(_quarantine.PROBATION_S + 5.0)
+    assert len(worker.holds_by_run) > 1
+
+
 def test_a_job_that_fails_everywhere_is_held_and_harms_no_worker():
     world = _world()
     _submit(world, 'good', tasks=40, run_s=2.0)
@@ -172,3 +189,18 @@
     assert len(runs) == 2
     assert [run.throttled for run in runs].count(True) == 1
     assert 'throttled' in str(_ask(world, 'greedy', 'explain'))
+
+
+def test_a_new_owner_relieves_a_worker_that_is_full_in_fact():
+    world = _world(workers=1)
+    worker = world.workers_by_name['w0']
+    _submit(world, 'quiet', 'keeper', tasks=6, run_s=1000.0)
+    world.run(1.0)
+    world.kill('n0')
+    for run in worker.tasks.running():
+        run.used = {'memory_mb': 40_000}
+    world.run(1.0)
+    world.add_node('n0', 'dc1')
+    world.run(15.0)
+    used = sum(run.used.get('memory_mb', 0) for run in worker.tasks.running())
+    assert used <= worker.vm.capacity.memory_mb
