--- a/packages/core/celeryshift_core/_allotments.py
+++ b/packages/core/celeryshift_core/_allotments.py
@@ -24,7 +24,7 @@
 STABLE_S = 1.5
 RESERVE_MARGIN_S = 2.0
 SCARCE_DIVISOR = 8
-BASE_DIVISOR = 4
+BASE_DIVISOR = 2
 NO_LIMIT = _config.Team(limit_slots=0)
 
 
@@ -233,6 +233,7 @@
     elif answer.reached:
         state.counters['allotments.conflicts'] += 1
         _learn_from_conflict(state, purpose, answer)
+        _want_base(state)
         _retry(state)
 
 
