--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 SEED ?= 1
 STEPS ?= 2000
 
-.PHONY: setup demo test lint types unit format scenarios bench capacity
+.PHONY: setup demo playground test lint types unit format scenarios bench \
+	capacity explore
 
 setup: $(VENV)/.ready
 
@@ -19,6 +20,9 @@
 demo: setup
 	$(PY) -m celeryshift_standins.demo
 
+playground: setup
+	@$(PY) -m celeryshift_standins.playground
+
 test: lint types unit
 
 lint: setup
@@ -36,6 +40,12 @@
 	-$(VENV)/bin/ruff check --fix packages tests bench
 	$(VENV)/bin/ruff format packages tests bench
 
+# Faults, the seconds in which they may come, and the seconds in all.
+EXPLORE ?= 2 8 14
+
+explore: setup
+	$(PY) tests/takeover.py $(EXPLORE)
+
 scenarios: setup
 	$(PY) -m celeryshift_standins.scenarios scenarios/*.scn \
 		--seed=$(SEED) --steps=$(STEPS) --known=KNOWN-RED.txt
--- a/packages/core/celeryshift_core/__init__.py
+++ b/packages/core/celeryshift_core/__init__.py
@@ -1,6 +1,7 @@
 """The decisions of celeryshift, as a pure reducer over events."""
 
 from celeryshift_core._config import Access
+from celeryshift_core._config import check
 from celeryshift_core._config import Config
 from celeryshift_core._config import Key
 from celeryshift_core._config import Kind
@@ -24,6 +25,7 @@
 from celeryshift_core._refusals import Refusal
 from celeryshift_core._size import Size
 from celeryshift_core._state import State
+from celeryshift_core._waits import percentile
 
 __all__ = [
     'Access',
@@ -46,7 +48,9 @@
     'Team',
     'Upstream',
     'UpstreamState',
+    'check',
     'parse',
+    'percentile',
     'reduce',
     'structure',
     'unstructure',
--- a/packages/core/celeryshift_core/_jobs.py
+++ b/packages/core/celeryshift_core/_jobs.py
@@ -5,7 +5,12 @@
 from celeryshift_core import _config
 from celeryshift_core import _explain
 from celeryshift_core import _gangs
+from celeryshift_core import _holds
+from celeryshift_core import _indices
+from celeryshift_core import _launch
 from celeryshift_core import _ledger
+from celeryshift_core import _preemption
+from celeryshift_core import _quarantine
 from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _store
@@ -16,6 +21,7 @@
 
 REQUEUE_S = 1.0
 MAX_FINISHED = 1000
+CANCELLED_PER_EVENT = 1000
 
 TaskState = _tasks.TaskState
 
@@ -39,9 +45,9 @@
         'tasks': job.tasks,
         'payload': job.payload,
         'size': _config.unstructure(job.size),
-        'done': _tasks.to_ranges(job.done),
-        'failed': _tasks.to_ranges(job.failed),
-        'unknown': _tasks.to_ranges(job.unknown),
+        'done': job.done.to_ranges(),
+        'failed': job.failed.to_ranges(),
+        'unknown': job.unknown.to_ranges(),
         'cancelled': job.cancelled,
     }
 
@@ -57,10 +63,11 @@
         value['payload'],
         _config.structure(value['size'], _size.Size),
         row.version,
-        _tasks.from_ranges(value['done']),
-        _tasks.from_ranges(value['failed']),
-        _tasks.from_ranges(value['unknown']),
+        _indices.IndexSet(value['done']),
+        _indices.IndexSet(value['failed']),
+        _indices.IndexSet(value['unknown']),
         value['cancelled'],
+        cancelled_to=value['tasks'] if value['cancelled'] else 0,
     )
 
 
@@ -140,6 +147,7 @@
 ) -> None:
     """Note that a task of an earlier owner is running."""
     held.jobs_by_id[task.job].running.add(task.id)
+    _preemption.started(state, held, task)
 
 
 def task_ended(
@@ -157,6 +165,8 @@
     if phase is events.TaskPhase.DONE and not (service or job.cancelled):
         job.done.add(task.index)
         job.ended_runs[task.run_id] = worker.name
+        _quarantine.succeeded(state, held, worker, task.kind, out)
+        _holds.succeeded(state, held, job)
         _end(state, held, job, task, TaskState.DONE, 'done')
         return
     worker.to_acknowledge.add(task.run_id)
@@ -242,26 +252,54 @@
 
 
 def cancel(
-    state: _state.State, held: _state.Slice, job: _tasks.Job
-) -> list[_tasks.Task]:
-    """Cancel a job; give the tasks that have to be stopped."""
+    state: _state.State,
+    held: _state.Slice,
+    job: _tasks.Job,
+    out: _state.Out,
+) -> None:
+    """Cancel a job; a large one in several events."""
     job.cancelled = True
-    running = []
-    for index in range(job.tasks):
+    first = job.cancelled_to
+    job.cancelled_to = min(first + CANCELLED_PER_EVENT, job.tasks)
+    for index in range(first, job.cancelled_to):
         task = held.tasks_by_id.get(job.task_id(index))
-        if task is None:
-            continue
-        if task.state is TaskState.QUEUED:
-            held.queue.leave(task, TaskState.CANCELLED)
-            task.note(state.now, 'cancelled')
-        elif task.state in (TaskState.GATHERING, TaskState.RESERVED):
-            _gangs.withdraw(state, held, task)
-            task.state = TaskState.CANCELLED
-            task.note(state.now, 'cancelled')
-        elif task.state in (TaskState.STARTING, TaskState.RUNNING):
-            running.append(task)
+        if task is not None:
+            _cancel_task(state, held, task, out)
+    if job.cancelled_to < job.tasks:
+        key = _timers.CancelDue(held.number, held.epoch, job.id)
+        state.timers.set(key, state.now)
     _changed(state, held, job)
-    return running
+
+
+def cancel_on(
+    state: _state.State, timer: _timers.CancelDue, out: _state.Out
+) -> None:
+    """Go on with the cancellation of a large job."""
+    held = state.slices_by_number.get(timer.slice)
+    if held is not None and held.epoch == timer.epoch:
+        job = held.jobs_by_id.get(timer.job)
+        if job is not None:
+            cancel(state, held, job, out)
+
+
+def _cancel_task(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    out: _state.Out,
+) -> None:
+    if task.state in (TaskState.STARTING, TaskState.RUNNING):
+        _launch.stop(state, held, task, out)
+        task.note(state.now, 'stopped', 'its job is cancelled')
+        return
+    if task.state is TaskState.QUEUED:
+        held.queue.leave(task, TaskState.CANCELLED)
+    elif task.state in (TaskState.GATHERING, TaskState.RESERVED):
+        _gangs.withdraw(state, held, task)
+    elif task.state is not TaskState.HELD:
+        return
+    task.state = TaskState.CANCELLED
+    task.note(state.now, 'cancelled')
 
 
 def flush(state: _state.State, out: _state.Out) -> None:
@@ -287,6 +325,7 @@
         if job is None:
             continue
         if not answer.ok:
+            _catch_up(state, held, job, answer)
             held.dirty_jobs[job_id] = None
             continue
         job.row_version = answer.version
@@ -302,6 +341,23 @@
         _schedule(state, REQUEUE_S if not answer.ok else None)
 
 
+def _catch_up(
+    state: _state.State,
+    held: _state.Slice,
+    job: _tasks.Job,
+    answer: _store.Written,
+) -> None:
+    """Go on from the row that stood in the way of a record.
+
+    Only the owner of a slice writes its jobs, and each write checks the row
+    of the slice: what is found is this node's own, or the slice is lost.
+    """
+    key = schema.job(state.options.data_centre, held.number, job.id)
+    row = answer.rows.get(key)
+    if row is not None:
+        job.row_version = max(job.row_version, row.version)
+
+
 def _write(state: _state.State, held: _state.Slice, out: _state.Out) -> None:
     data_centre = state.options.data_centre
     row_key = schema.slice_(data_centre, held.number)
@@ -338,6 +394,8 @@
     out: _state.Out,
 ) -> None:
     task.failed_on += (worker.name,)
+    _quarantine.failed(state, held, worker, task, out)
+    _holds.failed(state, held, job, task)
     may_retry = (
         kind is not None
         and kind.repeatable
@@ -375,8 +433,8 @@
 
 
 def _schedule(state: _state.State, delay_s: float | None) -> None:
-    delay_s = delay_s or state.options.flush_s
-    state.timers.set_once(_timers.FlushRecords(), state.now + delay_s)
+    delay_s = delay_s or state.options.record_s
+    state.timers.set_once(_timers.RecordJobs(), state.now + delay_s)
 
 
 def _forget(state: _state.State, held: _state.Slice, job: _tasks.Job) -> None:
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -9,12 +9,15 @@
 from celeryshift_core import _departures
 from celeryshift_core import _errors
 from celeryshift_core import _gangs
+from celeryshift_core import _holds
 from celeryshift_core import _jobs
 from celeryshift_core import _keys
 from celeryshift_core import _once
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _placement
+from celeryshift_core import _quarantine
+from celeryshift_core import _questions
 from celeryshift_core import _refusing
 from celeryshift_core import _requests
 from celeryshift_core import _slices
@@ -83,6 +86,7 @@
 ) -> None:
     if state.phase is _state.NodePhase.SERVING:
         state.phase = _state.NodePhase.DRAINING
+        state.membership.draining_since = state.now
         out.append(effects.LogChange('draining', {'node': state.node}))
         _peers.summarize(state, out)
         _ownership.balance(state, out)
@@ -134,13 +138,6 @@
         state.touched[timer.slice] = None
 
 
-def _flush_records(
-    state: _state.State, timer: _timers.FlushRecords, out: _state.Out
-) -> None:
-    _submission.flush(state, out)
-    _jobs.flush(state, out)
-
-
 _HANDLERS_BY_EVENT: dict[type, Handler] = {
     events.Started: _start,
     events.Tick: _pass,
@@ -159,6 +156,8 @@
     events.CallForwarded: _submission.forwarded,
     events.ConfigHandedIn: _configuration.handed_in,
     events.KeyWithdrawn: _keys.withdrawn,
+    events.AuditAsked: _questions.audit_asked,
+    events.RequestAsked: _questions.request_asked,
     events.PeerMessageArrived: _peers.arrived,
     events.PeerUnreachable: _peers.unreachable,
     events.DrainRequested: _drain,
@@ -170,7 +169,8 @@
     _timers.PollConfig: lambda state, _, out: _configuration.poll(state, out),
     _timers.PollNodes: lambda state, _, out: _ownership.poll_nodes(state, out),
     _timers.Summarize: lambda state, _, out: _peers.summarize(state, out),
-    _timers.FlushRecords: _flush_records,
+    _timers.FlushRecords: lambda state, _, out: _submission.flush(state, out),
+    _timers.RecordJobs: lambda state, _, out: _jobs.flush(state, out),
     _timers.SettleWrite: lambda state, timer, out: _store.settle(
         state, timer.op_id, out
     ),
@@ -181,6 +181,9 @@
     _timers.RequeueTask: _jobs.requeue,
     _timers.StopDue: _workers.stop_again,
     _timers.GangDue: _gangs.due,
+    _timers.QuarantineEnds: _quarantine.ends,
+    _timers.JobHoldEnds: _holds.ends,
+    _timers.CancelDue: _jobs.cancel_on,
     _timers.PumpDue: _pump_due,
     _timers.RequestDue: _requests.due,
     _timers.ReplyDue: _submission.reply_due,
@@ -218,4 +221,5 @@
     _configuration.BasePurpose: _configuration.base_read,
     _keys.BasePurpose: _keys.base_read,
     _allotments.PoolsPurpose: _allotments.pools_read,
+    _questions.AuditPurpose: _questions.audit_read,
 }
--- a/packages/core/celeryshift_core/effects.py
+++ b/packages/core/celeryshift_core/effects.py
@@ -84,7 +84,20 @@
 
 @attrs.frozen(slots=True)
 class StopTask(Effect):
-    """Stop a task on a worker."""
+    """Stop a task on a worker, after a checkpoint if one is wanted."""
+
+    slice: int
+    epoch: int
+    worker: str
+    address: str
+    task: str
+    deadline: float
+    checkpoint: bool = False
+
+
+@attrs.frozen(slots=True)
+class ThrottleTask(Effect):
+    """Let a task on a worker use no more than it declared."""
 
     slice: int
     epoch: int
--- a/packages/standins/celeryshift_standins/_play.py
+++ b/packages/standins/celeryshift_standins/_play.py
@@ -22,6 +22,7 @@
         self.world = worlds.World(seed)
         self.watch = watches.Watch(self.world)
         self.fleet = celeryshift_client.Fleet()
+        self.teams: set[str] = set()
         self.token_by_team: dict[str, str] = {}
         self.calls_by_label: dict[str, list[_fakes.Call]] = {}
         self.where = ''
--- a/packages/standins/celeryshift_standins/_set_up.py
+++ b/packages/standins/celeryshift_standins/_set_up.py
@@ -57,15 +57,22 @@
 
 
 def team(words: Words) -> _play.Act:
-    """Read `team ministry share 4 limit 64`."""
+    """Read `team ministry share 4 limit 64`; a known team is changed."""
     name = words.word('a team')
-    share, limit = 1.0, 1_000_000
+    fields: dict[str, Any] = {}
     while words.peek():
         if words.one_of('share', 'limit') == 'share':
-            share = words.number()
+            fields['share'] = words.number()
         else:
-            limit = words.count()
-    return lambda play: void(play.fleet.team(name, share, limit))
+            fields['limit_slots'] = words.count()
+
+    def act(play: _play.Play) -> None:
+        known = name in play.teams
+        play.teams.add(name)
+        change = play.fleet.change_team if known else play.fleet.team
+        change(name, **fields)
+
+    return act
 
 
 def key(words: Words) -> _play.Act:
@@ -90,8 +97,9 @@
 def upstream(words: Words) -> _play.Act:
     """Read `upstream coding [leaving]`."""
     name = words.word('an upstream')
-    leaving = words.skip('leaving')
-    return lambda play: void(play.fleet.upstream(name, leaving))
+    if words.skip('leaving'):
+        return lambda play: void(play.fleet.leave(name))
+    return lambda play: void(play.fleet.upstream(name))
 
 
 def kind(words: Words) -> _play.Act:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -53,7 +53,7 @@
     waiting = _fill(world)
     world.run(0.1)
     made = builders.fleet()
-    made.upstream(builders.UPSTREAM, leaving=True)
+    made.leave(builders.UPSTREAM)
     world.configure(made.document())
     left_at = world.now
     world.run(GONE_S)
