Requests that wait on a slice being handed over are routed anew

Cause: a slice being released starts nothing, and requests in its queue, which may now wait for their team's limit, stayed there until their deadline.

--- a/packages/core/celeryshift_core/_leaving.py
+++ b/packages/core/celeryshift_core/_leaving.py
@@ -31,6 +31,11 @@
         )
 
 
+def released(state: _state.State, held: _state.Slice) -> None:
+    """Route requests anew that wait on a slice that is handed over."""
+    _route_anew(state, lambda task: True, held.number)
+
+
 def _route_anew(
     state: _state.State,
     concerns: Callable[[_tasks.Task], bool],
--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -117,6 +117,7 @@
     held = state.slices_by_number[number]
     if held.phase is not _state.SlicePhase.RELEASING:
         held.phase = _state.SlicePhase.RELEASING
+        _leaving.released(state, held)
         _gangs.release_all(state, held)
         out.append(_change('slice-releasing', held))
 
