--- a/Makefile
+++ b/Makefile
@@ -52,3 +52,4 @@
 
 bench: setup
 	$(PY) -m bench.placement
+	$(PY) -m bench.teams
--- /dev/null
+++ b/bench/teams.py
@@ -0,0 +1,150 @@
+"""Limits and shares in virtual time: moves of allotments, distances."""
+
+import collections
+import sys
+
+import celeryshift_client
+from celeryshift_core import _usage
+from celeryshift_standins import world as worlds
+
+UPSTREAM = 'coding'
+SLOTS = 8
+SETTLE_S = 12.0
+
+
+def fleet(
+    share_by_team: dict[str, float], limit_slots: int = 1_000_000
+) -> dict:
+    """Build a configuration with an open queue for each team."""
+    made = celeryshift_client.Fleet()
+    made.upstream(UPSTREAM)
+    made.batch('quick', UPSTREAM)
+    for team, share in share_by_team.items():
+        made.team(team, share=share, limit_slots=limit_slots)
+        made.queue(f'of-{team}', open_for=team)
+    return made.document()
+
+
+def start(
+    document: dict, workers: int, nodes: int = 2, centres: int = 1
+) -> worlds.World:
+    """Start a world, and let it settle."""
+    world = worlds.World(seed=1)
+    world.configure(document)
+    for centre in range(centres):
+        where = f'dc{centre}'
+        for number in range(workers):
+            world.add_worker(f'{where}-w{number}', where, UPSTREAM)
+        for number in range(nodes):
+            world.add_node(f'{where}-n{number}', where)
+    world.run(SETTLE_S)
+    return world
+
+
+def offer(
+    world: worlds.World,
+    team: str,
+    seconds: float,
+    tasks: int = 30,
+    run_s: float = 1.0,
+) -> None:
+    """Submit small jobs at both nodes of a data centre, turn by turn."""
+    for number in range(int(seconds * 2)):
+
+        def submit(number: int = number) -> None:
+            world.submit(
+                f'dc0-n{number % 2}',
+                f'{team}-{world.now:.1f}',
+                'quick',
+                f'of-{team}',
+                team=team,
+                tasks=tasks,
+                run_s=run_s * (0.8 + 0.4 * world.rng.random()),
+            )
+
+        world.at(world.now + number / 2, submit)
+
+
+def used_by_team(
+    world: worlds.World, since: float, until: float
+) -> dict[str, float]:
+    """Give the part of the fleet that each team used over a time."""
+    used: collections.Counter[str] = collections.Counter()
+    for span in world.spans():
+        lasted = min(span.until, until) - max(span.started_at, since)
+        used[span.team] += max(0.0, lasted) * span.slots  # type: ignore
+    total = (until - since) * len(world.workers_by_name) * SLOTS
+    return {team: slots / total for team, slots in used.items()}
+
+
+def distance(used: dict[str, float], share_by_team: dict[str, float]) -> float:
+    """Give the greatest distance from a portion, as part of the fleet."""
+    total = sum(share_by_team.values())
+    return max(
+        abs(used.get(team, 0.0) - share / total)
+        for team, share in share_by_team.items()
+    )
+
+
+def six() -> dict[str, float]:
+    """Give six teams, each with twice the share of the one before."""
+    return {f't{number}': 2.0**number for number in range(6)}
+
+
+def many() -> dict[str, float]:
+    """Give as many teams as the fleet is designed for."""
+    return {f't{number}': 1.0 + number % 4 for number in range(46)}
+
+
+def full(share_by_team: dict[str, float]) -> tuple[worlds.World, float]:
+    """Fill a fleet; give its world and the distance over its last 12 s."""
+    world = start(fleet(share_by_team), 40)
+    for team in share_by_team:
+        offer(world, team, 20.0, tasks=1200 // len(share_by_team))
+    began = world.now
+    world.run(18.0)
+    used = used_by_team(world, began + 6.0, world.now)
+    return world, distance(used, share_by_team)
+
+
+def burst() -> None:
+    """Let 46 teams use all of nine data centres at once, limits included."""
+    world = start(fleet(many(), 40), 16, nodes=4, centres=9)
+    for number, team in enumerate(many()):
+        for centre in range(9):
+            world.submit(
+                f'dc{centre}-n{number % 4}',
+                f'{team}-{centre}',
+                'quick',
+                f'of-{team}',
+                tasks=60,
+                run_s=1.5,
+            )
+    before: collections.Counter[str] = collections.Counter()
+    for second in range(1, 16):
+        world.run(1.0)
+        counts: collections.Counter[str] = collections.Counter()
+        for node in world.nodes_by_name.values():
+            counts.update(node.state.counters)
+        running = sum(
+            span.started_at <= world.now < span.until for span in world.spans()
+        )
+        moves = counts['allotments.moves'] - before['allotments.moves']
+        sys.stdout.write(f'{second:3} s: {running} run, {moves} moves\n')
+        before = counts
+
+
+def main() -> None:
+    """Print the distances, and the moves of a burst."""
+    for teams in (six(), many()):
+        world, greatest = full(teams)
+        told = _usage.distances(world.nodes_by_name['dc0-n0'].state)
+        known = max(abs(entry.distance) for entry in told.values())
+        sys.stdout.write(
+            f'{len(teams)} teams: {greatest:.4f}, as told {known:.4f}\n'
+        )
+    burst()
+
+
+if __name__ == '__main__':
+    main()
