--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,5 @@
 bench: setup
 	$(PY) -m bench.placement
 	$(PY) -m bench.teams
+	$(PY) -m bench.configuration
+	$(PY) -m bench.ownership
--- a/packages/client/celeryshift_client/_fleet.py
+++ b/packages/client/celeryshift_client/_fleet.py
@@ -17,10 +17,12 @@
     """Collect teams, keys, queues, upstreams and kinds of work.
 
     Mistakes are not raised where they are made: document() and to_json()
-    report all of them at once, each with its path.
+    report all of them at once, each with its path. A name that is given
+    twice is a mistake, unless later entries are to replace earlier ones.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, replace: bool = False) -> None:
+        self._replace = replace
         self._sections: dict[str, dict[str, Any]] = {
             'teams': {},
             'keys': {},
@@ -42,10 +44,6 @@
         entry = {'share': share, 'limit_slots': limit_slots, **fields}
         return self._add('teams', name, entry)
 
-    def change_team(self, name: str, **fields: Any) -> str:
-        """Change fields of a team that was added before."""
-        return self._change('teams', name, fields)
-
     def key(self, key_id: str, team: str, secret: str) -> str:
         """Add a key; give what callers show. Only its hash is kept."""
         self.key_by_hash(key_id, team, hash_of(secret))
@@ -73,11 +71,6 @@
         entry = {'state': state.value, **fields}
         return self._add('upstreams', name, entry)
 
-    def leave(self, upstream: str) -> str:
-        """Say that an upstream that was added before is leaving."""
-        entry = {'state': core.UpstreamState.LEAVING.value}
-        return self._change('upstreams', upstream, entry)
-
     def request(self, name: str, upstream: str, **fields: Any) -> str:
         """Add a kind of work whose caller waits for the answer."""
         return self._kind(name, upstream, core.Policy.REQUEST, fields)
@@ -124,19 +117,11 @@
 
     def _add(self, section: str, name: str, entry: dict[str, Any]) -> str:
         entries = self._sections[section]
-        if name in entries:
+        if name in entries and not self._replace:
             self._mistakes.append(f'is given twice @ $.{section}.{name}')
         entries[name] = entry
         return name
 
-    def _change(self, section: str, name: str, fields: dict[str, Any]) -> str:
-        entries = self._sections[section]
-        if name in entries:
-            entries[name].update(fields)
-        else:
-            self._mistakes.append(f'unknown name {name!r} @ $.{section}')
-        return name
-
 
 def canonical(
     document: Any, mistakes: list[str] | tuple[str, ...] = ()
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -20,6 +20,7 @@
 from celeryshift_core import _questions
 from celeryshift_core import _refusing
 from celeryshift_core import _requests
+from celeryshift_core import _saving
 from celeryshift_core import _slices
 from celeryshift_core import _state
 from celeryshift_core import _store
@@ -183,6 +184,7 @@
     _timers.GangDue: _gangs.due,
     _timers.QuarantineEnds: _quarantine.ends,
     _timers.JobHoldEnds: _holds.ends,
+    _timers.SavedEnds: _saving.ends,
     _timers.CancelDue: _jobs.cancel_on,
     _timers.PumpDue: _pump_due,
     _timers.RequestDue: _requests.due,
