--- a/Makefile
+++ b/Makefile
@@ -52,4 +52,6 @@
 
 bench: setup
 	$(PY) -m bench.placement
+	$(PY) -m bench.teams
+	$(PY) -m bench.configuration
 	$(PY) -m bench.ownership
