Graceful stop: connections end only after no new ones are taken

Cause: tests/test_processes.py::test_a_graceful_stop_cuts_off_no_request failed in one of six runs, cut off 1. Listening and idle connections ended in one step, so a caller who had just connected lost the request that it sent.

Ruled out: refusing connections at once, as the balancer would still send.

Change: the node takes connections for the grace, then refuses them, and serves those that are open for the grace again.

--- a/packages/node/celeryshift_node/_listener.py
+++ b/packages/node/celeryshift_node/_listener.py
@@ -66,6 +66,11 @@
         """Give the factory of connections."""
         return self._open
 
+    async def refuse(self) -> None:
+        """Take no further connections; those that are open go on."""
+        for site in list(self.sites):
+            await site.stop()
+
     def _open(self) -> web_protocol.RequestHandler:
         assert self._server is not None
         connection = self._server()
--- a/packages/node/celeryshift_node/_main.py
+++ b/packages/node/celeryshift_node/_main.py
@@ -24,7 +24,7 @@
         sys.stderr.write(f'celeryshiftd: {error}\n')
         raise SystemExit(BAD_SETTINGS) from error
     bounds = checked.bounds
-    stop_s = bounds.drain_timeout_s + bounds.idle_grace_s + 5
+    stop_s = bounds.drain_timeout_s + 2 * bounds.idle_grace_s + 5
     service = _service.NodeService(settings=checked)
     with (
         _logs.writing(checked.log),
--- a/packages/node/celeryshift_node/_service.py
+++ b/packages/node/celeryshift_node/_service.py
@@ -61,14 +61,17 @@
                 await self._runner.stopped.wait()
         except TimeoutError:
             _runner.log.warning('drain did not end in time')
-        # A client may be sending on an idle connection: it gets its answer.
+        # The balancer needs time to see that this node is not ready.
+        await asyncio.sleep(bounds.idle_grace_s)
+        await self._web.refuse()
+        # A client may be sending on an open connection: it gets its answer.
         await asyncio.sleep(bounds.idle_grace_s)
         await self._web.cleanup()
         await self._runner.close()
         await self._workers.close()
         await self._channels.close()
 
-    async def _listen(self) -> tuple[web.AppRunner, str]:
+    async def _listen(self) -> tuple[_listener.Listener, str]:
         listen = self.settings.listen
         self._api = _http.Api(self.settings)
         runner = _listener.Listener(
