--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 SEED ?= 1
 STEPS ?= 2000
 
-.PHONY: setup demo playground test lint types unit format scenarios bench capacity
+.PHONY: setup demo playground test lint types unit format scenarios bench \
+	capacity explore
 
 setup: $(VENV)/.ready
 
@@ -39,9 +40,16 @@
 	-$(VENV)/bin/ruff check --fix packages tests bench
 	$(VENV)/bin/ruff format packages tests bench
 
+# Faults, the seconds in which they may come, and the seconds in all.
+EXPLORE ?= 2 8 14
+
+explore: setup
+	$(PY) tests/takeover.py $(EXPLORE)
+
 scenarios: setup
 	$(PY) -m celeryshift_standins.scenarios scenarios/*.scn \
 		--seed=$(SEED) --steps=$(STEPS) --known=KNOWN-RED.txt
 
 bench: setup
 	$(PY) -m bench.placement
+	$(PY) -m bench.ownership
--- a/packages/core/celeryshift_core/_launch.py
+++ b/packages/core/celeryshift_core/_launch.py
@@ -1,5 +1,6 @@
 """Sending placed tasks to their workers, and taking bookings back."""
 
+from celeryshift_core import _headroom
 from celeryshift_core import _ledger
 from celeryshift_core import _rights
 from celeryshift_core import _shares
@@ -20,13 +21,29 @@
     task.epoch = held.epoch
     task.attempt += 1
     task.worker = worker.name
-    hold = _ledger.Hold(task.team, size, task.job)
+    hold = _ledger.Hold(task.team, size, task.job, task.urgent)
     held.ledger.hold(worker.name, task.run_id, hold)
+    if task.urgent:
+        _headroom.change(state, held, worker.upstream, size.slots)
     held.unconfirmed.add(task.run_id)
     _shares.charge(state, held, task.team, size)
     task.note(state.now, 'placed', f'attempt {task.attempt}')
 
 
+def grow(
+    state: _state.State,
+    held: _state.Slice,
+    worker: _ledger.Worker,
+    run_id: str,
+    size: _size.Size,
+) -> None:
+    """Book at least what a run really uses."""
+    hold = worker.holds_by_run.get(run_id)
+    added = held.ledger.grow(worker.name, run_id, size)
+    if hold is not None and added != _size.ZERO:
+        _shares.charge(state, held, hold.team, added)
+
+
 def send(
     state: _state.State,
     held: _state.Slice,
@@ -64,12 +81,13 @@
     held: _state.Slice,
     task: _tasks.Task,
     out: _state.Out,
+    checkpoint: bool = False,
 ) -> None:
     """Stop a task; its room stays taken until the worker says it ended."""
     task.state = _tasks.TaskState.STOPPING
     worker = held.ledger.workers_by_name.get(task.worker)
     if worker is not None:
-        send_stop(state, held, worker, task.run_id, out)
+        send_stop(state, held, worker, task.run_id, out, checkpoint)
 
 
 def send_stop(
@@ -78,8 +96,9 @@
     worker: _ledger.Worker,
     run_id: str,
     out: _state.Out,
+    checkpoint: bool = False,
 ) -> None:
-    """Ask a worker to stop a run."""
+    """Ask a worker to stop a run, after a checkpoint if one is wanted."""
     out.append(
         effects.StopTask(
             held.number,
@@ -88,6 +107,7 @@
             worker.address,
             run_id,
             _rights.until(state),
+            checkpoint,
         )
     )
 
@@ -139,6 +159,9 @@
     hold = held.ledger.release(worker, run_id)
     if hold is not None:
         _shares.refund(state, held, hold.team, hold.size)
+        if hold.urgent:
+            upstream = held.ledger.workers_by_name[worker].upstream
+            _headroom.change(state, held, upstream, -hold.size.slots)
 
 
 def unbook(state: _state.State, held: _state.Slice, task: _tasks.Task) -> None:
@@ -147,3 +170,6 @@
     job = held.jobs_by_id.get(task.job)
     if job is not None:
         job.running.discard(task.id)
+        running = held.preemptible_by_upstream.get(task.upstream)
+        if running is not None:
+            running.pop(task.id, None)
--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -19,6 +19,7 @@
     team: str
     size: _size.Size
     job: str = ''
+    urgent: bool = False
 
 
 @attrs.define(eq=False)
@@ -34,6 +35,10 @@
     answered: bool = False
     listed: bool = True
     quarantined: bool = False
+    quarantines: int = 0
+    probation: bool = False
+    saved_for: str = ''
+    failed_kind_by_job: dict[str, str] = attrs.field(factory=dict)
     resting: bool = False
     refusals: int = 0
     cursor: str = ''
@@ -57,6 +62,7 @@
             and self.listed
             and self.silent_since is None
             and not self.quarantined
+            and not (self.probation and self.holds_by_run)
             and not self.resting
             and self.state is events.VmState.LIVE
         )
@@ -126,7 +132,10 @@
         self._note_staying(worker, worker.state is events.VmState.LIVE)
         room = _room.NOTHING
         slots = 0
-        if worker.usable:
+        if worker.saved_for:
+            grown = self._grown_by_upstream.setdefault(worker.upstream, {})
+            grown[worker.name] = None
+        elif worker.usable:
             capacity, used = worker.capacity, worker.used
             slots = capacity.slots - used.slots
             if slots > 0:
@@ -183,6 +192,23 @@
         self.refresh(worker)
         return True
 
+    def grow(self, name: str, run_id: str, size: _size.Size) -> _size.Size:
+        """Book at least a size for a run, even beyond what its worker has.
+
+        Gives what was added, which is nothing for a run not booked here.
+        """
+        worker = self.workers_by_name[name]
+        hold = worker.holds_by_run.get(run_id)
+        if hold is None:
+            return _size.ZERO
+        added = hold.size.at_least(size) - hold.size
+        if added != _size.ZERO:
+            grown = attrs.evolve(hold, size=hold.size + added)
+            worker.holds_by_run[run_id] = grown
+            worker.used += added
+            self.refresh(worker)
+        return added
+
     def release(self, name: str, run_id: str) -> Hold | None:
         """Free the room of a task; give what was booked, if anything."""
         worker = self.workers_by_name.get(name)
@@ -221,7 +247,9 @@
         """Yield those of the workers named that have room."""
         for name in names:
             worker = self.workers_by_name.get(name)
-            if worker and worker.usable and size.fits(worker.free):
+            if worker is None or worker.saved_for or not worker.usable:
+                continue
+            if size.fits(worker.free):
                 yield worker
 
     def tasks_by_rack(self, job: str) -> collections.Counter[str]:
@@ -241,6 +269,10 @@
         """Name the upstreams that have workers here which are to stay."""
         return tuple(self._staying_by_upstream)
 
+    def staying(self, upstream: str) -> int:
+        """Count the workers of an upstream that are to stay."""
+        return len(self._staying_by_upstream.get(upstream, ()))
+
     def _note_staying(self, worker: Worker, stays: bool) -> None:
         names = self._staying_by_upstream.setdefault(worker.upstream, set())
         (names.add if stays else names.discard)(worker.name)
--- a/packages/core/celeryshift_core/_ownership.py
+++ b/packages/core/celeryshift_core/_ownership.py
@@ -213,6 +213,7 @@
         state.phase is not _state.NodePhase.DRAINING
         or state.requests_by_id
         or state.replies_due
+        or state.refusals_in_doubt
     ):
         return
     if state.membership.left or _is_store_lost(state):
@@ -274,7 +275,7 @@
     if owner and owner != state.node:
         peer = state.membership.peers_by_id.get(owner)
         if peer is not None:
-            if state.now - peer.changed_at <= options.takeover_s:
+            if _may_be_live(state, peer):
                 return
             if not _promises.may_take(state, peer, out):
                 return
@@ -393,9 +394,16 @@
 
 
 def _is_store_lost(state: _state.State) -> bool:
+    """Tell whether the store has failed for as long as peers may need.
+
+    In that time each peer that goes on asks for promises, and is promised
+    for good that this node takes nothing from it any more.
+    """
     since = state.store.failing_since
-    lost_s = state.options.node_lease_s
-    return since is not None and state.now - since > lost_s
+    if since is None:
+        return False
+    since = max(since, state.membership.draining_since)
+    return state.now - since > state.options.node_lease_s
 
 
 def _is_fresh(state: _state.State, peer: _state.Peer) -> bool:
@@ -411,3 +419,8 @@
 def _is_stable(state: _state.State) -> bool:
     since = state.now - state.membership.stable_since
     return since > STABLE_LEASES * state.options.node_lease_s
+
+
+def _may_be_live(state: _state.State, peer: _state.Peer) -> bool:
+    """Tell whether the lease of a peer may still run."""
+    return state.now - peer.changed_at <= state.options.takeover_s
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -2,18 +2,25 @@
 
 from celeryshift_core import _config
 from celeryshift_core import _gangs
+from celeryshift_core import _headroom
+from celeryshift_core import _holds
 from celeryshift_core import _launch
+from celeryshift_core import _learning
 from celeryshift_core import _ledger
 from celeryshift_core import _limits
 from celeryshift_core import _once
 from celeryshift_core import _placers
+from celeryshift_core import _preemption
 from celeryshift_core import _queue
 from celeryshift_core import _rights
+from celeryshift_core import _saving
+from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import _waits
 
 MAX_HINTS = 32
+STARTS_PER_EVENT = 512
 SEARCH_AGAIN_S = 1.0
 
 
@@ -30,7 +37,7 @@
     """Start waiting tasks as long as any of those next in line has room."""
     if not _may_place(state, held):
         return
-    _reopen(state, held)
+    _reopen(state, held, out)
     _start_tier(state, held, True, out)
     for job in list(held.reserving_by_upstream.values()):
         _advance(state, held, held.gangs_by_job[job], out)
@@ -41,10 +48,12 @@
     state: _state.State, held: _state.Slice, urgent: bool, out: _state.Out
 ) -> None:
     skipped: set[_queue.TeamKind] = set()
-    head = held.queue.next(urgent, skipped)
-    while head is not None:
-        _start(state, held, head, skipped, out)
+    for _ in range(STARTS_PER_EVENT):
         head = held.queue.next(urgent, skipped)
+        if head is None:
+            return
+        _start(state, held, head, skipped, out)
+    _gangs.go_on(state, held)
 
 
 def _advance(
@@ -55,6 +64,8 @@
 ) -> None:
     """Reserve more room for a gang, or start it once it has all."""
     phase = gang.phase
+    if gang.job.cancelled:
+        return
     if phase is _tasks.GangPhase.RESERVING:
         kind = state.config.kinds.get(gang.job.kind)
         if kind is None or not state.config.takes_work(gang.upstream):
@@ -69,13 +80,44 @@
         _gangs.send(state, held, gang, out)
 
 
-def _reopen(state: _state.State, held: _state.Slice) -> None:
+def _reopen(state: _state.State, held: _state.Slice, out: _state.Out) -> None:
     """Look again at waiting work that may fit where room has come up."""
-    for upstream, room_by_worker in held.ledger.take_grown().items():
+    ledger = held.ledger
+    for upstream, room_by_worker in ledger.take_grown().items():
         if len(room_by_worker) > MAX_HINTS:
             held.queue.reopen_all(upstream)
-        else:
-            held.queue.reopen(upstream, room_by_worker, state.now)
+            continue
+        held.queue.reopen(upstream, room_by_worker, state.now)
+        for name in room_by_worker:
+            worker = ledger.workers_by_name[name]
+            if worker.saved_for:
+                _use_saved(state, held, worker, out)
+            else:
+                _saving.save(state, held, worker)
+    # Workers that are saved no more are looked at by all.
+    for upstream, room_by_worker in ledger.take_grown().items():
+        held.queue.reopen(upstream, room_by_worker, state.now)
+
+
+def _use_saved(
+    state: _state.State,
+    held: _state.Slice,
+    worker: _ledger.Worker,
+    out: _state.Out,
+) -> None:
+    """Start the task that a worker is saved for, once it fits."""
+    task = _saving.fitting(state, held, worker)
+    if task is None:
+        return
+    job = held.jobs_by_id.get(task.job)
+    kind = state.config.kinds.get(task.kind)
+    if kind is None or _why_not(state, held, task, kind):
+        return
+    if job is not None and (job.cancelled or job.holds):
+        return
+    held.queue.leave(task, _tasks.TaskState.STARTING)
+    size = _learning.size(state, task)
+    _book(state, held, task, kind, worker, size, out)
 
 
 def _may_place(state: _state.State, held: _state.Slice) -> bool:
@@ -94,6 +136,13 @@
     out: _state.Out,
 ) -> None:
     """Start the task that is next in a line, or pass over it."""
+    job = held.jobs_by_id.get(task.job)
+    if job is not None and job.cancelled:
+        held.queue.pop(task)
+        task.state = _tasks.TaskState.CANCELLED
+        return
+    if job is not None and _holds.keep(state, held, job, task):
+        return
     kind = state.config.kinds.get(task.kind)
     why = _why_not(state, held, task, kind)
     if kind is None or why:
@@ -103,15 +152,26 @@
     if kind.policy is _config.Policy.GANG:
         _start_gang(state, held, task, skipped, out)
         return
-    worker = _choose(state, held, task, kind)
+    size = _learning.size(state, task)
+    found = _find(state, held, task, kind, size)
+    worker = _choose(held, task, kind, found)
+    if found and worker is None:
+        skipped.add((task.team, task.kind))
+        task.note(state.now, 'waits', 'it failed where there is room')
+        return
     if worker is None and task.urgent:
-        worker = _gangs.yield_room(state, held, task)
+        worker = _saving.yield_room(held, task.upstream, size)
+    if worker is None and task.urgent:
+        worker = _gangs.yield_room(state, held, task, size)
     if worker is None:
+        why = 'no worker examined has room'
+        if task.urgent:
+            why = _preemption.make_room(state, held, task, size, out)
         held.queue.close(task)
-        task.note(state.now, 'waits', 'no worker examined has room')
+        task.note(state.now, 'waits', why)
         return
     held.queue.pop(task)
-    _book(state, held, task, kind, worker, out)
+    _book(state, held, task, kind, worker, size, out)
 
 
 def _start_gang(
@@ -141,6 +201,11 @@
         return 'upstream is leaving'
     if not _limits.may_start(state, held, task):
         return 'team is at its upper limit'
+    slots = task.size.slots
+    if not task.urgent and not _headroom.allows(
+        state, held, task.upstream, slots
+    ):
+        return 'the room left is kept for urgent work'
     return ''
 
 
@@ -150,39 +215,51 @@
     task: _tasks.Task,
     kind: _config.Kind,
     worker: _ledger.Worker,
+    size: _size.Size,
     out: _state.Out,
 ) -> None:
-    _launch.book(state, held, task, worker, task.size)
+    _launch.book(state, held, task, worker, size)
     task.state = _tasks.TaskState.STARTING
     state.counters['placements'] += 1
     _waits.note(state, task)
+    if kind.preemptible:
+        _preemption.started(state, held, task)
     if kind.repeatable:
         _launch.send(state, held, task, out)
     else:
         _once.claim(state, held, task, out)
 
 
-def _choose(
+def _find(
     state: _state.State,
     held: _state.Slice,
     task: _tasks.Task,
     kind: _config.Kind,
-) -> _ledger.Worker | None:
-    """Choose a worker with room, one that has not failed the task if any."""
-    placer = _placers.BY_POLICY[kind.policy]
+    size: _size.Size,
+) -> list[_ledger.Worker]:
+    """List some workers that have room for a task."""
     hints = held.queue.hints(task)
-    if hints is None:
-        found = placer.find(held, task, task.size)
-        gave_up = not found and held.ledger.gave_up(task.upstream)
-        again_at = state.now + SEARCH_AGAIN_S if gave_up else None
-        held.queue.search_again(task, again_at)
-    else:
-        found = list(held.ledger.fitting(hints, task.size))
-    if task.failed_on:
-        fresh = [
+    if hints is not None:
+        return list(held.ledger.fitting(hints, size))
+    found = _placers.BY_POLICY[kind.policy].find(held, task, size)
+    gave_up = not found and held.ledger.gave_up(task.upstream)
+    again_at = state.now + SEARCH_AGAIN_S if gave_up else None
+    held.queue.search_again(task, again_at)
+    return found
+
+
+def _choose(
+    held: _state.Slice,
+    task: _tasks.Task,
+    kind: _config.Kind,
+    found: list[_ledger.Worker],
+) -> _ledger.Worker | None:
+    """Choose a worker, one that has not failed the task if there is any."""
+    if 0 < len(task.failed_on) < held.ledger.staying(task.upstream):
+        found = [
             worker for worker in found if worker.name not in task.failed_on
         ]
-        found = fresh or found
+    placer = _placers.BY_POLICY[kind.policy]
     return min(
         found,
         key=lambda worker: placer.rank(held, task, worker),
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -9,21 +9,25 @@
 from celeryshift_core import _departures
 from celeryshift_core import _errors
 from celeryshift_core import _gangs
+from celeryshift_core import _holds
 from celeryshift_core import _jobs
 from celeryshift_core import _keys
 from celeryshift_core import _once
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _placement
+from celeryshift_core import _quarantine
 from celeryshift_core import _questions
 from celeryshift_core import _refusing
 from celeryshift_core import _requests
+from celeryshift_core import _saving
 from celeryshift_core import _slices
 from celeryshift_core import _state
 from celeryshift_core import _store
 from celeryshift_core import _submission
 from celeryshift_core import _timers
 from celeryshift_core import _usage
+from celeryshift_core import _verdicts
 from celeryshift_core import _workers
 from celeryshift_core import effects
 from celeryshift_core import events
@@ -84,6 +88,7 @@
 ) -> None:
     if state.phase is _state.NodePhase.SERVING:
         state.phase = _state.NodePhase.DRAINING
+        state.membership.draining_since = state.now
         out.append(effects.LogChange('draining', {'node': state.node}))
         _peers.summarize(state, out)
         _ownership.balance(state, out)
@@ -135,13 +140,6 @@
         state.touched[timer.slice] = None
 
 
-def _flush_records(
-    state: _state.State, timer: _timers.FlushRecords, out: _state.Out
-) -> None:
-    _submission.flush(state, out)
-    _jobs.flush(state, out)
-
-
 _HANDLERS_BY_EVENT: dict[type, Handler] = {
     events.Started: _start,
     events.Tick: _pass,
@@ -173,7 +171,8 @@
     _timers.PollConfig: lambda state, _, out: _configuration.poll(state, out),
     _timers.PollNodes: lambda state, _, out: _ownership.poll_nodes(state, out),
     _timers.Summarize: lambda state, _, out: _peers.summarize(state, out),
-    _timers.FlushRecords: _flush_records,
+    _timers.FlushRecords: lambda state, _, out: _submission.flush(state, out),
+    _timers.RecordJobs: lambda state, _, out: _jobs.flush(state, out),
     _timers.SettleWrite: lambda state, timer, out: _store.settle(
         state, timer.op_id, out
     ),
@@ -184,9 +183,14 @@
     _timers.RequeueTask: _jobs.requeue,
     _timers.StopDue: _workers.stop_again,
     _timers.GangDue: _gangs.due,
+    _timers.QuarantineEnds: _quarantine.ends,
+    _timers.JobHoldEnds: _holds.ends,
+    _timers.SavedEnds: _saving.ends,
+    _timers.CancelDue: _jobs.cancel_on,
     _timers.PumpDue: _pump_due,
     _timers.RequestDue: _requests.due,
     _timers.ReplyDue: _submission.reply_due,
+    _timers.CheckDue: _verdicts.check_due,
     _timers.RestEnds: _refusing.rest_ends,
     _timers.TellKeys: _keys.tell,
     _timers.SaveKeys: _keys.save,
@@ -216,6 +220,7 @@
     _ownership.NodesPurpose: _ownership.nodes_read,
     _departures.SweepPurpose: _departures.markers_read,
     _submission.PlacePurpose: _submission.place_read,
+    _verdicts.CheckPurpose: _verdicts.checked,
     _configuration.HeadPurpose: _configuration.head_read,
     _configuration.DocumentPurpose: _configuration.document_read,
     _configuration.BasePurpose: _configuration.base_read,
--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -1,5 +1,7 @@
 """The life of a slice at its owner: recovery, workers, release."""
 
+import attrs
+
 from celeryshift_core import _departures
 from celeryshift_core import _gangs
 from celeryshift_core import _ids
@@ -17,6 +19,17 @@
 from celeryshift_core import schema
 
 
+@attrs.define(eq=False)
+class _Load:
+    """Give the load of a team on a slice, by which its queue ranks teams."""
+
+    state: _state.State
+    held: _state.Slice = attrs.field(init=False)
+
+    def __call__(self, team: str) -> float:
+        return _shares.load(self.state, self.held, team)
+
+
 def recover(
     state: _state.State,
     number: int,
@@ -30,14 +43,16 @@
     No task of an earlier owner starts again until each worker has said what
     it runs, or the leases that the earlier owner gave have surely ended.
     """
-    held: _state.Slice
+    load = _Load(state)
     held = _state.Slice(
         number,
         epoch,
         row.version,
-        _queue.Queue(lambda team: _shares.load(state, held, team)),
+        _queue.Queue(load),
         row.value['vm_revision'],
+        row.version,
     )
+    load.held = held
     state.slices_by_number[number] = held
     out.append(_change('slice-taken', held))
     for row in job_rows.values():
@@ -86,15 +101,9 @@
     """Forget a slice: it was released, or another node took it."""
     held = state.slices_by_number.pop(number)
     out.append(_change('slice-dropped', held))
-    for request in list(state.requests_by_id.values()):
-        task = request.task
-        if request.slice != number or task is None:
-            continue
-        if task.state is _tasks.TaskState.QUEUED:
-            request.task = None
-            request.slice = -1
-            # Its timer routes it anew, or refuses it at its deadline.
-            state.timers.set(_timers.RequestDue(request.id), state.now)
+    for request in _queued_in(state, number):
+        request.task = None
+        request.slice = -1
 
 
 def begin_release(state: _state.State, number: int, out: _state.Out) -> None:
@@ -106,6 +115,20 @@
         out.append(_change('slice-releasing', held))
 
 
+def _queued_in(state: _state.State, number: int) -> list[_state.Request]:
+    """List the requests that wait in a slice, to be routed anew at once."""
+    queued = [
+        request
+        for request in state.requests_by_id.values()
+        if request.slice == number
+        and request.task is not None
+        and request.task.state is _tasks.TaskState.QUEUED
+    ]
+    for request in queued:
+        state.timers.set(_timers.RequestDue(request.id), state.now)
+    return queued
+
+
 def is_quiet(state: _state.State, held: _state.Slice) -> bool:
     """Tell whether a slice being released has nothing outstanding."""
     return (
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -34,7 +34,12 @@
 
 @attrs.frozen(slots=True)
 class FlushRecords:
-    """Write the job records that have changed."""
+    """Write the jobs that wait to be accepted."""
+
+
+@attrs.frozen(slots=True)
+class RecordJobs:
+    """Write the jobs that have changed."""
 
 
 @attrs.frozen(slots=True)
@@ -98,6 +103,42 @@
     job: str
 
 
+@attrs.frozen(slots=True)
+class QuarantineEnds:
+    """Put a worker on probation."""
+
+    slice: int
+    epoch: int
+    worker: str
+
+
+@attrs.frozen(slots=True)
+class JobHoldEnds:
+    """Try a job again that was held."""
+
+    slice: int
+    epoch: int
+    job: str
+
+
+@attrs.frozen(slots=True)
+class SavedEnds:
+    """Save a worker for one task no more."""
+
+    slice: int
+    epoch: int
+    worker: str
+
+
+@attrs.frozen(slots=True)
+class CancelDue:
+    """Go on with the cancellation of a job."""
+
+    slice: int
+    epoch: int
+    job: str
+
+
 @attrs.frozen(slots=True)
 class PumpDue:
     """Go on with placements that were left for another event."""
@@ -123,6 +164,13 @@
     id: str
 
 
+@attrs.frozen(slots=True)
+class CheckDue:
+    """Refuse a request without knowing whether it is claimed."""
+
+    request: str
+
+
 @attrs.frozen(slots=True)
 class ReplyDue:
     """Reply to a caller whose write is still not settled."""
@@ -191,7 +239,7 @@
 
     def __init__(self) -> None:
         self._at_by_key: dict[Hashable, tuple[float, int]] = {}
-        self._due: SortedList = SortedList(key=lambda entry: entry[:2])
+        self._due: SortedList = SortedList(key=_due_order)
         self._count = 0
 
     def __len__(self) -> int:
@@ -231,3 +279,7 @@
             _, _, key = self._due.pop(0)
             del self._at_by_key[key]
             yield key
+
+
+def _due_order(entry: tuple[float, int, Hashable]) -> tuple[float, int]:
+    return entry[:2]
--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -86,9 +86,14 @@
 
     async def stop(self, effect: effects.StopTask) -> Outcome:
         """Stop a task."""
-        body = {'run_id': effect.task}
+        body = {'run_id': effect.task, 'checkpoint': effect.checkpoint}
         return _outcome(await self._post(effect.address, 'stop', body))
 
+    async def throttle(self, effect: effects.ThrottleTask) -> Outcome:
+        """Throttle a task."""
+        body = {'run_id': effect.task}
+        return _outcome(await self._post(effect.address, 'throttle', body))
+
     async def request(
         self, effect: effects.SendRequest, payload: Any
     ) -> tuple[Outcome, bool, Any]:
--- a/packages/standins/celeryshift_standins/_set_up.py
+++ b/packages/standins/celeryshift_standins/_set_up.py
@@ -57,22 +57,15 @@
 
 
 def team(words: Words) -> _play.Act:
-    """Read `team ministry share 4 limit 64`; a known team is changed."""
+    """Read `team ministry share 4 limit 64`."""
     name = words.word('a team')
-    fields: dict[str, Any] = {}
+    share, limit = 1.0, 1_000_000
     while words.peek():
         if words.one_of('share', 'limit') == 'share':
-            fields['share'] = words.number()
+            share = words.number()
         else:
-            fields['limit_slots'] = words.count()
-
-    def act(play: _play.Play) -> None:
-        known = name in play.teams
-        play.teams.add(name)
-        change = play.fleet.change_team if known else play.fleet.team
-        change(name, **fields)
-
-    return act
+            limit = words.count()
+    return lambda play: void(play.fleet.team(name, share, limit))
 
 
 def key(words: Words) -> _play.Act:
@@ -97,9 +90,8 @@
 def upstream(words: Words) -> _play.Act:
     """Read `upstream coding [leaving]`."""
     name = words.word('an upstream')
-    if words.skip('leaving'):
-        return lambda play: void(play.fleet.leave(name))
-    return lambda play: void(play.fleet.upstream(name))
+    leaving = words.skip('leaving')
+    return lambda play: void(play.fleet.upstream(name, leaving))
 
 
 def kind(words: Words) -> _play.Act:
--- a/packages/standins/celeryshift_standins/_store_effects.py
+++ b/packages/standins/celeryshift_standins/_store_effects.py
@@ -80,16 +80,16 @@
             lambda: events.VmsFetched(net.now, 0, None),
         )
         return
+    latest = net.vm_revision_by_node.get(node.name, net.vm_revision)
     changed = [
         vm
         for revision, vm in net.vms_by_name.values()
-        if revision > effect.revision
+        if effect.revision < revision <= latest
     ]
-    revision = net.vm_revision
     net.after(
         node,
         _network.STORE_S,
-        lambda: events.VmsFetched(net.now, revision, changed),
+        lambda: events.VmsFetched(net.now, latest, changed),
     )
 
 
