Headroom closes a kind of work in place of skipping each team

A search that gave up early was made again only when room came up.

Ruled out: saving without regard to headroom (a large task would take the last slots that are kept).

Change: without headroom a kind and size is closed like without room, and looked at again after a second by a timer; a saved worker counts towards the free slots when its task is weighed against headroom.

--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -17,6 +17,7 @@
 from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
+from celeryshift_core import _timers
 from celeryshift_core import _waits
 
 MAX_HINTS = 32
@@ -83,11 +84,12 @@
 def _reopen(state: _state.State, held: _state.Slice, out: _state.Out) -> None:
     """Look again at waiting work that may fit where room has come up."""
     ledger = held.ledger
+    held.queue.reopen_due(state.now)
     for upstream, room_by_worker in ledger.take_grown().items():
         if len(room_by_worker) > MAX_HINTS:
             held.queue.reopen_all(upstream)
             continue
-        held.queue.reopen(upstream, room_by_worker, state.now)
+        held.queue.reopen(upstream, room_by_worker)
         for name in room_by_worker:
             worker = ledger.workers_by_name[name]
             if worker.saved_for:
@@ -96,7 +98,7 @@
                 _saving.save(state, held, worker)
     # Workers that are saved no more are looked at by all.
     for upstream, room_by_worker in ledger.take_grown().items():
-        held.queue.reopen(upstream, room_by_worker, state.now)
+        held.queue.reopen(upstream, room_by_worker)
 
 
 def _use_saved(
@@ -106,7 +108,9 @@
     out: _state.Out,
 ) -> None:
     """Start the task that a worker is saved for, once it fits."""
-    task = _saving.fitting(state, held, worker)
+    free = held.ledger.free_slots(worker.upstream) + worker.free.slots
+    kept = _headroom.reserve(state, held, worker.upstream)
+    task = _saving.fitting(state, held, worker, free - kept)
     if task is None:
         return
     job = held.jobs_by_id.get(task.job)
@@ -152,6 +156,12 @@
     if kind.policy is _config.Policy.GANG:
         _start_gang(state, held, task, skipped, out)
         return
+    if not task.urgent and not _headroom.allows(
+        state, held, task.upstream, task.size.slots
+    ):
+        _pass_over(state, held, task, 'the room left is kept for urgent work')
+        _search_again(state, held, task)
+        return
     size = _learning.size(state, task)
     found = _find(state, held, task, kind, size)
     worker = _choose(held, task, kind, found)
@@ -167,13 +177,29 @@
         why = 'no worker examined has room'
         if task.urgent:
             why = _preemption.make_room(state, held, task, size, out)
-        held.queue.close(task)
-        task.note(state.now, 'waits', why)
+        _pass_over(state, held, task, why)
         return
     held.queue.pop(task)
     _book(state, held, task, kind, worker, size, out)
 
 
+def _pass_over(
+    state: _state.State, held: _state.Slice, task: _tasks.Task, why: str
+) -> None:
+    """Let the tasks of this kind and size wait until room has come up."""
+    held.queue.close(task)
+    task.note(state.now, 'waits', why)
+
+
+def _search_again(
+    state: _state.State, held: _state.Slice, task: _tasks.Task
+) -> None:
+    """Look for room again soon, even if none has come up."""
+    held.queue.search_again(task, state.now + SEARCH_AGAIN_S)
+    key = _timers.SearchDue(held.number, held.epoch)
+    state.timers.set_once(key, state.now + SEARCH_AGAIN_S)
+
+
 def _start_gang(
     state: _state.State,
     held: _state.Slice,
@@ -201,11 +227,6 @@
         return 'upstream is leaving'
     if not _limits.may_start(state, held, task):
         return 'team is at its upper limit'
-    slots = task.size.slots
-    if not task.urgent and not _headroom.allows(
-        state, held, task.upstream, slots
-    ):
-        return 'the room left is kept for urgent work'
     return ''
 
 
@@ -242,9 +263,10 @@
     if hints is not None:
         return list(held.ledger.fitting(hints, size))
     found = _placers.BY_POLICY[kind.policy].find(held, task, size)
-    gave_up = not found and held.ledger.gave_up(task.upstream)
-    again_at = state.now + SEARCH_AGAIN_S if gave_up else None
-    held.queue.search_again(task, again_at)
+    if not found and held.ledger.gave_up(task.upstream):
+        _search_again(state, held, task)
+    else:
+        held.queue.search_again(task, None)
     return found
 
 
--- a/packages/core/celeryshift_core/_queue.py
+++ b/packages/core/celeryshift_core/_queue.py
@@ -168,7 +168,6 @@
         self,
         upstream: str,
         room_by_worker: dict[str, _size.Size],
-        now: float,
     ) -> None:
         """Look again at what may find room on workers that have got some."""
         for key, group in self._group_by_key.items():
@@ -179,14 +178,19 @@
                 for name, room in room_by_worker.items()
                 if key[2].fits(room)
             ]
-            if group.search_at is not None and now >= group.search_at:
-                group.hints = None
-                self._open[key[0]][key] = group
-            elif fitting:
+            if fitting:
                 self._open[key[0]][key] = group
                 if group.hints is not None:
                     group.hints.update(dict.fromkeys(fitting))
 
+    def reopen_due(self, now: float) -> None:
+        """Look again at all for which another search is due."""
+        for key, group in self._group_by_key.items():
+            if group.search_at is not None and now >= group.search_at:
+                group.search_at = None
+                group.hints = None
+                self._open[key[0]][key] = group
+
     def reopen_all(self, upstream: str) -> None:
         """Look again at all that waits for an upstream."""
         for key, group in self._group_by_key.items():
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -134,7 +134,9 @@
 
 
 def _pump_due(
-    state: _state.State, timer: _timers.PumpDue, out: _state.Out
+    state: _state.State,
+    timer: _timers.PumpDue | _timers.SearchDue,
+    out: _state.Out,
 ) -> None:
     if _workers.owned(state, timer.slice, timer.epoch) is not None:
         state.touched[timer.slice] = None
@@ -188,6 +190,7 @@
     _timers.SavedEnds: _saving.ends,
     _timers.CancelDue: _jobs.cancel_on,
     _timers.PumpDue: _pump_due,
+    _timers.SearchDue: _pump_due,
     _timers.RequestDue: _requests.due,
     _timers.ReplyDue: _submission.reply_due,
     _timers.CheckDue: _verdicts.check_due,
--- a/packages/core/celeryshift_core/_saving.py
+++ b/packages/core/celeryshift_core/_saving.py
@@ -53,17 +53,21 @@
 
 
 def fitting(
-    state: _state.State, held: _state.Slice, worker: _ledger.Worker
+    state: _state.State,
+    held: _state.Slice,
+    worker: _ledger.Worker,
+    slots: int,
 ) -> _tasks.Task | None:
     """Give the task that a worker is saved for, once it fits there.
 
-    The worker is saved no more then, or if nothing waits for it.
+    It fits if it also takes no more slots than may be used. The worker is
+    saved no more then, or if nothing waits for it.
     """
     task = held.tasks_by_id.get(worker.saved_for)
     if task is None or task.state is not _tasks.TaskState.QUEUED:
         _end(state, held, worker)
         return None
-    if not worker.usable:
+    if not worker.usable or task.size.slots > slots:
         return None
     if not _learning.size(state, task).fits(worker.free):
         return None
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -147,6 +147,14 @@
     epoch: int
 
 
+@attrs.frozen(slots=True)
+class SearchDue:
+    """Search for room again that an earlier search may have missed."""
+
+    slice: int
+    epoch: int
+
+
 @attrs.frozen(slots=True)
 class StopDue:
     """Stop a run again whose stop may not have arrived."""
