--- a/packages/standins/celeryshift_standins/_network.py
+++ b/packages/standins/celeryshift_standins/_network.py
@@ -53,6 +53,7 @@
         self.count = itertools.count()
         self.call_by_reply: dict[tuple[str, str], Callable[..., None]] = {}
         self.polls: dict[str, list[Callable[[], None]]] = {}
+        self.wakes: dict[str, float] = {}
         self.payloads: dict[tuple[str, str], dict[str, Any]] = {}
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._performers_by_effect = performers_by_effect
--- a/packages/standins/celeryshift_standins/_set_up.py
+++ b/packages/standins/celeryshift_standins/_set_up.py
@@ -167,13 +167,15 @@
     where = words.word('a node') if words.skip('at') else None
 
     def act(play: _play.Play) -> None:
+        node = play.entry(where)
+
         def make(now: float, reply_id: str) -> events.Event:
-            play.watch.withdrawn(key_id)
+            play.watch.withdrawn(key_id, node)
             return events.KeyWithdrawn(
                 now, reply_id, key_id, 'ana', '2026-12-03'
             )
 
-        call = play.world.operate(play.entry(where), make)
+        call = play.world.operate(node, make)
         play.keep('withdraw', call)
 
     return act
--- a/packages/standins/celeryshift_standins/_worker_effects.py
+++ b/packages/standins/celeryshift_standins/_worker_effects.py
@@ -45,7 +45,7 @@
         if net.now < until and not worker.tasks.has_news(effect.cursor):
             net.polls.setdefault(name, []).append(poll)
             due = worker.tasks.next_at or until
-            net.at(min(until, due), lambda: _wake(net, name))
+            _wake_at(net, name, min(until, due))
             return
         cursor, whole, runs = worker.tasks.sync(
             net.now, effect.cursor, effect.lease_s, []
@@ -222,6 +222,20 @@
     )
 
 
+def _wake_at(net: _network.Network, name: str, when: float) -> None:
+    """Wake the polls of a worker once, however many of them ask for it."""
+
+    def act() -> None:
+        if net.wakes.get(name) == when:
+            del net.wakes[name]
+        _wake(net, name)
+
+    due = net.wakes.get(name)
+    if due is None or when < due:
+        net.wakes[name] = when
+        net.at(when, act)
+
+
 def _wake(net: _network.Network, name: str) -> None:
     for poll in net.polls.pop(name, []):
         poll()
@@ -232,7 +246,7 @@
     name = worker.vm.name
     _wake(net, name)
     if worker.tasks.next_at is not None:
-        net.at(worker.tasks.next_at, lambda: _wake(net, name))
+        _wake_at(net, name, worker.tasks.next_at)
 
 
 def _report(run: _tasktable.Run) -> events.TaskReport:
