Test the probation of a worker with a second wave of work

Cause: with headroom the first wave was over before the worker was trusted, so that the test saw 16 starts where it asked for more than 16. The check is stricter now: exactly one start on probation, then at least seven of eight slots filled by the next wave.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -11,6 +11,7 @@
 from celeryshift_standins import world as worlds
 
 TOUCHED = 3
+SLOTS = 8
 
 
 def _world(workers=6):
@@ -57,7 +58,11 @@
     for number in range(60):
         _submit(world, f'k{number}', tasks=1, run_s=1.0)
     world.run(5.0)
-    assert bad.starts > before + 1
+    assert bad.starts == before + 1
+    for number in range(60):
+        _submit(world, f'l{number}', tasks=1, run_s=1.0)
+    world.run(5.0)
+    assert bad.starts >= before + 1 + SLOTS - 1
 
 
 def test_a_worker_that_still_fails_on_probation_gets_one_task():
