Requests: forwards that were not sent cost no budget, and end in a queue

Cause: after a node was killed its peer's forwards to it were refused on connection, used up the team's budget of retries, and the request was then refused for want of room although it could have waited here. Urgent work was also sent to slices by the length of the whole queue. Ruled out: a longer list of forwards, which only delays the refusal. Change: a forward that was surely not sent takes the peer as full, costs nothing and is routed again, at last into the own queue; looks at waiting requests begin 50 ms after arrival and become rarer.

--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -60,7 +60,11 @@
     state: _state.State, event: events.PeerUnreachable, out: _state.Out
 ) -> None:
     """Forget what a peer said that no longer answers."""
-    peer = state.membership.peers_by_id.get(event.peer)
+    lost(state, state.membership.peers_by_id.get(event.peer))
+
+
+def lost(state: _state.State, peer: _state.Peer | None) -> None:
+    """Take a peer as without room until it is heard of again."""
     if peer is not None:
         peer.heard_at = None
         peer.unreachable_at = state.now
--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -124,32 +124,20 @@
         return
     request.forwarding = False
     kind = state.config.kinds.get(request.kind)
+    peer = state.membership.peers_by_id.get(request.forwarded_to[-1])
     if kind is not None:
-        peer = state.membership.peers_by_id.get(request.forwarded_to[-1])
         _peers.charge(peer, kind.upstream, -kind.size.slots)
     if event.outcome is Outcome.OK:
         waited_s = state.now - request.arrived
         out.append(effects.AnswerRequest(request.id, 'peer', waited_s))
         _finish(state, request, 'answered', 'by a peer')
         return
+    if event.outcome is Outcome.UNSENT:
+        _peers.lost(state, peer)
     refusal = event.refusal
     if event.outcome is Outcome.UNKNOWN:
         refusal = Refusal(Reason.WORKER_LOST, Ran.UNKNOWN)
-    unsent = refusal is None or refusal.ran is Ran.NO
-    again = unsent or (
-        refusal is not None
-        and refusal.ran is Ran.UNKNOWN
-        and kind is not None
-        and kind.repeatable
-    )
-    if (
-        again
-        and kind is not None
-        and len(request.forwarded_to) < _routing.MAX_FORWARDS
-        and state.now < request.deadline
-        and not (refusal and refusal.reason in FINAL)
-        and _budget_of(state, request.team).spend()
-    ):
+    if kind is not None and _may_route_again(state, request, kind, refusal):
         state.counters['requests.retried'] += 1
         _route(state, request, kind, out)
         return
@@ -174,6 +162,27 @@
         _refuse(state, request, Reason.ALREADY_SENT, Ran.UNKNOWN, detail, out)
 
 
+def _may_route_again(
+    state: _state.State,
+    request: _state.Request,
+    kind: _config.Kind,
+    refusal: Refusal | None,
+) -> bool:
+    """Tell whether to try elsewhere what a peer did not answer."""
+    if state.now >= request.deadline:
+        return False
+    if refusal is None:
+        # It was not even sent, so that trying again adds no load.
+        return True
+    return (
+        (refusal.ran is Ran.NO or kind.repeatable)
+        and refusal.ran is not Ran.YES
+        and refusal.reason not in FINAL
+        and len(request.forwarded_to) < _routing.MAX_FORWARDS
+        and _budget_of(state, request.team).spend()
+    )
+
+
 def _admit(
     state: _state.State, event: events.RequestArrived
 ) -> _admission.Admitted | Refusal:
--- a/packages/core/celeryshift_core/_routing.py
+++ b/packages/core/celeryshift_core/_routing.py
@@ -11,7 +11,8 @@
 from celeryshift_core import effects
 
 MAX_FORWARDS = 2
-LOOK_AGAIN_S = 0.25
+FIRST_LOOK_S = 0.05
+LONGEST_LOOK_S = 0.5
 
 Ran = _refusals.Ran
 Reason = _refusals.Reason
@@ -32,7 +33,7 @@
     if best is not None and has_room(state, best, request.team, kind):
         return _enqueue(state, request, kind, best)
     peer = None
-    if request.hops < state.options.max_hops:
+    if _may_forward(state, request):
         peer = _peers.with_room(
             state, kind.upstream, request.forwarded_to, best is None
         )
@@ -50,8 +51,10 @@
 
 
 def look_again(state: _state.State, request: _state.Request) -> None:
-    """Look again soon whether a request finds room elsewhere."""
-    at = min(request.deadline, state.now + LOOK_AGAIN_S)
+    """Look again whether a request finds room elsewhere, ever more rarely."""
+    waited_s = state.now - request.arrived
+    delay_s = min(max(FIRST_LOOK_S, waited_s), LONGEST_LOOK_S)
+    at = min(request.deadline, state.now + delay_s)
     state.timers.set(_timers.RequestDue(request.id), at)
 
 
@@ -74,11 +77,7 @@
         and has_room(state, best, request.team, kind)
     ):
         return True
-    may_forward = (
-        request.hops < state.options.max_hops
-        and len(request.forwarded_to) < MAX_FORWARDS
-    )
-    return may_forward and _peers.has_room(
+    return _may_forward(state, request) and _peers.has_room(
         state, kind.upstream, request.forwarded_to
     )
 
@@ -87,8 +86,9 @@
     state: _state.State, held: _state.Slice, team: str, kind: _config.Kind
 ) -> bool:
     """Tell whether a slice has room for one more request of a team."""
-    waiting = 0 if kind.urgent else held.queue.length
-    free = held.ledger.free_slots(kind.upstream) - waiting
+    free = held.ledger.free_slots(kind.upstream) - held.queue.ahead_of(
+        kind.urgent
+    )
     return (
         free >= kind.size.slots
         and _limits.left(state, held, team) >= kind.size.slots
@@ -120,18 +120,20 @@
 
     A slice whose allotment of the team is used up counts as full.
     """
-    best = None
-    most = 0
-    for held in state.slices_by_number.values():
-        if held.phase is _state.SlicePhase.RELEASING:
-            continue
-        if kind.upstream not in held.ledger.upstreams:
-            continue
-        room = held.ledger.free_slots(kind.upstream)
-        room = min(room, _limits.left(state, held, team)) - held.queue.length
-        if best is None or room > most:
-            best, most = held, room
-    return best
+    able = [
+        held
+        for held in state.slices_by_number.values()
+        if held.phase is not _state.SlicePhase.RELEASING
+        and kind.upstream in held.ledger.upstreams
+    ]
+
+    def room(held: _state.Slice) -> tuple[int, int]:
+        ahead = held.queue.ahead_of(kind.urgent)
+        free = held.ledger.free_slots(kind.upstream) - ahead
+        left = _limits.left(state, held, team) - ahead
+        return min(free, left), free
+
+    return max(able, key=room, default=None)
 
 
 def _enqueue(
@@ -164,6 +166,13 @@
     return None
 
 
+def _may_forward(state: _state.State, request: _state.Request) -> bool:
+    return (
+        request.hops < state.options.max_hops
+        and len(request.forwarded_to) < MAX_FORWARDS
+    )
+
+
 def _forward(
     state: _state.State,
     request: _state.Request,
