--- a/packages/core/celeryshift_core/_queue.py
+++ b/packages/core/celeryshift_core/_queue.py
@@ -47,6 +47,7 @@
         self._group_by_key: dict[Key, _Group] = {}
         self._groups_by_team: dict[str, dict[Key, _Group]] = {}
         self._open: tuple[dict[Key, _Group], dict[Key, _Group]] = ({}, {})
+        self._barred: dict[Key, _Group] = {}
         self._load_by_team: dict[str, float] = {}
         self._order: SortedList = SortedList()
         self.length = 0
@@ -160,6 +161,19 @@
         group.hints = {}
         self._open[task.urgent].pop(group.key, None)
 
+    def bar(self, task: _tasks.Task) -> None:
+        """Pass over the tasks of this kind and size until they are let in."""
+        group = self._group_by_key[_key(task)]
+        self._barred[group.key] = group
+        self._open[task.urgent].pop(group.key, None)
+
+    def let_in(self, may_enter: Callable[[str, _size.Size], bool]) -> None:
+        """Look again at barred tasks of the upstreams and sizes that may."""
+        for key, group in list(self._barred.items()):
+            if may_enter(group.upstream, key[2]):
+                del self._barred[key]
+                self._open[key[0]][key] = group
+
     def search_again(self, task: _tasks.Task, at: float | None) -> None:
         """Note whether to search again although no room has come up."""
         self._group_by_key[_key(task)].search_at = at
@@ -227,6 +241,7 @@
             self._order.remove((self._load_by_team.pop(team), team))
         if not group.lines_by_team:
             del self._group_by_key[group.key]
+            self._barred.pop(group.key, None)
             self._open[group.key[0]].pop(group.key, None)
 
 
