--- a/tests/test_node_reports.py
+++ b/tests/test_node_reports.py
@@ -131,6 +131,7 @@
     metrics = _metrics.Metrics(runner, traffic, settings)
     metrics.flush()
     sent = _received(statsd)
+    # One of the eight slots is kept free for urgent work.
     assert sent['cs.placements'] == '7|c'
     assert sent['cs.tasks.waiting'] == '3|g'
     assert sent['cs.slots.coding.known'] == '8|g'
