--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -3,6 +3,7 @@
 import hashlib
 import heapq
 import pickle
+import random
 import sys
 import time
 
@@ -79,6 +80,16 @@
         self._feed(name, events.Started(self.now, f'{self.count}'))
         state.rng = Even()  # A generator is large, and slow to save.
 
+    def heal(self) -> None:
+        """Undo every fault, and start every node that has ended."""
+        self.cut.clear()
+        self.lose = self.tear = self.slow = False
+        for name in tuple(self.paused):
+            self.act(f'pause {name}')
+        for name in NODES:
+            if name not in self.states:
+                self.start(name)
+
     def list_vm(self, name: str, vm_state: events.VmState) -> None:
         """Change what the VM list says of a node."""
         role = events.VmRole.ENTRY
@@ -134,15 +145,19 @@
             self.check()
         self.now = until
 
-    def check(self) -> None:
-        """Raise OwnedTwiceError if two nodes may act on the slice."""
-        acting = [
+    def acting(self) -> list[str]:
+        """Name the nodes that may act on the slice."""
+        return [
             name
             for name, state in self.states.items()
             if name not in self.paused
             and state.slices_by_number
             and self.now + _rights.SEND_ALLOWANCE_S < _rights.until(state)
         ]
+
+    def check(self) -> None:
+        """Raise OwnedTwiceError if two nodes may act on the slice."""
+        acting = self.acting()
         if len(acting) > 1:
             raise OwnedTwiceError(f'{acting} at {self.now:.2f} s')
 
@@ -236,12 +251,8 @@
 
         Raises OwnedTwiceError with the schedule that broke the rule.
         """
-        model = Model()
-        for name in 'ab':
-            model.start(name)
-            model.run(model.now + PHASE_S)
-        model.run(SETTLED_S)
-        self._explore(pickle.dumps(model, -1), self.faults, self.steps, ())
+        saved = pickle.dumps(settled(), -1)
+        self._explore(saved, self.faults, self.steps, ())
 
     def _explore(
         self, saved: bytes, faults: int, steps: int, path: tuple[str, ...]
@@ -268,6 +279,33 @@
             self._seen.add(key)
 
 
+def settled() -> Model:
+    """Start two nodes, one of which owns the slice."""
+    model = Model()
+    for name in 'ab':
+        model.start(name)
+        model.run(model.now + PHASE_S)
+    model.run(SETTLED_S)
+    return model
+
+
+def walk(seed: int, steps: int) -> Model:
+    """Run one long schedule of many faults, drawn from a seed.
+
+    Raises OwnedTwiceError if it breaks the rule.
+    """
+    rng = random.Random(seed)
+    model = settled()
+    for _ in range(steps):
+        for _ in range(rng.choice((0, 0, 1, 1, 2))):
+            action = rng.choice(DEFAULT_ACTIONS + MORE_ACTIONS)
+            if action != 'join' or 'c' not in model.states:
+                model.act(action)
+                model.check()
+        model.run(model.now + rng.choice((0.3, 0.5, 1.0, 2.0, 4.0)))
+    return model
+
+
 def _rows(answer: _table.Answer) -> dict[str, schema.Row]:
     return {
         key: schema.Row(version, value)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -9,6 +9,9 @@
 
 STEPS = 9
 HALF_STEPS = 24
+WALKS = 60
+WALK_STEPS = 60
+HEALED_S = 40.0
 
 
 def _any_promise(state):
@@ -88,6 +91,14 @@
     assert exploration.states > 1000
 
 
+def test_long_walks_end_with_one_owner():
+    for seed in range(WALKS):
+        model = takeover.walk(seed, WALK_STEPS)
+        model.heal()
+        model.run(model.now + HEALED_S)
+        assert len(model.acting()) == 1, seed
+
+
 @pytest.mark.parametrize('rule', LEFT_OUT)
 def test_the_exploration_sees_a_rule_left_out(rule, monkeypatch):
     patches, actions = LEFT_OUT[rule]
