--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,8 @@
 SEED ?= 1
 STEPS ?= 2000
 
-.PHONY: setup demo test lint types unit format scenarios bench capacity \
-	explore
+.PHONY: setup demo playground test lint types unit format scenarios bench \
+	capacity explore
 
 setup: $(VENV)/.ready
 
@@ -20,6 +20,9 @@
 demo: setup
 	$(PY) -m celeryshift_standins.demo
 
+playground: setup
+	@$(PY) -m celeryshift_standins.playground
+
 test: lint types unit
 
 lint: setup
@@ -49,4 +52,6 @@
 
 bench: setup
 	$(PY) -m bench.placement
+	$(PY) -m bench.teams
+	$(PY) -m bench.configuration
 	$(PY) -m bench.ownership
--- a/packages/core/celeryshift_core/_gangs.py
+++ b/packages/core/celeryshift_core/_gangs.py
@@ -6,11 +6,15 @@
 so that small tasks starve no gang and no gang stops small tasks for good.
 """
 
+from celeryshift_core import _allotments
 from celeryshift_core import _config
+from celeryshift_core import _explain
 from celeryshift_core import _launch
+from celeryshift_core import _learning
 from celeryshift_core import _ledger
 from celeryshift_core import _limits
 from celeryshift_core import _placers
+from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
@@ -120,17 +124,20 @@
     for task in list(gang.waiting.values())[:TASKS_PER_EVENT]:
         if not _limits.may_start(state, held, task):
             task.note(state.now, 'waits', 'team is at its upper limit')
+            slots = len(gang.waiting) * task.size.slots
+            _allotments.want(state, held, task.team, slots)
             return False
-        worker = _choose(held, task)
+        size = _learning.size(state, task)
+        worker = _choose(held, task, size)
         if worker is None:
             task.note(state.now, 'waits', 'no room for the whole gang yet')
             return False
-        _launch.book(state, held, task, worker, task.size)
+        _launch.book(state, held, task, worker, size)
         task.state = TaskState.RESERVED
         del gang.waiting[task.id]
         gang.reserved[task.id] = task
     if gang.waiting:
-        _go_on(state, held)
+        go_on(state, held)
     return not gang.waiting
 
 
@@ -148,7 +155,7 @@
         state.counters['placements'] += 1
         _launch.send(state, held, task, out)
     if gang.reserved:
-        _go_on(state, held)
+        go_on(state, held)
     else:
         _leave(state, held, gang)
         gang.phase = GangPhase.RUNNING
@@ -156,7 +163,10 @@
 
 
 def yield_room(
-    state: _state.State, held: _state.Slice, task: _tasks.Task
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    size: _size.Size,
 ) -> _ledger.Worker | None:
     """Free room that a gang has reserved for a task that is urgent."""
     gang = _reserving(held, task.upstream)
@@ -165,7 +175,7 @@
     for other in list(gang.reserved.values())[: -YIELDED - 1 : -1]:
         worker = held.ledger.workers_by_name[other.worker]
         _unreserve(state, held, gang, other, 'urgent work needs the room')
-        if task.size.fits(worker.free):
+        if size.fits(worker.free):
             return worker
     return None
 
@@ -222,7 +232,9 @@
     for other in list(gang.reserved.values()):
         _unreserve(state, held, gang, other, 'its gang is restarted')
     _leave(state, held, gang)
-    task.note(state.now, 'gang restarted', f'restart {gang.restarts}')
+    _explain.decide(
+        state, held, task, 'gang restarted', f'restart {gang.restarts}'
+    )
     _stop_running(state, held, gang, out)
 
 
@@ -263,7 +275,7 @@
     del gang.reserved[task.id]
     gang.waiting[task.id] = task
     task.state = TaskState.GATHERING
-    task.note(state.now, 'released', why)
+    _explain.decide(state, held, task, 'released', why)
 
 
 def _leave(state: _state.State, held: _state.Slice, gang: _tasks.Gang) -> None:
@@ -278,8 +290,10 @@
     return held.gangs_by_job.get(job) if job else None
 
 
-def _choose(held: _state.Slice, task: _tasks.Task) -> _ledger.Worker | None:
-    found = PLACER.find(held, task, task.size)
+def _choose(
+    held: _state.Slice, task: _tasks.Task, size: _size.Size
+) -> _ledger.Worker | None:
+    found = PLACER.find(held, task, size)
     return min(
         found,
         key=lambda worker: PLACER.rank(held, task, worker),
@@ -287,6 +301,7 @@
     )
 
 
-def _go_on(state: _state.State, held: _state.Slice) -> None:
+def go_on(state: _state.State, held: _state.Slice) -> None:
+    """Go on with placements in another event, so that others get a turn."""
     key = _timers.PumpDue(held.number, held.epoch)
     state.timers.set(key, state.now)
--- a/packages/core/celeryshift_core/_ownership.py
+++ b/packages/core/celeryshift_core/_ownership.py
@@ -213,6 +213,7 @@
         state.phase is not _state.NodePhase.DRAINING
         or state.requests_by_id
         or state.replies_due
+        or state.refusals_in_doubt
     ):
         return
     if state.membership.left or _is_store_lost(state):
@@ -326,7 +327,9 @@
             peer.row_version = row.version
             peer.changed_at = state.now
         peer.draining = row.value['draining']
-        peer.config_version = row.value['config_version']
+        # Summaries are fresher than rows, and versions only rise.
+        version = row.value['config_version']
+        peer.config_version = max(peer.config_version, version)
         peer.basis = row.value['basis'] or row.version
         peer.vm_revision = row.value['vm_revision']
     own = state.options.data_centre
--- a/packages/core/celeryshift_core/_queue.py
+++ b/packages/core/celeryshift_core/_queue.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Set
 
@@ -49,12 +50,13 @@
         self._load_by_team: dict[str, float] = {}
         self._order: SortedList = SortedList()
         self.length = 0
+        self.urgent_length = 0
         self.touched = 0
 
     def push(self, task: _tasks.Task, front: bool = False) -> None:
         """Add a task to the line of its team and kind."""
         task.state = _tasks.TaskState.QUEUED
-        self.length += 1
+        self._count(task, 1)
         key = _key(task)
         group = self._group_by_key.get(key)
         if group is None:
@@ -89,7 +91,7 @@
 
     def pop(self, task: _tasks.Task) -> None:
         """Take a task from the front of its line."""
-        self.length -= 1
+        self._count(task, -1)
         group = self._group_by_key[_key(task)]
         line = group.lines_by_team[task.team]
         line.popleft()
@@ -100,7 +102,11 @@
         """Take out a task wherever it stands."""
         if task.state is _tasks.TaskState.QUEUED:
             task.state = state
-            self.length -= 1
+            self._count(task, -1)
+
+    def ahead_of(self, urgent: bool) -> int:
+        """Count the tasks that a new one has to wait for."""
+        return self.urgent_length if urgent else self.length
 
     def rank(self, team: str) -> None:
         """Place a team anew after its load has changed."""
@@ -112,6 +118,29 @@
                 self._order.add((load, team))
                 self._load_by_team[team] = load
 
+    def kept_out(
+        self, upstream: str, before: float, skipped: Collection[str]
+    ) -> _tasks.Task | None:
+        """Give a task that found no room and arrived before a time.
+
+        It is of the least served team that has one.
+        """
+        closed = [
+            group
+            for key, group in self._group_by_key.items()
+            if group.upstream == upstream and key not in self._open[key[0]]
+        ]
+        for _, team in list(self._order) if closed else ():
+            for group in closed:
+                self.touched += 1
+                if team not in group.lines_by_team:
+                    continue
+                head = self._head(group, team)
+                old = head is not None and head.arrived < before
+                if head is not None and old and head.id not in skipped:
+                    return head
+        return None
+
     def waiting_by_team(self) -> dict[str, int]:
         """Count the tasks in the lines of each team, cancelled ones too."""
         return {
@@ -165,6 +194,11 @@
                 group.hints = None
                 self._open[key[0]][key] = group
 
+    def _count(self, task: _tasks.Task, change: int) -> None:
+        self.length += change
+        if task.urgent:
+            self.urgent_length += change
+
     def _join(self, team: str, group: _Group) -> None:
         groups = self._groups_by_team.get(team)
         if groups is None:
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -9,20 +9,25 @@
 from celeryshift_core import _departures
 from celeryshift_core import _errors
 from celeryshift_core import _gangs
+from celeryshift_core import _holds
 from celeryshift_core import _jobs
 from celeryshift_core import _keys
 from celeryshift_core import _once
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _placement
+from celeryshift_core import _quarantine
+from celeryshift_core import _questions
 from celeryshift_core import _refusing
 from celeryshift_core import _requests
+from celeryshift_core import _saving
 from celeryshift_core import _slices
 from celeryshift_core import _state
 from celeryshift_core import _store
 from celeryshift_core import _submission
 from celeryshift_core import _timers
 from celeryshift_core import _usage
+from celeryshift_core import _verdicts
 from celeryshift_core import _workers
 from celeryshift_core import effects
 from celeryshift_core import events
@@ -153,6 +158,8 @@
     events.CallForwarded: _submission.forwarded,
     events.ConfigHandedIn: _configuration.handed_in,
     events.KeyWithdrawn: _keys.withdrawn,
+    events.AuditAsked: _questions.audit_asked,
+    events.RequestAsked: _questions.request_asked,
     events.PeerMessageArrived: _peers.arrived,
     events.PeerUnreachable: _peers.unreachable,
     events.DrainRequested: _drain,
@@ -176,9 +183,14 @@
     _timers.RequeueTask: _jobs.requeue,
     _timers.StopDue: _workers.stop_again,
     _timers.GangDue: _gangs.due,
+    _timers.QuarantineEnds: _quarantine.ends,
+    _timers.JobHoldEnds: _holds.ends,
+    _timers.SavedEnds: _saving.ends,
+    _timers.CancelDue: _jobs.cancel_on,
     _timers.PumpDue: _pump_due,
     _timers.RequestDue: _requests.due,
     _timers.ReplyDue: _submission.reply_due,
+    _timers.CheckDue: _verdicts.check_due,
     _timers.RestEnds: _refusing.rest_ends,
     _timers.TellKeys: _keys.tell,
     _timers.SaveKeys: _keys.save,
@@ -208,9 +220,11 @@
     _ownership.NodesPurpose: _ownership.nodes_read,
     _departures.SweepPurpose: _departures.markers_read,
     _submission.PlacePurpose: _submission.place_read,
+    _verdicts.CheckPurpose: _verdicts.checked,
     _configuration.HeadPurpose: _configuration.head_read,
     _configuration.DocumentPurpose: _configuration.document_read,
     _configuration.BasePurpose: _configuration.base_read,
     _keys.BasePurpose: _keys.base_read,
     _allotments.PoolsPurpose: _allotments.pools_read,
+    _questions.AuditPurpose: _questions.audit_read,
 }
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -103,6 +103,42 @@
     job: str
 
 
+@attrs.frozen(slots=True)
+class QuarantineEnds:
+    """Put a worker on probation."""
+
+    slice: int
+    epoch: int
+    worker: str
+
+
+@attrs.frozen(slots=True)
+class JobHoldEnds:
+    """Try a job again that was held."""
+
+    slice: int
+    epoch: int
+    job: str
+
+
+@attrs.frozen(slots=True)
+class SavedEnds:
+    """Save a worker for one task no more."""
+
+    slice: int
+    epoch: int
+    worker: str
+
+
+@attrs.frozen(slots=True)
+class CancelDue:
+    """Go on with the cancellation of a job."""
+
+    slice: int
+    epoch: int
+    job: str
+
+
 @attrs.frozen(slots=True)
 class PumpDue:
     """Go on with placements that were left for another event."""
@@ -128,6 +164,13 @@
     id: str
 
 
+@attrs.frozen(slots=True)
+class CheckDue:
+    """Refuse a request without knowing whether it is claimed."""
+
+    request: str
+
+
 @attrs.frozen(slots=True)
 class ReplyDue:
     """Reply to a caller whose write is still not settled."""
