Claims: a backlog in one place does not keep a team's limit to itself

Cause: an allotment that was in use never moved, so that endless batch work in one data centre held a team's whole limit: 0 of 20 validations of the team in another data centre were answered (tests/test_limits.py). Change: a slice with less than an equal part of a limit that is all allotted claims what is missing; those with more owe it, and give it back as tasks end.

--- a/packages/core/celeryshift_core/_allotments.py
+++ b/packages/core/celeryshift_core/_allotments.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from celeryshift_core import _claims
 from celeryshift_core import _config
 from celeryshift_core import _escrow
 from celeryshift_core import _size
@@ -66,7 +67,7 @@
     if bound is None:
         return 0
     if bound <= most:
-        return own
+        return own - held.allotment.owed_by_team.get(team, 0)
     if state.store.failing_since is None:
         return 0
     return own * most // bound
@@ -153,6 +154,7 @@
         _note_idle(held)
         # What is needed still is noted again when the queue is served.
         held.allotment.need_by_team.clear()
+        held.allotment.owed_by_team.clear()
         state.touched[held.number] = None
         excess = excess or any(
             _in_excess(state, team) for team in held.allotment.slots_by_team
@@ -180,6 +182,8 @@
     if rows is not None:
         _take_pools(state, rows)
         _want_base(state)
+        if _claims.claim(state, out):
+            _review_soon(state)
         _schedule(state, MOVE_GAP_S)
 
 
@@ -201,6 +205,12 @@
         escrow.moving = True
         escrow.moved_at = state.now
         _write(state, plan, out)
+    elif _needs(state):
+        _review_soon(state)
+    if any(
+        held.allotment.owed_by_team for held in state.slices_by_number.values()
+    ):
+        state.timers.set(_timers.MoveAllotments(), state.now + MOVE_GAP_S)
 
 
 def moved(
@@ -217,6 +227,8 @@
             continue
         if answer.ok:
             held.allotment.row_version = answer.version
+            if entry.slots < 0:
+                _settle_owed(held, entry)
             idle = held.allotment.idle_by_team
             need = held.allotment.need_by_team
             (need if entry.slots > 0 else idle).pop(entry.team, None)
@@ -237,6 +249,12 @@
         _retry(state)
 
 
+def _settle_owed(held: _state.Slice, entry: _escrow.Move) -> None:
+    owed = held.allotment.owed_by_team.pop(entry.team, 0) + entry.slots
+    if owed > 0:
+        held.allotment.owed_by_team[entry.team] = owed
+
+
 class _Plan:
     """Collect the moves of one write."""
 
@@ -260,7 +278,7 @@
         capacity = sum(map(held.ledger.capacity_slots, held.ledger.upstreams))
         for team, need in list(allotment.need_by_team.items()):
             left = self._left(team)
-            if left is None:
+            if left is None or team in allotment.owed_by_team:
                 continue
             own = allotment.slots_by_team.get(team, 0)
             room = max(0, capacity - own)
@@ -383,6 +401,9 @@
     free = own - used(held, team)
     if _in_excess(state, team):
         return free
+    owed = held.allotment.owed_by_team.get(team, 0)
+    if owed:
+        return min(free, owed)
     pool = state.escrow.pool(team)
     most = limit(state, team)
     if most - pool.slots < most // SCARCE_DIVISOR + 1:
@@ -453,6 +474,13 @@
     state.timers.set(_timers.MoveAllotments(), at)
 
 
+def _review_soon(state: _state.State) -> None:
+    timer = _timers.ReviewAllotments()
+    at = state.now + HURRIED_REVIEW_S
+    if (state.timers.at(timer) or at) >= at:
+        state.timers.set(timer, at)
+
+
 def _schedule(state: _state.State, gap_s: float) -> None:
     at = max(state.now, state.escrow.moved_at + gap_s)
     state.timers.set_once(_timers.MoveAllotments(), at)
--- /dev/null
+++ b/packages/core/celeryshift_core/_claims.py
@@ -0,0 +1,76 @@
+"""Claims on a limit that is all allotted: who holds more gives some back.
+
+A slice that holds less than an equal part of a team's limit, and has work
+that waits for it, claims what is missing. Slices that hold more than an equal
+part owe it in proportion: they start nothing in its place and give it back
+as tasks end. What is owed lapses at the next review of its owner.
+"""
+
+from celeryshift_core import _state
+from celeryshift_core import _timers
+from celeryshift_core import effects
+from celeryshift_core import messages
+
+RECHECK_S = 0.25
+
+
+def equal_part(state: _state.State, team: str) -> int:
+    """Give the part of a team's limit that each slice may claim."""
+    centres = {
+        peer.data_centre for peer in state.membership.peers_by_id.values()
+    }
+    centres.add(state.options.data_centre)
+    slices = state.options.slices * len(centres)
+    found = state.config.teams.get(team)
+    return max(1, found.limit_slots // slices) if found else 0
+
+
+def claim(state: _state.State, out: _state.Out) -> bool:
+    """Claim for the slices of this node; tell whether anything was."""
+    slots_by_team: dict[str, int] = {}
+    for held in state.slices_by_number.values():
+        waiting_by_team = held.queue.waiting_by_team()
+        for team, need in held.allotment.need_by_team.items():
+            own = held.allotment.slots_by_team.get(team, 0)
+            wanted = max(need, waiting_by_team.get(team, 0))
+            slots = min(wanted, equal_part(state, team) - own)
+            if need > 0 and slots > 0 and _is_all_out(state, team, need):
+                slots_by_team[team] = slots_by_team.get(team, 0) + slots
+    if not slots_by_team:
+        return False
+    message = messages.SlotsClaimed(slots_by_team)
+    for peer in state.membership.peers_by_id.values():
+        if peer.heard_at is not None:
+            out.append(effects.SendPeer(peer.id, peer.address, message))
+    told(state, state.node, message, out)
+    return True
+
+
+def told(
+    state: _state.State,
+    sender: str,
+    message: messages.SlotsClaimed,
+    out: _state.Out,
+) -> None:
+    """Owe what is claimed, in proportion to what is held."""
+    for team, slots in message.slots_by_team.items():
+        total = max(1, state.escrow.pool(team).slots)
+        for held in state.slices_by_number.values():
+            allotment = held.allotment
+            own = allotment.slots_by_team.get(team, 0)
+            above = own - equal_part(state, team)
+            if above > 0:
+                owed = allotment.owed_by_team.get(team, 0)
+                owed += -(-slots * own // total)
+                allotment.owed_by_team[team] = min(owed, above)
+                at = state.now + RECHECK_S
+                state.timers.set_once(_timers.MoveAllotments(), at)
+
+
+def _is_all_out(state: _state.State, team: str, need: int) -> bool:
+    found = state.config.teams.get(team)
+    pool = state.escrow.pool(team)
+    known = pool.former_limit == 0 and found is not None
+    return (
+        known and found is not None and found.limit_slots - pool.slots < need
+    )
--- a/packages/core/celeryshift_core/_escrow.py
+++ b/packages/core/celeryshift_core/_escrow.py
@@ -45,6 +45,7 @@
     slots_by_team: dict[str, int] = attrs.field(factory=dict)
     inherited_by_team: dict[str, int] = attrs.field(factory=dict)
     need_by_team: dict[str, int] = attrs.field(factory=dict)
+    owed_by_team: dict[str, int] = attrs.field(factory=dict)
     base_by_team: dict[str, int] = attrs.field(factory=dict)
     free_by_team: dict[str, int] = attrs.field(factory=dict)
     idle_by_team: dict[str, int] = attrs.field(factory=dict)
--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from celeryshift_core import _claims
 from celeryshift_core import _configuration
 from celeryshift_core import _confirmation
 from celeryshift_core import _keys
@@ -159,4 +160,5 @@
     messages.ConfigAsked: _configuration.peer_asked,
     messages.ConfigTold: _configuration.peer_told,
     messages.Usage: _usage.take,
+    messages.SlotsClaimed: _claims.told,
 }
--- a/packages/core/celeryshift_core/messages.py
+++ b/packages/core/celeryshift_core/messages.py
@@ -104,6 +104,13 @@
     waiting_by_team: dict[str, int]
 
 
+@attrs.frozen(slots=True)
+class SlotsClaimed:
+    """Claim slots of limits that are all allotted."""
+
+    slots_by_team: dict[str, int]
+
+
 Message = (
     Summary
     | KeysWithdrawn
@@ -111,6 +118,7 @@
     | ConfigAsked
     | ConfigTold
     | Usage
+    | SlotsClaimed
     | PromiseAsked
     | Promised
     | VouchAsked
@@ -123,6 +131,7 @@
     ConfigAsked,
     ConfigTold,
     Usage,
+    SlotsClaimed,
     PromiseAsked,
     Promised,
     VouchAsked,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -162,3 +162,22 @@
     world.configure(_fleet())
     world.run(12.0)
     assert _running(world) == LIMIT
+
+
+def test_a_backlog_elsewhere_does_not_keep_a_limit_to_itself():
+    world = _world()
+    _submit(world, 'dc1-n0', 'backlog', tasks=2000, run_s=2.0)
+    world.run(12.0)
+    calls = []
+    for _ in range(20):
+        name = f'r{len(calls)}'
+        calls.append(
+            world.request(
+                'dc2-n0', name, 'validate', 'field', builders.token()
+            )
+        )
+        world.run(0.5)
+    world.run(6.0)
+    answered = [call for call in calls if call.answer]
+    assert len(answered) >= 15
+    _assert_within(world)
