--- a/packages/client/celeryshift_client/_changes.py
+++ b/packages/client/celeryshift_client/_changes.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import runpy
+import time
 from typing import Any
 
 import attrs
@@ -14,7 +15,9 @@
 from celeryshift_client import _fleet
 import celeryshift_core as core
 
-MAX_TRIES = 8
+TRY_FOR_S = 15.0
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 1.0
 SECRET_FIELD = 'sha256'
 UNSETTLED = frozenset((core.Ran.UNKNOWN, core.Ran.UNKNOWN.value))
 CONFLICT = core.Reason.CONFIGURATION_CONFLICT.value
@@ -28,6 +31,22 @@
     base_version: int | None = None
 
 
+class _Tries:
+    """Bound how long a change is tried; a node may be some time behind."""
+
+    def __init__(self) -> None:
+        self._ends_at = time.monotonic() + TRY_FOR_S
+        self._pause_s = FIRST_PAUSE_S
+
+    async def again_after(self, error: Exception) -> bool:
+        """Pause and tell whether to try again."""
+        if time.monotonic() > self._ends_at or not _may_try_again(error):
+            return False
+        await asyncio.sleep(self._pause_s * random.uniform(0.5, 1.0))
+        self._pause_s = min(2 * self._pause_s, LONGEST_PAUSE_S)
+        return True
+
+
 def read(path: str) -> Draft:
     """Read a configuration from JSON, or from a Python file's `fleet`.
 
@@ -81,7 +100,8 @@
     """
     secret = _fleet.new_secret()
     key = {'team': team, SECRET_FIELD: _fleet.hash_of(secret)}
-    for attempt in range(MAX_TRIES):
+    tries = _Tries()
+    while True:
         shown = await client.configuration()
         document = shown['configuration']
         if document['keys'].get(key_id) == key:
@@ -94,24 +114,21 @@
         try:
             reply = await client.hand_in(shown['version'], checked)
         except core.CeleryshiftError as error:
-            if attempt + 1 == MAX_TRIES or not _may_try_again(error):
+            if not await tries.again_after(error):
                 raise
-            await _pause(attempt)
         else:
             return _granted(key_id, team, secret, reply['version'])
-    raise AssertionError
 
 
 async def withdraw(client: _api.Client, key_id: str) -> dict[str, Any]:
     """Withdraw a key, and again after a conflict."""
-    for attempt in range(MAX_TRIES):
+    tries = _Tries()
+    while True:
         try:
             return await client.withdraw_key(key_id)
         except _errors.ProblemError as error:
-            if attempt + 1 == MAX_TRIES or not _may_try_again(error):
+            if not await tries.again_after(error):
                 raise
-            await _pause(attempt)
-    raise AssertionError
 
 
 def _granted(
@@ -129,11 +146,6 @@
     return False
 
 
-async def _pause(attempt: int) -> None:
-    longest_s = min(1.0, 0.05 * 2**attempt)
-    await asyncio.sleep(random.uniform(0, longest_s))
-
-
 def _read(path: str) -> Any:
     try:
         return json.loads(pathlib.Path(path).read_text())
