--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -38,6 +38,11 @@
     if not _may_place(state, held):
         return
     _reopen(state, held, out)
+    held.queue.let_in(
+        lambda upstream, size: _headroom.allows(
+            state, held, upstream, size.slots
+        )
+    )
     _start_tier(state, held, True, out)
     for job in list(held.reserving_by_upstream.values()):
         _advance(state, held, held.gangs_by_job[job], out)
@@ -154,6 +159,14 @@
         return
     size = _learning.size(state, task)
     found = _find(state, held, task, kind, size)
+    if (
+        found
+        and not task.urgent
+        and not _headroom.allows(state, held, task.upstream, size.slots)
+    ):
+        held.queue.bar(task)
+        task.note(state.now, 'waits', 'the room left is for urgent work')
+        return
     worker = _choose(held, task, kind, found)
     if found and worker is None:
         skipped.add((task.team, task.kind))
@@ -201,11 +214,6 @@
         return 'upstream is leaving'
     if not _limits.may_start(state, held, task):
         return 'team is at its upper limit'
-    slots = task.size.slots
-    if not task.urgent and not _headroom.allows(
-        state, held, task.upstream, slots
-    ):
-        return 'the room left is kept for urgent work'
     return ''
 
 
--- a/packages/core/celeryshift_core/_routing.py
+++ b/packages/core/celeryshift_core/_routing.py
@@ -65,6 +65,8 @@
     held = state.slices_by_number.get(request.slice)
     if held is None or held.phase is _state.SlicePhase.RELEASING:
         return True
+    if kind.upstream not in held.ledger.upstreams:
+        return True
     best = _own_slice(state, request.team, kind)
     if (
         best is not None
