--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -8,12 +8,15 @@
 
 import attrs
 
+from celeryshift_core import _budget
 from celeryshift_core import _config
 from celeryshift_core import _escrow
 from celeryshift_core import _fleet
 from celeryshift_core import _ledger
 from celeryshift_core import _options
+from celeryshift_core import _peaks
 from celeryshift_core import _queue
+from celeryshift_core import _refusals
 from celeryshift_core import _size
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
@@ -51,16 +54,24 @@
     row_version: int
     queue: _queue.Queue
     vm_revision: int = 0
+    taken_version: int = 0
     phase: SlicePhase = SlicePhase.RECOVERING
     ledger: _ledger.Ledger = attrs.field(factory=_ledger.Ledger)
     jobs_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
     tasks_by_id: dict[str, _tasks.Task] = attrs.field(factory=dict)
     used_by_team: dict[str, _size.Size] = attrs.field(factory=dict)
+    urgent_by_upstream: dict[str, _peaks.Peak] = attrs.field(factory=dict)
     allotment: _escrow.Allotment = attrs.field(factory=_escrow.Allotment)
     unaccounted: set[str] = attrs.field(factory=set)
     unconfirmed: set[str] = attrs.field(factory=set)
+    quarantined: set[str] = attrs.field(factory=set)
     gangs_by_job: dict[str, _tasks.Gang] = attrs.field(factory=dict)
     reserving_by_upstream: dict[str, str] = attrs.field(factory=dict)
+    saved_by_upstream: dict[str, dict[str, str]] = attrs.field(factory=dict)
+    save_after: float = 0.0
+    preemptible_by_upstream: dict[str, dict[str, _tasks.Task]] = attrs.field(
+        factory=dict
+    )
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     writing_jobs: bool = False
     finished_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
@@ -96,6 +107,7 @@
     renewed_at: float = -math.inf
     vm_revision: int = 0
     renewing: bool = False
+    draining_since: float = 0.0
     leaving: bool = False
     left: bool = False
     peers_by_id: dict[str, Peer] = attrs.field(factory=dict)
@@ -137,6 +149,7 @@
     arrived: float
     deadline: float
     hops: int
+    named: bool = True
     task: _tasks.Task | None = None
     slice: int = -1
     sent: bool = False
@@ -175,6 +188,24 @@
     failing_since: float | None = None
 
 
+@attrs.frozen(slots=True)
+class Success:
+    """Hold when and where a task of a kind succeeded last."""
+
+    at: float
+    worker: str
+
+
+@attrs.define(eq=False)
+class Estimate:
+    """Hold what tasks of a kind and declared size use, and what is booked."""
+
+    size: _size.Size
+    samples: int = 0
+    cpu_milli: float = 0.0
+    memory_mb: float = 0.0
+
+
 @attrs.define(eq=False)
 class Withdrawals:
     """Hold the withdrawals of keys that the store has not yet."""
@@ -227,7 +258,16 @@
         factory=collections.OrderedDict
     )
     run_s_by_kind: dict[str, float] = attrs.field(factory=dict)
+    estimates: dict[tuple[str, _size.Size], Estimate] = attrs.field(
+        factory=dict
+    )
+    success_by_kind: dict[str, Success] = attrs.field(factory=dict)
+    refusals_in_doubt: dict[str, _refusals.Refusal] = attrs.field(factory=dict)
+    budgets_by_team: dict[str, _budget.Budget] = attrs.field(factory=dict)
     gauges: dict[str, float] = attrs.field(factory=dict)
+    waits_by_kind: dict[tuple[str, bool], list[int]] = attrs.field(
+        factory=dict
+    )
     counters: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
--- a/packages/core/celeryshift_core/_submission.py
+++ b/packages/core/celeryshift_core/_submission.py
@@ -7,7 +7,6 @@
 from celeryshift_core import _explain
 from celeryshift_core import _ids
 from celeryshift_core import _jobs
-from celeryshift_core import _launch
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _refusals
@@ -128,7 +127,8 @@
         place = answer.rows.get(schema.job_place(submission.job.id))
         if answer.ok:
             submission.job.row_version = answer.version
-            if held is not None:
+            if held is not None and held.taken_version < answer.version:
+                # Else the slice was taken since, and the job read with it.
                 _jobs.accept(state, held, submission.job)
             _accepted(state, submission, False, out)
         elif place is not None:
@@ -237,8 +237,7 @@
         if job is None:
             continue
         if act is events.JobAct.CANCEL and job_id in held.jobs_by_id:
-            for task in _jobs.cancel(state, held, job):
-                _launch.stop(state, held, task, out)
+            _jobs.cancel(state, held, job, out)
         if act is events.JobAct.EXPLAIN:
             return _explain.explain_job(state, held, job)
         return _explain.describe_job(job)
--- a/packages/core/celeryshift_core/_tasks.py
+++ b/packages/core/celeryshift_core/_tasks.py
@@ -6,6 +6,7 @@
 import attrs
 
 from celeryshift_core import _ids
+from celeryshift_core import _indices
 from celeryshift_core import _size
 
 MAX_DECISIONS = 16
@@ -18,6 +19,7 @@
     GATHERING = 'gathering'
     QUEUED = 'queued'
     RESERVED = 'reserved'
+    HELD = 'held'
     STARTING = 'starting'
     RUNNING = 'running'
     STOPPING = 'stopping'
@@ -58,6 +60,9 @@
     epoch: int = 0
     attempt: int = 0
     failed_on: tuple[str, ...] = ()
+    throttled: str = ''
+    room_on: str = ''
+    room_from: str = ''
     decisions: list[Decision] = attrs.field(factory=list)
 
     @property
@@ -79,12 +84,17 @@
 
     def note(self, at: float, what: str, why: str = '') -> None:
         """Record a decision, unless it only repeats the last one."""
-        last = self.decisions[-1] if self.decisions else None
-        if last and (last.what, last.why) == (what, why):
-            return
-        if len(self.decisions) >= MAX_DECISIONS:
-            del self.decisions[1]
-        self.decisions.append(Decision(at, what, why, self.worker))
+        _record(self.decisions, Decision(at, what, why, self.worker))
+
+
+def _record(decisions: list[Decision], decision: Decision) -> None:
+    """Add a decision; the first and the latest ones are kept."""
+    last = decisions[-1] if decisions else None
+    if last and (last.what, last.why) == (decision.what, decision.why):
+        return
+    if len(decisions) >= MAX_DECISIONS:
+        del decisions[1]
+    decisions.append(decision)
 
 
 def base_id(run_id: str) -> str:
@@ -103,17 +113,29 @@
     payload: Any
     size: _size.Size
     row_version: int = 0
-    done: set[int] = attrs.field(factory=set)
-    failed: set[int] = attrs.field(factory=set)
-    unknown: set[int] = attrs.field(factory=set)
+    done: _indices.IndexSet = attrs.field(factory=_indices.IndexSet)
+    failed: _indices.IndexSet = attrs.field(factory=_indices.IndexSet)
+    unknown: _indices.IndexSet = attrs.field(factory=_indices.IndexSet)
     cancelled: bool = False
     running: set[str] = attrs.field(factory=set)
     ended_runs: dict[str, str] = attrs.field(factory=dict)
+    cancelled_to: int = 0
+    failed_workers: set[str] = attrs.field(factory=set)
+    failures: int = 0
+    holds: int = 0
+    on_hold: bool = False
+    probe: str = ''
+    set_aside: dict[str, Task] = attrs.field(factory=dict)
+    decisions: list[Decision] = attrs.field(factory=list)
 
     def task_id(self, index: int) -> str:
         """Name a task of this job."""
         return _ids.task_of_job(self.id, index)
 
+    def note(self, decision: Decision) -> None:
+        """Record a decision that concerns more than one task."""
+        _record(self.decisions, decision)
+
     @property
     def ended(self) -> int:
         """Count the tasks that will not run again."""
@@ -123,7 +145,7 @@
     def finished(self) -> bool:
         """Tell whether nothing of the job is left to run or to stop."""
         if self.cancelled:
-            return not self.running
+            return not self.running and self.cancelled_to == self.tasks
         return self.ended == self.tasks
 
     @property
@@ -131,6 +153,8 @@
         """Name the state that callers are told."""
         if self.cancelled:
             return 'cancelled' if self.finished else 'cancelling'
+        if self.on_hold:
+            return 'held'
         if not self.finished:
             return 'running' if self.running or self.ended else 'queued'
         return 'failed' if self.failed or self.unknown else 'done'
@@ -167,22 +191,3 @@
         left = self.job.tasks - self.job.ended
         here = len(self.waiting) + len(self.reserved)
         return 0 < here == left and not self.job.running
-
-
-def to_ranges(numbers: set[int]) -> list[list[int]]:
-    """Write a set of numbers as inclusive ranges."""
-    ranges: list[list[int]] = []
-    for number in sorted(numbers):
-        if ranges and ranges[-1][1] == number - 1:
-            ranges[-1][1] = number
-        else:
-            ranges.append([number, number])
-    return ranges
-
-
-def from_ranges(ranges: list[list[int]]) -> set[int]:
-    """Read inclusive ranges as a set of numbers."""
-    numbers: set[int] = set()
-    for low, high in ranges:
-        numbers.update(range(low, high + 1))
-    return numbers
--- a/packages/core/celeryshift_core/events.py
+++ b/packages/core/celeryshift_core/events.py
@@ -177,7 +177,8 @@
 class RequestArrived(Event):
     """Take in a request from a caller, or from a peer with its team.
 
-    The id is this node's own; the name is the caller's, and scoped by team.
+    The id is this node's own. The name is the caller's, scoped by team, or
+    one that was made for a request that was not named.
     """
 
     id: str
@@ -187,6 +188,7 @@
     team: str = ''
     timeout_s: float | None = None
     hops: int = 0
+    named: bool = True
 
 
 @attrs.frozen(slots=True)
@@ -276,6 +278,24 @@
     wall_time: str
 
 
+@attrs.frozen(slots=True)
+class AuditAsked(Event):
+    """Take in a question about the changes before a version."""
+
+    reply_id: str
+    before: int | None
+    limit: int
+
+
+@attrs.frozen(slots=True)
+class RequestAsked(Event):
+    """Take in a question about what became of a request."""
+
+    reply_id: str
+    name: str
+    credentials: Credentials
+
+
 @attrs.frozen(slots=True)
 class PeerMessageArrived(Event):
     """Take in a message from another node."""
--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -36,8 +36,12 @@
     """
 
     def __init__(
-        self, channels: _channels.Channels, silent_after_s: float
+        self,
+        channels: _channels.Channels,
+        silent_after_s: float,
+        scheme: str = 'http',
     ) -> None:
+        self._scheme = scheme
         self._channels = channels
         self._fresh = channels.fresh()
         self._silent_after_s = silent_after_s
@@ -82,9 +86,14 @@
 
     async def stop(self, effect: effects.StopTask) -> Outcome:
         """Stop a task."""
-        body = {'run_id': effect.task}
+        body = {'run_id': effect.task, 'checkpoint': effect.checkpoint}
         return _outcome(await self._post(effect.address, 'stop', body))
 
+    async def throttle(self, effect: effects.ThrottleTask) -> Outcome:
+        """Throttle a task."""
+        body = {'run_id': effect.task}
+        return _outcome(await self._post(effect.address, 'throttle', body))
+
     async def request(
         self, effect: effects.SendRequest, payload: Any
     ) -> tuple[Outcome, bool, Any]:
@@ -185,7 +194,7 @@
         return await _calls.call(
             channel or self._channels.to(address),
             'POST',
-            f'http://{address}/v1/{path}',
+            f'{self._scheme}://{address}/v1/{path}',
             body,
             timeout_s,
         )
--- a/packages/standins/celeryshift_standins/_play.py
+++ b/packages/standins/celeryshift_standins/_play.py
@@ -22,7 +22,7 @@
     def __init__(self, seed: int) -> None:
         self.world = worlds.World(seed)
         self.watch = watches.Watch(self.world)
-        self.fleet = celeryshift_client.Fleet()
+        self.fleet = celeryshift_client.Fleet(replace=True)
         self.token_by_team: dict[str, str] = {}
         self.calls_by_label: dict[str, list[_fakes.Call]] = {}
         self.where = ''
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -21,9 +21,9 @@
 )
 
 
-def fleet() -> celeryshift_client.Fleet:
+def fleet(replace: bool = True) -> celeryshift_client.Fleet:
     """Build a configuration with a kind of work for each policy."""
-    made = celeryshift_client.Fleet()
+    made = celeryshift_client.Fleet(replace)
     made.upstream(UPSTREAM)
     made.team('ministry', share=4, limit_slots=64)
     made.team('public', share=1, limit_slots=64)
@@ -43,6 +43,11 @@
     return f'k1.{SECRET}'
 
 
+def roomy() -> core.Size:
+    """Build the capacity of a worker with room for many tasks."""
+    return core.Size(64, 64_000, 262_144, 0)
+
+
 def full_slice(
     workers: int, waiting: int
 ) -> tuple[_state.State, _state.Slice]:
