--- a/packages/standins/celeryshift_standins/watch.py
+++ b/packages/standins/celeryshift_standins/watch.py
@@ -73,7 +73,8 @@
         self._leaving_at_by_worker: dict[str, float] = {}
         self._unowned_since: dict[str, float] = {}
         self._config_by_node: dict[_fakes.Node, int] = {}
-        self._not_run: set[str] = set()
+        self._not_run: collections.Counter[str] = collections.Counter()
+        self._asked: collections.Counter[str] = collections.Counter()
         self._next_call = 0
         self._open_calls: dict[int, _fakes.Call] = {}
         self._table_version = -1
@@ -136,7 +137,7 @@
         self._check_places(task, run, name)
         self._check_limit(run, size)
         self._check_once(task, run)
-        if task in self._not_run:
+        if self._not_run[task] and self._all_not_run(task):
             self._violate(f'{task} ran after a refusal that says not run')
         leaving_at = self._leaving_at_by_worker.get(name)
         if (
@@ -202,8 +203,10 @@
     def _take_calls(self) -> None:
         calls = self._world.calls
         while self._next_call < len(calls):
-            self._open_calls[self._next_call] = calls[self._next_call]
+            call = calls[self._next_call]
+            self._open_calls[self._next_call] = call
             self._next_call += 1
+            self._asked[_first_task(call)] += 1
         if self._world.steps % 16 == 0:
             for number, call in list(self._open_calls.items()):
                 if call.ended_at is not None:
@@ -213,14 +216,14 @@
     def _ended(self, call: _fakes.Call) -> None:
         task = _first_task(call)
         if call.refusal is not None and call.refusal.ran is core.Ran.NO:
-            if task in self.runs_by_task:
+            self._not_run[task] += 1
+            if task in self.runs_by_task and self._all_not_run(task):
                 self._violate(f'{task} ran, and was refused as not run')
-            # Another call of the same name may still run it, in truth.
-            names = (
-                (other.team, other.name) for other in self._open_calls.values()
-            )
-            if (call.team, call.name) not in names:
-                self._not_run.add(task)
+            if any(
+                run.started_at < call.sent_at
+                for run in self.runs_by_task.get(task, ())
+            ):
+                self._violate(f'{task} had run, but a repeat says not run')
         if call.answer is not None and 'worker' in call.answer:
             runs = self.runs_by_task.get(task_of_request(call), [])
             if not any(run.phase is Phase.DONE for run in runs):
@@ -234,6 +237,13 @@
                     f'{call.key_id} was withdrawn'
                 )
 
+    def _all_not_run(self, task: str) -> bool:
+        """Tell whether all who asked for a task heard that it did not run.
+
+        Which of two calls with one name a run is for cannot be seen.
+        """
+        return self._not_run[task] >= self._asked[task]
+
     def _key_grace_s(self, call: _fakes.Call) -> float:
         node = call.taken_by
         world = self._world
