--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -127,13 +127,14 @@
     peer = state.membership.peers_by_id.get(request.forwarded_to[-1])
     if kind is not None:
         _peers.charge(peer, kind.upstream, -kind.size.slots)
+    if event.outcome is Outcome.UNSENT:
+        # A peer that takes no connection has no room, until it says so.
+        _peers.lost(state, peer)
     if event.outcome is Outcome.OK:
         waited_s = state.now - request.arrived
         out.append(effects.AnswerRequest(request.id, 'peer', waited_s))
         _finish(state, request, 'answered', 'by a peer')
         return
-    if event.outcome is Outcome.UNSENT:
-        _peers.lost(state, peer)
     refusal = event.refusal
     if event.outcome is Outcome.UNKNOWN:
         refusal = Refusal(Reason.WORKER_LOST, Ran.UNKNOWN)
