--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from celeryshift_core import _claims
 from celeryshift_core import _configuration
 from celeryshift_core import _confirmation
 from celeryshift_core import _keys
@@ -60,7 +61,11 @@
     state: _state.State, event: events.PeerUnreachable, out: _state.Out
 ) -> None:
     """Forget what a peer said that no longer answers."""
-    peer = state.membership.peers_by_id.get(event.peer)
+    lost(state, state.membership.peers_by_id.get(event.peer))
+
+
+def lost(state: _state.State, peer: _state.Peer | None) -> None:
+    """Take a peer as without room until it is heard of again."""
     if peer is not None:
         peer.heard_at = None
         peer.unreachable_at = state.now
@@ -171,4 +176,5 @@
     messages.ConfigAsked: _configuration.peer_asked,
     messages.ConfigTold: _configuration.peer_told,
     messages.Usage: _usage.take,
+    messages.SlotsClaimed: _claims.told,
 }
