A request with no owner known waits up to a second for one

Ruled out: a longer list of peers; there is none to list. Change: such a request is routed again until a second has passed.

--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -331,7 +331,12 @@
     out: _state.Out,
 ) -> None:
     refusal = _routing.route(state, request, kind, out)
-    if refusal is not None:
+    if refusal is None:
+        return
+    if _routing.is_passing(state, request, refusal):
+        # Its timer routes it anew: slices change owner in about that time.
+        request.forwarded_to = ()
+    else:
         _give_refusal(state, request, refusal, out)
 
 
--- a/packages/core/celeryshift_core/_routing.py
+++ b/packages/core/celeryshift_core/_routing.py
@@ -13,6 +13,7 @@
 MAX_FORWARDS = 2
 FIRST_LOOK_S = 0.05
 LONGEST_LOOK_S = 0.5
+UNOWNED_S = 1.0
 
 Ran = _refusals.Ran
 Reason = _refusals.Reason
@@ -58,6 +59,19 @@
     state.timers.set(_timers.RequestDue(request.id), at)
 
 
+def is_passing(
+    state: _state.State, request: _state.Request, refusal: Refusal
+) -> bool:
+    """Tell whether a request that has no owner yet may wait for one."""
+    waited_s = state.now - request.arrived
+    return (
+        refusal.reason is Reason.NOT_READY
+        and request.hops == 0
+        and waited_s < UNOWNED_S
+        and state.now < request.deadline
+    )
+
+
 def waits_in_vain(
     state: _state.State, request: _state.Request, kind: _config.Kind
 ) -> bool:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -54,3 +54,19 @@
     assert asked.answer['state'] == 'done'
     assert asked.answer['done'] == 40
     _check(world)
+
+
+def test_a_request_waits_a_moment_while_no_owner_is_known():
+    world = _world(nodes=1)
+    world.add_node('n1', 'dc1')
+    world.run(0.05)
+    state = world.nodes_by_name['n1'].state
+    while not (state.config.version and state.vm_revision):
+        world.run(0.01)
+    state.membership.peers_by_id.clear()
+    call = world.request(
+        'n1', 'r1', 'validate', 'field', builders.token(), run_s=0.02
+    )
+    world.run(3.0)
+    assert call.refusal is None
+    assert call.waited_s < 1.1
