Place a request anew whose worker goes while its claim is written

Cause: once a claim was confirmed, the run was sent to the worker chosen before, without a look at whether it was still there: KeyError, and the node's reducer stopped. Change: the claim is given back and the work is placed anew as surely unsent.

--- a/packages/core/celeryshift_core/_once.py
+++ b/packages/core/celeryshift_core/_once.py
@@ -13,6 +13,7 @@
 from celeryshift_core import _state
 from celeryshift_core import _store
 from celeryshift_core import _tasks
+from celeryshift_core import events
 from celeryshift_core import schema
 
 
@@ -78,6 +79,10 @@
         if answer.ok:
             unclaim(state, purpose.task, answer.version, out)
         return
+    if answer.ok and task.worker not in held.ledger.workers_by_name:
+        unclaim(state, purpose.task, answer.version, out)
+        _worker_went(state, held, task, out)
+        return
     if answer.ok:
         _launch.send(state, held, task, out)
         return
@@ -85,6 +90,23 @@
     _not_claimed(state, held, task, found, out)
 
 
+def _worker_went(
+    state: _state.State,
+    held: _state.Slice,
+    task: _tasks.Task,
+    out: _state.Out,
+) -> None:
+    """Place a task anew whose worker went before anything was sent."""
+    if task.is_request:
+        unsent = events.RequestAnswered(
+            state.now, task.request, task.attempt, events.Outcome.UNSENT
+        )
+        _requests.answered(state, unsent, out)
+        return
+    _launch.unbook(state, held, task)
+    _jobs.not_started(state, held, task, 'worker is gone', False, out)
+
+
 def claim_gang(
     state: _state.State,
     held: _state.Slice,
