A claim stays with its request until it is sent or given back

Cause: a worker that refuses a request surely does not run it, but the next attempt claimed the name again, found the claim of the first attempt and was told already-sent, ran unknown. Ruled out: giving the claim back before each attempt, two writes more. Change: request and task keep the version of their claim, later attempts use it, and a refusal that nothing ran gives it back. Before: with three of four workers refusing, seals ended as already-sent. After: four of four are answered by the fourth worker.

--- a/packages/core/celeryshift_core/_once.py
+++ b/packages/core/celeryshift_core/_once.py
@@ -13,6 +13,7 @@
 from celeryshift_core import _state
 from celeryshift_core import _store
 from celeryshift_core import _tasks
+from celeryshift_core import _verdicts
 from celeryshift_core import events
 from celeryshift_core import schema
 
@@ -35,11 +36,6 @@
     job: str
 
 
-@attrs.frozen(slots=True)
-class UnclaimPurpose:
-    """Say that a write gives back a claim that was never used."""
-
-
 def claim(
     state: _state.State,
     held: _state.Slice,
@@ -77,13 +73,17 @@
     )
     if held is None or task is None or not wanted:
         if answer.ok:
-            unclaim(state, purpose.task, answer.version, out)
+            _verdicts.unclaim(state, purpose.task, answer.version, out)
         return
     if answer.ok and task.worker not in held.ledger.workers_by_name:
-        unclaim(state, purpose.task, answer.version, out)
+        _verdicts.unclaim(state, purpose.task, answer.version, out)
         _worker_went(state, held, task, out)
         return
     if answer.ok:
+        task.claim_version = answer.version
+        if task.request:
+            request = state.requests_by_id[task.request]
+            request.claim_version = answer.version
         _launch.send(state, held, task, out)
         return
     found = answer.rows.get(schema.once(task.id))
@@ -146,15 +146,6 @@
             _jobs.not_repeated(state, held, task, 'its gang was started')
 
 
-def unclaim(
-    state: _state.State, task_id: str, version: int, out: _state.Out
-) -> None:
-    """Give back a claim under which nothing was sent."""
-    key = schema.once(task_id)
-    checks = {key: version}
-    _store.write(state, out, UnclaimPurpose(), checks, {}, (key,))
-
-
 def _not_claimed(
     state: _state.State,
     held: _state.Slice,
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -258,7 +258,7 @@
     _waits.note(state, task)
     if kind.preemptible:
         _preemption.started(state, held, task)
-    if kind.repeatable:
+    if kind.repeatable or task.claim_version:
         _launch.send(state, held, task, out)
     else:
         _once.claim(state, held, task, out)
--- a/packages/core/celeryshift_core/_routing.py
+++ b/packages/core/celeryshift_core/_routing.py
@@ -12,7 +12,7 @@
 
 MAX_FORWARDS = 2
 FIRST_LOOK_S = 0.05
-LONGEST_LOOK_S = 0.5
+LONGEST_LOOK_S = 0.25
 UNOWNED_S = 1.0
 
 Ran = _refusals.Ran
@@ -171,6 +171,7 @@
         request.arrived,
         request=request.id,
     )
+    task.claim_version = request.claim_version
     task.note(state.now, 'queued', f'slice {held.number}')
     held.tasks_by_id[task_id] = task
     request.task = task
@@ -183,6 +184,7 @@
 def _may_forward(state: _state.State, request: _state.Request) -> bool:
     return (
         request.hops < state.options.max_hops
+        and not request.claim_version
         and len(request.forwarded_to) < MAX_FORWARDS
     )
 
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -152,6 +152,7 @@
     named: bool = True
     task: _tasks.Task | None = None
     slice: int = -1
+    claim_version: int = 0
     sent: bool = False
     asked: bool = False
     forwarding: bool = False
--- a/packages/core/celeryshift_core/_tasks.py
+++ b/packages/core/celeryshift_core/_tasks.py
@@ -59,6 +59,7 @@
     worker: str = ''
     epoch: int = 0
     attempt: int = 0
+    claim_version: int = 0
     failed_on: tuple[str, ...] = ()
     throttled: str = ''
     room_on: str = ''
--- a/packages/core/celeryshift_core/_verdicts.py
+++ b/packages/core/celeryshift_core/_verdicts.py
@@ -29,6 +29,20 @@
     key: str
 
 
+@attrs.frozen(slots=True)
+class UnclaimPurpose:
+    """Say that a write gives back a claim that was never used."""
+
+
+def unclaim(
+    state: _state.State, task_id: str, version: int, out: _state.Out
+) -> None:
+    """Give back a claim under which nothing was sent."""
+    key = schema.once(task_id)
+    checks = {key: version}
+    _store.write(state, out, UnclaimPurpose(), checks, {}, (key,))
+
+
 def refuse(
     state: _state.State,
     request: _state.Request,
@@ -37,6 +51,12 @@
 ) -> None:
     """Refuse a request, at once unless it has to be made sure of."""
     state.counters[f'refused.{refusal.reason.value}'] += 1
+    task_id = _ids.task_of_request(request.team, request.name)
+    if request.claim_version and refusal.ran is Ran.NO:
+        # The claim is this node's own, and nothing was sent under it.
+        unclaim(state, task_id, request.claim_version, out)
+        out.append(effects.RefuseRequest(request.id, refusal))
+        return
     if not _is_in_doubt(state, request, refusal):
         out.append(effects.RefuseRequest(request.id, refusal))
         return
@@ -44,8 +64,7 @@
     if state.store.failing_since is not None:
         _answer(state, request.id, Ran.UNKNOWN, out)
         return
-    task = _ids.task_of_request(request.team, request.name)
-    key = schema.once(task)
+    key = schema.once(task_id)
     _store.read(state, out, CheckPurpose(request.id, key), (key,))
     timer = _timers.CheckDue(request.id)
     state.timers.set(timer, state.now + CHECK_S)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -63,6 +63,8 @@
     state = world.nodes_by_name['n1'].state
     while not (state.config.version and state.vm_revision):
         world.run(0.01)
+    # The next renewal, which reads the registrations, is a second away.
+    world.run(0.3)
     state.membership.peers_by_id.clear()
     call = world.request(
         'n1', 'r1', 'validate', 'field', builders.token(), run_s=0.02
@@ -70,3 +72,16 @@
     world.run(3.0)
     assert call.refusal is None
     assert call.waited_s < 1.1
+
+
+def test_a_seal_that_its_worker_refuses_is_sent_to_another():
+    world = _world(nodes=1)
+    for name in ('w0', 'w1', 'w2'):
+        world.workers_by_name[name].refuses = True
+    calls = [
+        world.request('n0', f's{n}', 'seal', 'field', builders.token())
+        for n in range(4)
+    ]
+    world.run(4.0)
+    assert [call.refusal for call in calls] == [None] * 4
+    assert world.workers_by_name['w3'].starts == 4
