Every routing of a request sets its timer again

Cause: a timer that fell due while a request was with a peer or a worker was used up, so that a request routed anew afterwards waited for ever.

--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -52,7 +52,6 @@
     )
     state.requests_by_id[request.id] = request
     _budget_of(state, request.team).earn()
-    _routing.look_again(state, request)
     _route(state, request, kind, out)
 
 
@@ -320,6 +319,7 @@
         _routing.unqueue(state, request)
         _route(state, request, kind, out)
     else:
+        _routing.look_again(state, request)
         held.queue.push(task, front=True)
         state.touched[held.number] = None
 
@@ -330,6 +330,7 @@
     kind: _config.Kind,
     out: _state.Out,
 ) -> None:
+    _routing.look_again(state, request)
     refusal = _routing.route(state, request, kind, out)
     if refusal is None:
         return
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -85,3 +85,13 @@
     world.run(4.0)
     assert [call.refusal for call in calls] == [None] * 4
     assert world.workers_by_name['w3'].starts == 4
+
+
+def test_a_request_that_every_worker_refuses_gets_its_final_answer():
+    world = _world(nodes=1)
+    for worker in world.workers_by_name.values():
+        worker.refuses = True
+    call = world.request('n0', 'r', 'validate', 'field', builders.token())
+    world.run(7.0)
+    assert call.refusal.ran.value == 'no'
+    assert call.waited_s < 5.1
