--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -7,6 +7,21 @@
 from sortedcontainers import SortedList
 
 
+@attrs.frozen(slots=True)
+class OfSlice:
+    """Concern a slice that is owned under an epoch."""
+
+    slice: int
+    epoch: int
+
+
+@attrs.frozen(slots=True)
+class OfWorker(OfSlice):
+    """Concern a worker of a slice."""
+
+    worker: str
+
+
 @attrs.frozen(slots=True)
 class RenewNode:
     """Renew the registration of this node."""
@@ -50,47 +65,31 @@
 
 
 @attrs.frozen(slots=True)
-class SyncDue:
+class SyncDue(OfWorker):
     """Ask a worker again."""
 
-    slice: int
-    epoch: int
-    worker: str
-
 
 @attrs.frozen(slots=True)
-class LeasesEnd:
+class LeasesEnd(OfWorker):
     """Take the tasks of a silent worker as ended."""
 
-    slice: int
-    epoch: int
-    worker: str
-
 
 @attrs.frozen(slots=True)
-class RecoveryEnds:
+class RecoveryEnds(OfSlice):
     """Take every task of a former owner that was not seen as ended."""
 
-    slice: int
-    epoch: int
-
 
 @attrs.frozen(slots=True)
-class HoldEnds:
+class HoldEnds(OfWorker):
     """Free the room of a task whose end was not seen."""
 
-    slice: int
-    epoch: int
-    worker: str
     task: str
 
 
 @attrs.frozen(slots=True)
-class RequeueTask:
+class RequeueTask(OfSlice):
     """Queue a task again whose claim could not be written."""
 
-    slice: int
-    epoch: int
     task: str
 
 
@@ -104,13 +103,9 @@
 
 
 @attrs.frozen(slots=True)
-class QuarantineEnds:
+class QuarantineEnds(OfWorker):
     """Put a worker on probation."""
 
-    slice: int
-    epoch: int
-    worker: str
-
 
 @attrs.frozen(slots=True)
 class JobHoldEnds:
@@ -122,13 +117,9 @@
 
 
 @attrs.frozen(slots=True)
-class SavedEnds:
+class SavedEnds(OfWorker):
     """Save a worker for one task no more."""
 
-    slice: int
-    epoch: int
-    worker: str
-
 
 @attrs.frozen(slots=True)
 class CancelDue:
@@ -140,20 +131,14 @@
 
 
 @attrs.frozen(slots=True)
-class PumpDue:
+class PumpDue(OfSlice):
     """Go on with placements that were left for another event."""
 
-    slice: int
-    epoch: int
-
 
 @attrs.frozen(slots=True)
-class SearchDue:
+class SearchDue(OfSlice):
     """Search for room again that an earlier search may have missed."""
 
-    slice: int
-    epoch: int
-
 
 @attrs.frozen(slots=True)
 class StopDue:
@@ -187,13 +172,9 @@
 
 
 @attrs.frozen(slots=True)
-class RestEnds:
+class RestEnds(OfWorker):
     """Ask a worker again that refused work."""
 
-    slice: int
-    epoch: int
-    worker: str
-
 
 @attrs.frozen(slots=True)
 class TellKeys:
@@ -235,12 +216,9 @@
 
 
 @attrs.frozen(slots=True)
-class InheritedEnds:
+class InheritedEnds(OfSlice):
     """Take whatever an earlier owner left unseen as ended."""
 
-    slice: int
-    epoch: int
-
 
 class Timers:
     """Keep the times at which keys fall due."""
--- a/packages/node/celeryshift_node/_runner.py
+++ b/packages/node/celeryshift_node/_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 import datetime
@@ -209,30 +210,32 @@
         )
 
     async def _start_task(self, effect: effects.StartTask) -> None:
-        outcome = Outcome.UNSENT
-        if self.now < effect.deadline:
-            outcome = await self._workers.start(effect)
-        self.handle(
-            events.TaskStarted(
-                self.now,
-                effect.slice,
-                effect.epoch,
-                effect.worker,
-                effect.task,
-                outcome,
-            )
-        )
+        outcome = await self._before_deadline(effect, self._workers.start)
+        self._report(events.TaskStarted, effect, outcome)
 
     async def _throttle_task(self, effect: effects.ThrottleTask) -> None:
-        if self.now < effect.deadline:
-            await self._workers.throttle(effect)
+        await self._before_deadline(effect, self._workers.throttle)
 
     async def _stop_task(self, effect: effects.StopTask) -> None:
-        outcome = Outcome.UNSENT
-        if self.now < effect.deadline:
-            outcome = await self._workers.stop(effect)
+        outcome = await self._before_deadline(effect, self._workers.stop)
+        self._report(events.TaskStopped, effect, outcome)
+
+    async def _before_deadline(
+        self, effect: Any, act: Callable[[Any], Awaitable[Any]]
+    ) -> Any:
+        """Carry out an effect of an owner, unless its right has lapsed."""
+        if self.now >= effect.deadline:
+            return Outcome.UNSENT
+        return await act(effect)
+
+    def _report(
+        self,
+        kind: type[events.TaskStarted] | type[events.TaskStopped],
+        effect: effects.StartTask | effects.StopTask,
+        outcome: Outcome,
+    ) -> None:
         self.handle(
-            events.TaskStopped(
+            kind(
                 self.now,
                 effect.slice,
                 effect.epoch,
