A request answered through a peer tells the worker and the real wait

Cause: an answer through a peer named no worker and gave the whole round trip as its wait. Change: the peer's figures go along; the time before the forward is added. make bench also runs the bench of one node.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 		--seed=$(SEED) --steps=$(STEPS) --known=KNOWN-RED.txt
 
 bench: setup
+	$(PY) -m bench.node
 	$(PY) -m bench.placement
 	$(PY) -m bench.teams
 	$(PY) -m bench.configuration
--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -130,8 +130,8 @@
         # A peer that takes no connection has no room, until it says so.
         _peers.lost(state, peer)
     if event.outcome is Outcome.OK:
-        waited_s = state.now - request.arrived
-        out.append(effects.AnswerRequest(request.id, 'peer', waited_s))
+        waited_s = request.forwarded_at - request.arrived + event.waited_s
+        out.append(effects.AnswerRequest(request.id, event.worker, waited_s))
         _finish(state, request, 'answered', 'by a peer')
         return
     refusal = event.refusal
--- a/packages/core/celeryshift_core/_routing.py
+++ b/packages/core/celeryshift_core/_routing.py
@@ -197,6 +197,7 @@
     out: _state.Out,
 ) -> None:
     request.forwarding = True
+    request.forwarded_at = state.now
     request.forwarded_to += (peer.id,)
     _peers.charge(peer, kind.upstream, kind.size.slots)
     state.counters['requests.forwarded'] += 1
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -156,6 +156,7 @@
     sent: bool = False
     asked: bool = False
     forwarding: bool = False
+    forwarded_at: float = 0.0
     forwarded_to: tuple[str, ...] = ()
 
 
--- a/packages/core/celeryshift_core/events.py
+++ b/packages/core/celeryshift_core/events.py
@@ -215,6 +215,8 @@
     id: str
     outcome: Outcome
     refusal: _refusals.Refusal | None = None
+    worker: str = ''
+    waited_s: float = 0.0
 
 
 @attrs.frozen(slots=True)
--- a/packages/node/celeryshift_node/_runner.py
+++ b/packages/node/celeryshift_node/_runner.py
@@ -278,10 +278,16 @@
     async def _forward_request(self, effect: effects.ForwardRequest) -> None:
         payload = self._payloads_by_id.get(effect.id)
         outcome, refusal, document = await self._peers.request(effect, payload)
-        if outcome is Outcome.OK and effect.id in self._replies_by_id:
-            self._answers_by_id[effect.id] = document['answer']
+        worker, waited_s = '', 0.0
+        if outcome is Outcome.OK:
+            worker = document.get('worker', '')
+            waited_s = document.get('waited_s', 0.0)
+            if effect.id in self._replies_by_id:
+                self._answers_by_id[effect.id] = document['answer']
         self.handle(
-            events.RequestForwarded(self.now, effect.id, outcome, refusal)
+            events.RequestForwarded(
+                self.now, effect.id, outcome, refusal, worker, waited_s
+            )
         )
 
     async def _forward_job(self, effect: effects.ForwardJob) -> None:
--- a/packages/standins/celeryshift_standins/_peer_effects.py
+++ b/packages/standins/celeryshift_standins/_peer_effects.py
@@ -95,7 +95,15 @@
         document: Any = None,
         refusal: core.Refusal | None = None,
     ) -> events.Event:
-        return events.RequestForwarded(net.now, effect.id, outcome, refusal)
+        told = document or {}
+        return events.RequestForwarded(
+            net.now,
+            effect.id,
+            outcome,
+            refusal,
+            told.get('worker', ''),
+            told.get('waited_s', 0.0),
+        )
 
     payload = net.payloads.get((node.name, effect.id), {})
     timeout_s = effect.timeout_s + _network.FORWARD_GRACE_S
