Measure the slopes of control

make capacity fits lines to the messages, bytes, processor time and memory of one node against workers, peers, teams, keys and changes, and prints the standard error of each slope. Bodies come from the clients of the node, headers and the constant time of a call from loopback.

tests/test_summaries.py: test_an_idle_node_sends_few_summaries is seen failing here, since summaries go to all peers every 0.25 s.

--- a/Makefile
+++ b/Makefile
@@ -55,3 +55,6 @@
 	$(PY) -m bench.teams
 	$(PY) -m bench.configuration
 	$(PY) -m bench.ownership
+
+capacity: setup
+	$(PY) -m bench.capacity
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,412 @@
+"""Slopes of what control costs: messages, bytes, processor time, memory.
+
+Each slope is a least-squares line over several sizes, with its standard
+error. Messages come from real reducers in virtual time; bytes from the real
+codec; the constant part of a call from real calls over loopback.
+
+Source: Draper and Smith, Applied Regression Analysis, 1998, chapter 1.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import gc
+import math
+import os
+import pathlib
+import statistics
+import subprocess
+import sys
+import threading
+import time
+import tracemalloc
+from typing import Any
+
+from aiohttp import web
+import attrs
+
+from bench import fleets
+from bench import traffic
+import celeryshift_client
+import celeryshift_core as core
+from celeryshift_core import _config
+from celeryshift_core import _placement
+from celeryshift_core import _state
+from celeryshift_core import events
+from celeryshift_node import _calls
+from celeryshift_node import _channels
+
+SEED = 1
+SECRET = 'secret-of-the-bench'
+LIMIT_SLOTS = 10_000
+SETTLE_S = 30.0
+MEASURE_S = 60.0
+CALLS = 2000
+TOTAL = 'all'
+WORKERS = (24, 95, 189, 378)
+NEAR = (0, 1, 2, 3)
+FAR = (0, 8, 16, 32)
+TEAMS = (6, 16, 32, 46)
+KEYS = (0, 100, 400, 1000)
+CHANGES = (0, 10, 20, 40)
+STARTS_PER_S = (0, 30, 60, 120)
+REQUESTS_PER_S = (0, 15, 30, 60)
+
+
+@attrs.frozen
+class Shape:
+    """Say what surrounds the node that is measured, and what it does."""
+
+    workers: int = 24
+    near: int = 1
+    far: int = 4
+    teams: int = 46
+    keys: int = 46
+    changes: int = 0
+    starts_per_s: int = 0
+    requests_per_s: int = 0
+
+
+@attrs.frozen
+class Fit:
+    """Hold a line, and the standard error of its slope."""
+
+    slope: float
+    intercept: float
+    error: float
+
+    @classmethod
+    def of(cls, points: list[tuple[float, float]]) -> 'Fit':
+        """Fit a line by least squares."""
+        xs = [x for x, _ in points]
+        ys = [y for _, y in points]
+        slope, intercept = statistics.linear_regression(xs, ys)
+        left = sum((y - intercept - slope * x) ** 2 for x, y in points)
+        mean = statistics.fmean(xs)
+        spread = sum((x - mean) ** 2 for x in xs)
+        error = math.sqrt(left / (len(points) - 2) / spread)
+        return cls(slope, intercept, error)
+
+
+def main() -> None:
+    """Print every slope."""
+    if '--memory' in sys.argv:
+        _print_memory()
+        return
+    _print_header()
+    _print_call()
+    varied: dict[str, Iterable[int]] = {
+        'workers': WORKERS,
+        'near': NEAR,
+        'far': FAR,
+        'teams': TEAMS,
+        'keys': KEYS,
+        'changes': CHANGES,
+        'starts_per_s': STARTS_PER_S,
+        'requests_per_s': REQUESTS_PER_S,
+    }
+    for name, sizes in varied.items():
+        base = Shape(changes=20) if name == 'keys' else Shape()
+        _print_slopes(
+            name, [attrs.evolve(base, **{name: size}) for size in sizes]
+        )
+    _print_memory()
+
+
+def _world(shape: Shape) -> traffic.MeteredWorld:
+    world = traffic.MeteredWorld(SEED, 'n0')
+    upstream = fleets.UPSTREAM
+    for number in range(shape.workers * (1 + shape.near)):
+        world.add_worker(f'w{number}', 'dc0', upstream)
+    for number in range(shape.far):
+        world.add_worker(f'f{number}', f'dc{1 + number // 4}', upstream)
+    world.configure(_document(shape))
+    for number in range(1 + shape.near):
+        world.add_node(f'n{number}', 'dc0')
+    for number in range(shape.far):
+        world.add_node(f'm{number}', f'dc{1 + number // 4}')
+    return world
+
+
+def _document(shape: Shape) -> dict[str, Any]:
+    fleet = celeryshift_client.Fleet()
+    fleet.upstream(fleets.UPSTREAM)
+    for number in range(shape.teams):
+        fleet.team(f't{number}', share=1.0, limit_slots=LIMIT_SLOTS)
+        fleet.queue(f'of-t{number}', open_for=f't{number}')
+    for number in range(shape.keys):
+        fleet.key(f'key-{number}', f't{number % shape.teams}', SECRET)
+    fleet.batch('batch', fleets.UPSTREAM)
+    fleet.request('check', fleets.UPSTREAM, timeout_s=5.0)
+    return fleet.document()
+
+
+def _run(shape: Shape) -> traffic.MeteredWorld:
+    """Let a node settle, then meter it under even load."""
+    world = _world(shape)
+    world.run(SETTLE_S)
+    state = world.nodes_by_name['n0'].state
+    assert state.config.version, 'the configuration is not in force'
+    version = 0
+    for second in range(-5, int(MEASURE_S)):
+        if second == 0:
+            world.start()
+        due = shape.changes * (second + 1) // int(MEASURE_S)
+        if version < due:
+            version += 1
+            world.configure(_document(shape))
+        if shape.starts_per_s:
+            world.submit(
+                'n0',
+                f'j{second}',
+                'batch',
+                f'of-t{second % shape.teams}',
+                tasks=shape.starts_per_s,
+                run_s=1.0,
+            )
+        for number in range(shape.requests_per_s):
+            world.request(
+                'n0', f'r{second}-{number}', 'check', 'of-t0', run_s=0.1
+            )
+            world.run(1.0 / shape.requests_per_s)
+        if not shape.requests_per_s:
+            world.run(1.0)
+    return world
+
+
+def _print_slopes(name: str, shapes: list[Shape]) -> None:
+    """Print how each flow of a node grows with one size."""
+    _say(f'\n{name}: flow, per second: slope (standard error) + intercept')
+    points: dict[tuple[str, str], dict[int, float]] = {}
+    for shape in shapes:
+        world = _run(shape)
+        size = getattr(shape, name)
+        if name == 'workers':
+            size = _owned(world)
+        for (flow, what), value in _rates(world).items():
+            points.setdefault((flow, what), {})[size] = value
+    sizes = sorted(set().union(*(found.keys() for found in points.values())))
+    for (flow, what), found in sorted(points.items()):
+        fit = Fit.of([(size, found.get(size, 0.0)) for size in sizes])
+        _say(
+            f'  {flow:18} {what:6} {fit.slope:10.4f} ({fit.error:.4f}) '
+            f'+ {fit.intercept:.2f}'
+        )
+
+
+def _owned(world: traffic.MeteredWorld) -> int:
+    held = world.nodes_by_name['n0'].state.slices_by_number.values()
+    return sum(len(one.ledger.workers_by_name) for one in held)
+
+
+def _rates(world: traffic.MeteredWorld) -> dict[tuple[str, str], float]:
+    rates = {}
+    total = traffic.Flow()
+    for name, flow in world.flows.items():
+        rates[(name, 'calls')] = flow.calls / MEASURE_S
+        rates[(name, 'bytes')] = flow.size / MEASURE_S
+        rates[(name, 'cpu us')] = 1e6 * flow.cpu_s / MEASURE_S
+        if name not in traffic.WORK:
+            total.calls += flow.calls
+            total.size += flow.size
+            total.cpu_s += flow.cpu_s
+    rates[(TOTAL, 'calls')] = total.calls / MEASURE_S
+    rates[(TOTAL, 'bytes')] = total.size / MEASURE_S
+    rates[(TOTAL, 'cpu us')] = 1e6 * total.cpu_s / MEASURE_S
+    return rates
+
+
+def _print_header() -> None:
+    """Print what two real ends put around the bodies of a call."""
+    seen: list[int] = []
+
+    async def count(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b'\r\n\r\n')
+        seen.append(len(head))
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}')
+        await writer.drain()
+        writer.close()
+
+    async def measure() -> tuple[int, int]:
+        server = await asyncio.start_server(count, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        await _call(port, 1)
+        server.close()
+        runner, port = await _serve()
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(
+            b'POST /peer/v1/messages HTTP/1.1\r\nHost: x\r\n'
+            b'Content-Length: 2\r\n\r\n{}'
+        )
+        reply = await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+        await runner.cleanup()
+        return seen[0], len(reply)
+
+    request, reply = asyncio.run(measure())
+    _say(
+        f'headers of a call: {request} bytes asked, {reply} answered; '
+        f'counted as {traffic.HEADER_BYTES}'
+    )
+
+
+async def _serve() -> tuple[web.AppRunner, int]:
+    async def take(request: web.Request) -> web.Response:
+        return web.json_response(await request.json())
+
+    app = web.Application()
+    app.router.add_post('/peer/v1/messages', take)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    return runner, runner.addresses[0][1]
+
+
+async def _call(port: int, calls: int) -> None:
+    channels = _channels.Channels()
+    url = f'http://127.0.0.1:{port}/peer/v1/messages'
+    headers = {'Authorization': f'Bearer {traffic.TOKEN}'}
+    for _ in range(calls):
+        await _calls.call(
+            channels.to(url), 'POST', url, {'a': 1}, 5.0, headers
+        )
+    await channels.close()
+
+
+def _print_call() -> None:
+    """Print the processor time of a call at either end, by its thread."""
+    ready = threading.Event()
+    stop = threading.Event()
+    ports: list[int] = []
+    spent: list[float] = []
+
+    def serve() -> None:
+        async def run() -> None:
+            runner, port = await _serve()
+            ports.append(port)
+            ready.set()
+            began = time.thread_time()
+            while not stop.is_set():
+                await asyncio.sleep(0.05)
+            spent.append(time.thread_time() - began)
+            await runner.cleanup()
+
+        asyncio.run(run())
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    ready.wait()
+    began = time.thread_time()
+    asyncio.run(_call(ports[0], CALLS))
+    asked = time.thread_time() - began
+    stop.set()
+    thread.join()
+    _say(
+        f'processor time of a call: {1e6 * asked / CALLS:.0f} us at the '
+        f'caller, {1e6 * spent[0] / CALLS:.0f} us at the called'
+    )
+
+
+def _print_memory() -> None:
+    """Print the memory of each kind of record, and of the program."""
+    _say('\nmemory: slope (standard error), bytes for each')
+    made: dict[str, tuple[Iterable[int], Callable[[int], Any]]] = {
+        'worker': (WORKERS, fleets.slice_of),
+        'task waiting': ((2000, 4000, 8000, 16000), _waiting),
+        'task running': ((200, 400, 800, 1600), _running),
+        'peer': ((50, 100, 200, 400), _peers),
+        'team': ((50, 100, 200, 400), lambda count: _configured(count, 0)),
+        'key': ((50, 100, 200, 400), lambda count: _configured(1, count)),
+        'VM listed': ((200, 400, 800, 1600), _vms),
+    }
+    for name, (sizes, make) in made.items():
+        make(min(sizes))
+        points = [(float(size), _size_of(make, size)) for size in sizes]
+        fit = Fit.of(points)
+        _say(f'  {name:14} {fit.slope:8.0f} ({fit.error:.0f})')
+    code = (
+        'import celeryshift_node._main, pathlib;'
+        'print(pathlib.Path("/proc/self/statm").read_text().split()[1])'
+    )
+    pages = int(subprocess.check_output([sys.executable, '-c', code]))
+    page = os.sysconf('SC_PAGE_SIZE')
+    _say(f'  program after import, resident: {pages * page / 2**20:.1f} MiB')
+    own = pathlib.Path('/proc/self/statm').read_text().split()[1]
+    _say(f'  this benchmark, resident: {int(own) * page / 2**20:.1f} MiB')
+
+
+def _size_of(make: Callable[[int], Any], count: int) -> float:
+    gc.collect()
+    tracemalloc.start()
+    kept = make(count)
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert kept is not None
+    return float(size)
+
+
+def _waiting(count: int) -> Any:
+    state, held = fleets.slice_of(1)
+    fleets.fill_queue(state, held, count, SEED)
+    return state
+
+
+def _running(count: int) -> Any:
+    state, held = fleets.slice_of(count)
+    fleets.fill_queue(state, held, count, SEED)
+    out: _state.Out = []
+    state.touched[0] = None
+    while len(held.unconfirmed) < count:
+        before = len(held.unconfirmed)
+        _placement.pump_touched(state, out)
+        state.touched[0] = None
+        if len(held.unconfirmed) == before:
+            break
+    return state
+
+
+def _peers(count: int) -> Any:
+    return [
+        _state.Peer(
+            f'10.0.0.{number}:7400/{number:012x}',
+            f'10.0.0.{number}:7400',
+            'dc1',
+            1,
+            0.0,
+            free_slots_by_upstream={fleets.UPSTREAM: number},
+        )
+        for number in range(count)
+    ]
+
+
+def _configured(teams: int, keys: int) -> core.Config:
+    document = _document(Shape(teams=teams, keys=keys))
+    return _config.parse({**document, 'version': 1})
+
+
+def _vms(count: int) -> Any:
+    return [
+        events.Vm(
+            f'w{number}',
+            events.VmRole.WORKER,
+            f'10.1.{number}',
+            'dc1',
+            f'r{number // 6}',
+            fleets.UPSTREAM,
+            events.VmState.LIVE,
+            core.Size(8, 32_000, 131_072 + number, 0),
+        )
+        for number in range(count)
+    ]
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(line + '\n')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/test_summaries.py
@@ -0,0 +1,67 @@
+"""How often nodes tell each other what they have."""
+
+from bench import traffic
+import builders
+
+SECONDS = 60.0
+NEAR = 1
+FAR = 4
+
+
+def _world():
+    world = traffic.MeteredWorld(1, 'n0')
+    for number in range(2):
+        world.add_worker(f'w{number}', 'dc0')
+        world.add_worker(f'f{number}', 'dc1')
+    world.configure(builders.fleet().document())
+    for number in range(1 + NEAR):
+        world.add_node(f'n{number}', 'dc0')
+    for number in range(FAR):
+        world.add_node(f'm{number}', 'dc1')
+    world.run(20.0)
+    return world
+
+
+def _seen(world, where, whose):
+    peers = world.nodes_by_name[where].state.membership.peers_by_id
+    return next(peer for peer in peers.values() if peer.address == whose)
+
+
+def test_an_idle_node_sends_few_summaries():
+    world = _world()
+    world.start()
+    world.run(SECONDS)
+    both_ways = 2 * (NEAR * SECONDS / 1.0 + FAR * SECONDS / 5.0)
+    assert world.flows['Summary'].calls <= 1.1 * both_ways
+    for where in ('n1', 'm0'):
+        assert _seen(world, where, 'n0').free_slots_by_upstream
+
+
+def test_a_change_of_room_is_told_soon():
+    world = _world()
+    world.request(
+        'n0', 'r', 'validate', 'field', builders.token(), run_s=4.0
+    )
+    before = _seen(world, 'n1', 'n0').free_slots_by_upstream
+    world.run(0.4)
+    after = _seen(world, 'n1', 'n0').free_slots_by_upstream
+    assert sum(after.values()) == sum(before.values()) - 1
+
+
+def test_a_drain_is_told_everywhere_at_once():
+    world = _world()
+    world.drain('n0')
+    world.run(0.01)
+    assert _seen(world, 'n1', 'n0').draining
+    assert _seen(world, 'm3', 'n0').draining
+
+
+def test_a_node_is_heard_again_soon_after_a_cut():
+    world = _world()
+    world.cut('dc0', 'dc1')
+    world.run(60.0)
+    assert _seen(world, 'm0', 'n0').heard_at is None
+    world.heal('dc0', 'dc1')
+    world.run(6.0)
+    for where in ('m0', 'm1', 'm2', 'm3'):
+        assert _seen(world, where, 'n0').heard_at is not None
