Tell peers what has changed, and far ones rarely

Cause: summaries went to every peer every 0.25 s although nothing had changed.

Change: a peer of the same data centre hears of a change after at most summary_s and else every heartbeat_s (1 s); one of another data centre hears whether there is room at all, and else everything every 5 s. A word of a far node counts for two of its heartbeats. A drain is told to all at once; a peer that is heard again is told at once. What teams use goes to far peers every 30 s in turn. A row read late no longer takes back that a peer drains: the next summary would have mended it only seconds later.

Ruled out: a longer heartbeat within the data centre, since a word of a peer is what shows it alive while the store is down, for 4.2 s.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -51,6 +51,9 @@
 CHANGES = (0, 10, 20, 40)
 STARTS_PER_S = (0, 30, 60, 120)
 REQUESTS_PER_S = (0, 15, 30, 60)
+RUNNING = (0, 46, 92, 138)
+SERVICE_S = 86_400.0
+CALL_S = 300e-6  # as printed: about the mean of caller and called
 
 
 @attrs.frozen
@@ -65,6 +68,21 @@
     changes: int = 0
     starts_per_s: int = 0
     requests_per_s: int = 0
+    running: int = 46
+    run_s: float = 1.0
+    sync_wait_s: float = 4.0
+
+
+EIGHTEEN = Shape(378, 1, 16, changes=8, running=322)
+THIRTY_SIX = Shape(189, 3, 32, changes=8, running=161)
+DESIGN = {
+    '18 nodes, idle': EIGHTEEN,
+    '36 nodes, idle': THIRTY_SIX,
+    '18 nodes, idle, sync 10 s': attrs.evolve(EIGHTEEN, sync_wait_s=10.0),
+    '36 nodes, idle, sync 10 s': attrs.evolve(THIRTY_SIX, sync_wait_s=10.0),
+    '18 nodes, peak': attrs.evolve(EIGHTEEN, starts_per_s=233, run_s=5.0),
+    '36 nodes, peak': attrs.evolve(THIRTY_SIX, starts_per_s=117, run_s=5.0),
+}
 
 
 @attrs.frozen
@@ -104,17 +122,20 @@
         'changes': CHANGES,
         'starts_per_s': STARTS_PER_S,
         'requests_per_s': REQUESTS_PER_S,
+        'running': RUNNING,
     }
     for name, sizes in varied.items():
         base = Shape(changes=20) if name == 'keys' else Shape()
         _print_slopes(
             name, [attrs.evolve(base, **{name: size}) for size in sizes]
         )
+    for name, shape in DESIGN.items():
+        _print_design(name, shape)
     _print_memory()
 
 
 def _world(shape: Shape) -> traffic.MeteredWorld:
-    world = traffic.MeteredWorld(SEED, 'n0')
+    world = traffic.MeteredWorld(SEED, 'n0', sync_wait_s=shape.sync_wait_s)
     upstream = fleets.UPSTREAM
     for number in range(shape.workers * (1 + shape.near)):
         world.add_worker(f'w{number}', 'dc0', upstream)
@@ -147,6 +168,17 @@
     world.run(SETTLE_S)
     state = world.nodes_by_name['n0'].state
     assert state.config.version, 'the configuration is not in force'
+    for team in range(shape.teams):
+        tasks = (shape.running + team) // shape.teams
+        if tasks:
+            world.submit(
+                'n0',
+                f's{team}',
+                'batch',
+                f'of-t{team}',
+                tasks=tasks,
+                run_s=SERVICE_S,
+            )
     version = 0
     for second in range(-5, int(MEASURE_S)):
         if second == 0:
@@ -162,7 +194,7 @@
                 'batch',
                 f'of-t{second % shape.teams}',
                 tasks=shape.starts_per_s,
-                run_s=1.0,
+                run_s=shape.run_s,
             )
         for number in range(shape.requests_per_s):
             world.request(
@@ -194,6 +226,24 @@
         )
 
 
+def _print_design(name: str, shape: Shape) -> None:
+    """Print what a node does at a size of the design, measured whole."""
+    world = _run(shape)
+    state = world.nodes_by_name['n0'].state
+    running = sum(
+        len(held.tasks_by_id) for held in state.slices_by_number.values()
+    )
+    _say(f'\n{name}: {_owned(world)} workers, {running} tasks, each second:')
+    rates = _rates(world)
+    for flow in sorted({flow for flow, _ in rates}):
+        calls = rates[(flow, 'calls')]
+        core_share = rates[(flow, 'cpu us')] * 1e-6 + calls * CALL_S
+        _say(
+            f'  {flow:18} {calls:8.2f} calls {rates[(flow, "bytes")]:9.0f} '
+            f'bytes {core_share:7.2%} of a core'
+        )
+
+
 def _owned(world: traffic.MeteredWorld) -> int:
     held = world.nodes_by_name['n0'].state.slices_by_number.values()
     return sum(len(one.ledger.workers_by_name) for one in held)
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -48,7 +48,10 @@
 
 
 class Codec:
-    """Write effects as the node's clients write them."""
+    """Write effects as the node's clients write them.
+
+    Calls must reach its take method in place of the network.
+    """
 
     def __init__(self) -> None:
         self._data = b''
@@ -63,14 +66,13 @@
         if call is None:
             return None
         self._data = b''
-        with mock.patch.object(_calls, 'call', self._take):
-            if isinstance(effect, effects.SendRequest):
-                asyncio.run(call)
-            else:
-                _finish(call)
+        if isinstance(effect, effects.SendRequest):
+            asyncio.run(call)
+        else:
+            _finish(call)
         return self._data
 
-    async def _take(
+    async def take(
         self,
         channel: Any,
         method: str,
@@ -79,6 +81,7 @@
         *rest: Any,
         **named: Any,
     ) -> _calls.Reply:
+        """Note the body of a call that would be made."""
         data = b'' if body is None else json.dumps(body).encode()
         self._data = self._data or data
         return _calls.Reply(events.Outcome.UNSENT)
@@ -126,6 +129,11 @@
         self.flows = collections.defaultdict(Flow)
         self.metering = True
 
+    def run_until(self, when: float) -> None:
+        """Let time pass, with bodies written but not sent."""
+        with mock.patch.object(_calls, 'call', self._codec.take):
+            super().run_until(when)
+
     def feed(self, node: worlds.Node, event: events.Event) -> None:
         """Give an event to a node, counting if it is the one metered."""
         if not (self.metering and node.name == self._metered):
--- a/packages/core/celeryshift_core/_options.py
+++ b/packages/core/celeryshift_core/_options.py
@@ -21,6 +21,9 @@
     config_stale_s: float = 15.0
     nodes_poll_s: float = 5.0
     summary_s: float = 0.25
+    heartbeat_s: float = 1.0
+    far_summary_s: float = 1.0
+    far_heartbeat_s: float = 5.0
     flush_s: float = 0.05
     record_s: float = 0.5
     settle_s: float = 0.5
@@ -35,6 +38,11 @@
         """Give the wait after which another node's lease has lapsed."""
         return self.node_lease_s * (1 + self.clock_margin)
 
+    @property
+    def far_heard_s(self) -> float:
+        """Give the time for which a word of a far peer shows it alive."""
+        return 2 * self.far_heartbeat_s + self.far_summary_s
+
     @property
     def tasks_end_s(self) -> float:
         """Give the wait after which task leases not renewed have ended."""
--- a/packages/core/celeryshift_core/_ownership.py
+++ b/packages/core/celeryshift_core/_ownership.py
@@ -326,8 +326,9 @@
         elif peer.row_version != row.version:
             peer.row_version = row.version
             peer.changed_at = state.now
-        peer.draining = row.value['draining']
-        # Summaries are fresher than rows, and versions only rise.
+        # Summaries are fresher than rows: versions only rise, and a node
+        # that drains never serves again under the same id.
+        peer.draining = peer.draining or row.value['draining']
         version = row.value['config_version']
         peer.config_version = max(peer.config_version, version)
         peer.basis = row.value['basis'] or row.version
@@ -409,10 +410,10 @@
 def _is_fresh(state: _state.State, peer: _state.Peer) -> bool:
     """Tell whether a peer has lately renewed, or said anything."""
     heard_at = peer.heard_at
-    is_heard = (
-        heard_at is not None
-        and state.now - heard_at <= state.options.takeover_s
-    )
+    options = state.options
+    is_near = peer.data_centre == options.data_centre
+    heard_s = options.takeover_s if is_near else options.far_heard_s
+    is_heard = heard_at is not None and state.now - heard_at <= heard_s
     return is_heard or _assignment.is_registered_fresh(state, peer)
 
 
--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -21,7 +21,12 @@
 
 
 def summarize(state: _state.State, out: _state.Out) -> None:
-    """Tell every live peer what this node has."""
+    """Tell the peers what has changed here, and now and then all of it.
+
+    Peers of other data centres hear only of what tells them whether there
+    is room at all, and more rarely, so that the bytes of a node hardly grow
+    with the fleet.
+    """
     at = state.now + state.options.summary_s
     state.timers.set(_timers.Summarize(), at)
     if state.phase is _state.NodePhase.STARTING:
@@ -35,18 +40,14 @@
         state.now - confirmed_at if confirmed_at is not None else -1.0,
         state.phase is _state.NodePhase.DRAINING,
     )
-    broadcast(state, summary, out)
-
-
-def broadcast(
-    state: _state.State, message: messages.Message, out: _state.Out
-) -> None:
-    """Send a message to every live peer, and now and then to others."""
     live = {peer.id for peer in _ownership.live_peers(state)}
     for peer in state.membership.peers_by_id.values():
         silent_s = state.now - peer.unreachable_at
-        if peer.id in live or silent_s > PROBE_S:
-            out.append(effects.SendPeer(peer.id, peer.address, message))
+        may_hear = peer.id in live or silent_s > PROBE_S
+        if may_hear and _is_due(state, peer, summary):
+            peer.told = summary
+            peer.told_at = state.now
+            out.append(effects.SendPeer(peer.id, peer.address, summary))
 
 
 def arrived(
@@ -139,6 +140,40 @@
         peer.free_slots_by_upstream[upstream] = max(0, free)
 
 
+def _is_due(
+    state: _state.State, peer: _state.Peer, summary: messages.Summary
+) -> bool:
+    """Tell whether a peer has to hear of this node again."""
+    told = peer.told
+    if told is None or told.draining != summary.draining:
+        return True
+    options = state.options
+    since_s = state.now - peer.told_at
+    if peer.data_centre == options.data_centre:
+        return since_s >= options.heartbeat_s or (
+            since_s >= options.summary_s and _near(told) != _near(summary)
+        )
+    return since_s >= options.far_heartbeat_s or (
+        since_s >= options.far_summary_s and _far(told) != _far(summary)
+    )
+
+
+def _near(summary: messages.Summary) -> Any:
+    """Give what peers of the same data centre hear of when it changes."""
+    return (
+        summary.slices,
+        summary.free_slots_by_upstream,
+        summary.config_version,
+    )
+
+
+def _far(summary: messages.Summary) -> Any:
+    """Give what peers of other data centres hear of when it changes."""
+    free = summary.free_slots_by_upstream
+    room = {upstream: slots > 0 for upstream, slots in free.items()}
+    return summary.slices, room
+
+
 def _take_summary(
     state: _state.State,
     sender: str,
@@ -152,6 +187,9 @@
         if (state.timers.at(_timers.PollNodes()) or at) >= at:
             state.timers.set(_timers.PollNodes(), at)
         return
+    if peer.heard_at is None:
+        # It may not have heard this node either.
+        peer.told = None
     peer.heard_at = state.now
     peer.slices = tuple(message.slices)
     peer.free_slots_by_upstream = dict(message.free_slots_by_upstream)
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -95,6 +95,8 @@
     free_slots_by_upstream: dict[str, int] = attrs.field(factory=dict)
     heard_at: float | None = None
     unreachable_at: float = float('-inf')
+    told: messages.Summary | None = None
+    told_at: float = float('-inf')
 
 
 @attrs.define(eq=False)
--- a/packages/core/celeryshift_core/_usage.py
+++ b/packages/core/celeryshift_core/_usage.py
@@ -14,7 +14,8 @@
 from celeryshift_core import messages
 
 USAGE_S = 10.0
-USAGE_STALE_S = 35.0
+USAGE_STALE_S = 95.0
+FAR_TURNS = 3
 
 
 @attrs.frozen(slots=True)
@@ -31,14 +32,20 @@
 
 
 def tell(state: _state.State, timer: object, out: _state.Out) -> None:
-    """Tell every peer what the teams use and wait for here."""
+    """Tell the peers what the teams use and wait for here.
+
+    Each time, those of other data centres get it in turn, a part of them.
+    """
     state.timers.set(_timers.TellUsage(), state.now + USAGE_S)
     for team, entry in distances(state).items():
         state.gauges[f'teams.{team}.distance'] = entry.distance
     message = _own_usage(state)
     if message.capacity:
-        for peer in list(_ownership.live_peers(state)):
-            out.append(effects.SendPeer(peer.id, peer.address, message))
+        turn = int(state.now / USAGE_S)
+        for index, peer in enumerate(_ownership.live_peers(state)):
+            near = peer.data_centre == state.options.data_centre
+            if near or (turn + index) % FAR_TURNS == 0:
+                out.append(effects.SendPeer(peer.id, peer.address, message))
 
 
 def take(
--- a/tests/test_summaries.py
+++ b/tests/test_summaries.py
@@ -39,9 +39,7 @@
 
 def test_a_change_of_room_is_told_soon():
     world = _world()
-    world.request(
-        'n0', 'r', 'validate', 'field', builders.token(), run_s=4.0
-    )
+    world.request('n0', 'r', 'validate', 'field', builders.token(), run_s=4.0)
     before = _seen(world, 'n1', 'n0').free_slots_by_upstream
     world.run(0.4)
     after = _seen(world, 'n1', 'n0').free_slots_by_upstream
@@ -65,3 +63,17 @@
     world.run(6.0)
     for where in ('m0', 'm1', 'm2', 'm3'):
         assert _seen(world, where, 'n0').heard_at is not None
+
+
+def test_what_teams_use_goes_to_far_nodes_in_turn():
+    world = _world()
+    world.submit('n0', 'j', 'recode', 'field', builders.token(), run_s=1000.0)
+    world.run(40.0)
+    for where in ('n1', 'm0', 'm1', 'm2', 'm3'):
+        told = world.nodes_by_name[where].state.usage_by_node
+        _, message = told['n0/i0']
+        assert message.used_by_team == {'ministry': 1}
+    world.start()
+    world.run(60.0)
+    both_ways = 2 * (NEAR * 6 + FAR * 2)
+    assert world.flows['Usage'].calls <= both_ways
