--- a/packages/core/celeryshift_core/_routing.py
+++ b/packages/core/celeryshift_core/_routing.py
@@ -12,7 +12,8 @@
 
 MAX_FORWARDS = 2
 FIRST_LOOK_S = 0.05
-LONGEST_LOOK_S = 0.5
+LONGEST_LOOK_S = 0.25
+UNOWNED_S = 1.0
 
 Ran = _refusals.Ran
 Reason = _refusals.Reason
@@ -58,6 +59,19 @@
     state.timers.set(_timers.RequestDue(request.id), at)
 
 
+def is_passing(
+    state: _state.State, request: _state.Request, refusal: Refusal
+) -> bool:
+    """Tell whether a request that has no owner yet may wait for one."""
+    waited_s = state.now - request.arrived
+    return (
+        refusal.reason is Reason.NOT_READY
+        and request.hops == 0
+        and waited_s < UNOWNED_S
+        and state.now < request.deadline
+    )
+
+
 def waits_in_vain(
     state: _state.State, request: _state.Request, kind: _config.Kind
 ) -> bool:
@@ -157,6 +171,7 @@
         request.arrived,
         request=request.id,
     )
+    task.claim_version = request.claim_version
     task.note(state.now, 'queued', f'slice {held.number}')
     held.tasks_by_id[task_id] = task
     request.task = task
@@ -169,6 +184,7 @@
 def _may_forward(state: _state.State, request: _state.Request) -> bool:
     return (
         request.hops < state.options.max_hops
+        and not request.claim_version
         and len(request.forwarded_to) < MAX_FORWARDS
     )
 
