--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -8,31 +8,19 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Iterable
-import gc
-import math
-import os
-import pathlib
-import statistics
-import subprocess
+import json
 import sys
 import threading
 import time
-import tracemalloc
-from typing import Any
 
 from aiohttp import web
 import attrs
 
+from bench import fits
 from bench import fleets
+from bench import memory
 from bench import traffic
-import celeryshift_client
-import celeryshift_core as core
-from celeryshift_core import _config
-from celeryshift_core import _placement
-from celeryshift_core import _state
-from celeryshift_core import events
 from celeryshift_node import _calls
 from celeryshift_node import _channels
 
@@ -85,31 +73,10 @@
 }
 
 
-@attrs.frozen
-class Fit:
-    """Hold a line, and the standard error of its slope."""
-
-    slope: float
-    intercept: float
-    error: float
-
-    @classmethod
-    def of(cls, points: list[tuple[float, float]]) -> 'Fit':
-        """Fit a line by least squares."""
-        xs = [x for x, _ in points]
-        ys = [y for _, y in points]
-        slope, intercept = statistics.linear_regression(xs, ys)
-        left = sum((y - intercept - slope * x) ** 2 for x, y in points)
-        mean = statistics.fmean(xs)
-        spread = sum((x - mean) ** 2 for x in xs)
-        error = math.sqrt(left / (len(points) - 2) / spread)
-        return cls(slope, intercept, error)
-
-
 def main() -> None:
     """Print every slope."""
     if '--memory' in sys.argv:
-        _print_memory()
+        memory.report()
         return
     _print_header()
     _print_call()
@@ -131,7 +98,7 @@
         )
     for name, shape in DESIGN.items():
         _print_design(name, shape)
-    _print_memory()
+    memory.report()
 
 
 def _world(shape: Shape) -> traffic.MeteredWorld:
@@ -141,7 +108,7 @@
         world.add_worker(f'w{number}', 'dc0', upstream)
     for number in range(shape.far):
         world.add_worker(f'f{number}', f'dc{1 + number // 4}', upstream)
-    world.configure(_document(shape))
+    world.configure(fits.document(shape.teams, shape.keys))
     for number in range(1 + shape.near):
         world.add_node(f'n{number}', 'dc0')
     for number in range(shape.far):
@@ -149,19 +116,6 @@
     return world
 
 
-def _document(shape: Shape) -> dict[str, Any]:
-    fleet = celeryshift_client.Fleet()
-    fleet.upstream(fleets.UPSTREAM)
-    for number in range(shape.teams):
-        fleet.team(f't{number}', share=1.0, limit_slots=LIMIT_SLOTS)
-        fleet.queue(f'of-t{number}', open_for=f't{number}')
-    for number in range(shape.keys):
-        fleet.key(f'key-{number}', f't{number % shape.teams}', SECRET)
-    fleet.batch('batch', fleets.UPSTREAM)
-    fleet.request('check', fleets.UPSTREAM, timeout_s=5.0)
-    return fleet.document()
-
-
 def _run(shape: Shape) -> traffic.MeteredWorld:
     """Let a node settle, then meter it under even load."""
     world = _world(shape)
@@ -186,7 +140,7 @@
         due = shape.changes * (second + 1) // int(MEASURE_S)
         if version < due:
             version += 1
-            world.configure(_document(shape))
+            world.configure(fits.document(shape.teams, shape.keys))
         if shape.starts_per_s:
             world.submit(
                 'n0',
@@ -219,7 +173,7 @@
             points.setdefault((flow, what), {})[size] = value
     sizes = sorted(set().union(*(found.keys() for found in points.values())))
     for (flow, what), found in sorted(points.items()):
-        fit = Fit.of([(size, found.get(size, 0.0)) for size in sizes])
+        fit = fits.Fit.of([(size, found.get(size, 0.0)) for size in sizes])
         _say(
             f'  {flow:18} {what:6} {fit.slope:10.4f} ({fit.error:.4f}) '
             f'+ {fit.intercept:.2f}'
@@ -243,6 +197,13 @@
             f'bytes {core_share:7.2%} of a core'
         )
 
+    rows: dict[str, list[int]] = {}
+    for key, (_, value) in world.table.rows_by_key.items():
+        size = len(json.dumps(value)) + len(key)
+        rows.setdefault(key.partition('/')[0], []).append(size)
+    for prefix, found in rows.items():
+        _say(f'  rows {prefix}: {len(found)}, {sum(found)} bytes')
+
 
 def _owned(world: traffic.MeteredWorld) -> int:
     held = world.nodes_by_name['n0'].state.slices_by_number.values()
@@ -360,100 +321,6 @@
     )
 
 
-def _print_memory() -> None:
-    """Print the memory of each kind of record, and of the program."""
-    _say('\nmemory: slope (standard error), bytes for each')
-    made: dict[str, tuple[Iterable[int], Callable[[int], Any]]] = {
-        'worker': (WORKERS, fleets.slice_of),
-        'task waiting': ((2000, 4000, 8000, 16000), _waiting),
-        'task running': ((200, 400, 800, 1600), _running),
-        'peer': ((50, 100, 200, 400), _peers),
-        'team': ((50, 100, 200, 400), lambda count: _configured(count, 0)),
-        'key': ((50, 100, 200, 400), lambda count: _configured(1, count)),
-        'VM listed': ((200, 400, 800, 1600), _vms),
-    }
-    for name, (sizes, make) in made.items():
-        make(min(sizes))
-        points = [(float(size), _size_of(make, size)) for size in sizes]
-        fit = Fit.of(points)
-        _say(f'  {name:14} {fit.slope:8.0f} ({fit.error:.0f})')
-    code = (
-        'import celeryshift_node._main, pathlib;'
-        'print(pathlib.Path("/proc/self/statm").read_text().split()[1])'
-    )
-    pages = int(subprocess.check_output([sys.executable, '-c', code]))
-    page = os.sysconf('SC_PAGE_SIZE')
-    _say(f'  program after import, resident: {pages * page / 2**20:.1f} MiB')
-    own = pathlib.Path('/proc/self/statm').read_text().split()[1]
-    _say(f'  this benchmark, resident: {int(own) * page / 2**20:.1f} MiB')
-
-
-def _size_of(make: Callable[[int], Any], count: int) -> float:
-    gc.collect()
-    tracemalloc.start()
-    kept = make(count)
-    gc.collect()
-    size, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    assert kept is not None
-    return float(size)
-
-
-def _waiting(count: int) -> Any:
-    state, held = fleets.slice_of(1)
-    fleets.fill_queue(state, held, count, SEED)
-    return state
-
-
-def _running(count: int) -> Any:
-    state, held = fleets.slice_of(count)
-    fleets.fill_queue(state, held, count, SEED)
-    out: _state.Out = []
-    state.touched[0] = None
-    while len(held.unconfirmed) < count:
-        before = len(held.unconfirmed)
-        _placement.pump_touched(state, out)
-        state.touched[0] = None
-        if len(held.unconfirmed) == before:
-            break
-    return state
-
-
-def _peers(count: int) -> Any:
-    return [
-        _state.Peer(
-            f'10.0.0.{number}:7400/{number:012x}',
-            f'10.0.0.{number}:7400',
-            'dc1',
-            1,
-            0.0,
-            free_slots_by_upstream={fleets.UPSTREAM: number},
-        )
-        for number in range(count)
-    ]
-
-
-def _configured(teams: int, keys: int) -> core.Config:
-    document = _document(Shape(teams=teams, keys=keys))
-    return _config.parse({**document, 'version': 1})
-
-
-def _vms(count: int) -> Any:
-    return [
-        events.Vm(
-            f'w{number}',
-            events.VmRole.WORKER,
-            f'10.1.{number}',
-            'dc1',
-            f'r{number // 6}',
-            fleets.UPSTREAM,
-            events.VmState.LIVE,
-            core.Size(8, 32_000, 131_072 + number, 0),
-        )
-        for number in range(count)
-    ]
-
-
 def _say(line: str) -> None:
     sys.stdout.write(line + '\n')
 
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -222,7 +222,7 @@
 
 
 def _decode(event: events.Event, data: bytes) -> None:
-    document = json.loads(data) if data else None
+    document = json.loads(data) if data else {}
     if isinstance(event, events.PeerMessageArrived):
         _wire.read_message(document)
     elif isinstance(event, events.WorkerSynced):
