--- a/packages/core/celeryshift_core/_configuration.py
+++ b/packages/core/celeryshift_core/_configuration.py
@@ -56,12 +56,27 @@
 
 
 def poll(state: _state.State, out: _state.Out) -> None:
-    """Ask which configuration is in force."""
+    """Ask which configuration is in force, of a peer too if need be."""
     at = state.now + state.options.config_poll_s
     state.timers.set(_timers.PollConfig(), at)
     state.config_asked_at = state.now
     purpose = HeadPurpose(state.now)
     _store.read(state, out, purpose, (schema.CONFIG_HEAD,))
+    if state.store.failing_since is not None:
+        _ask_any(state, out)
+
+
+def _ask_any(state: _state.State, out: _state.Out) -> None:
+    """Ask one peer at random: some may reach the store where others don't."""
+    heard = [
+        peer
+        for peer in state.membership.peers_by_id.values()
+        if peer.heard_at is not None
+    ]
+    if heard:
+        peer = state.rng.choice(heard)
+        message = messages.ConfigAsked(state.config.version)
+        out.append(effects.SendPeer(peer.id, peer.address, message))
 
 
 def head_read(
--- a/tests/test_summaries.py
+++ b/tests/test_summaries.py
@@ -3,6 +3,8 @@
 from bench import traffic
 import builders
 
+from celeryshift_standins import world as worlds
+
 SECONDS = 60.0
 NEAR = 1
 FAR = 4
@@ -77,3 +79,17 @@
     world.run(60.0)
     both_ways = 2 * (NEAR * 6 + FAR * 2)
     assert world.flows['Usage'].calls <= both_ways
+
+
+def test_nodes_cut_off_from_the_store_hear_of_a_configuration_soon():
+    world = _world()
+    world.cut('dc1', worlds.PLATFORM)
+    world.run(6.0)
+    for _ in range(4):
+        document = builders.fleet().document()
+        world.configure(document)
+        world.run(3.5)
+        versions = {
+            node.state.config.version for node in world.nodes_by_name.values()
+        }
+        assert len(versions) == 1
