Jobs that find no room move to another slice

Cause: a job was tied to the slice that took it in; with all workers of that slice gone its tasks waited for ever (scenarios/jobs-worker-dies.scn).

Ruled out: letting the owner start tasks on workers of other slices (two owners would book one worker); giving the target's owner the job in a message (lost with either process); polling the jobs of every slice (reads whole payloads again and again).

Change: the owner takes idle jobs out of its queue and moves their rows in one write that checks its slice and each row; beside them it leaves arrival rows, which the target's owner deletes to take the jobs in, when told or on a slow poll. Attempts are numbered by stay, so that no run has the name of another.

--- /dev/null
+++ b/packages/core/celeryshift_core/_arrivals.py
@@ -0,0 +1,157 @@
+"""Jobs that another owner has moved into a slice of this node.
+
+Beside the job stands an arrival row. The owner of the slice is told to look,
+and looks now and then in case the message was lost. Deleting the arrival row
+takes the job in, at most once; who takes the slice finds the job anyway.
+"""
+
+import attrs
+
+from celeryshift_core import _jobs
+from celeryshift_core import _state
+from celeryshift_core import _store
+from celeryshift_core import _timers
+from celeryshift_core import messages
+from celeryshift_core import schema
+
+LOOK_S = 10.0
+SOON_S = 0.05
+STAY_S = 30.0
+JOBS_PER_WRITE = 64
+
+
+@attrs.frozen(slots=True)
+class ArrivalsPurpose:
+    """Say that a read lists the jobs moved into this node's slices."""
+
+
+@attrs.frozen(slots=True)
+class RowsPurpose:
+    """Say that a read gets the rows of jobs moved into a slice."""
+
+    slice: int
+    epoch: int
+    jobs: tuple[str, ...]
+
+
+@attrs.frozen(slots=True)
+class TakeInPurpose:
+    """Say that a write takes in jobs moved into a slice."""
+
+    slice: int
+    epoch: int
+    row_by_job: dict[str, schema.Row]
+
+
+def look(
+    state: _state.State, timer: _timers.LookForJobs, out: _state.Out
+) -> None:
+    """Read which jobs were moved into the slices of this node."""
+    state.timers.set(timer, state.now + LOOK_S * (0.5 + state.rng.random()))
+    data_centre = state.options.data_centre
+    prefixes = tuple(
+        schema.arrivals(data_centre, number)
+        for number in state.slices_by_number
+    )
+    if prefixes and state.store.failing_since is None:
+        _store.read(state, out, ArrivalsPurpose(), prefixes=prefixes)
+
+
+def told(
+    state: _state.State,
+    sender: str,
+    message: messages.JobsMoved,
+    out: _state.Out,
+) -> None:
+    """Look soon, since a peer has moved jobs here."""
+    if not state.slices_by_number.keys().isdisjoint(message.slices):
+        key = _timers.LookForJobs()
+        at = state.now + SOON_S
+        if (state.timers.at(key) or at) >= at:
+            state.timers.set(key, at)
+
+
+def found(
+    state: _state.State,
+    purpose: ArrivalsPurpose,
+    rows: dict[str, schema.Row] | None,
+    out: _state.Out,
+) -> None:
+    """Read the rows of the jobs that were moved here."""
+    if rows is None:
+        return
+    data_centre = state.options.data_centre
+    for held in state.slices_by_number.values():
+        prefix = schema.arrivals(data_centre, held.number)
+        jobs = [key[len(prefix) :] for key in rows if key.startswith(prefix)][
+            :JOBS_PER_WRITE
+        ]
+        if not jobs or held.taking_in:
+            continue
+        held.taking_in = True
+        keys = [schema.arrival(data_centre, held.number, j) for j in jobs]
+        keys += [schema.job(data_centre, held.number, j) for j in jobs]
+        rows_purpose = RowsPurpose(held.number, held.epoch, tuple(jobs))
+        _store.read(state, out, rows_purpose, tuple(keys))
+
+
+def rows_read(
+    state: _state.State,
+    purpose: RowsPurpose,
+    rows: dict[str, schema.Row] | None,
+    out: _state.Out,
+) -> None:
+    """Delete the arrivals, each with a check that its job is as read."""
+    held = state.slices_by_number.get(purpose.slice)
+    if held is None or held.epoch != purpose.epoch:
+        return
+    data_centre = state.options.data_centre
+    checks = {schema.slice_(data_centre, held.number): held.row_version}
+    deletes = []
+    row_by_job = {}
+    for job_id in purpose.jobs:
+        key = schema.arrival(data_centre, held.number, job_id)
+        arrival = (rows or {}).get(key)
+        if arrival is None:
+            continue
+        checks[key] = arrival.version
+        deletes.append(key)
+        job_key = schema.job(data_centre, held.number, job_id)
+        row = (rows or {}).get(job_key)
+        if row is not None and job_id not in held.jobs_by_id:
+            checks[job_key] = row.version
+            row_by_job[job_id] = row
+    if not deletes:
+        held.taking_in = False
+        return
+    take_in = TakeInPurpose(held.number, held.epoch, row_by_job)
+    _store.write(state, out, take_in, checks, {}, tuple(deletes))
+
+
+def taken_in(
+    state: _state.State,
+    purpose: TakeInPurpose,
+    answer: _store.Written,
+    out: _state.Out,
+) -> None:
+    """Queue the tasks of jobs that were taken in."""
+    held = state.slices_by_number.get(purpose.slice)
+    if held is None or held.epoch != purpose.epoch:
+        return
+    held.taking_in = False
+    if not answer.ok:
+        at = state.now + SOON_S + state.rng.random()
+        state.timers.set(_timers.LookForJobs(), at)
+        return
+    for row in purpose.row_by_job.values():
+        accept(state, held, row)
+
+
+def accept(state: _state.State, held: _state.Slice, row: schema.Row) -> None:
+    """Queue what is left of a job that has come here to stay a while."""
+    job = _jobs.from_row(row)
+    if job.id in held.jobs_by_id:
+        return
+    job.stays_until = state.now + STAY_S
+    _jobs.accept(state, held, job)
+    state.counters['jobs.taken_in'] += 1
--- a/packages/core/celeryshift_core/_jobs.py
+++ b/packages/core/celeryshift_core/_jobs.py
@@ -22,6 +22,8 @@
 REQUEUE_S = 1.0
 MAX_FINISHED = 1000
 CANCELLED_PER_EVENT = 1000
+# Attempts in one slice are numbered unlike those in the next one.
+ATTEMPTS_PER_STAY = 1_000_000
 
 TaskState = _tasks.TaskState
 
@@ -49,6 +51,7 @@
         'failed': job.failed.to_ranges(),
         'unknown': job.unknown.to_ranges(),
         'cancelled': job.cancelled,
+        'moves': job.moves,
     }
 
 
@@ -68,6 +71,7 @@
         _indices.IndexSet(value['unknown']),
         value['cancelled'],
         cancelled_to=value['tasks'] if value['cancelled'] else 0,
+        moves=value.get('moves', 0),
     )
 
 
@@ -95,6 +99,7 @@
             job=job.id,
             index=index,
             state=task_state,
+            attempt=job.moves * ATTEMPTS_PER_STAY,
         )
         held.tasks_by_id[task.id] = task
         made.append(task)
--- a/packages/core/celeryshift_core/_peers.py
+++ b/packages/core/celeryshift_core/_peers.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from celeryshift_core import _arrivals
 from celeryshift_core import _claims
 from celeryshift_core import _configuration
 from celeryshift_core import _confirmation
@@ -177,4 +178,5 @@
     messages.ConfigTold: _configuration.peer_told,
     messages.Usage: _usage.take,
     messages.SlotsClaimed: _claims.told,
+    messages.JobsMoved: _arrivals.told,
 }
--- a/packages/core/celeryshift_core/_queue.py
+++ b/packages/core/celeryshift_core/_queue.py
@@ -142,6 +142,15 @@
                     return head
         return None
 
+    def closed_lines(self) -> list[Line]:
+        """List the lines of the tasks that found no room."""
+        return [
+            line
+            for key, group in self._group_by_key.items()
+            if key not in self._open[key[0]]
+            for line in group.lines_by_team.values()
+        ]
+
     def waiting_by_team(self) -> dict[str, int]:
         """Count the tasks in the lines of each team, cancelled ones too."""
         return {
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from celeryshift_core import _allotments
+from celeryshift_core import _arrivals
 from celeryshift_core import _configuration
 from celeryshift_core import _departures
 from celeryshift_core import _errors
@@ -26,6 +27,7 @@
 from celeryshift_core import _store
 from celeryshift_core import _submission
 from celeryshift_core import _timers
+from celeryshift_core import _transfer
 from celeryshift_core import _usage
 from celeryshift_core import _verdicts
 from celeryshift_core import _workers
@@ -71,6 +73,8 @@
     _ownership.poll_nodes(state, out)
     _peers.summarize(state, out)
     state.timers.set(_timers.TellUsage(), state.now + state.rng.random())
+    state.timers.set(_timers.MoveJobs(), state.now + _transfer.MOVE_S)
+    state.timers.set(_timers.LookForJobs(), state.now)
 
 
 def _pass(state: _state.State, event: events.Tick, out: _state.Out) -> None:
@@ -203,6 +207,8 @@
     _timers.ReviewAllotments: _allotments.review,
     _timers.MoveAllotments: _allotments.move,
     _timers.InheritedEnds: _allotments.inherited_ends,
+    _timers.MoveJobs: _transfer.move,
+    _timers.LookForJobs: _arrivals.look,
 }
 
 _HANDLERS_BY_WRITE: dict[type, WriteHandler] = {
@@ -213,6 +219,8 @@
     _once.ClaimPurpose: _once.claimed,
     _once.GangClaimPurpose: _once.gang_claimed,
     _jobs.RecordPurpose: _jobs.recorded,
+    _transfer.MovePurpose: _transfer.moved,
+    _arrivals.TakeInPurpose: _arrivals.taken_in,
     _submission.SubmitPurpose: _submission.written,
     _configuration.HandInPurpose: _configuration.written,
     _keys.SavePurpose: _configuration.keys_saved,
@@ -230,4 +238,6 @@
     _keys.BasePurpose: _keys.base_read,
     _allotments.PoolsPurpose: _allotments.pools_read,
     _questions.AuditPurpose: _questions.audit_read,
+    _arrivals.ArrivalsPurpose: _arrivals.found,
+    _arrivals.RowsPurpose: _arrivals.rows_read,
 }
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -74,6 +74,8 @@
     )
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     writing_jobs: bool = False
+    moving_jobs: set[str] = attrs.field(factory=set)
+    taking_in: bool = False
     finished_by_id: dict[str, _tasks.Job] = attrs.field(factory=dict)
 
 
@@ -253,6 +255,7 @@
     replies_due: set[str] = attrs.field(factory=set)
     submissions: list[Submission] = attrs.field(factory=list)
     submitting: bool = False
+    moving: bool = False
     job_acts_by_reply: dict[str, Any] = attrs.field(factory=dict)
     ended_by_id: collections.OrderedDict[str, _tasks.Task] = attrs.field(
         factory=collections.OrderedDict
--- a/packages/core/celeryshift_core/_submission.py
+++ b/packages/core/celeryshift_core/_submission.py
@@ -177,6 +177,12 @@
         _refuse(state, event.reply_id, team, out)
         return
     job_id = _ids.scoped(team, event.job)
+    if event.act is events.JobAct.CANCEL and _is_moving(state, job_id):
+        retry_s = state.options.retry_after_s
+        detail = 'the job is being moved to another slice'
+        refusal = Refusal(Reason.NOT_READY, Ran.NO, retry_s, detail)
+        _refuse(state, event.reply_id, refusal, out)
+        return
     document = _act(state, job_id, event.act, out)
     if document is not None:
         out.append(effects.Reply(event.reply_id, document))
@@ -229,6 +235,12 @@
     )
 
 
+def _is_moving(state: _state.State, job_id: str) -> bool:
+    return any(
+        job_id in held.moving_jobs for held in state.slices_by_number.values()
+    )
+
+
 def _act(
     state: _state.State, job_id: str, act: events.JobAct, out: _state.Out
 ) -> dict | None:
--- a/packages/core/celeryshift_core/_tasks.py
+++ b/packages/core/celeryshift_core/_tasks.py
@@ -20,6 +20,7 @@
     QUEUED = 'queued'
     RESERVED = 'reserved'
     HELD = 'held'
+    MOVING = 'moving'
     STARTING = 'starting'
     RUNNING = 'running'
     STOPPING = 'stopping'
@@ -120,6 +121,8 @@
     running: set[str] = attrs.field(factory=set)
     ended_runs: dict[str, str] = attrs.field(factory=dict)
     cancelled_to: int = 0
+    moves: int = 0
+    stays_until: float = 0.0
     failed_workers: set[str] = attrs.field(factory=set)
     failures: int = 0
     holds: int = 0
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -234,6 +234,16 @@
     """Move the allotments that have to move."""
 
 
+@attrs.frozen(slots=True)
+class MoveJobs:
+    """Move jobs to slices with room."""
+
+
+@attrs.frozen(slots=True)
+class LookForJobs:
+    """Look for jobs that were moved here."""
+
+
 @attrs.frozen(slots=True)
 class InheritedEnds:
     """Take whatever an earlier owner left unseen as ended."""
--- /dev/null
+++ b/packages/core/celeryshift_core/_transfer.py
@@ -0,0 +1,383 @@
+"""Jobs that move to another slice, since they find no room in theirs.
+
+A job moves whole, and only while all its tasks that are left wait. They are
+taken out of the queue before the write is sent, and put back only once it
+surely did not take effect. One write deletes the row here, inserts it there
+and checks who owns the slice, so that an owner that has lost it moves nothing.
+"""
+
+from collections.abc import Iterator
+import itertools
+
+import attrs
+
+from celeryshift_core import _arrivals
+from celeryshift_core import _config
+from celeryshift_core import _headroom
+from celeryshift_core import _jobs
+from celeryshift_core import _ownership
+from celeryshift_core import _peers
+from celeryshift_core import _rights
+from celeryshift_core import _size
+from celeryshift_core import _state
+from celeryshift_core import _store
+from celeryshift_core import _tasks
+from celeryshift_core import _timers
+from celeryshift_core import effects
+from celeryshift_core import messages
+from celeryshift_core import schema
+
+MOVE_S = 1.0
+PATIENCE_S = 3.0
+JOBS_PER_MOVE = 32
+TASKS_PER_MOVE = 2_000
+LINES_LOOKED_AT = 16
+TASKS_LOOKED_AT = 32
+TASKS_WITH_ROOM = 16
+
+GangPhase = _tasks.GangPhase
+TaskState = _tasks.TaskState
+
+
+@attrs.frozen(slots=True)
+class MovePurpose:
+    """Say that a write moves jobs of a slice to another."""
+
+    slice: int
+    epoch: int
+    data_centre: str
+    number: int
+    peer: str
+    value_by_job: dict[str, dict]
+
+
+@attrs.frozen(slots=True)
+class _Target:
+    """Name a slice that jobs may move to, and the slots free there."""
+
+    data_centre: str
+    number: int
+    free: int
+    peer: _state.Peer | None = None
+
+
+@attrs.frozen(slots=True)
+class _Need:
+    """Say what a job needs; jobs with one need move together."""
+
+    kind: str
+    size: _size.Size
+    at_once: int
+    stranded: bool
+
+
+def move(
+    state: _state.State, timer: _timers.MoveJobs, out: _state.Out
+) -> None:
+    """Move some jobs of one slice that do better elsewhere."""
+    state.timers.set(timer, state.now + MOVE_S)
+    if (
+        state.moving
+        or state.store.failing_since is not None
+        or state.phase is not _state.NodePhase.SERVING
+        or not _rights.holds(state)
+    ):
+        return
+    slices = list(state.slices_by_number.values())
+    for held in state.rng.sample(slices, len(slices)):
+        if held.phase is not _state.SlicePhase.READY or held.writing_jobs:
+            continue
+        jobs_by_need = _movable(state, held)
+        for need, jobs in jobs_by_need.items():
+            target = _target(state, held, need)
+            if target is not None:
+                _send(state, held, target, need, jobs, out)
+                return
+
+
+def moved(
+    state: _state.State,
+    purpose: MovePurpose,
+    answer: _store.Written,
+    out: _state.Out,
+) -> None:
+    """Take in the outcome of a move: let the jobs go, or keep them."""
+    state.moving = False
+    held = state.slices_by_number.get(purpose.slice)
+    if held is not None and held.epoch != purpose.epoch:
+        # The slice was taken since, and its jobs read with it.
+        held = None
+    if not answer.ok:
+        state.counters['jobs.moves_failed'] += 1
+        if held is not None:
+            _keep(state, held, purpose, answer, out)
+        return
+    state.counters['jobs.moved'] += len(purpose.value_by_job)
+    if held is not None:
+        for job_id in purpose.value_by_job:
+            held.moving_jobs.discard(job_id)
+            _forget(held, held.jobs_by_id[job_id])
+    if purpose.peer:
+        peer = state.membership.peers_by_id.get(purpose.peer)
+        if peer is not None:
+            message = messages.JobsMoved([purpose.number])
+            out.append(effects.SendPeer(peer.id, peer.address, message))
+        return
+    target = state.slices_by_number.get(purpose.number)
+    if target is not None and target.taken_version < answer.version:
+        for value in purpose.value_by_job.values():
+            row = schema.Row(answer.version, value)
+            _arrivals.accept(state, target, row)
+
+
+def _movable(
+    state: _state.State, held: _state.Slice
+) -> dict[_Need, list[_tasks.Job]]:
+    """List some jobs of a slice that may move, those that came last first."""
+    jobs_by_need: dict[_Need, list[_tasks.Job]] = {}
+    seen = set()
+    for job_id in _waiting(state, held):
+        job = held.jobs_by_id.get(job_id)
+        if job is None or job_id in seen:
+            continue
+        seen.add(job_id)
+        need = _need(state, held, job)
+        if need is not None:
+            jobs_by_need.setdefault(need, []).append(job)
+    return jobs_by_need
+
+
+def _waiting(state: _state.State, held: _state.Slice) -> Iterator[str]:
+    """Yield the jobs of tasks that found no room, from the ends of lines."""
+    lines = held.queue.closed_lines()
+    most = min(LINES_LOOKED_AT, len(lines))
+    for line in state.rng.sample(lines, most):
+        while line and line[-1].state is not TaskState.QUEUED:
+            line.pop()
+        for task in itertools.islice(reversed(line), TASKS_LOOKED_AT):
+            if task.job:
+                yield task.job
+    gangs = held.gangs_by_job.values()
+    for gang in itertools.islice(gangs, LINES_LOOKED_AT):
+        if gang.phase is GangPhase.PAUSED:
+            yield gang.job.id
+
+
+def _need(
+    state: _state.State, held: _state.Slice, job: _tasks.Job
+) -> _Need | None:
+    """Say what a job needs elsewhere; None if it is not to move now."""
+    kind = state.config.kinds.get(job.kind)
+    if kind is None or not state.config.takes_work(kind.upstream):
+        return None
+    if state.now < job.stays_until or not _is_idle(held, job):
+        return None
+    left = [
+        task
+        for index in range(job.tasks)
+        if (task := held.tasks_by_id.get(job.task_id(index))) is not None
+    ]
+    gang = kind.policy is _config.Policy.GANG
+    waits = (TaskState.QUEUED, TaskState.GATHERING)
+    if not left or any(task.state not in waits for task in left):
+        return None
+    stranded = not held.ledger.staying(kind.upstream)
+    waited_s = state.now - min(task.arrived for task in left)
+    if not stranded and waited_s < PATIENCE_S:
+        return None
+    most = len(left) if gang else min(len(left), TASKS_WITH_ROOM)
+    return _Need(job.kind, job.size, most, stranded)
+
+
+def _is_idle(held: _state.Slice, job: _tasks.Job) -> bool:
+    """Tell whether nothing of a job runs, starts or is to be recorded."""
+    gang = held.gangs_by_job.get(job.id)
+    if gang is not None and (
+        gang.claimed
+        or gang.reserved
+        or gang.phase not in (GangPhase.QUEUED, GangPhase.PAUSED)
+    ):
+        return False
+    return not (
+        job.running
+        or job.ended_runs
+        or job.cancelled
+        or job.holds
+        or job.set_aside
+        or job.id in held.dirty_jobs
+        or job.id in held.moving_jobs
+    )
+
+
+def _target(
+    state: _state.State, held: _state.Slice, need: _Need
+) -> _Target | None:
+    """Choose the slice with the most room, of this data centre if any."""
+    upstream = state.config.kinds[need.kind].upstream
+    tasks = need.at_once if _is_gang(state, need) else 1
+    able = {
+        (name.data_centre, name.number)
+        for name in state.fleet.able(upstream, need.size, tasks)
+    }
+    kept = _headroom.reserve(state, held, upstream)
+    own = state.options.data_centre
+    found = list(_own_targets(state, held, upstream))
+    found += _peer_targets(state, upstream, kept)
+    # A job that needs no slots takes room all the same.
+    slots = need.at_once * max(1, need.size.slots)
+    found = [
+        target
+        for target in found
+        if (target.data_centre, target.number) in able
+        and (need.stranded or target.free >= slots)
+    ]
+    state.rng.shuffle(found)
+    return max(
+        found,
+        key=lambda target: (target.data_centre == own, target.free),
+        default=None,
+    )
+
+
+def _own_targets(
+    state: _state.State, source: _state.Slice, upstream: str
+) -> Iterator[_Target]:
+    for held in state.slices_by_number.values():
+        if (
+            held is not source
+            and held.phase is _state.SlicePhase.READY
+            and held.ledger.staying(upstream)
+        ):
+            free = held.ledger.free_slots(upstream) - held.queue.length
+            free -= _headroom.reserve(state, held, upstream)
+            yield _Target(state.options.data_centre, held.number, free)
+
+
+def _peer_targets(
+    state: _state.State, upstream: str, kept: int
+) -> Iterator[_Target]:
+    for peer in _ownership.live_peers(state):
+        if peer.heard_at is None:
+            continue
+        free = peer.free_slots_by_upstream.get(upstream)
+        if free is not None:
+            for number in peer.slices:
+                yield _Target(peer.data_centre, number, free - kept, peer)
+
+
+def _send(
+    state: _state.State,
+    held: _state.Slice,
+    target: _Target,
+    need: _Need,
+    jobs: list[_tasks.Job],
+    out: _state.Out,
+) -> None:
+    """Take jobs out of the queue, and write them into the other slice."""
+    data_centre = state.options.data_centre
+    checks = {schema.slice_(data_centre, held.number): held.row_version}
+    if target.peer is None:
+        other = state.slices_by_number[target.number]
+        key = schema.slice_(data_centre, other.number)
+        checks[key] = other.row_version
+    puts: dict[str, dict] = {}
+    deletes = []
+    value_by_job = {}
+    for job in _part(state, target, need, jobs):
+        value = {**_jobs.to_row(job), 'moves': job.moves + 1}
+        value_by_job[job.id] = value
+        key = schema.job(data_centre, held.number, job.id)
+        checks[key] = job.row_version
+        deletes += [key, schema.arrival(data_centre, held.number, job.id)]
+        key = schema.job(target.data_centre, target.number, job.id)
+        checks[key] = 0
+        puts[key] = value
+        puts[schema.job_place(job.id)] = {
+            'data_centre': target.data_centre,
+            'slice': target.number,
+        }
+        if target.peer is not None:
+            key = schema.arrival(target.data_centre, target.number, job.id)
+            puts[key] = {}
+        _take_out(state, held, job)
+    purpose = MovePurpose(
+        held.number,
+        held.epoch,
+        target.data_centre,
+        target.number,
+        target.peer.id if target.peer is not None else '',
+        value_by_job,
+    )
+    state.moving = True
+    _store.write(state, out, purpose, checks, puts, tuple(deletes))
+
+
+def _part(
+    state: _state.State,
+    target: _Target,
+    need: _Need,
+    jobs: list[_tasks.Job],
+) -> Iterator[_tasks.Job]:
+    """Yield the jobs that move at once: as many as there is room for."""
+    upstream = state.config.kinds[need.kind].upstream
+    room = target.free
+    tasks = 0
+    most = 1 if _is_gang(state, need) else JOBS_PER_MOVE
+    for job in jobs[:most]:
+        tasks += job.tasks
+        if job is not jobs[0] and tasks > TASKS_PER_MOVE:
+            return
+        yield job
+        used = (job.tasks - job.ended) * max(1, need.size.slots)
+        room -= used
+        _peers.charge(target.peer, upstream, used)
+        if not need.stranded and room <= 0:
+            return
+
+
+def _is_gang(state: _state.State, need: _Need) -> bool:
+    return state.config.kinds[need.kind].policy is _config.Policy.GANG
+
+
+def _take_out(
+    state: _state.State, held: _state.Slice, job: _tasks.Job
+) -> None:
+    """Let nothing of a job start here any more."""
+    held.moving_jobs.add(job.id)
+    held.gangs_by_job.pop(job.id, None)
+    key = _timers.GangDue(held.number, held.epoch, job.id)
+    state.timers.cancel(key)
+    for index in range(job.tasks):
+        task = held.tasks_by_id.get(job.task_id(index))
+        if task is not None:
+            held.queue.leave(task, TaskState.MOVING)
+            task.state = TaskState.MOVING
+            task.note(state.now, 'moves', 'there is room in another slice')
+
+
+def _keep(
+    state: _state.State,
+    held: _state.Slice,
+    purpose: MovePurpose,
+    answer: _store.Written,
+    out: _state.Out,
+) -> None:
+    """Queue jobs again that surely did not move."""
+    for job_id in purpose.value_by_job:
+        held.moving_jobs.discard(job_id)
+        job = held.jobs_by_id[job_id]
+        key = schema.job(purpose.data_centre, purpose.number, job_id)
+        if key in answer.rows:
+            job.stays_until = state.now + _arrivals.STAY_S
+        for index in range(job.tasks):
+            task = held.tasks_by_id.get(job.task_id(index))
+            if task is not None and task.state is TaskState.MOVING:
+                task.note(state.now, 'queued again', 'it did not move')
+                _jobs.resume(state, held, task, out)
+
+
+def _forget(held: _state.Slice, job: _tasks.Job) -> None:
+    del held.jobs_by_id[job.id]
+    held.dirty_jobs.pop(job.id, None)
+    for index in range(job.tasks):
+        held.tasks_by_id.pop(job.task_id(index), None)
--- a/packages/core/celeryshift_core/messages.py
+++ b/packages/core/celeryshift_core/messages.py
@@ -111,6 +111,13 @@
     slots_by_team: dict[str, int]
 
 
+@attrs.frozen(slots=True)
+class JobsMoved:
+    """Tell the owner of slices that jobs were moved there."""
+
+    slices: list[int]
+
+
 Message = (
     Summary
     | KeysWithdrawn
@@ -119,6 +126,7 @@
     | ConfigTold
     | Usage
     | SlotsClaimed
+    | JobsMoved
     | PromiseAsked
     | Promised
     | VouchAsked
@@ -132,6 +140,7 @@
     ConfigTold,
     Usage,
     SlotsClaimed,
+    JobsMoved,
     PromiseAsked,
     Promised,
     VouchAsked,
--- a/packages/core/celeryshift_core/schema.py
+++ b/packages/core/celeryshift_core/schema.py
@@ -9,6 +9,7 @@
 SLICES = 'slice/'
 JOBS = 'job/'
 JOB_PLACES = 'job-place/'
+ARRIVALS = 'arrival/'
 MARKERS = 'op/'
 ONCE = 'once/'
 LIMITS = 'limit/'
@@ -43,6 +44,16 @@
     return f'{jobs(data_centre, number)}{job_id}'
 
 
+def arrivals(data_centre: str, number: int) -> str:
+    """Give the prefix of the arrivals of jobs moved to a slice."""
+    return f'{ARRIVALS}{data_centre}/{number:04d}/'
+
+
+def arrival(data_centre: str, number: int, job_id: str) -> str:
+    """Name the row that says that a job was moved to a slice."""
+    return f'{arrivals(data_centre, number)}{job_id}'
+
+
 def job_place(job_id: str) -> str:
     """Name the row that says which slice holds a job."""
     return f'{JOB_PLACES}{job_id}'
