All-at-once jobs move too; tests of moves and faults in them

Cause: a gang that finds no room is seldom in a closed line: it reserves, pauses and reserves again, and others wait behind it in an open line.

Change: lines of all-at-once kinds and the gangs that reserve are looked at too; a gang that reserves releases its room before it moves.

tests/test_random_faults.py now also ends workers for good.

--- a/packages/core/celeryshift_core/_queue.py
+++ b/packages/core/celeryshift_core/_queue.py
@@ -142,12 +142,12 @@
                     return head
         return None
 
-    def closed_lines(self) -> list[Line]:
-        """List the lines of the tasks that found no room."""
+    def closed_lines(self, whole: Callable[[str], bool]) -> list[Line]:
+        """List the lines that found no room, or whose jobs start whole."""
         return [
             line
             for key, group in self._group_by_key.items()
-            if key not in self._open[key[0]]
+            if key not in self._open[key[0]] or whole(key[1])
             for line in group.lines_by_team.values()
         ]
 
--- a/packages/core/celeryshift_core/_transfer.py
+++ b/packages/core/celeryshift_core/_transfer.py
@@ -13,6 +13,7 @@
 
 from celeryshift_core import _arrivals
 from celeryshift_core import _config
+from celeryshift_core import _gangs
 from celeryshift_core import _headroom
 from celeryshift_core import _jobs
 from celeryshift_core import _ownership
@@ -38,6 +39,9 @@
 GangPhase = _tasks.GangPhase
 TaskState = _tasks.TaskState
 
+NOT_STARTED = (GangPhase.QUEUED, GangPhase.RESERVING, GangPhase.PAUSED)
+WAITING = (TaskState.QUEUED, TaskState.GATHERING, TaskState.RESERVED)
+
 
 @attrs.frozen(slots=True)
 class MovePurpose:
@@ -149,7 +153,7 @@
 
 def _waiting(state: _state.State, held: _state.Slice) -> Iterator[str]:
     """Yield the jobs of tasks that found no room, from the ends of lines."""
-    lines = held.queue.closed_lines()
+    lines = held.queue.closed_lines(lambda kind: _is_gang(state, kind))
     most = min(LINES_LOOKED_AT, len(lines))
     for line in state.rng.sample(lines, most):
         while line and line[-1].state is not TaskState.QUEUED:
@@ -157,10 +161,7 @@
         for task in itertools.islice(reversed(line), TASKS_LOOKED_AT):
             if task.job:
                 yield task.job
-    gangs = held.gangs_by_job.values()
-    for gang in itertools.islice(gangs, LINES_LOOKED_AT):
-        if gang.phase is GangPhase.PAUSED:
-            yield gang.job.id
+    yield from held.reserving_by_upstream.values()
 
 
 def _need(
@@ -177,26 +178,21 @@
         for index in range(job.tasks)
         if (task := held.tasks_by_id.get(job.task_id(index))) is not None
     ]
-    gang = kind.policy is _config.Policy.GANG
-    waits = (TaskState.QUEUED, TaskState.GATHERING)
-    if not left or any(task.state not in waits for task in left):
+    if not left or any(task.state not in WAITING for task in left):
         return None
     stranded = not held.ledger.staying(kind.upstream)
     waited_s = state.now - min(task.arrived for task in left)
     if not stranded and waited_s < PATIENCE_S:
         return None
-    most = len(left) if gang else min(len(left), TASKS_WITH_ROOM)
+    whole = _is_gang(state, job.kind)
+    most = len(left) if whole else min(len(left), TASKS_WITH_ROOM)
     return _Need(job.kind, job.size, most, stranded)
 
 
 def _is_idle(held: _state.Slice, job: _tasks.Job) -> bool:
     """Tell whether nothing of a job runs, starts or is to be recorded."""
     gang = held.gangs_by_job.get(job.id)
-    if gang is not None and (
-        gang.claimed
-        or gang.reserved
-        or gang.phase not in (GangPhase.QUEUED, GangPhase.PAUSED)
-    ):
+    if gang is not None and (gang.claimed or gang.phase not in NOT_STARTED):
         return False
     return not (
         job.running
@@ -214,7 +210,7 @@
 ) -> _Target | None:
     """Choose the slice with the most room, of this data centre if any."""
     upstream = state.config.kinds[need.kind].upstream
-    tasks = need.at_once if _is_gang(state, need) else 1
+    tasks = need.at_once if _is_gang(state, need.kind) else 1
     able = {
         (name.data_centre, name.number)
         for name in state.fleet.able(upstream, need.size, tasks)
@@ -322,7 +318,7 @@
     upstream = state.config.kinds[need.kind].upstream
     room = target.free
     tasks = 0
-    most = 1 if _is_gang(state, need) else JOBS_PER_MOVE
+    most = 1 if _is_gang(state, need.kind) else JOBS_PER_MOVE
     for job in jobs[:most]:
         tasks += job.tasks
         if job is not jobs[0] and tasks > TASKS_PER_MOVE:
@@ -335,8 +331,9 @@
             return
 
 
-def _is_gang(state: _state.State, need: _Need) -> bool:
-    return state.config.kinds[need.kind].policy is _config.Policy.GANG
+def _is_gang(state: _state.State, name: str) -> bool:
+    kind = state.config.kinds.get(name)
+    return kind is not None and kind.policy is _config.Policy.GANG
 
 
 def _take_out(
@@ -344,7 +341,11 @@
 ) -> None:
     """Let nothing of a job start here any more."""
     held.moving_jobs.add(job.id)
-    held.gangs_by_job.pop(job.id, None)
+    gang = held.gangs_by_job.get(job.id)
+    if gang is not None:
+        if gang.phase is GangPhase.RESERVING:
+            _gangs.pause(state, held, gang, 'its job moves')
+        del held.gangs_by_job[job.id]
     key = _timers.GangDue(held.number, held.epoch, job.id)
     state.timers.cancel(key)
     for index in range(job.tasks):
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -15,8 +15,6 @@
 NODES = ['dc1-n0', 'dc1-n1', 'dc2-n0', 'dc2-n1']
 WORKERS = ['dc1-w0', 'dc1-w1', 'dc2-w0', 'dc2-w1']
 ENDS = ['dc1', 'dc2', 'platform', *NODES, *WORKERS]
-# A job waits for ever once all workers of its slice are gone, so that no
-# worker is ended for good here.
 END = 'settle 120s'
 
 nodes = strategies.sampled_from(NODES)
@@ -30,6 +28,7 @@
     nodes.map('lapse {}'.format),
     nodes.map('pause {}'.format),
     nodes.map('resume {}'.format),
+    workers.map('gone {}'.format),
     workers.map('silent {}'.format),
     workers.map('hear {}'.format),
     workers.map('fail-all {}'.format),
