Tests of moves: late writes after a takeover, names of runs

Cause: trials on a scratch copy without the check of the slice's row, and without the numbering of attempts by stay, passed every test.

Change: a test whose move takes effect after a takeover, and a check of the names of runs.

--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -6,6 +6,7 @@
 
 import celeryshift_core as core
 from celeryshift_core import _arrivals
+from celeryshift_core import _jobs
 from celeryshift_core import _transfer
 from celeryshift_core import events
 from celeryshift_core import schema
@@ -215,6 +216,32 @@
     _check(world, 12)
 
 
+def test_a_move_that_takes_effect_after_a_takeover_changes_nothing():
+    world = _world()
+    source = _owner(world, 0)
+    _submit(world, source, 40, run_s=4.0)
+    transact = world.table.transact
+    late = []
+
+    def hold_back(checks, puts, deletes, prefixes):
+        moves = any(key.startswith(schema.ARRIVALS) for key in puts)
+        if moves and not late:
+            late.append((checks, puts, deletes, prefixes))
+            world.at(world.now, lambda: world.kill(source.name))
+            return transact({'no row': 1}, {}, [], [])
+        return transact(checks, puts, deletes, prefixes)
+
+    world.table.transact = hold_back
+    world.run(4.0)
+    assert late
+    others = [n for n in world.nodes_by_name.values() if n is not source]
+    while not any(0 in node.state.slices_by_number for node in others):
+        world.run(0.01)
+    assert not transact(*late[0]).ok
+    world.run(90.0)
+    _check(world, 40)
+
+
 def test_a_job_that_is_moving_is_cancelled_once_it_has_moved():
     world = _world()
     source = _owner(world, 0)
@@ -251,4 +278,8 @@
     moved = [job for job in jobs if job.moves]
     assert moved and all(job.moves == 1 for job in moved)
     assert all(job.stays_until > world.now for job in moved)
+    # A run is named unlike those of an earlier stay in the same slice.
+    runs = [span.run_id for span in world.spans() if span.worker == 'w1']
+    least = _jobs.ATTEMPTS_PER_STAY
+    assert runs and all(int(run.rpartition('.')[2]) > least for run in runs)
     assert _arrivals.STAY_S > _transfer.PATIENCE_S
