--- a/packages/core/celeryshift_core/_configuration.py
+++ b/packages/core/celeryshift_core/_configuration.py
@@ -67,16 +67,21 @@
 
 
 def _ask_any(state: _state.State, out: _state.Out) -> None:
-    """Ask one peer at random: some may reach the store where others don't."""
-    heard = [
-        peer
-        for peer in state.membership.peers_by_id.values()
-        if peer.heard_at is not None
-    ]
-    if heard:
-        peer = state.rng.choice(heard)
-        message = messages.ConfigAsked(state.config.version)
-        out.append(effects.SendPeer(peer.id, peer.address, message))
+    """Ask a peer near by and one elsewhere, each drawn at random.
+
+    Either a node or its whole data centre may be cut off from the store.
+    """
+    near: list[_state.Peer] = []
+    far: list[_state.Peer] = []
+    for peer in state.membership.peers_by_id.values():
+        if peer.heard_at is not None:
+            is_near = peer.data_centre == state.options.data_centre
+            (near if is_near else far).append(peer)
+    message = messages.ConfigAsked(state.config.version)
+    for among in (near, far):
+        if among:
+            peer = state.rng.choice(among)
+            out.append(effects.SendPeer(peer.id, peer.address, message))
 
 
 def head_read(
