Moves draw random numbers only when something waits

Cause: tests/test_takeover.py explores nodes whose generator gives random() alone; the look for jobs to move sampled the slices each second, empty or not, and 11 of its cases ended with an AttributeError.

Change: slices without waiting work are passed over before anything is drawn. The test is as it was.

Before: 11 failed. After: tests/test_takeover.py and tests/test_transfer.py, 78 passed.

--- a/packages/core/celeryshift_core/_transfer.py
+++ b/packages/core/celeryshift_core/_transfer.py
@@ -87,12 +87,17 @@
         or not _rights.holds(state)
     ):
         return
-    slices = list(state.slices_by_number.values())
-    for held in state.rng.sample(slices, len(slices)):
-        if held.phase is not _state.SlicePhase.READY or held.writing_jobs:
-            continue
-        jobs_by_need = _movable(state, held)
-        for need, jobs in jobs_by_need.items():
+    slices = [
+        held
+        for held in state.slices_by_number.values()
+        if held.phase is _state.SlicePhase.READY
+        and not held.writing_jobs
+        and (held.queue.length or held.reserving_by_upstream)
+    ]
+    if slices:
+        state.rng.shuffle(slices)
+    for held in slices:
+        for need, jobs in _movable(state, held).items():
             target = _target(state, held, need)
             if target is not None:
                 _send(state, held, target, need, jobs, out)
