Attempts of a request go on counting wherever it is routed

Cause: a request that was refused by a worker and routed anew began again with attempt 1, under the name of a run whose end was not yet known; when that run was taken as ended, the room of the new one was freed, so that a worker could be given more than it holds. Change: attempts and the workers they failed on go along with the request. Before: the new test saw run r:t00:r~1.1 twice. After: ~1, ~2, ~3.

--- a/packages/core/celeryshift_core/_routing.py
+++ b/packages/core/celeryshift_core/_routing.py
@@ -115,6 +115,9 @@
     held = state.slices_by_number.get(request.slice)
     request.task = None
     request.slice = -1
+    if task is not None:
+        request.attempt = task.attempt
+        request.failed_on = task.failed_on
     if task is not None and held is not None:
         held.queue.leave(task, _tasks.TaskState.CANCELLED)
         if held.tasks_by_id.get(task.id) is task:
@@ -171,6 +174,9 @@
         request.arrived,
         request=request.id,
     )
+    # Attempts go on counting, so that no two runs have the same name.
+    task.attempt = request.attempt
+    task.failed_on = request.failed_on
     task.claim_version = request.claim_version
     task.note(state.now, 'queued', f'slice {held.number}')
     held.tasks_by_id[task_id] = task
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -156,6 +156,8 @@
     named: bool = True
     task: _tasks.Task | None = None
     slice: int = -1
+    attempt: int = 0
+    failed_on: tuple[str, ...] = ()
     claim_version: int = 0
     sent: bool = False
     asked: bool = False
