--- a/packages/core/celeryshift_core/_allotments.py
+++ b/packages/core/celeryshift_core/_allotments.py
@@ -222,8 +222,8 @@
     """Credit what was drawn, or what could not be given back."""
     state.escrow.moving = False
     for entry in purpose.moves:
-        held = state.slices_by_number.get(entry.slice)
-        if held is None or held.epoch != entry.epoch:
+        held = _state.owned(state, entry)
+        if held is None:
             continue
         if answer.ok:
             held.allotment.row_version = answer.version
@@ -353,8 +353,8 @@
         state.timers.set(_timers.PollConfig(), state.now)
     data_centre = state.options.data_centre
     for entry in purpose.moves:
-        held = state.slices_by_number.get(entry.slice)
-        if held is None or held.epoch != entry.epoch:
+        held = _state.owned(state, entry)
+        if held is None:
             continue
         if schema.slice_(data_centre, held.number) in answer.rows:
             # Another node took the slice; the next renewal drops it here.
--- a/packages/core/celeryshift_core/_arrivals.py
+++ b/packages/core/celeryshift_core/_arrivals.py
@@ -102,8 +102,8 @@
     out: _state.Out,
 ) -> None:
     """Delete the arrivals, each with a check that its job is as read."""
-    held = state.slices_by_number.get(purpose.slice)
-    if held is None or held.epoch != purpose.epoch:
+    held = _state.owned(state, purpose)
+    if held is None:
         return
     data_centre = state.options.data_centre
     checks = {schema.slice_(data_centre, held.number): held.row_version}
@@ -135,8 +135,8 @@
     out: _state.Out,
 ) -> None:
     """Queue the tasks of jobs that were taken in."""
-    held = state.slices_by_number.get(purpose.slice)
-    if held is None or held.epoch != purpose.epoch:
+    held = _state.owned(state, purpose)
+    if held is None:
         return
     held.taking_in = False
     if not answer.ok:
--- a/packages/core/celeryshift_core/_gangs.py
+++ b/packages/core/celeryshift_core/_gangs.py
@@ -195,8 +195,8 @@
 
 def due(state: _state.State, timer: _timers.GangDue, out: _state.Out) -> None:
     """End the time for which a gang reserves room, or its pause."""
-    held = state.slices_by_number.get(timer.slice)
-    if held is None or held.epoch != timer.epoch:
+    held = _state.owned(state, timer)
+    if held is None:
         return
     gang = held.gangs_by_job.get(timer.job)
     if gang is None:
--- a/packages/core/celeryshift_core/_holds.py
+++ b/packages/core/celeryshift_core/_holds.py
@@ -78,8 +78,8 @@
     state: _state.State, timer: _timers.JobHoldEnds, out: _state.Out
 ) -> None:
     """Try one task of a job on hold, or queue all if it is on hold no more."""
-    held = state.slices_by_number.get(timer.slice)
-    if held is None or held.epoch != timer.epoch:
+    held = _state.owned(state, timer)
+    if held is None:
         return
     job = held.jobs_by_id.get(timer.job)
     if job is None or job.cancelled:
--- a/packages/core/celeryshift_core/_jobs.py
+++ b/packages/core/celeryshift_core/_jobs.py
@@ -248,8 +248,8 @@
     state: _state.State, timer: _timers.RequeueTask, out: _state.Out
 ) -> None:
     """Queue a task whose claim is to be tried again."""
-    held = state.slices_by_number.get(timer.slice)
-    if held is None or held.epoch != timer.epoch:
+    held = _state.owned(state, timer)
+    if held is None:
         return
     task = held.tasks_by_id.get(timer.task)
     if task is not None and task.state is TaskState.UNACCOUNTED:
@@ -321,8 +321,8 @@
     out: _state.Out,
 ) -> None:
     """Take in the outcome of a write of job records."""
-    held = state.slices_by_number.get(purpose.slice)
-    if held is None or held.epoch != purpose.epoch:
+    held = _state.owned(state, purpose)
+    if held is None:
         return
     held.writing_jobs = False
     for job_id in purpose.jobs:
--- a/packages/core/celeryshift_core/_once.py
+++ b/packages/core/celeryshift_core/_once.py
@@ -128,8 +128,8 @@
     out: _state.Out,
 ) -> None:
     """Take in the outcome of a claim: start only if it is ours."""
-    held = state.slices_by_number.get(purpose.slice)
-    if held is None or held.epoch != purpose.epoch:
+    held = _state.owned(state, purpose)
+    if held is None:
         return
     gang = held.gangs_by_job.get(purpose.job)
     if gang is None or gang.phase is not _tasks.GangPhase.CLAIMING:
--- a/packages/core/celeryshift_core/_quarantine.py
+++ b/packages/core/celeryshift_core/_quarantine.py
@@ -84,8 +84,8 @@
 
     A task that runs for long without a failure counts like a success.
     """
-    held = state.slices_by_number.get(timer.slice)
-    if held is None or held.epoch != timer.epoch:
+    held = _state.owned(state, timer)
+    if held is None:
         return
     held.quarantined.discard(timer.worker)
     worker = held.ledger.workers_by_name.get(timer.worker)
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -132,7 +132,7 @@
 def _recovery_ends(
     state: _state.State, timer: _timers.RecoveryEnds, out: _state.Out
 ) -> None:
-    held = _workers.owned(state, timer.slice, timer.epoch)
+    held = _state.owned(state, timer)
     if held is not None:
         _slices.open_slice(state, held, out)
 
@@ -142,7 +142,7 @@
     timer: _timers.PumpDue | _timers.SearchDue,
     out: _state.Out,
 ) -> None:
-    if _workers.owned(state, timer.slice, timer.epoch) is not None:
+    if _state.owned(state, timer) is not None:
         state.touched[timer.slice] = None
 
 
--- a/packages/core/celeryshift_core/_refusing.py
+++ b/packages/core/celeryshift_core/_refusing.py
@@ -44,8 +44,8 @@
     state: _state.State, timer: _timers.RestEnds, out: _state.Out
 ) -> None:
     """Ask a worker again that has rested."""
-    held = state.slices_by_number.get(timer.slice)
-    if held is None or held.epoch != timer.epoch:
+    held = _state.owned(state, timer)
+    if held is None:
         return
     worker = held.ledger.workers_by_name.get(timer.worker)
     if worker is not None:
--- a/packages/core/celeryshift_core/_saving.py
+++ b/packages/core/celeryshift_core/_saving.py
@@ -79,8 +79,8 @@
     state: _state.State, timer: _timers.SavedEnds, out: _state.Out
 ) -> None:
     """Save a worker no more that has been saved for long."""
-    held = state.slices_by_number.get(timer.slice)
-    if held is None or held.epoch != timer.epoch:
+    held = _state.owned(state, timer)
+    if held is None:
         return
     worker = held.ledger.workers_by_name.get(timer.worker)
     if worker is None:
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -5,6 +5,7 @@
 import math
 import random
 from typing import Any
+from typing import Protocol
 
 import attrs
 
@@ -289,3 +290,21 @@
         for upstream in held.ledger.upstreams:
             free[upstream] += held.ledger.free_slots(upstream)
     return dict(free)
+
+
+class Stay(Protocol):
+    """Name a slice and the epoch under which it is, or was, owned."""
+
+    @property
+    def slice(self) -> int:
+        """Number the slice."""
+
+    @property
+    def epoch(self) -> int:
+        """Number the stay with an owner."""
+
+
+def owned(state: State, stay: Stay) -> Slice | None:
+    """Give a slice if this node still owns it under the epoch."""
+    held = state.slices_by_number.get(stay.slice)
+    return held if held is not None and held.epoch == stay.epoch else None
--- a/packages/core/celeryshift_core/_timers.py
+++ b/packages/core/celeryshift_core/_timers.py
@@ -141,12 +141,9 @@
 
 
 @attrs.frozen(slots=True)
-class StopDue:
+class StopDue(OfWorker):
     """Stop a run again whose stop may not have arrived."""
 
-    slice: int
-    epoch: int
-    worker: str
     run: str
 
 
--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -16,6 +16,8 @@
 
 ACKNOWLEDGED_PER_SYNC = 256
 
+Concerned = _timers.OfWorker | events.WorkerSynced
+
 
 def sync(
     state: _state.State,
@@ -56,7 +58,7 @@
     state: _state.State, event: events.WorkerSynced, out: _state.Out
 ) -> bool:
     """Take in a worker's answer; tell whether it is the first one."""
-    found = _find(state, event.slice, event.epoch, event.worker)
+    found = _find(state, event)
     if found is None:
         return False
     held, worker = found
@@ -90,7 +92,7 @@
     state: _state.State, timer: _timers.SyncDue, out: _state.Out
 ) -> None:
     """Ask a worker again that did not answer."""
-    found = _find(state, timer.slice, timer.epoch, timer.worker)
+    found = _find(state, timer)
     if found is not None:
         held, worker = found
         sync(state, held, worker, out)
@@ -100,7 +102,7 @@
     state: _state.State, timer: _timers.LeasesEnd, out: _state.Out
 ) -> None:
     """Run the tasks of a silent worker elsewhere: they have ended there."""
-    found = _find(state, timer.slice, timer.epoch, timer.worker)
+    found = _find(state, timer)
     if found is not None:
         held, worker = found
         lose_all(state, held, worker, 'worker is silent', out)
@@ -122,7 +124,7 @@
     state: _state.State, event: events.TaskStarted, out: _state.Out
 ) -> None:
     """Take in the outcome of a start."""
-    held = owned(state, event.slice, event.epoch)
+    held = _state.owned(state, event)
     if held is None:
         return
     task = held.tasks_by_id.get(_tasks.base_id(event.task))
@@ -156,7 +158,7 @@
     state: _state.State, timer: _timers.HoldEnds, out: _state.Out
 ) -> None:
     """Free the room of a task whose end was never seen."""
-    found = _find(state, timer.slice, timer.epoch, timer.worker)
+    found = _find(state, timer)
     if found is None:
         return
     held, worker = found
@@ -182,24 +184,20 @@
     state: _state.State, timer: _timers.StopDue, out: _state.Out
 ) -> None:
     """Stop a run that its worker still holds."""
-    found = _find(state, timer.slice, timer.epoch, timer.worker)
+    found = _find(state, timer)
     if found is not None and timer.run in found[1].holds_by_run:
         held, worker = found
         _launch.send_stop(state, held, worker, timer.run, out)
 
 
-def owned(state: _state.State, number: int, epoch: int) -> _state.Slice | None:
-    """Give a slice if this node still owns it under the epoch."""
-    held = state.slices_by_number.get(number)
-    return held if held is not None and held.epoch == epoch else None
-
-
 def _find(
-    state: _state.State, number: int, epoch: int, name: str
+    state: _state.State, concerned: Concerned
 ) -> tuple[_state.Slice, _ledger.Worker] | None:
-    held = owned(state, number, epoch)
-    worker = held.ledger.workers_by_name.get(name) if held else None
-    return (held, worker) if held and worker else None
+    held = _state.owned(state, concerned)
+    if held is None:
+        return None
+    worker = held.ledger.workers_by_name.get(concerned.worker)
+    return (held, worker) if worker else None
 
 
 def _note_silence(
