A worker that does not answer is left alone for a while

Cause: a request sent to a worker that no longer answers anything waited until its deadline, since no answer to the question about it was taken for "still running"; and others were sent after it. Ruled out: resting a worker after every timeout, which slow work causes too. Change: two questions over new connections without an answer end the wait, the request is tried elsewhere if it may be, and the worker rests as one that refuses does.

--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -20,6 +20,7 @@
 
 RUN_TIME_WEIGHT = 0.1
 HOLD_MARGIN_S = 1.0
+EARLY_S = 0.1
 
 Outcome = events.Outcome
 Ran = _refusals.Ran
@@ -106,6 +107,9 @@
         _keep_room(state, request, held, task)
     if held is not None and event.outcome is Outcome.REFUSED:
         _refusing.refused(state, held, task.worker, out)
+    early = state.now < request.deadline - EARLY_S
+    if held is not None and event.outcome is Outcome.UNKNOWN and early:
+        _refusing.unanswered(state, held, task.worker, out)
     if event.outcome is Outcome.OK:
         if held is not None:
             _refusing.accepted(held.ledger.workers_by_name.get(task.worker))
--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -14,6 +14,7 @@
 
 TIMEOUT_S = 2.0
 PROBE_S = 0.75
+SILENT_PROBES = 2
 READ_S = 0.05
 REFUSALS = frozenset((409, 503))
 
@@ -26,6 +27,7 @@
     RUNNING = 'running'
     ENDED = 'ended'
     NEVER = 'never'
+    SILENT = 'silent'
 
 
 class Workers:
@@ -119,6 +121,8 @@
         reply = await self._await_answer(effect, post(channel))
         if isinstance(reply, _calls.Reply):
             return _answer(reply, effect.task)
+        if reply is Seen.SILENT:
+            return Outcome.UNKNOWN, False, None
         if reply is Seen.NEVER and effect.repeatable:
             again = await post(self._fresh)
             return _answer(again, effect.task)
@@ -142,24 +146,31 @@
         """Wait for an answer, or until its connection is known silent."""
         sending = asyncio.ensure_future(work)
         wait_s = self._silent_after_s
+        unanswered = 0
         try:
             while True:
                 await asyncio.wait((sending,), timeout=wait_s)
                 if sending.done():
                     return sending.result()
                 seen = await self._seen(effect)
-                if seen is not Seen.RUNNING:
+                if seen is Seen.SILENT:
+                    unanswered += 1
+                    if unanswered == SILENT_PROBES:
+                        return seen
+                elif seen is Seen.RUNNING:
+                    unanswered = 0
+                    wait_s *= 2
+                else:
                     # Its answer is lost, unless it is just being read.
                     await asyncio.wait((sending,), timeout=READ_S)
                     return sending.result() if sending.done() else seen
-                wait_s *= 2
         finally:
             if not sending.done():
                 sending.cancel()
                 await asyncio.wait((sending,))
 
     async def _seen(self, effect: effects.SendRequest) -> 'Seen':
-        """Ask over a new connection; no answer does not tell."""
+        """Ask over a new connection what became of a request."""
         reply = await self._post(
             effect.address,
             'status',
@@ -167,6 +178,8 @@
             PROBE_S,
             self._fresh,
         )
+        if reply.outcome is not Outcome.OK:
+            return Seen.SILENT
         if not reply.ok or reply.body.get('phase') == 'running':
             return Seen.RUNNING
         never = reply.body.get('phase') == 'unknown'
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -195,12 +195,27 @@
         await bed.until(answered, 'requests go over new connections')
 
 
+async def _freeze_worker(
+    bed: beds.Bed, nodes: list[beds.Member], load: Load
+) -> None:
+    worker = next(iter(bed.workers_by_name.values()))
+    bed.freeze(worker)
+    before = load.outcomes['answered']
+
+    async def answered() -> bool:
+        return load.outcomes['answered'] > before + 60
+
+    await bed.until(answered, 'requests are answered elsewhere')
+    bed.thaw(worker)
+
+
 FAULTS_BY_NAME = {
     'kill': _kill,
     'freeze': _freeze,
     'stop': _stop,
     'store-down': _store_down,
     'silence': _silence,
+    'freeze-worker': _freeze_worker,
 }
 
 
@@ -239,3 +254,13 @@
     assert load.outcomes['cut off'] == 0
     refused = [name for name in load.outcomes if name.startswith('refused')]
     assert not refused
+
+
+def test_a_frozen_worker_loses_and_doubles_nothing():
+    load = asyncio.run(_survive('freeze-worker'))
+    assert load.outcomes['answered'] > 0
+    assert load.outcomes['wrong'] == 0
+    assert load.outcomes['cut off'] == 0
+    # Only what must not be repeated may be left unknown.
+    refused = {name for name in load.outcomes if name.startswith('refused')}
+    assert refused <= {'refused worker-lost unknown'}
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -37,6 +37,7 @@
         1.0, 'r', first.attempt, events.Outcome.UNKNOWN
     )
     assert _sent(core.reduce(state, lost)) == []
+    assert held.ledger.workers_by_name[first.worker].resting
     other = next(n for n in held.ledger.workers_by_name if n != first.worker)
     held.ledger.release(other, f'{other}-0~1')
     state.touched[0] = None
