--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -23,7 +23,7 @@
 
 # What aiohttp puts around the bodies of one call on loopback, printed by
 # bench.capacity: request line and headers, status line and headers.
-HEADER_BYTES = 408
+HEADER_BYTES = 323
 EMPTY_REPLY = 2
 TOKEN = 'x' * 32
 WORK = frozenset(
