--- a/packages/core/celeryshift_core/_submission.py
+++ b/packages/core/celeryshift_core/_submission.py
@@ -277,6 +277,13 @@
     if not 1 <= spec.tasks <= MAX_TASKS:
         detail = f'a job has 1 to {MAX_TASKS} tasks, not {spec.tasks}'
         return Refusal(Reason.BAD_REQUEST, detail=detail)
+    waiting = sum(
+        held.queue.length for held in state.slices_by_number.values()
+    )
+    if waiting + spec.tasks > state.options.max_waiting:
+        detail = f'{waiting} tasks wait at this node already'
+        retry_s = state.options.retry_after_s
+        return Refusal(Reason.NO_ROOM, Ran.NO, retry_s, detail)
     size = spec.size or kind.size
     refusal = _admission.check_kind(state, kind, size)
     if refusal is None and kind.policy is _config.Policy.GANG:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -8,8 +8,8 @@
 SLOTS = 8
 
 
-def _world(nodes=2, workers=4):
-    world = worlds.World(seed=1)
+def _world(nodes=2, workers=4, **options):
+    world = worlds.World(seed=1, **options)
     for number in range(workers):
         world.add_worker(f'w{number}', 'dc1')
     world.configure(builders.fleet().document())
@@ -95,3 +95,26 @@
     world.run(7.0)
     assert call.refusal.ran.value == 'no'
     assert call.waited_s < 5.1
+
+
+def test_a_job_beyond_what_may_wait_is_refused():
+    world = _world(nodes=1, max_waiting=50)
+    calls = []
+    for number in range(4):
+        calls.append(
+            world.submit(
+                'n0',
+                f'j{number}',
+                'recode',
+                'field',
+                builders.token(),
+                tasks=30,
+                run_s=60.0,
+            )
+        )
+        world.run(1.0)
+    reasons = [call.refusal and call.refusal.reason.value for call in calls]
+    # 60 tasks were let in, 32 at most run, so that 28 or more wait.
+    assert reasons == [None, None, 'no-room', 'no-room']
+    assert calls[-1].refusal.ran.value == 'no'
+    assert calls[-1].refusal.retry_after_s > 0
