--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,6 +8,7 @@
 from celeryshift_core import _state
 from celeryshift_core import effects
 from celeryshift_core import events
+from celeryshift_standins import world as worlds
 
 SECRET = 'secret-of-the-tests'
 UPSTREAM = 'coding'
@@ -81,3 +82,21 @@
         state.now, held.number, held.epoch, worker.name, 'c', [report]
     )
     return core.reduce(state, event)
+
+
+def one_centre(
+    nodes: int = 1,
+    workers: int = 4,
+    settle_s: float = 3.0,
+    fleet_of: celeryshift_client.Fleet | None = None,
+    **options: float,
+) -> worlds.World:
+    """Build one data centre in virtual time, and let it settle."""
+    world = worlds.World(seed=1, **options)
+    for number in range(workers):
+        world.add_worker(f'w{number}', 'dc1')
+    world.configure((fleet_of or fleet()).document())
+    for number in range(nodes):
+        world.add_node(f'n{number}', 'dc1')
+    world.run(settle_s)
+    return world
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,22 +8,15 @@
 from celeryshift_core import _quarantine
 from celeryshift_core import _timers
 from celeryshift_core import events
-from celeryshift_standins import world as worlds
 
 TOUCHED = 3
 SLOTS = 8
 
 
 def _world(workers=6):
-    world = worlds.World(seed=1, slices=1)
-    for number in range(workers):
-        world.add_worker(f'w{number}', 'dc1')
     fleet = builders.fleet()
     fleet.batch('other', builders.UPSTREAM)
-    world.configure(fleet.document())
-    world.add_node('n0', 'dc1')
-    world.run(3.0)
-    return world
+    return builders.one_centre(1, workers, fleet_of=fleet, slices=1)
 
 
 def _submit(world, name, kind='recode', tasks=1, **payload):
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -6,21 +6,14 @@
 
 from celeryshift_core import _gangs
 from celeryshift_standins import invariants
-from celeryshift_standins import world as worlds
 
 SLOTS = 8
 
 
 def _world(workers=4):
-    world = worlds.World(seed=1, slices=1)
-    for number in range(workers):
-        world.add_worker(f'w{number}', 'dc1')
     fleet = builders.fleet()
     fleet.gang('ledger', builders.UPSTREAM, repeatable=False)
-    world.configure(fleet.document())
-    world.add_node('n0', 'dc1')
-    world.run(3.0)
-    return world
+    return builders.one_centre(1, workers, fleet_of=fleet, slices=1)
 
 
 def _submit(world, name, kind, tasks, run_s):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,20 +5,12 @@
 
 import celeryshift_core as core
 from celeryshift_core import events
-from celeryshift_standins import world as worlds
 
 GONE_S = 4.0
 
 
 def _world(workers=4):
-    world = worlds.World(seed=1)
-    world.configure(builders.fleet().document())
-    for number in range(workers):
-        world.add_worker(f'w{number}', 'dc1')
-    for number in range(2):
-        world.add_node(f'n{number}', 'dc1')
-    world.run(6.0)
-    return world
+    return builders.one_centre(2, workers, 6.0)
 
 
 def _fill(world, run_s=30.0):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -92,7 +92,10 @@
     return nodes
 
 
-async def _check(bed: beds.Bed) -> None:
+async def _check(bed: beds.Bed, load: Load) -> None:
+    assert load.outcomes['answered'] > 0
+    assert load.outcomes['wrong'] == 0
+    assert load.outcomes['cut off'] == 0
     spans = await bed.spans()
     slots = dict.fromkeys(bed.workers_by_name, SLOTS)
     seals = {span.task for span in spans if ':seal-' in span.task}
@@ -128,7 +131,7 @@
     await bed.until(
         lambda: load.all_done(nodes[1]), 'every accepted job is done', 60
     )
-    await _check(bed)
+    await _check(bed, load)
     return load
 
 
@@ -220,47 +223,29 @@
 
 
 def test_a_killed_node_loses_and_doubles_nothing():
-    load = asyncio.run(_survive('kill'))
-    assert load.outcomes['answered'] > 0
-    assert load.outcomes['wrong'] == 0
-    assert load.outcomes['cut off'] == 0
+    asyncio.run(_survive('kill'))
 
 
 def test_a_frozen_node_loses_and_doubles_nothing():
-    load = asyncio.run(_survive('freeze'))
-    assert load.outcomes['answered'] > 0
-    assert load.outcomes['wrong'] == 0
-    assert load.outcomes['cut off'] == 0
+    asyncio.run(_survive('freeze'))
 
 
 def test_a_graceful_stop_cuts_off_no_request():
-    load = asyncio.run(_survive('stop'))
-    assert load.outcomes['answered'] > 0
-    assert load.outcomes['wrong'] == 0
-    assert load.outcomes['cut off'] == 0
+    asyncio.run(_survive('stop'))
 
 
 def test_a_store_outage_loses_and_doubles_nothing():
-    load = asyncio.run(_survive('store-down'))
-    assert load.outcomes['answered'] > 0
-    assert load.outcomes['wrong'] == 0
-    assert load.outcomes['cut off'] == 0
+    asyncio.run(_survive('store-down'))
 
 
 def test_silent_connections_lose_and_double_nothing():
     load = asyncio.run(_survive('silence'))
-    assert load.outcomes['answered'] > 0
-    assert load.outcomes['wrong'] == 0
-    assert load.outcomes['cut off'] == 0
     refused = [name for name in load.outcomes if name.startswith('refused')]
     assert not refused
 
 
 def test_a_frozen_worker_loses_and_doubles_nothing():
     load = asyncio.run(_survive('freeze-worker'))
-    assert load.outcomes['answered'] > 0
-    assert load.outcomes['wrong'] == 0
-    assert load.outcomes['cut off'] == 0
     # Only what must not be repeated may be left unknown.
     refused = {name for name in load.outcomes if name.startswith('refused')}
     assert refused <= {'refused worker-lost unknown'}
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -10,21 +10,13 @@
 from celeryshift_core import _indices
 from celeryshift_core import schema
 from celeryshift_standins import invariants
-from celeryshift_standins import world as worlds
 
 SLOTS = 8
 HOUR_S = 3600.0
 
 
 def _world(nodes=3, workers=6, **options):
-    world = worlds.World(seed=1, **options)
-    for number in range(workers):
-        world.add_worker(f'w{number}', 'dc1')
-    world.configure(builders.fleet().document())
-    for number in range(nodes):
-        world.add_node(f'n{number}', 'dc1')
-    world.run(20.0)
-    return world
+    return builders.one_centre(nodes, workers, 20.0, **options)
 
 
 def _ready(world):
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -3,20 +3,12 @@
 import builders
 
 from celeryshift_standins import invariants
-from celeryshift_standins import world as worlds
 
 SLOTS = 8
 
 
-def _world(nodes=2, workers=4, **options):
-    world = worlds.World(seed=1, **options)
-    for number in range(workers):
-        world.add_worker(f'w{number}', 'dc1')
-    world.configure(builders.fleet().document())
-    for number in range(nodes):
-        world.add_node(f'n{number}', 'dc1')
-    world.run(3.0)
-    return world
+def _world(nodes=2, **options):
+    return builders.one_centre(nodes, **options)
 
 
 def _check(world):
