A node of many workers asks each of them more rarely

Cause: syncs of workers alone broke the budget of control: 136 bytes a second each, 3.0 to 4.1 times 15 KB a second in all. Ruled out: ten seconds for all, since small fleets would notice a silent worker later for no gain. Change: a sync may be kept 50 ms for each worker of the node, 10 s at most. Before -> after, 200 workers: 3,000 -> at most 1,320 syncs a minute.

--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -15,6 +15,9 @@
 from celeryshift_core import events
 
 ACKNOWLEDGED_PER_SYNC = 256
+WAIT_BY_WORKER_S = 0.05
+LONGEST_WAIT_S = 10.0
+WAIT_PART_OF_LEASE = 2 / 3
 
 Concerned = _timers.OfWorker | events.WorkerSynced
 
@@ -46,7 +49,7 @@
             worker.address,
             '' if worker.foreign else worker.cursor,
             tuple(acknowledged),
-            options.sync_retry_s if hurried else options.sync_wait_s,
+            options.sync_retry_s if hurried else _wait_s(state),
             0.0 if silent else options.task_lease_s,
             _rights.until(state),
         )
@@ -190,6 +193,23 @@
         _launch.send_stop(state, held, worker, timer.run, out)
 
 
+def _wait_s(state: _state.State) -> float:
+    """Give how long a worker may keep a sync, by the number of workers.
+
+    A node of many workers asks each more rarely, so that syncs cost it a
+    bounded part; a lease outlasts one sync that fails all the same.
+    """
+    workers = sum(
+        len(held.ledger.workers_by_name)
+        for held in state.slices_by_number.values()
+    )
+    longest = min(
+        LONGEST_WAIT_S, state.options.task_lease_s * WAIT_PART_OF_LEASE
+    )
+    wait_s = max(state.options.sync_wait_s, workers * WAIT_BY_WORKER_S)
+    return min(wait_s, max(longest, state.options.sync_wait_s))
+
+
 def _find(
     state: _state.State, concerned: Concerned
 ) -> tuple[_state.Slice, _ledger.Worker] | None:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -110,3 +110,12 @@
     assert reasons == [None, None, 'no-room', 'no-room']
     assert calls[-1].refusal.ran.value == 'no'
     assert calls[-1].refusal.retry_after_s > 0
+
+
+def test_a_node_of_many_workers_asks_each_more_rarely():
+    world = builders.one_centre(1, 200, 30.0)
+    state = world.nodes_by_name['n0'].state
+    before = state.counters['syncs']
+    world.run(60.0)
+    # Ten seconds is the longest wait; a tenth more is for chance.
+    assert state.counters['syncs'] - before <= 200 * 60 / 10 * 1.1
