--- a/packages/core/celeryshift_core/_launch.py
+++ b/packages/core/celeryshift_core/_launch.py
@@ -7,6 +7,7 @@
 from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _tasks
+from celeryshift_core import _timers
 from celeryshift_core import effects
 
 
@@ -120,6 +121,7 @@
 ) -> None:
     request = state.requests_by_id[task.request]
     request.sent = True
+    state.timers.cancel(_timers.RequestDue(request.id))
     out.append(
         effects.SendRequest(
             request.id,
--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -143,31 +143,58 @@
         effect: effects.SendRequest,
         work: Coroutine[Any, Any, _calls.Reply],
     ) -> '_calls.Reply | Seen':
-        """Wait for an answer, or until its connection is known silent."""
-        sending = asyncio.ensure_future(work)
-        wait_s = self._silent_after_s
-        unanswered = 0
+        """Wait for an answer, or until its connection is known silent.
+
+        Most answers come before the first question would be asked, so that
+        nothing but a timer is spent on them.
+        """
+        loop = asyncio.get_running_loop()
+        waiting = asyncio.current_task()
+        assert waiting is not None
+        found: list[Seen] = []
+        watches: list[asyncio.Task[None]] = []
+
+        def begin() -> None:
+            watch = self._watch(effect, waiting, found)
+            watches.append(loop.create_task(watch))
+
+        timer = loop.call_later(self._silent_after_s, begin)
         try:
-            while True:
-                await asyncio.wait((sending,), timeout=wait_s)
-                if sending.done():
-                    return sending.result()
-                seen = await self._seen(effect)
-                if seen is Seen.SILENT:
-                    unanswered += 1
-                    if unanswered == SILENT_PROBES:
-                        return seen
-                elif seen is Seen.RUNNING:
-                    unanswered = 0
-                    wait_s *= 2
-                else:
-                    # Its answer is lost, unless it is just being read.
-                    await asyncio.wait((sending,), timeout=READ_S)
-                    return sending.result() if sending.done() else seen
+            return await work
+        except asyncio.CancelledError:
+            if found and not waiting.uncancel():
+                return found[0]
+            raise
         finally:
-            if not sending.done():
-                sending.cancel()
-                await asyncio.wait((sending,))
+            timer.cancel()
+            for watch in watches:
+                watch.cancel()
+
+    async def _watch(
+        self,
+        effect: effects.SendRequest,
+        waiting: asyncio.Task[Any],
+        found: list['Seen'],
+    ) -> None:
+        """Ask about a request, and end its waiting once it is in vain."""
+        wait_s = self._silent_after_s
+        unanswered = 0
+        while True:
+            seen = await self._seen(effect)
+            if seen is Seen.RUNNING:
+                unanswered = 0
+                wait_s *= 2
+            elif seen is Seen.SILENT:
+                unanswered += 1
+                if unanswered == SILENT_PROBES:
+                    break
+            else:
+                # Its answer is lost, unless it is just being read.
+                await asyncio.sleep(READ_S)
+                break
+            await asyncio.sleep(wait_s)
+        found.append(seen)
+        waiting.cancel()
 
     async def _seen(self, effect: effects.SendRequest) -> 'Seen':
         """Ask over a new connection what became of a request."""
