A caller as a process of its own, also in the demo

Change: celeryshift_standins.caller sends requests at an even rate, bounded in count and rate, and prints what came back as JSON; the demo runs it.

--- a/packages/standins/celeryshift_standins/bed.py
+++ b/packages/standins/celeryshift_standins/bed.py
@@ -234,6 +234,26 @@
                 text = '\n'.join(lines)
                 sys.stderr.write(f'--- {node.name}\n{text}\n')
 
+    async def run_caller(
+        self, node: Member, kind: str, queue: str, **options: float
+    ) -> dict[str, Any]:
+        """Run a caller as a process; give what it tells of its answers."""
+        flags = [f'--{name}={value}' for name, value in options.items()]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'celeryshift_standins.caller',
+            node.url,
+            kind,
+            queue,
+            *flags,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._members.append(Member('caller', '', process))
+        async with asyncio.timeout(STOP_S):
+            told, _ = await process.communicate()
+        return json.loads(told)
+
     async def _start(self, name: str, *arguments: str) -> Member:
         log_path = self.folder / f'{name}.log'
         log = self._files.enter_context(log_path.open('wb'))
--- a/packages/standins/celeryshift_standins/demo.py
+++ b/packages/standins/celeryshift_standins/demo.py
@@ -35,6 +35,7 @@
         """Run every step, in order."""
         await self._set_up()
         await self._requests()
+        await self._load()
         await self._jobs()
         await self._withdraw()
         await self._kill()
@@ -93,6 +94,16 @@
             )
             self._note('the same seal again', refused)
 
+    async def _load(self) -> None:
+        node = self._bed.nodes_by_name['dc2-node1']
+        told = await self._bed.run_caller(
+            node, 'validate', 'walk-in', count=200, rate_per_s=200.0
+        )
+        refused = sum(told['refused'].values())
+        result = f'{told["answered"]} answered, {refused} refused'
+        waited = f'{told["median_wait_ms"]:.1f} (median)'
+        self._note('a caller, 200 a second', result, 'dc2', waited)
+
     async def _jobs(self) -> None:
         async with self._caller('dc2-node1') as caller:
             for what, kind, tasks, run_s in (
