A request is parked in one place; looks and sends are written once

Attempts were carried over in two places, a look at a waiting request set its timer twice when it was routed anew, and the fake workers repeated how an effect with a deadline is sent. Behaviour is unchanged; no test was touched.

--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -69,12 +69,13 @@
         _refuse(state, request, Reason.NO_UPSTREAM, Ran.NO, detail, out)
         return
     if state.now < request.deadline:
-        _routing.look_again(state, request)
         if request.task is None or _routing.waits_in_vain(
             state, request, kind
         ):
             _routing.unqueue(state, request)
             _route(state, request, kind, out)
+        else:
+            _routing.look_again(state, request)
         return
     detail = 'it waited for room until its deadline'
     _refuse(state, request, Reason.DEADLINE, Ran.NO, detail, out)
--- a/packages/core/celeryshift_core/_routing.py
+++ b/packages/core/celeryshift_core/_routing.py
@@ -113,11 +113,7 @@
     """Take a request out of the queue that it waits in."""
     task = request.task
     held = state.slices_by_number.get(request.slice)
-    request.task = None
-    request.slice = -1
-    if task is not None:
-        request.attempt = task.attempt
-        request.failed_on = task.failed_on
+    request.park()
     if task is not None and held is not None:
         held.queue.leave(task, _tasks.TaskState.CANCELLED)
         if held.tasks_by_id.get(task.id) is task:
--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -102,11 +102,7 @@
     held = state.slices_by_number.pop(number)
     out.append(_change('slice-dropped', held))
     for request in _queued_in(state, number):
-        if request.task is not None:
-            request.attempt = request.task.attempt
-            request.failed_on = request.task.failed_on
-        request.task = None
-        request.slice = -1
+        request.park()
 
 
 def begin_release(state: _state.State, number: int, out: _state.Out) -> None:
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -166,6 +166,14 @@
     forwarded_at: float = 0.0
     forwarded_to: tuple[str, ...] = ()
 
+    def park(self) -> None:
+        """Take the request out of its slice; attempts go on counting."""
+        if self.task is not None:
+            self.attempt = self.task.attempt
+            self.failed_on = self.task.failed_on
+        self.task = None
+        self.slice = -1
+
 
 @attrs.frozen(slots=True)
 class Submission:
--- a/packages/standins/celeryshift_standins/_worker_effects.py
+++ b/packages/standins/celeryshift_standins/_worker_effects.py
@@ -1,5 +1,6 @@
 """The workers without guards, as nodes reach them."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -116,8 +117,20 @@
                 lost = answer(Outcome.UNKNOWN)
                 net.after(node, _network.CALL_TIMEOUT_S, lost)
 
+    _send(net, node, worker, effect, begin, answer(Outcome.UNSENT))
+
+
+def _send(
+    net: _network.Network,
+    node: Node,
+    worker: Worker,
+    effect: effects.StartTask | effects.SendRequest,
+    begin: Callable[[], None],
+    unsent: Callable[[], events.Event],
+) -> None:
+    """Let an effect reach its worker, unless its deadline has passed."""
     if net.now >= effect.deadline:
-        net.after(node, 0.0, answer(Outcome.UNSENT))
+        net.after(node, 0.0, unsent)
     else:
         net.messages += 1
         net.at(net.now + net.way(node, worker), begin)
@@ -211,11 +224,7 @@
             lost = answer(Outcome.UNKNOWN)
             net.after(node, max(0.0, left_s), lost)
 
-    if net.now >= effect.deadline:
-        net.after(node, 0.0, answer(Outcome.UNSENT))
-    else:
-        net.messages += 1
-        net.at(net.now + net.way(node, worker), begin)
+    _send(net, node, worker, effect, begin, answer(Outcome.UNSENT))
 
 
 def ask_outcome(
