--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,9 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
-PACKAGES := packages/core packages/node packages/client packages/standins
+PACKAGES := packages/net packages/core packages/cell packages/node \
+	packages/cellnode packages/client packages/standins platform
 export PYTHONPATH := $(subst $(eval) ,:,$(PACKAGES:%=$(CURDIR)/%))
+SOURCES := packages platform tests bench
 SEED ?= 1
 STEPS ?= 2000
 
@@ -26,19 +28,19 @@
 test: lint types unit
 
 lint: setup
-	$(VENV)/bin/ruff format --check packages tests bench
-	$(VENV)/bin/ruff check packages tests bench
-	$(VENV)/bin/flake8 packages tests bench
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+	$(VENV)/bin/flake8 $(SOURCES)
 
 types: setup
-	$(VENV)/bin/mypy $(PACKAGES:%=%/celeryshift_*)
+	$(VENV)/bin/mypy $(wildcard $(PACKAGES:%=%/celeryshift_*/))
 
 unit: setup
 	$(VENV)/bin/pytest
 
 format: setup
-	-$(VENV)/bin/ruff check --fix packages tests bench
-	$(VENV)/bin/ruff format packages tests bench
+	-$(VENV)/bin/ruff check --fix $(SOURCES)
+	$(VENV)/bin/ruff format $(SOURCES)
 
 # Faults, the seconds in which they may come, and the seconds in all.
 EXPLORE ?= 2 8 14
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,8 +21,8 @@
 from bench import fleets
 from bench import memory
 from bench import traffic
+from celeryshift_net import pools
 from celeryshift_node import _calls
-from celeryshift_node import _channels
 
 SEED = 1
 SECRET = 'secret-of-the-bench'
@@ -277,7 +277,7 @@
 
 
 async def _call(port: int, calls: int) -> None:
-    channels = _channels.Channels()
+    channels = pools.Channels()
     url = f'http://127.0.0.1:{port}/peer/v1/messages'
     headers = {'Authorization': f'Bearer {traffic.TOKEN}'}
     for _ in range(calls):
--- a/bench/memory.py
+++ b/bench/memory.py
@@ -20,8 +20,8 @@
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import events
+from celeryshift_net import pools
 from celeryshift_node import _calls
-from celeryshift_node import _channels
 
 WORKERS = (24, 95, 189, 378)
 SEED = 1
@@ -121,7 +121,7 @@
     async def hold() -> float:
         server = await asyncio.start_server(_answer, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
-        channels = _channels.Channels()
+        channels = pools.Channels()
         before, _ = tracemalloc.get_traced_memory()
         for number in range(count):
             url = f'http://127.0.0.1:{port}'
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -13,8 +13,8 @@
 import celeryshift_core as core
 from celeryshift_core import effects
 from celeryshift_core import events
+from celeryshift_net import pools
 from celeryshift_node import _calls
-from celeryshift_node import _channels
 from celeryshift_node import _peers
 from celeryshift_node import _platform
 from celeryshift_node import _wire
@@ -55,7 +55,7 @@
 
     def __init__(self) -> None:
         self._data = b''
-        channels = mock.create_autospec(_channels.Channels, instance=True)
+        channels = mock.create_autospec(pools.Channels, instance=True)
         self._peers = _peers.Peers(channels, TOKEN, 'n0:7400/0123456789ab')
         self._workers = _workers.Workers(channels, 1.0)
         self._platform = _platform.Platform(channels, 'http://platform')
--- /dev/null
+++ b/packages/cell/celeryshift_cell/__init__.py
@@ -0,0 +1,13 @@
+"""The decisions of the owner of a cell, as a pure reducer over events."""
+
+from celeryshift_cell._jobs import shown_state
+from celeryshift_cell._options import Options
+from celeryshift_cell._reducer import reduce
+from celeryshift_cell._state import Cell
+
+__all__ = [
+    'Cell',
+    'Options',
+    'reduce',
+    'shown_state',
+]
--- /dev/null
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -0,0 +1,203 @@
+"""Decides which waiting task starts next, and on which worker."""
+
+from collections.abc import Iterator
+
+from celeryshift_cell import _advice
+from celeryshift_cell import _jobs
+from celeryshift_cell import _ordering
+from celeryshift_cell import _runs
+from celeryshift_cell import _state
+from celeryshift_cell import _workers
+from celeryshift_cell import model
+
+# A pass starts no more than so many tasks, so that answers are read between.
+MAX_STARTS = 256
+
+
+def run(cell: _state.Cell) -> None:
+    """Start what can be started, in order."""
+    steps = [
+        step
+        for step in cell.waiting.values()
+        if not step.is_blocked and not (step.in_doubt and cell.unfenced)
+    ]
+    if not steps:
+        return
+    steps.sort(key=lambda step: _ordering.key(cell, step))
+    starts = 0
+    for step in steps:
+        if starts >= MAX_STARTS:
+            return
+        starts += _place(cell, step)
+
+
+def _place(cell: _state.Cell, step: _state.StepRun) -> int:
+    if step.spec.is_gang:
+        placed = _place_gang(cell, step)
+    else:
+        placed = _place_each(cell, step)
+    if step.pending:
+        step.is_blocked = True
+        _advice.ask(cell, step)
+    return placed
+
+
+def _place_each(cell: _state.Cell, step: _state.StepRun) -> int:
+    placed = 0
+    step.team_full = False
+    for index in sorted(step.pending):
+        if not _team_allows(cell, step):
+            step.team_full = True
+            break
+        task = step.tasks[index]
+        found = best_worker(cell, step, task)
+        if found is None:
+            if task.failed_on:
+                continue
+            break
+        worker, ticket = found
+        number = _runs.next_number(cell, [task])
+        _runs.start(cell, task, worker, number, ticket)
+        placed += 1
+    return placed
+
+
+def _team_allows(cell: _state.Cell, step: _state.StepRun) -> bool:
+    name = step.job.spec.team
+    team = cell.config.teams_by_name.get(name)
+    if team is None:
+        return True
+    return cell.usage(name).allows(step.spec.size, team.maximum)
+
+
+def best_worker(
+    cell: _state.Cell, step: _state.StepRun, task: _state.Task
+) -> tuple[_state.Worker, str] | None:
+    """Find the worker that suits a task best, and the ticket for it."""
+    found = None
+    lowest: tuple[float, ...] = ()
+    for worker, ticket in _candidates(cell, step):
+        if not worker.has_room(step.spec):
+            continue
+        cost = _cost(step, task, worker)
+        if found is None or cost < lowest:
+            found, lowest = (worker, ticket), cost
+    return found
+
+
+def _candidates(
+    cell: _state.Cell, step: _state.StepRun
+) -> Iterator[tuple[_state.Worker, str]]:
+    if _advice.policy(cell, step) is None:
+        for worker in cell.workers.values():
+            if worker.entry.upstream == step.job.queue.upstream and _fit(
+                cell, step, worker
+            ):
+                yield worker, ''
+        return
+    for worker_id in step.verdicts:
+        known = cell.workers.get(worker_id)
+        if known is None or not _fit(cell, step, known):
+            continue
+        ticket = _advice.ticket(cell, step, known)
+        if ticket is not None:
+            yield known, ticket
+
+
+def _fit(
+    cell: _state.Cell, step: _state.StepRun, worker: _state.Worker
+) -> bool:
+    return _workers.is_usable(cell, worker) and _advice.allowed(step, worker)
+
+
+def _cost(
+    step: _state.StepRun, task: _state.Task, worker: _state.Worker
+) -> tuple[float, ...]:
+    spec = step.spec
+    far = bool(spec.near_rack) and worker.entry.rack != spec.near_rack
+    capacity = worker.entry.capacity
+    if spec.is_filler:
+        idle = worker.free_cpu - worker.filler_cpu
+        return (worker.id in task.failed_on, far, worker.slowness, -idle)
+    left = (worker.free_cpu - spec.size.cpu_milli) / max(capacity.cpu_milli, 1)
+    return (worker.id in task.failed_on, far, worker.slowness, left)
+
+
+def _place_gang(cell: _state.Cell, step: _state.StepRun) -> int:
+    if len(step.pending) < step.spec.count:
+        return 0
+    if any(task.runs for task in step.tasks):
+        return 0
+    team = cell.config.teams_by_name.get(step.job.spec.team)
+    if team is not None and not _gang_allowed(cell, step, team):
+        step.team_full = True
+        return 0
+    step.team_full = False
+    workers = list(_candidates(cell, step))
+    plan = _gang_plan(step, workers)
+    if plan is None:
+        return 0
+    number = _runs.next_number(cell, step.tasks)
+    for task, (worker, ticket) in zip(step.tasks, plan, strict=True):
+        _runs.start(cell, task, worker, number, ticket)
+    return len(plan)
+
+
+def _gang_allowed(
+    cell: _state.Cell, step: _state.StepRun, team: model.Team
+) -> bool:
+    size = step.spec.size
+    count = step.spec.count
+    whole = model.Size(
+        size.cpu_milli * count,
+        size.memory_mb * count,
+        size.accelerators * count,
+    )
+    return cell.usage(team.name).allows(whole, team.maximum)
+
+
+def _gang_plan(
+    step: _state.StepRun, workers: list[tuple[_state.Worker, str]]
+) -> list[tuple[_state.Worker, str]] | None:
+    if step.spec.one_rack:
+        racks = {worker.entry.rack for worker, _ in workers}
+        for rack in sorted(racks):
+            plan = _fill(step, [w for w in workers if w[0].entry.rack == rack])
+            if plan is not None:
+                return plan
+    return _fill(step, workers)
+
+
+def _fill(
+    step: _state.StepRun, workers: list[tuple[_state.Worker, str]]
+) -> list[tuple[_state.Worker, str]] | None:
+    spec = step.spec
+    plan: list[tuple[_state.Worker, str]] = []
+    for worker, ticket in workers:
+        size = spec.size
+        free = [worker.free_memory // max(size.memory_mb, 1)]
+        if not spec.is_filler:
+            free.append(worker.free_cpu // max(size.cpu_milli, 1))
+        if size.accelerators:
+            free.append(worker.free_accelerators // size.accelerators)
+        if spec.most_per_worker:
+            free.append(spec.most_per_worker - step.on_worker[worker.id])
+        plan += [(worker, ticket)] * max(0, min(free))
+        if len(plan) >= spec.count:
+            return plan[: spec.count]
+    return None
+
+
+def look_again(cell: _state.Cell) -> None:
+    """Look at steps whose tickets or pauses may have run out."""
+    for step in cell.waiting.values():
+        if step.is_blocked and not step.asking and not step.team_full:
+            step.is_blocked = False
+
+
+def refresh_policies(cell: _state.Cell) -> None:
+    """Take over the policies of a new configuration."""
+    for job in cell.jobs.values():
+        if job.spec.queue in cell.config.queues_by_name:
+            job.queue = _jobs.queue_of(cell, job.spec)
+    _workers.wake_all(cell)
--- /dev/null
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -0,0 +1,186 @@
+"""The progress of jobs, as it is stored and read back.
+
+A record holds what a new owner could not learn from the workers any more:
+the tasks that are done, the runs that failed, and the checkpoints.
+"""
+
+import json
+
+from celeryshift_cell import _jobs
+from celeryshift_cell import _runs
+from celeryshift_cell import _state
+from celeryshift_cell import _workers
+from celeryshift_cell import effects
+from celeryshift_cell import events
+from celeryshift_cell import model
+
+EMPTY = '{}'
+
+
+def encode(job: _state.JobRun) -> str:
+    """Give the record of a job that has not ended."""
+    done: dict[str, str] = {}
+    rest: dict[str, list[object]] = {}
+    for (occurrence, number), step in job.steps.items():
+        bits = sum(1 << task.index for task in step.tasks if task.is_done)
+        if bits:
+            done[f'{occurrence}.{number}'] = f'{bits:x}'
+        for task in step.tasks:
+            if task.is_done or not (task.failed_runs or task.saved):
+                continue
+            key = f'{occurrence}.{number}.{task.index}'
+            failed = sorted(task.failed_runs)
+            rest[key] = [task.last_run, failed, task.saved]
+    return json.dumps({'done': done, 'tasks': rest}, separators=(',', ':'))
+
+
+def restore(job: _state.JobRun, record: str) -> None:
+    """Set a job that has just been taken over to its stored progress."""
+    known = json.loads(record)
+    for key, bits in known.get('done', {}).items():
+        occurrence, number = (int(part) for part in key.split('.'))
+        step = job.steps[occurrence, number]
+        mask = int(bits, 16)
+        for task in step.tasks:
+            if mask >> task.index & 1:
+                task.is_done = True
+                step.pending.discard(task.index)
+                step.left -= 1
+        if step.left == 0:
+            job.left -= 1
+        job.state = model.JobState.RUNNING
+    for key, (last, failed, saved) in known.get('tasks', {}).items():
+        occurrence, number, index = (int(part) for part in key.split('.'))
+        task = job.steps[occurrence, number].tasks[index]
+        task.last_run = last
+        task.failed_runs.update(failed)
+        task.saved = saved
+        job.state = model.JobState.RUNNING
+
+
+def save(cell: _state.Cell) -> None:
+    """Send what is behind to the store, one transaction at a time."""
+    known = tuple(
+        sorted(
+            (worker.id, worker.entry.life, worker.entry.address)
+            for worker in cell.workers.values()
+        )
+    )
+    is_due = cell.dirty or known != cell.stored_workers
+    if cell.save_out or not is_due or cell.now < cell.save_after:
+        return
+    progress, ended = {}, {}
+    for job_id in list(cell.dirty)[: cell.options.max_records]:
+        job = cell.dirty.pop(job_id)
+        if job.state in _jobs.FINAL:
+            ended[job_id] = job.state.value
+        else:
+            progress[job_id] = encode(job)
+    cell.save_out = True
+    if not cell.dirty:
+        # Only a save that leaves nothing behind covers all ends so far.
+        cell.saving = {
+            worker.id: worker.last_end
+            for worker in cell.workers.values()
+            if worker.last_end > worker.last_saved_end
+        }
+    else:
+        cell.saving = {}
+    cell.saving_jobs = (*progress, *ended)
+    cell.saving_ended = tuple(ended)
+    changed = known != cell.stored_workers
+    cell.stored_workers = known
+    cell.emit(effects.SaveRecords(progress, ended, known if changed else None))
+
+
+def saved(cell: _state.Cell) -> None:
+    """Note that what was sent is stored, and tell the workers."""
+    cell.save_out = False
+    for job_id in cell.saving_ended:
+        job = cell.jobs.get(job_id)
+        if job is None:
+            continue
+        job.is_recorded = True
+        job.recorded_at = cell.now
+        cell.note('end_recorded', job=job_id, state=job.state.value)
+    _workers.ends_saved(cell)
+
+
+def failed(cell: _state.Cell) -> None:
+    """Send everything again later: it may or may not be stored."""
+    cell.save_out = False
+    cell.save_after = cell.now + cell.options.save_retry_s
+    for job_id in cell.saving_jobs:
+        job = cell.jobs.get(job_id)
+        if job is not None:
+            cell.dirty[job_id] = job
+    cell.stored_workers = None
+    cell.saving = {}
+
+
+def forget_ended(cell: _state.Cell) -> None:
+    """Drop jobs whose end is stored and of which nothing runs."""
+    kept_s = cell.options.keep_ended_s
+    for job_id, job in list(cell.jobs.items()):
+        if not job.is_recorded or cell.now - job.recorded_at < kept_s:
+            continue
+        if not any(t.runs for s in job.steps.values() for t in s.tasks):
+            del cell.jobs[job_id]
+
+
+def take_over(cell: _state.Cell, event: events.Restored) -> None:
+    """Become the owner of what is stored."""
+    cell.doubt_until = event.doubt_until
+    for worker_id, life, address in event.workers:
+        known = cell.workers.get(worker_id)
+        if known is None:
+            entry = model.WorkerEntry(
+                worker_id, life, '', address, '', model.Size()
+            )
+            known = _workers.add(cell, entry)
+            known.is_listed = False
+            known.ask_at = cell.now
+        if known.entry.life == life and not known.is_fenced:
+            cell.unfenced.add(worker_id)
+    for worker in cell.workers.values():
+        if not worker.is_fenced:
+            cell.unfenced.add(worker.id)
+    for spec in event.jobs:
+        _restore_job(cell, spec, event)
+    cell.note(
+        'cell_restored',
+        epoch=cell.epoch,
+        jobs=len(event.jobs),
+        unfenced=len(cell.unfenced),
+    )
+
+
+def _restore_job(
+    cell: _state.Cell, spec: model.Job, event: events.Restored
+) -> None:
+    job = _jobs.accept(cell, spec)
+    if job is None:
+        return
+    restore(job, event.records_by_job.get(spec.id, EMPTY))
+    for step in job.steps.values():
+        step.in_doubt = True
+    if spec.id in event.cancelled:
+        cancel(cell, spec.id)
+        return
+    if job.left == 0:
+        _jobs.finish(cell, job, model.JobState.COMPLETED)
+        return
+    _jobs.release(cell, job)
+    for (occurrence, _), step in job.steps.items():
+        needed = step.spec.after
+        if needed and all(job.steps[occurrence, i].left == 0 for i in needed):
+            _jobs.make_ready(cell, step)
+
+
+def cancel(cell: _state.Cell, job_id: str) -> None:
+    """Stop a job for good."""
+    job = cell.jobs.get(job_id)
+    if job is None or job.state in _jobs.FINAL:
+        return
+    _jobs.finish(cell, job, model.JobState.CANCELLED)
+    _runs.stop_job(cell, job, 'job cancelled')
--- /dev/null
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -0,0 +1,90 @@
+"""The reducer of a cell: an event changes the state and asks for effects."""
+
+from collections.abc import Callable
+from typing import Any
+
+from celeryshift_cell import _advice
+from celeryshift_cell import _jobs
+from celeryshift_cell import _placement
+from celeryshift_cell import _records
+from celeryshift_cell import _runs
+from celeryshift_cell import _state
+from celeryshift_cell import _workers
+from celeryshift_cell import effects
+from celeryshift_cell import events
+
+
+def reduce(
+    cell: _state.Cell, event: events.Event, place: bool = True
+) -> list[effects.Effect]:
+    """Apply an event; the state is changed in place.
+
+    Without ``place``, the pass over waiting tasks is left to a later event,
+    so that one pass serves several events that arrive together.
+    """
+    cell.now = max(cell.now, event.now)
+    HANDLERS[type(event)](cell, event)
+    if place:
+        _placement.run(cell)
+        _records.save(cell)
+    out, cell.out = cell.out, []
+    return out
+
+
+def _config_changed(cell: _state.Cell, event: events.ConfigChanged) -> None:
+    cell.config = event.config
+    _placement.refresh_policies(cell)
+    cell.note('config_applied', version=event.config.version)
+
+
+def _job_accepted(cell: _state.Cell, event: events.JobAccepted) -> None:
+    job = _jobs.accept(cell, event.job)
+    if job is None:
+        return
+    cell.note(
+        'job_taken',
+        job=event.job.id,
+        queue=event.job.queue,
+        team=event.job.team,
+        age_ms=round(cell.wall_ms - event.job.arrived_ms),
+        config=cell.config.version,
+    )
+    _jobs.release(cell, job)
+
+
+def _job_cancelled(cell: _state.Cell, event: events.JobCancelled) -> None:
+    _records.cancel(cell, event.job_id)
+
+
+def _ticked(cell: _state.Cell, event: events.Ticked) -> None:
+    cell.wall_offset_ms = event.wall_ms - event.now * 1000
+    _jobs.release_due(cell)
+    _workers.expire(cell)
+    _workers.settle(cell)
+    _workers.ask_due(cell)
+    _records.forget_ended(cell)
+    _placement.look_again(cell)
+
+
+def _restored(cell: _state.Cell, event: events.Restored) -> None:
+    cell.wall_offset_ms = event.wall_ms - event.now * 1000
+    _records.take_over(cell, event)
+    _workers.ask_due(cell)
+
+
+HANDLERS: dict[type, Callable[[_state.Cell, Any], None]] = {
+    events.ConfigChanged: _config_changed,
+    events.WorkersListed: _workers.listed,
+    events.JobAccepted: _job_accepted,
+    events.JobCancelled: _job_cancelled,
+    events.StartAnswered: _runs.start_answered,
+    events.StopAnswered: _runs.stop_answered,
+    events.HoldAnswered: _workers.hold_answered,
+    events.HoldFailed: _workers.hold_failed,
+    events.AdviceAnswered: _advice.answered,
+    events.AdviceFailed: _advice.failed,
+    events.RecordsSaved: lambda cell, event: _records.saved(cell),
+    events.RecordsFailed: lambda cell, event: _records.failed(cell),
+    events.Restored: _restored,
+    events.Ticked: _ticked,
+}
--- /dev/null
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -0,0 +1,386 @@
+"""Orders to workers, their answers, and the runs that they lead to."""
+
+from celeryshift_cell import _health
+from celeryshift_cell import _jobs
+from celeryshift_cell import _leases
+from celeryshift_cell import _state
+from celeryshift_cell import effects
+from celeryshift_cell import events
+from celeryshift_cell import model
+
+Outcome = events.Outcome
+Phase = _state.Phase
+
+# A start with one of these outcomes has surely not been carried out.
+NOT_RUN = frozenset(
+    {
+        Outcome.FENCED,
+        Outcome.OLD,
+        Outcome.LATE,
+        Outcome.NO_ROOM,
+        Outcome.NO_TICKET,
+        Outcome.REFUSED,
+        Outcome.INVALID,
+        Outcome.UNSENT,
+    }
+)
+# Pause before work is sent again to a worker that refused some.
+REFUSED_PAUSE_S = 0.5
+
+
+def next_number(cell: _state.Cell, tasks: list[_state.Task]) -> int:
+    """Give a number that no run of any of these tasks has had."""
+    base = (cell.epoch - 1) * _state.RUNS_PER_EPOCH
+    return max(base, *(task.last_run for task in tasks)) + 1
+
+
+def start(
+    cell: _state.Cell,
+    task: _state.Task,
+    worker: _state.Worker,
+    number: int,
+    ticket: str,
+) -> None:
+    """Send the order to start a task on a worker."""
+    step = task.step
+    job = step.job
+    task.last_run = max(task.last_run, number)
+    run = _state.Run(task, number, worker, Phase.SENT, cell.now)
+    _attach(cell, run)
+    step.pending.discard(task.index)
+    if not step.pending:
+        cell.waiting.pop(step.key, None)
+    if job.state is model.JobState.QUEUED:
+        job.state = model.JobState.RUNNING
+    entry = worker.entry
+    cell.emit(
+        effects.StartRun(
+            entry.id,
+            entry.life,
+            entry.address,
+            task.name,
+            number,
+            job.spec.spec,
+            task.saved,
+            ticket,
+            _leases.extend(cell, worker),
+        )
+    )
+    if worker.ask_at is None and not worker.holds_out:
+        worker.ask_at = cell.now
+
+
+def _attach(cell: _state.Cell, run: _state.Run) -> None:
+    task = run.task
+    step = task.step
+    task.runs[run.number] = run
+    run.worker.runs[task.name, run.number] = run
+    run.worker.book(step.spec, 1)
+    step.on_worker[run.worker.id] += 1
+    cell.usage(step.job.spec.team).book(step.spec.size, 1)
+
+
+def detach(cell: _state.Cell, run: _state.Run) -> None:
+    """Give back what a run used, since it is surely over."""
+    task = run.task
+    step = task.step
+    if task.runs.pop(run.number, None) is None:
+        return
+    worker = run.worker
+    worker.runs.pop((task.name, run.number), None)
+    worker.book(step.spec, -1)
+    step.on_worker[worker.id] -= 1
+    team = step.job.spec.team
+    cell.usage(team).book(step.spec.size, -1)
+    _wake_for_room(cell, worker, team)
+
+
+def _wake_for_room(
+    cell: _state.Cell, worker: _state.Worker, team: str
+) -> None:
+    for step in cell.waiting.values():
+        if not step.is_blocked:
+            continue
+        if step.team_full:
+            if step.job.spec.team == team:
+                step.is_blocked = False
+        elif worker.has_room(step.spec) and (
+            step.unfit.get(worker.id) != worker.entry.life
+        ):
+            step.is_blocked = False
+
+
+def stop(cell: _state.Cell, run: _state.Run, why: str) -> None:
+    """Order a worker to stop a run."""
+    run.phase = Phase.STOPPING
+    run.since = cell.now
+    entry = run.worker.entry
+    cell.note(
+        'run_stopped',
+        job=run.task.step.job.spec.id,
+        task=run.task.name,
+        run=run.number,
+        worker=entry.id,
+        why=why,
+    )
+    cell.emit(
+        effects.StopRun(
+            entry.id, entry.life, entry.address, run.task.name, run.number
+        )
+    )
+
+
+def stop_job(cell: _state.Cell, job: _state.JobRun, why: str) -> None:
+    """Stop all runs of a job."""
+    for step in job.steps.values():
+        for task in step.tasks:
+            for run in task.runs.values():
+                if run.phase is not Phase.STOPPING:
+                    stop(cell, run, why)
+
+
+def start_answered(cell: _state.Cell, event: events.StartAnswered) -> None:
+    """Settle an order to start, or note the doubt."""
+    worker = cell.workers.get(event.worker_id)
+    run = worker and worker.runs.get((event.task, event.run))
+    if worker is None or not run:
+        return
+    outcome = event.outcome
+    if outcome is Outcome.DONE:
+        if run.phase in (Phase.SENT, Phase.DOUBT):
+            run.phase = Phase.RUNNING
+            run.confirmed_at = run.moved_at = cell.now
+        return
+    cell.note(
+        'start_not_confirmed',
+        job=run.task.step.job.spec.id,
+        task=event.task,
+        run=event.run,
+        worker=event.worker_id,
+        outcome=outcome.value,
+        after_ms=round((cell.now - run.since) * 1000),
+    )
+    if outcome is Outcome.FENCED:
+        cell.emit(effects.Yield(event.worker_id))
+    if outcome is Outcome.OTHER_LIFE:
+        other_life(cell, worker)
+    elif outcome in NOT_RUN:
+        _not_run(cell, run, outcome)
+    elif outcome is Outcome.UNKNOWN:
+        if run.phase is Phase.SENT:
+            run.phase = Phase.DOUBT
+            run.since = cell.now
+        _health.unanswered(cell, worker)
+
+
+def _not_run(
+    cell: _state.Cell, run: _state.Run, outcome: events.Outcome
+) -> None:
+    worker = run.worker
+    step = run.task.step
+    if outcome is Outcome.NO_TICKET:
+        step.verdicts.pop(worker.id, None)
+    elif outcome is not Outcome.OLD:
+        worker.quarantined_until = max(
+            worker.quarantined_until, cell.now + REFUSED_PAUSE_S
+        )
+    detach(cell, run)
+    if step.spec.is_gang:
+        break_gang(cell, step, run.number)
+    _jobs.put_back(cell, run.task)
+
+
+def break_gang(cell: _state.Cell, step: _state.StepRun, number: int) -> None:
+    """Stop the other members of a gang of which one can't run."""
+    for task in step.tasks:
+        run = task.runs.get(number)
+        if run is not None and run.phase is not Phase.STOPPING:
+            stop(cell, run, 'gang incomplete')
+
+
+def stop_answered(cell: _state.Cell, event: events.StopAnswered) -> None:
+    """Note that a run can't be there any more after the next list."""
+    worker = cell.workers.get(event.worker_id)
+    run = worker and worker.runs.get((event.task, event.run))
+    if worker is None or not run:
+        return
+    if event.outcome is Outcome.FENCED:
+        cell.emit(effects.Yield(event.worker_id))
+    elif event.outcome is Outcome.DONE:
+        run.stopped_at = cell.now
+    # Without an answer, the tick sends the order again.
+
+
+def listed(
+    cell: _state.Cell, worker: _state.Worker, event: events.HoldAnswered
+) -> None:
+    """Compare the runs that a worker lists with those that are known."""
+    seen = set()
+    for entry in event.running:
+        seen.add((entry.task, entry.run))
+        run = worker.runs.get((entry.task, entry.run))
+        if run is None:
+            run = _adopt(cell, worker, entry)
+        if run is not None:
+            _refresh(cell, run, entry)
+    for key, run in list(worker.runs.items()):
+        if key not in seen:
+            _missing(cell, run, event.sent_at)
+
+
+def _adopt(
+    cell: _state.Cell, worker: _state.Worker, entry: events.RunListed
+) -> _state.Run | None:
+    task = cell.task(entry.task)
+    if task is None:
+        life = worker.entry
+        cell.note('unknown_run', task=entry.task, worker=worker.id)
+        cell.emit(
+            effects.StopRun(
+                life.id, life.life, life.address, entry.task, entry.run
+            )
+        )
+        return None
+    run = _state.Run(task, entry.run, worker, Phase.RUNNING, cell.now)
+    run.confirmed_at = run.moved_at = cell.now
+    others = len(task.runs)
+    task.last_run = max(task.last_run, entry.run)
+    _attach(cell, run)
+    task.step.pending.discard(task.index)
+    if not task.step.pending:
+        cell.waiting.pop(task.step.key, None)
+    cell.note(
+        'run_adopted',
+        job=task.step.job.spec.id,
+        task=task.name,
+        run=entry.run,
+        worker=worker.id,
+    )
+    job = task.step.job
+    if job.state is model.JobState.QUEUED:
+        job.state = model.JobState.RUNNING
+    is_spare = others and not task.step.spec.allows_copies
+    if task.is_done or job.state in _jobs.FINAL or is_spare:
+        stop(cell, run, 'not wanted')
+    return run
+
+
+def _refresh(
+    cell: _state.Cell, run: _state.Run, entry: events.RunListed
+) -> None:
+    if run.phase in (Phase.SENT, Phase.DOUBT):
+        run.phase = Phase.RUNNING
+        run.confirmed_at = run.moved_at = cell.now
+    if entry.saved:
+        run.task.saved = entry.saved
+    if entry.percent > run.percent:
+        run.moved_at = cell.now
+    run.percent = entry.percent
+    run.load = entry.load
+
+
+def _missing(cell: _state.Cell, run: _state.Run, asked_at: float) -> None:
+    if run.phase is Phase.RUNNING and asked_at > run.confirmed_at:
+        _gone(cell, run, 'no longer listed')
+    elif run.phase is Phase.DOUBT and asked_at > run.since:
+        stop(cell, run, 'start in doubt')
+    elif run.stopped_at is not None and asked_at > run.stopped_at:
+        _gone(cell, run, 'never ran')
+
+
+def _gone(cell: _state.Cell, run: _state.Run, why: str) -> None:
+    cell.note(
+        'run_gone',
+        job=run.task.step.job.spec.id,
+        task=run.task.name,
+        run=run.number,
+        worker=run.worker.id,
+        why=why,
+    )
+    detach(cell, run)
+    if run.task.step.spec.is_gang:
+        break_gang(cell, run.task.step, run.number)
+    _jobs.put_back(cell, run.task)
+
+
+def ended(
+    cell: _state.Cell, worker: _state.Worker, entry: events.RunEnded
+) -> None:
+    """Draw the conclusions from the end of a run."""
+    task = cell.task(entry.task)
+    if task is None:
+        return
+    run = worker.runs.get((entry.task, entry.run))
+    task.last_run = max(task.last_run, entry.run)
+    if entry.saved:
+        task.saved = entry.saved
+    step = task.step
+    job = step.job
+    cell.note(
+        'run_ended',
+        job=job.spec.id,
+        task=entry.task,
+        run=entry.run,
+        worker=worker.id,
+        how=entry.ending.value,
+        ran_ms=run and round((cell.now - run.since) * 1000),
+    )
+    if run is not None:
+        detach(cell, run)
+    _health.ended(cell, worker, task, run, entry.ending)
+    if entry.ending is model.Ending.DONE and not step.spec.is_lasting:
+        members = step.tasks if step.spec.is_gang else [task]
+        for member in members:
+            _jobs.task_done(cell, member)
+        for copy in list(task.runs.values()):
+            if copy.phase is not Phase.STOPPING:
+                stop(cell, copy, 'another copy ended')
+        return
+    if entry.ending is model.Ending.FAILED:
+        _jobs.task_failed(cell, task, entry.run, worker.id)
+        if job.state is model.JobState.FAILED:
+            stop_job(cell, job, 'job failed')
+    cell.dirty[job.spec.id] = job
+    _jobs.put_back(cell, task)
+
+
+def lost(cell: _state.Cell, worker: _state.Worker, why: str) -> None:
+    """Conclude that all runs of a worker are over.
+
+    Orders under way may still reach a later life of the worker, if there is
+    one: these stay in doubt.
+    """
+    for run in list(worker.runs.values()):
+        if run.phase in (Phase.SENT, Phase.DOUBT):
+            continue
+        _gone(cell, run, why)
+
+
+def expired(cell: _state.Cell, worker: _state.Worker) -> None:
+    """Conclude that everything on a worker has ended with its lease."""
+    for run in list(worker.runs.values()):
+        _gone(cell, run, 'lease ran out')
+
+
+def carry_over(
+    cell: _state.Cell, before: _state.Worker, after: _state.Worker
+) -> None:
+    """Let orders under way count on the next life of a worker."""
+    for key, run in list(before.runs.items()):
+        del before.runs[key]
+        run.worker = after
+        after.runs[key] = run
+        after.book(run.task.step.spec, 1)
+    after.lease_until = before.lease_until
+
+
+def other_life(cell: _state.Cell, worker: _state.Worker) -> None:
+    """Conclude that a life of a worker is over."""
+    lost(cell, worker, 'another worker answers')
+    for run in list(worker.runs.values()):
+        # An order that names the former life is refused by any other.
+        _gone(cell, run, 'another worker answers')
+    cell.unfenced.discard(worker.id)
+    worker.ask_at = None
+    worker.is_silent = True
+    worker.is_listed = False
--- /dev/null
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -0,0 +1,288 @@
+"""The state of a cell, as its owner keeps it."""
+
+import collections
+import enum
+import heapq
+from typing import Any
+
+import attrs
+
+from celeryshift_cell import _options
+from celeryshift_cell import effects
+from celeryshift_cell import model
+
+# Runs of one task under one owner get numbers from one such range, so that
+# the next owner never gives a number again that it has not heard of.
+RUNS_PER_EPOCH = 1000
+
+
+class Phase(enum.Enum):
+    """Name what is known of a run that may be on a worker."""
+
+    # The order is on its way.
+    SENT = 'sent'
+    RUNNING = 'running'
+    STOPPING = 'stopping'
+    # The order to start got no answer.
+    DOUBT = 'doubt'
+
+
+@attrs.define(slots=True, eq=False)
+class Run:
+    """Follow one run that uses room on a worker until it is settled."""
+
+    task: 'Task'
+    number: int
+    worker: 'Worker'
+    phase: Phase
+    since: float
+    # When the worker confirmed that the run is there.
+    confirmed_at: float = 0.0
+    # When an order to stop it was answered; a list made later that lacks
+    # the run proves that it never came to be.
+    stopped_at: float | None = None
+    percent: int = 0
+    # When the percent last rose.
+    moved_at: float = 0.0
+    load: int = 0
+    # The share of its speed that the run is paced to.
+    pace: int = 100
+
+
+@attrs.define(slots=True, eq=False)
+class Task:
+    """Follow one task of a step."""
+
+    step: 'StepRun'
+    index: int
+    name: str
+    is_done: bool = False
+    last_run: int = 0
+    saved: str = ''
+    failed_runs: set[int] = attrs.field(factory=set)
+    runs: dict[int, Run] = attrs.field(factory=dict)
+    # Workers on which the task has failed.
+    failed_on: set[str] = attrs.field(factory=set)
+
+
+@attrs.define(slots=True, eq=False)
+class Verdict:
+    """Hold that a worker may run a step."""
+
+    life: int
+    ticket: str
+    until: float
+
+
+@attrs.define(slots=True, eq=False)
+class StepRun:
+    """Follow a step of one occurrence of a job."""
+
+    job: 'JobRun'
+    occurrence: int
+    number: int
+    spec: model.Step
+    name: str
+    tasks: list[Task] = attrs.field(factory=list)
+    # Indices of the tasks that wait for a worker.
+    pending: set[int] = attrs.field(factory=set)
+    left: int = 0
+    is_ready: bool = False
+    ready_at: float = 0.0
+    # Nothing that would let a waiting task start has changed since the
+    # last look.
+    is_blocked: bool = False
+    # Set if what stands in the way is the maximum of the team.
+    team_full: bool = False
+    verdicts: dict[str, Verdict] = attrs.field(factory=dict)
+    # The lives of workers that may not run the step.
+    unfit: dict[str, int] = attrs.field(factory=dict)
+    # Workers that are being asked about.
+    asking: frozenset[str] = frozenset()
+    ask_after: float = 0.0
+    on_worker: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    # A former owner may have started the tasks.
+    in_doubt: bool = False
+
+    @property
+    def key(self) -> str:
+        """Give the name that identifies the step in a cell."""
+        return self.name
+
+
+@attrs.define(slots=True, eq=False)
+class JobRun:
+    """Follow a job."""
+
+    spec: model.Job
+    queue: model.Queue
+    steps: dict[tuple[int, int], StepRun] = attrs.field(factory=dict)
+    state: model.JobState = model.JobState.QUEUED
+    # Steps that have not ended.
+    left: int = 0
+    # What is stored says that the job has ended.
+    is_recorded: bool = False
+    recorded_at: float = 0.0
+    # The expected time of the longest chain of steps.
+    chain_ms: float = 0.0
+
+
+@attrs.define(slots=True, eq=False)
+class Worker:
+    """Follow one life of a worker."""
+
+    entry: model.WorkerEntry
+    free_cpu: int
+    free_memory: int
+    free_accelerators: int
+    # The worker has confirmed that it obeys this owner.
+    is_fenced: bool = False
+    is_listed: bool = True
+    # The last question or order got no answer.
+    is_silent: bool = False
+    joined_at: float = 0.0
+    # The worker's clock minus ours, at the last answer.
+    clock_offset_ms: float = 0.0
+    # The last end that was processed, and the last that is stored.
+    last_end: int = 0
+    last_saved_end: int = 0
+    # When the last of its leases runs out at the latest.
+    lease_until: float = 0.0
+    holds_out: int = 0
+    # When to ask again; None while a question is out.
+    ask_at: float | None = 0.0
+    runs: dict[tuple[str, int], Run] = attrs.field(factory=dict)
+    failures: int = 0
+    # No task is started there until then.
+    quarantined_until: float = 0.0
+    # Failures since the last success, by the name of the job.
+    failed_jobs: set[str] = attrs.field(factory=set)
+    filler_cpu: int = 0
+    # How many times as long tasks take here as elsewhere.
+    slowness: float = 1.0
+
+    @property
+    def id(self) -> str:
+        """Give the id of the worker."""
+        return self.entry.id
+
+    def has_room(self, step: model.Step) -> bool:
+        """Tell whether a task of the step fits."""
+        size = step.size
+        return (
+            size.memory_mb <= self.free_memory
+            and (step.is_filler or size.cpu_milli <= self.free_cpu)
+            and size.accelerators <= self.free_accelerators
+        )
+
+    def book(self, step: model.Step, sign: int) -> None:
+        """Take the room of a task (1) or give it back (-1)."""
+        if step.is_filler:
+            self.filler_cpu += sign * step.size.cpu_milli
+        else:
+            self.free_cpu -= sign * step.size.cpu_milli
+        self.free_memory -= sign * step.size.memory_mb
+        self.free_accelerators -= sign * step.size.accelerators
+
+
+@attrs.define(slots=True, eq=False)
+class Usage:
+    """Count what a team has running."""
+
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def book(self, size: model.Size, sign: int) -> None:
+        """Add the size of a task (1) or take it off (-1)."""
+        self.cpu_milli += sign * size.cpu_milli
+        self.memory_mb += sign * size.memory_mb
+        self.accelerators += sign * size.accelerators
+
+    def allows(self, size: model.Size, maximum: model.Size) -> bool:
+        """Tell whether one more task stays within the maximum."""
+        return (
+            _within(self.cpu_milli + size.cpu_milli, maximum.cpu_milli)
+            and _within(self.memory_mb + size.memory_mb, maximum.memory_mb)
+            and _within(
+                self.accelerators + size.accelerators, maximum.accelerators
+            )
+        )
+
+
+def _within(amount: int, maximum: int) -> bool:
+    return maximum == 0 or amount <= maximum
+
+
+@attrs.define(slots=True, eq=False)
+class Cell:
+    """Hold all that the owner of a cell knows."""
+
+    epoch: int
+    options: _options.Options = attrs.field(factory=_options.Options)
+    now: float = 0.0
+    # Unix milliseconds minus the monotonic milliseconds.
+    wall_offset_ms: float = 0.0
+    config: model.Config = attrs.field(factory=model.Config)
+    jobs: dict[str, JobRun] = attrs.field(factory=dict)
+    workers: dict[str, Worker] = attrs.field(factory=dict)
+    usage_by_team: dict[str, Usage] = attrs.field(factory=dict)
+    # Steps with waiting tasks, by name.
+    waiting: dict[str, StepRun] = attrs.field(factory=dict)
+    # Steps whose time has not come, as (due in Unix ms, name).
+    timed: list[tuple[int, str]] = attrs.field(factory=list)
+    # Jobs whose stored progress is behind.
+    dirty: dict[str, JobRun] = attrs.field(factory=dict)
+    save_out: bool = False
+    # What the save under way covers: the last end of each worker, the jobs,
+    # and those of them that have ended.
+    saving: dict[str, int] = attrs.field(factory=dict)
+    saving_jobs: tuple[str, ...] = ()
+    saving_ended: tuple[str, ...] = ()
+    save_after: float = 0.0
+    # Workers in the stored list of those that may hold runs.
+    stored_workers: tuple[tuple[str, int, str], ...] | None = None
+    # Workers that a former owner may have used and that are silent.
+    unfenced: set[str] = attrs.field(factory=set)
+    doubt_until: float = 0.0
+    ms_by_image: dict[str, float] = attrs.field(factory=dict)
+    counters: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    out: list[effects.Effect] = attrs.field(factory=list)
+
+    def emit(self, effect: effects.Effect) -> None:
+        """Ask for an effect."""
+        self.out.append(effect)
+
+    def note(self, decision: str, **fields: Any) -> None:
+        """Count a decision and say why it was made."""
+        self.counters[decision] += 1
+        self.out.append(effects.Decided(decision, fields))
+
+    @property
+    def wall_ms(self) -> float:
+        """Give the time of day in Unix milliseconds."""
+        return self.now * 1000 + self.wall_offset_ms
+
+    def usage(self, team: str) -> Usage:
+        """Give what a team has running."""
+        return self.usage_by_team.setdefault(team, Usage())
+
+    def task(self, name: str) -> Task | None:
+        """Find a task by its name."""
+        parts = name.split('.')
+        job = self.jobs.get(parts[0])
+        if job is None or len(parts) != 4:
+            return None
+        try:
+            step = job.steps.get((int(parts[1]), int(parts[2])))
+            return None if step is None else step.tasks[int(parts[3])]
+        except (ValueError, IndexError):
+            return None
+
+    def schedule(self, due_ms: int, name: str) -> None:
+        """Let a step wait until a time of day."""
+        heapq.heappush(self.timed, (due_ms, name))
--- /dev/null
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -0,0 +1,249 @@
+"""Workers that come and go, and the questions that keep in touch."""
+
+import attrs
+
+from celeryshift_cell import _leases
+from celeryshift_cell import _runs
+from celeryshift_cell import _state
+from celeryshift_cell import effects
+from celeryshift_cell import events
+from celeryshift_cell import model
+
+# An idle worker is told within this time that its ends are stored.
+IDLE_NOTE_S = 1.0
+
+
+def listed(cell: _state.Cell, event: events.WorkersListed) -> None:
+    """Take over what the list of workers says."""
+    for entry in event.entries:
+        worker = cell.workers.get(entry.id)
+        if worker is not None and worker.entry.life > entry.life:
+            continue
+        if worker is None or worker.entry.life != entry.life:
+            _join(cell, entry, worker)
+        else:
+            _update(cell, worker, entry)
+    for worker_id in event.gone:
+        worker = cell.workers.get(worker_id)
+        if worker is not None and worker.is_listed:
+            worker.is_listed = False
+            cell.note('worker_left', worker=worker_id, runs=len(worker.runs))
+
+
+def _join(
+    cell: _state.Cell,
+    entry: model.WorkerEntry,
+    before: _state.Worker | None,
+) -> None:
+    if before is not None:
+        _runs.lost(cell, before, 'worker restarted')
+    worker = add(cell, entry)
+    if before is not None:
+        _runs.carry_over(cell, before, worker)
+    cell.note(
+        'worker_joined',
+        worker=entry.id,
+        life=entry.life,
+        upstream=entry.upstream,
+        address=entry.address,
+    )
+    _ask(cell, worker, 0)
+
+
+def add(cell: _state.Cell, entry: model.WorkerEntry) -> _state.Worker:
+    """Keep a worker, of which nothing is known to run."""
+    capacity = entry.capacity
+    worker = _state.Worker(
+        entry,
+        capacity.cpu_milli,
+        capacity.memory_mb,
+        capacity.accelerators,
+        joined_at=cell.now,
+    )
+    cell.workers[entry.id] = worker
+    return worker
+
+
+def _update(
+    cell: _state.Cell, worker: _state.Worker, entry: model.WorkerEntry
+) -> None:
+    known = worker.entry
+    capacity = entry.capacity
+    worker.free_cpu += capacity.cpu_milli - known.capacity.cpu_milli
+    worker.free_memory += capacity.memory_mb - known.capacity.memory_mb
+    worker.free_accelerators += (
+        capacity.accelerators - known.capacity.accelerators
+    )
+    if entry.is_draining and not known.is_draining:
+        cell.note(
+            'worker_draining',
+            worker=entry.id,
+            runs=len(worker.runs),
+            remaining_ms=entry.remaining_ms,
+        )
+    if not worker.is_listed:
+        cell.note('worker_back', worker=entry.id)
+    worker.is_listed = True
+    worker.entry = entry
+    if not known.capacity.fits(capacity) or known != entry:
+        wake_all(cell)
+
+
+def wake_all(cell: _state.Cell) -> None:
+    """Look at every waiting task at the next pass."""
+    for step in cell.waiting.values():
+        step.is_blocked = False
+
+
+def _ask(cell: _state.Cell, worker: _state.Worker, wait_ms: int) -> None:
+    worker.ask_at = None
+    worker.holds_out += 1
+    deadline_ms = None
+    if worker.is_fenced:
+        deadline_ms = _leases.extend(cell, worker)
+    entry = worker.entry
+    cell.emit(
+        effects.Hold(
+            entry.id,
+            entry.life,
+            entry.address,
+            worker.last_saved_end,
+            wait_ms,
+            deadline_ms,
+        )
+    )
+
+
+def ask_due(cell: _state.Cell) -> None:
+    """Ask the workers whose time has come."""
+    for worker in cell.workers.values():
+        if worker.ask_at is None or worker.ask_at > cell.now:
+            continue
+        if worker.holds_out > 1 or (worker.holds_out and not worker.is_silent):
+            continue
+        is_quick = worker.is_silent or worker.last_end > worker.last_saved_end
+        _ask(cell, worker, 0 if is_quick else cell.options.hold_wait_ms)
+
+
+def hold_answered(cell: _state.Cell, event: events.HoldAnswered) -> None:
+    """Learn what runs on a worker and what has ended there."""
+    worker = cell.workers.get(event.worker_id)
+    if worker is None:
+        return
+    if worker.entry.life != event.life:
+        if event.life > worker.entry.life:
+            _restarted(cell, worker, event.life)
+        return
+    worker.holds_out -= 1
+    if worker.is_silent:
+        cell.note('worker_answers', worker=worker.id)
+    worker.is_silent = False
+    _leases.note_clock(cell, worker, event.clock_ms)
+    was_fenced = worker.is_fenced
+    worker.is_fenced = True
+    cell.unfenced.discard(worker.id)
+    for entry in event.ended:
+        if entry.number > worker.last_end:
+            worker.last_end = entry.number
+            _runs.ended(cell, worker, entry)
+    _runs.listed(cell, worker, event)
+    if not was_fenced:
+        wake_all(cell)
+    _ask_next(cell, worker)
+
+
+def _restarted(cell: _state.Cell, before: _state.Worker, life: int) -> None:
+    # What the new life can hold is known once it has an entry.
+    entry = attrs.evolve(before.entry, life=life)
+    _join(cell, entry, before)
+    cell.workers[entry.id].is_listed = False
+
+
+def _ask_next(cell: _state.Cell, worker: _state.Worker) -> None:
+    if worker.holds_out:
+        return
+    if worker.last_end > worker.last_saved_end:
+        # The ends are stored first, so that the worker may forget them.
+        worker.ask_at = cell.now + cell.options.unsaved_look_s
+    elif worker.runs:
+        _ask(cell, worker, cell.options.hold_wait_ms)
+    else:
+        worker.ask_at = None
+
+
+def ends_saved(cell: _state.Cell) -> None:
+    """Tell workers that their ends are stored."""
+    for worker_id, number in cell.saving.items():
+        worker = cell.workers.get(worker_id)
+        if worker is None or worker.last_saved_end >= number:
+            continue
+        worker.last_saved_end = number
+        if worker.holds_out or worker.last_end > number:
+            continue
+        if worker.runs:
+            _ask(cell, worker, cell.options.hold_wait_ms)
+        else:
+            worker.ask_at = cell.now + IDLE_NOTE_S
+
+
+def hold_failed(cell: _state.Cell, event: events.HoldFailed) -> None:
+    """Note that a worker gave no answer, or that another life did."""
+    worker = cell.workers.get(event.worker_id)
+    if worker is None or worker.entry.life != event.life:
+        return
+    worker.holds_out -= 1
+    if event.outcome is events.Outcome.FENCED:
+        cell.emit(effects.Yield(event.worker_id))
+        return
+    if event.outcome is events.Outcome.OTHER_LIFE:
+        _runs.other_life(cell, worker)
+        return
+    if not worker.is_silent:
+        cell.note(
+            'worker_silent', worker=worker.id, outcome=event.outcome.value
+        )
+    worker.is_silent = True
+    worker.ask_at = cell.now + cell.options.hold_retry_s
+
+
+def expire(cell: _state.Cell) -> None:
+    """Conclude what must have ended from leases that ran out."""
+    if cell.unfenced and cell.now > cell.doubt_until:
+        cell.note('doubt_over', workers=len(cell.unfenced))
+        cell.unfenced.clear()
+        wake_all(cell)
+    for worker in list(cell.workers.values()):
+        if not worker.is_silent or cell.now <= worker.lease_until:
+            continue
+        if worker.runs:
+            _runs.expired(cell, worker)
+        if not worker.is_listed and worker.id not in cell.unfenced:
+            del cell.workers[worker.id]
+            cell.note('worker_forgotten', worker=worker.id)
+
+
+def is_usable(cell: _state.Cell, worker: _state.Worker) -> bool:
+    """Tell whether tasks may be started on a worker."""
+    return (
+        worker.is_fenced
+        and worker.is_listed
+        and not worker.is_silent
+        and not worker.entry.is_draining
+        and worker.quarantined_until <= cell.now
+    )
+
+
+def settle(cell: _state.Cell) -> None:
+    """Repeat the orders to stop that got no answer."""
+    retry_s = cell.options.stop_retry_s
+    for worker in cell.workers.values():
+        if worker.is_silent:
+            continue
+        for run in list(worker.runs.values()):
+            is_due = cell.now - run.since > retry_s
+            if run.phase is not _state.Phase.STOPPING or not is_due:
+                continue
+            if run.stopped_at is None:
+                _runs.stop(cell, run, 'no answer to the stop')
+            elif not worker.holds_out or worker.ask_at is None:
+                worker.ask_at = cell.now
--- /dev/null
+++ b/packages/cell/celeryshift_cell/effects.py
@@ -0,0 +1,109 @@
+"""What a cell wants done; nothing here has happened yet."""
+
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen(slots=True)
+class StartRun:
+    """Start a run on a worker."""
+
+    worker_id: str
+    life: int
+    address: str
+    task: str
+    run: int
+    spec: str
+    saved: str
+    ticket: str
+    # On the worker's clock; the order is void afterwards, and the lease of
+    # the worker's runs ends.
+    deadline_ms: int
+
+
+@attrs.frozen(slots=True)
+class StopRun:
+    """Stop a run, or make it impossible if it never arrived."""
+
+    worker_id: str
+    life: int
+    address: str
+    task: str
+    run: int
+
+
+@attrs.frozen(slots=True)
+class Hold:
+    """Extend the lease of a worker and ask for its lists."""
+
+    worker_id: str
+    # 0 if the life is not known yet.
+    life: int
+    address: str
+    last_seen: int
+    wait_ms: int
+    # On the worker's clock; None before that clock is known.
+    deadline_ms: int | None
+
+
+@attrs.frozen(slots=True)
+class Pace:
+    """Let a run work at a share of its speed."""
+
+    worker_id: str
+    life: int
+    address: str
+    task: str
+    run: int
+    percent: int
+
+
+@attrs.frozen(slots=True)
+class AskAdvice:
+    """Ask the policy service which workers may run a step."""
+
+    step: str
+    workers: tuple[str, ...]
+    # The lowest goes first.
+    rank: tuple[float, ...]
+    # How long the answer should take.
+    expected_ms: float
+
+
+@attrs.frozen(slots=True)
+class SaveRecords:
+    """Store the progress of jobs in one transaction."""
+
+    progress_by_job: dict[str, str]
+    # The final state by the id of a job that has ended.
+    ended_by_job: dict[str, str]
+    # The workers that hold or may hold runs, if that changed.
+    workers: tuple[tuple[str, int, str], ...] | None = None
+
+
+@attrs.frozen(slots=True)
+class Yield:
+    """Give the cell up: another owner has given orders."""
+
+    worker_id: str
+
+
+@attrs.frozen(slots=True)
+class Decided:
+    """Say what was decided and why, for the log."""
+
+    decision: str
+    fields: dict[str, Any]
+
+
+Effect = (
+    StartRun
+    | StopRun
+    | Hold
+    | Pace
+    | AskAdvice
+    | SaveRecords
+    | Yield
+    | Decided
+)
--- /dev/null
+++ b/packages/cellnode/celeryshift_cellnode/__init__.py
@@ -0,0 +1,1 @@
+"""The node that serves callers and owns cells."""
--- /dev/null
+++ b/packages/cellnode/celeryshift_cellnode/_election.py
@@ -0,0 +1,149 @@
+"""Who owns the cell: when to take it, and until when an owner may act.
+
+The owner renews a row of the store. Whoever sees no renewal for long enough
+takes the cell in one transaction, made under the versions of the owner's row
+and of its last renewal, so that two takers or a live owner exclude each
+other. Workers refuse orders under a lower epoch, so a mistaken takeover
+costs time, not safety. What workers cannot refuse, since no order of the new
+owner reached them, is bounded by the time until which the former owner may
+act: a second and a half after its last renewal was sent, or longer as long
+as every other node has promised not to take the cell.
+"""
+
+import attrs
+
+from celeryshift_cellnode import _schema
+
+# An owner renews so often; three renewals may be lost.
+RENEW_S = 0.5
+# The right to act, from the moment at which a renewal was sent.
+RIGHT_S = 1.5
+# A silent owner is replaced after so long without a renewal.
+SILENT_S = 1.5
+# One whose port refuses connections, after so long.
+REFUSED_S = 0.6
+# Later standbys leave the earlier ones so much time.
+RANK_DELAY_S = 0.4
+# The first so many nodes in order look often, the others rarely.
+STANDBYS = 2
+STANDBY_LOOK_S = 0.4
+OTHER_LOOK_S = 2.0
+# A node whose row is older has gone.
+NODE_STALE_S = 9.0
+# A node renews its own row so often.
+NODE_RENEW_S = 3.0
+# A promise not to take the cell lasts so long at the node that gives it.
+PROMISE_S = 1.6
+# The owner counts on it for so long, from before it asked.
+PROMISED_S = 1.4
+# A node that reaches the store within this time does not promise.
+STORE_PROBE_S = 0.4
+
+
+@attrs.define(slots=True)
+class View:
+    """Hold what a node has seen of the owner of the cell."""
+
+    owner: _schema.Owner | None = None
+    owner_version: int = 0
+    beat_version: int = 0
+    # When the newest renewal was first seen.
+    beat_seen_at: float = 0.0
+    # When the store was last read.
+    looked_at: float = 0.0
+    # Since when the owner's port has refused connections.
+    refused_since: float | None = None
+    # A later process answers under the owner's name: it has ended for sure.
+    has_restarted: bool = False
+    # The version of a row that names this node, which a worker or the
+    # store has told to be out of date.
+    deposed_version: int = 0
+    # This node has promised not to take the cell before.
+    promised_until: float = 0.0
+
+    def look(
+        self,
+        now: float,
+        owner: _schema.Owner | None,
+        owner_version: int,
+        beat_version: int,
+    ) -> None:
+        """Take in what the store says."""
+        if not self.looked_at:
+            self.beat_seen_at = now
+        self.looked_at = now
+        if owner_version != self.owner_version:
+            self.owner = owner
+            self.owner_version = owner_version
+            self.beat_seen_at = now
+            self.refused_since = None
+            self.has_restarted = False
+        if beat_version != self.beat_version:
+            self.beat_version = beat_version
+            self.beat_seen_at = now
+            # It may have been a cut that looks like a refusal.
+            self.refused_since = None
+
+    def reason_to_take(
+        self, now: float, rank: int, me: _schema.Node
+    ) -> str | None:
+        """Say why this node should take the cell now, if it should."""
+        if now < self.promised_until:
+            return None
+        delay = rank * RANK_DELAY_S
+        if self.owner is None:
+            is_due = now - self.beat_seen_at >= delay
+            return 'no owner' if is_due else None
+        if self.owner.is_process(me):
+            is_deposed = self.deposed_version == self.owner_version
+            return 'deposed without successor' if is_deposed else None
+        if self.owner.node == me.name or self.has_restarted:
+            return 'owner restarted'
+        unseen_s = now - self.beat_seen_at
+        is_refused = self.refused_since is not None
+        if is_refused and unseen_s > REFUSED_S + delay:
+            return 'owner refuses connections'
+        if unseen_s > SILENT_S + delay:
+            return 'owner silent'
+        return None
+
+
+@attrs.define(slots=True)
+class Right:
+    """Hold until when the owner may act."""
+
+    until: float = 0.0
+
+    def renewed(self, sent_at: float) -> None:
+        """Count a renewal that is stored, from when it was sent."""
+        self.until = max(self.until, sent_at + RIGHT_S)
+
+    def promised(self, asked_at: float) -> None:
+        """Count the promises of all other nodes, from when they were asked."""
+        self.until = max(self.until, asked_at + PROMISED_S)
+
+    def holds(self, now: float) -> bool:
+        """Tell whether the owner may act."""
+        return now < self.until
+
+
+def rank(
+    name: str, nodes: dict[str, _schema.Node], owner: _schema.Owner | None
+) -> int:
+    """Give the turn of a node among those that may take the cell.
+
+    Nodes of other data centres than the owner's come first, since a cut
+    takes a data centre as a whole.
+    """
+    home = (
+        nodes[owner.node].data_centre
+        if (owner is not None and owner.node in nodes)
+        else ''
+    )
+    order = sorted(
+        (node.data_centre == home, node.name)
+        for node in nodes.values()
+        if owner is None or node.name != owner.node
+    )
+    names = [node_name for _, node_name in order]
+    return names.index(name) if name in names else len(names)
--- /dev/null
+++ b/packages/cellnode/celeryshift_cellnode/_followers.py
@@ -0,0 +1,203 @@
+"""Follow the tables of the store that others write."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import time
+
+from celeryshift_cell import events
+from celeryshift_cell import model
+from celeryshift_cellnode import _records
+from celeryshift_cellnode import _runner
+from celeryshift_cellnode import _schema
+from celeryshift_cellnode import errors
+from celeryshift_cellnode import ports
+
+# A feed that has gone silent shows by the end of its wait, so the wait is
+# the part of the bound on changes that may be lost to it.
+CONFIGURATION_WAIT_MS = 1500
+FEED_WAIT_MS = 2000
+# Pause after a call that failed.
+RETRY_S = 0.25
+# Pauses that let several changes come in one answer.
+JOBS_PAUSE_S = 0.5
+WORKERS_PAUSE_S = 0.4
+
+
+class ConfigurationFollower:
+    """Yield configurations as they come; versions only rise."""
+
+    def __init__(
+        self,
+        store: ports.Store,
+        tables: ports.Tables,
+        decoder: ports.Decoder,
+        note: Callable[..., None],
+    ) -> None:
+        self._store = store
+        self._tables = tables
+        self._decoder = decoder
+        self._note = note
+        self._version = 0
+
+    async def follow(self) -> AsyncIterator[ports.Configuration]:
+        """Yield each configuration with a version above all before it."""
+        after: int | None = None
+        while True:
+            try:
+                if after is None:
+                    rows, after = await _records.read_all(
+                        self._store, self._tables.operator, ''
+                    )
+                else:
+                    read = await self._store.feed(
+                        self._tables.operator, after, CONFIGURATION_WAIT_MS
+                    )
+                    rows, after = list(read.rows), read.version
+            except errors.HistoryLostError:
+                after = None
+                continue
+            except errors.StoreError as error:
+                self._note('configuration_not_seen', error=str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            for row in rows:
+                found = self._newer(row)
+                if found is not None:
+                    yield found
+
+    def _newer(self, row: ports.Row) -> ports.Configuration | None:
+        if row.key != self._tables.configuration_key or row.is_removed:
+            return None
+        found = self._decoder.configuration(row.value)
+        if found is None or found.version <= self._version:
+            return None
+        self._version = found.version
+        return found
+
+
+class JobsFollower:
+    """Tell the cell of jobs and cancellations that nobody told it of."""
+
+    def __init__(
+        self,
+        store: ports.Store,
+        runner: _runner.Runner,
+        note: Callable[..., None],
+    ) -> None:
+        self._store = store
+        self._runner = runner
+        self._note = note
+
+    async def run(self, version: int) -> None:
+        """Follow the table of jobs from a version on."""
+        after: int | None = version
+        while True:
+            try:
+                if after is None:
+                    rows, after = await _records.read_all(
+                        self._store, _schema.JOBS
+                    )
+                else:
+                    read = await self._store.feed(
+                        _schema.JOBS, after, FEED_WAIT_MS
+                    )
+                    rows, after = list(read.rows), read.version
+            except errors.HistoryLostError:
+                after = None
+                continue
+            except errors.StoreError as error:
+                self._note('jobs_not_followed', error=str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            self._tell(rows)
+            await asyncio.sleep(JOBS_PAUSE_S)
+
+    def _tell(self, rows: list[ports.Row]) -> None:
+        jobs, cancelled = _records.decode_jobs(rows)
+        now = time.monotonic()
+        for job in jobs.values():
+            self._runner.feed(events.JobAccepted(now, job))
+        for job_id in cancelled:
+            self._runner.feed(events.JobCancelled(now, job_id))
+
+
+async def read_workers(
+    store: ports.Store, tables: ports.Tables, decoder: ports.Decoder
+) -> tuple[list[model.WorkerEntry], int]:
+    """Read the entries of all workers."""
+    rows, version = await _records.read_all(store, tables.workers, '')
+    entries = [decoder.worker(row.key, row.value) for row in rows]
+    return [entry for entry in entries if entry is not None], version
+
+
+class WorkersFollower:
+    """Tell the cell of workers that come, change and go."""
+
+    def __init__(
+        self,
+        store: ports.Store,
+        tables: ports.Tables,
+        decoder: ports.Decoder,
+        runner: _runner.Runner,
+        note: Callable[..., None],
+    ) -> None:
+        self._store = store
+        self._tables = tables
+        self._decoder = decoder
+        self._runner = runner
+        self._note = note
+        self._known: set[str] = set()
+
+    async def run(self, known: set[str], version: int) -> None:
+        """Follow the entries of workers from a version on."""
+        self._known = known
+        after: int | None = version
+        while True:
+            try:
+                if after is None:
+                    entries, after = await read_workers(
+                        self._store, self._tables, self._decoder
+                    )
+                    gone = self._known - {entry.id for entry in entries}
+                else:
+                    read = await self._store.feed(
+                        self._tables.workers, after, FEED_WAIT_MS
+                    )
+                    after = read.version
+                    entries, gone = self._sort(list(read.rows))
+            except errors.HistoryLostError:
+                after = None
+                continue
+            except errors.StoreError as error:
+                self._note('workers_not_followed', error=str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            self._tell(entries, gone)
+            await asyncio.sleep(WORKERS_PAUSE_S)
+
+    def _sort(
+        self, rows: list[ports.Row]
+    ) -> tuple[list[model.WorkerEntry], set[str]]:
+        newest = {row.key: row for row in rows}
+        entries, gone = [], set()
+        for row in newest.values():
+            entry = (
+                None
+                if row.is_removed
+                else self._decoder.worker(row.key, row.value)
+            )
+            if entry is None:
+                gone.add(row.key)
+            else:
+                entries.append(entry)
+        return entries, gone
+
+    def _tell(self, entries: list[model.WorkerEntry], gone: set[str]) -> None:
+        self._known -= gone
+        self._known |= {entry.id for entry in entries}
+        self._runner.feed(
+            events.WorkersListed(
+                time.monotonic(), tuple(entries), tuple(sorted(gone))
+            )
+        )
--- /dev/null
+++ b/packages/cellnode/celeryshift_cellnode/_jobspec.py
@@ -0,0 +1,41 @@
+"""Checks the jobs that callers describe."""
+
+from collections.abc import Iterator
+import re
+
+from celeryshift_cell import model
+from celeryshift_cellnode import errors
+
+JOB_ID = re.compile(r'[0-9a-f]{16}')
+MAX_SPEC_BYTES = 4000
+MAX_STEPS = 64
+MAX_TASKS = 4096
+MAX_OCCURRENCES = 10_000
+
+
+def check(job: model.Job) -> None:
+    """Raise ``JobError`` with every mistake in a job."""
+    mistakes = list(_mistakes(job))
+    if mistakes:
+        raise errors.JobError(f'job {job.id!r}: ' + '; '.join(mistakes))
+
+
+def _mistakes(job: model.Job) -> Iterator[str]:
+    if not JOB_ID.fullmatch(job.id):
+        yield 'the id is not 16 hexadecimal digits'
+    if len(job.spec.encode()) > MAX_SPEC_BYTES:
+        yield f'the spec has more than {MAX_SPEC_BYTES} bytes'
+    if not 0 < len(job.steps) <= MAX_STEPS:
+        yield f'there are {len(job.steps)} steps'
+    if sum(step.count for step in job.steps) > MAX_TASKS:
+        yield f'there are more than {MAX_TASKS} tasks'
+    if not 0 <= job.times <= MAX_OCCURRENCES:
+        yield f'it is to run {job.times} times'
+    for number, step in enumerate(job.steps):
+        if step.count < 1:
+            yield f'step {number} has {step.count} tasks'
+        if any(before not in range(number) for before in step.after):
+            yield f'step {number} waits for {step.after}'
+        size = step.size
+        if min(size.cpu_milli, size.memory_mb, size.accelerators) < 0:
+            yield f'step {number} has a size below zero'
--- /dev/null
+++ b/packages/cellnode/celeryshift_cellnode/_membership.py
@@ -0,0 +1,93 @@
+"""The nodes that are there: each keeps a row of its own in the store."""
+
+import asyncio
+from collections.abc import Callable
+import time
+
+from celeryshift_cellnode import _election
+from celeryshift_cellnode import _records
+from celeryshift_cellnode import _schema
+from celeryshift_cellnode import errors
+from celeryshift_cellnode import ports
+
+WRITE_TIMEOUT_S = 2.0
+# Rows that have not changed for so long are removed by whoever sees it.
+FORGET_S = 60.0
+
+
+class Membership:
+    """Know the other nodes."""
+
+    def __init__(
+        self,
+        store: ports.Store,
+        me: _schema.Node,
+        note: Callable[..., None],
+    ) -> None:
+        self._store = store
+        self._me = me
+        self._note = note
+        self._versions: dict[str, int] = {}
+        self._changed_at: dict[str, float] = {}
+        self.nodes: dict[str, _schema.Node] = {me.name: me}
+
+    @property
+    def addresses(self) -> list[str]:
+        """Give the addresses of all nodes, this one included."""
+        return [node.address for node in self.nodes.values()]
+
+    @property
+    def others(self) -> list[_schema.Node]:
+        """Give all nodes but this one."""
+        mine = self._me.name
+        return [node for node in self.nodes.values() if node.name != mine]
+
+    async def run(self) -> None:
+        """Renew this node's row, and read those of the others."""
+        while True:
+            try:
+                await self._write()
+                await self.read()
+            except errors.StoreError as error:
+                self._note('membership_unknown', error=str(error))
+            await asyncio.sleep(_election.NODE_RENEW_S)
+
+    async def _write(self) -> None:
+        key = ports.Key(_schema.NODES, self._me.name)
+        change = ports.Transaction('', puts={key: _schema.dump(self._me)})
+        await self._store.transact(change, WRITE_TIMEOUT_S)
+
+    async def read(self) -> None:
+        """Read the rows of all nodes."""
+        rows, _ = await _records.read_all(self._store, _schema.NODES, '')
+        now = time.monotonic()
+        nodes = {self._me.name: self._me}
+        stale = []
+        for row in rows:
+            if self._versions.get(row.key) != row.version:
+                self._versions[row.key] = row.version
+                self._changed_at[row.key] = now
+            unchanged_s = now - self._changed_at[row.key]
+            if unchanged_s < _election.NODE_STALE_S:
+                nodes[row.key] = _schema.load(_schema.Node, row.value)
+            elif unchanged_s > FORGET_S:
+                stale.append(row)
+        nodes[self._me.name] = self._me
+        self._tell(nodes)
+        self.nodes = nodes
+        if stale:
+            await self._forget(stale)
+
+    def _tell(self, nodes: dict[str, _schema.Node]) -> None:
+        for name in nodes.keys() - self.nodes.keys():
+            self._note('node_joined', peer=name, address=nodes[name].address)
+        for name in self.nodes.keys() - nodes.keys():
+            self._note('node_left', peer=name)
+
+    async def _forget(self, rows: list[ports.Row]) -> None:
+        keys = [ports.Key(_schema.NODES, row.key) for row in rows]
+        expected = {
+            key: row.version for key, row in zip(keys, rows, strict=True)
+        }
+        change = ports.Transaction('', expected, removes=keys)
+        await self._store.transact(change, WRITE_TIMEOUT_S)
--- /dev/null
+++ b/packages/cellnode/celeryshift_cellnode/_metrics.py
@@ -0,0 +1,71 @@
+"""Counters and latency histograms, as text for the metrics address."""
+
+import time
+
+import prometheus_client
+
+from celeryshift_cell import effects
+
+# Upper bounds in seconds; objectives are from 0.25 s up.
+BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+
+
+class Metrics:
+    """Keep the counters of a node."""
+
+    def __init__(self) -> None:
+        registry = prometheus_client.CollectorRegistry()
+        self._registry = registry
+        self._decisions = prometheus_client.Counter(
+            'celeryshift_decisions',
+            'Decisions',
+            ['decision'],
+            registry=registry,
+        )
+        self._orders = prometheus_client.Histogram(
+            'celeryshift_order_seconds',
+            'Orders to workers until answered',
+            ['order', 'outcome'],
+            buckets=BUCKETS,
+            registry=registry,
+        )
+        self._calls = prometheus_client.Histogram(
+            'celeryshift_call_seconds',
+            'Calls of callers until answered',
+            ['call', 'verdict'],
+            buckets=BUCKETS,
+            registry=registry,
+        )
+        self._gauges = prometheus_client.Gauge(
+            'celeryshift_cell',
+            'State of the cell that this node owns',
+            ['of'],
+            registry=registry,
+        )
+
+    def decided(self, decision: effects.Decided) -> None:
+        """Count a decision of the cell."""
+        self.count(decision.decision)
+
+    def count(self, decision: str) -> None:
+        """Count a decision."""
+        self._decisions.labels(decision).inc()
+
+    def order(self, order: str, outcome: str, began: float) -> None:
+        """Count an order and how long its answer took."""
+        took = time.monotonic() - began
+        self._orders.labels(order, outcome).observe(took)
+
+    def call(self, call: str, verdict: str, began: float) -> None:
+        """Count a call and how long its answer took."""
+        took = time.monotonic() - began
+        self._calls.labels(call, verdict).observe(took)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._gauges.labels(name).set(value)
+
+    def text(self) -> tuple[bytes, str]:
+        """Give the metrics and their content type."""
+        text = prometheus_client.generate_latest(self._registry)
+        return text, prometheus_client.CONTENT_TYPE_LATEST
--- /dev/null
+++ b/packages/cellnode/celeryshift_cellnode/_ownership.py
@@ -0,0 +1,381 @@
+"""Takes the cell, renews it, hands it over, or follows its owner."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import time
+from typing import Any
+
+from celeryshift_cellnode import _election
+from celeryshift_cellnode import _membership
+from celeryshift_cellnode import _peers
+from celeryshift_cellnode import _schema
+from celeryshift_cellnode import errors
+from celeryshift_cellnode import ports
+
+OWNER = ports.Key(_schema.CELLS, _schema.OWNER_KEY)
+BEAT = ports.Key(_schema.BEATS, _schema.BEAT_KEY)
+RENEW_TIMEOUT_S = 1.4
+TAKE_TIMEOUT_S = 2.0
+LOOK_TIMEOUT_S = 1.0
+PING_TIMEOUT_S = 0.5
+PROMISE_TIMEOUT_S = 0.5
+# A successor is asked whether it is there before it is named.
+HANDOVER_TIMEOUT_S = 0.5
+
+Taken = Callable[[_schema.Owner, int, bool], Awaitable[None]]
+
+
+class Ownership:
+    """Decide with the store who owns the cell."""
+
+    def __init__(
+        self,
+        store: ports.Store,
+        me: _schema.Node,
+        membership: _membership.Membership,
+        peers: _peers.Peers,
+        note: Callable[..., None],
+        taken: Taken,
+        lost: Callable[[str], None],
+    ) -> None:
+        self._store = store
+        self._me = me
+        self._membership = membership
+        self._peers = peers
+        self._note = note
+        self._taken = taken
+        self._lost = lost
+        self.view = _election.View()
+        self.right = _election.Right()
+        self.store_seen_at = 0.0
+        self.is_leaving = False
+        # The version of the owner's row that this node has acted on.
+        self._active_version = 0
+        self._renewals: set[asyncio.Task[None]] = set()
+        self._is_silent = False
+
+    @property
+    def owner(self) -> _schema.Owner | None:
+        """Give the owner, as far as known."""
+        return self.view.owner
+
+    @property
+    def is_owner(self) -> bool:
+        """Tell whether this process owns the cell."""
+        view = self.view
+        return (
+            view.owner is not None
+            and view.owner.is_process(self._me)
+            and view.deposed_version != view.owner_version
+        )
+
+    def step_down(self, why: str) -> None:
+        """Act as the owner no longer."""
+        if self.is_owner:
+            self._note('cell_lost', why=why, version=self.view.owner_version)
+        self.view.deposed_version = self.view.owner_version
+        self._lost(why)
+
+    async def run(self) -> None:
+        """Follow the owner, or renew, again and again."""
+        while True:
+            if self.is_owner:
+                if self._active_version != self.view.owner_version:
+                    # Named by a handover, or by a write whose answer was
+                    # lost.
+                    await self._become(None, True)
+                self._start_renewal()
+                await asyncio.sleep(_election.RENEW_S)
+                continue
+            await self._follow()
+            if self.is_owner:
+                continue
+            is_standby = self._rank() < _election.STANDBYS
+            await asyncio.sleep(
+                _election.STANDBY_LOOK_S
+                if is_standby
+                else _election.OTHER_LOOK_S
+            )
+
+    def _rank(self) -> int:
+        return _election.rank(
+            self._me.name, self._membership.nodes, self.view.owner
+        )
+
+    async def _follow(self) -> None:
+        try:
+            await self.look()
+        except errors.StoreError as error:
+            if not self._is_silent:
+                self._note('owner_not_seen', error=str(error))
+            self._is_silent = True
+            return
+        self._is_silent = False
+        if self.is_leaving or self.is_owner:
+            return
+        if self._rank() < _election.STANDBYS:
+            await self._ping()
+        why = self.view.reason_to_take(
+            time.monotonic(), self._rank(), self._me
+        )
+        if why is not None:
+            await self.take(why)
+
+    async def look(self) -> None:
+        """Read the owner's row and its last renewal."""
+        cells = await self._store.read(
+            _schema.CELLS,
+            _schema.CELL,
+            OWNER.key,
+            OWNER.key + '\0',
+            LOOK_TIMEOUT_S,
+        )
+        beats = await self._store.read(
+            _schema.BEATS, _schema.CELL, timeout_s=LOOK_TIMEOUT_S
+        )
+        self.store_seen_at = time.monotonic()
+        beat_version = beats.rows[0].version if beats.rows else 0
+        row = cells.rows[0] if cells.rows else None
+        owner = _schema.load(_schema.Owner, row.value) if row else None
+        if row is not None and row.version < self.view.owner_version:
+            # A read that is behind; the newer row is known already.
+            return
+        version = row.version if row else 0
+        if version != self.view.owner_version and owner is not None:
+            self._note('owner_known', owner=owner.node, epoch=owner.epoch)
+        self.view.look(time.monotonic(), owner, version, beat_version)
+
+    async def _ping(self) -> None:
+        owner = self.view.owner
+        if owner is None or owner.is_process(self._me):
+            return
+        try:
+            answer = await self._peers.call(
+                owner.address, 'ping', {}, PING_TIMEOUT_S
+            )
+        except errors.PeerGoneError:
+            if self.view.refused_since is None:
+                self.view.refused_since = time.monotonic()
+            return
+        except errors.PeerError:
+            # Silence is judged by the renewals in the store.
+            return
+        self.view.refused_since = None
+        if answer['incarnation'] != owner.incarnation:
+            self.view.has_restarted = True
+
+    async def take(self, why: str) -> None:
+        """Become the owner, unless another did or the owner renewed."""
+        before = self.view.owner
+        epoch = before.epoch + 1 if before else 1
+        me = self._me
+        owner = _schema.Owner(me.name, me.address, me.incarnation, epoch)
+        is_ended = self.view.has_restarted or (
+            before is not None and before.node == me.name
+        )
+        await self._change_owner(owner, why, is_ended or before is None)
+
+    async def _change_owner(
+        self, owner: _schema.Owner, why: str, is_ended: bool
+    ) -> None:
+        view = self.view
+        sent_at = time.monotonic()
+        change = ports.Transaction(
+            _schema.CELL,
+            {OWNER: view.owner_version, BEAT: view.beat_version},
+            {OWNER: _schema.dump(owner)},
+        )
+        try:
+            answer = await self._store.transact(change, TAKE_TIMEOUT_S)
+        except errors.StoreError as error:
+            # If it took effect after all, the next look shows this node
+            # as the owner, and `look` goes on from there.
+            self._note('takeover_unknown', epoch=owner.epoch, error=str(error))
+            return
+        if isinstance(answer, ports.Conflict):
+            self._note('takeover_lost', epoch=owner.epoch, why=why)
+            await self.look()
+            return
+        self._note(
+            'cell_taken',
+            epoch=owner.epoch,
+            why=why,
+            former=view.owner.node if view.owner else None,
+            beat_age_s=round(sent_at - view.beat_seen_at, 3),
+        )
+        view.look(time.monotonic(), owner, answer.version, view.beat_version)
+        await self._become(sent_at, is_ended)
+
+    async def _become(self, sent_at: float | None, is_ended: bool) -> None:
+        owner, version = self.view.owner, self.view.owner_version
+        assert owner is not None
+        self._active_version = version
+        self.right.until = 0.0
+        if sent_at is not None:
+            self.right.renewed(sent_at)
+        self._start_renewal()
+        await self._taken(owner, version, is_ended)
+        for node in self._membership.others:
+            self.spawn(self._announce(node.address, owner, version))
+
+    def spawn(self, work: Any) -> None:
+        """Run work beside, and keep it from being collected."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._renewals.add(task)
+        task.add_done_callback(self._renewals.discard)
+
+    async def _announce(
+        self, address: str, owner: _schema.Owner, version: int
+    ) -> None:
+        body = {'owner': _schema.dump_parts(owner), 'version': version}
+        try:
+            await self._peers.call(address, 'owner', body)
+        except errors.PeerError as error:
+            # It reads the row later.
+            self._note('announcement_failed', to=address, error=str(error))
+
+    async def announced(self, body: Any) -> dict[str, Any]:
+        """Take in a new owner; it may be this node, by a handover."""
+        owner = _schema.load_parts(_schema.Owner, body['owner'])
+        version = body['version']
+        if version <= self.view.owner_version:
+            return {}
+        if owner.is_process(self._me):
+            self._note('cell_given', epoch=owner.epoch)
+        was_owner = self.is_owner
+        self.view.look(
+            time.monotonic(), owner, version, self.view.beat_version
+        )
+        self._note('owner_known', owner=owner.node, epoch=owner.epoch)
+        if was_owner and not self.is_owner:
+            self._lost(f'{owner.node} owns the cell')
+        return {}
+
+    def _start_renewal(self) -> None:
+        self.spawn(self._renew())
+
+    async def _renew(self) -> None:
+        sent_at = time.monotonic()
+        version = self.view.owner_version
+        change = ports.Transaction(
+            _schema.CELL, {OWNER: version}, {BEAT: b'{}'}
+        )
+        try:
+            answer = await self._store.transact(change, RENEW_TIMEOUT_S)
+        except errors.StoreError as error:
+            self._note('renewal_failed', error=str(error))
+            await self._ask_promises()
+            return
+        if version != self.view.owner_version or not self.is_owner:
+            return
+        if isinstance(answer, ports.Conflict):
+            self.step_down('the store names a later owner')
+            return
+        self.store_seen_at = time.monotonic()
+        self.right.renewed(sent_at)
+
+    async def _ask_promises(self) -> None:
+        """Ask all other nodes not to take the cell for a while."""
+        asked_at = time.monotonic()
+        others = self._membership.others
+        if not self.is_owner or not others:
+            return
+        answers = await asyncio.gather(
+            *(self._promise_of(node.address) for node in others)
+        )
+        if all(answers):
+            self.right.promised(asked_at)
+        else:
+            self._note(
+                'promises_refused',
+                asked=len(answers),
+                promised=sum(answers),
+                right_left_s=round(self.right.until - asked_at, 3),
+            )
+
+    async def _promise_of(self, address: str) -> bool:
+        try:
+            answer = await self._peers.call(
+                address, 'promise', {}, PROMISE_TIMEOUT_S
+            )
+        except errors.PeerGoneError:
+            # A process that has ended takes nothing.
+            return True
+        except errors.PeerError:
+            # It may be there and take the cell.
+            return False
+        return bool(answer['promised'])
+
+    async def promise(self, body: Any) -> dict[str, Any]:
+        """Promise not to take the cell, if the store is away here too."""
+        if self.is_owner or await self._reaches_store():
+            return {'promised': False}
+        self.view.promised_until = time.monotonic() + _election.PROMISE_S
+        return {'promised': True}
+
+    async def _reaches_store(self) -> bool:
+        try:
+            await self._store.read(
+                _schema.BEATS,
+                _schema.CELL,
+                timeout_s=_election.STORE_PROBE_S,
+            )
+        except errors.StoreError:
+            # The asker logs what follows from it.
+            return False
+        return True
+
+    async def ping(self, body: Any) -> dict[str, Any]:
+        """Say which process this is."""
+        return {'incarnation': self._me.incarnation}
+
+    async def hand_over(self) -> None:
+        """Name another node as the owner, if one is there."""
+        self.is_leaving = True
+        nodes = sorted(
+            self._membership.others,
+            key=lambda node: _election.rank(
+                node.name, self._membership.nodes, self.view.owner
+            ),
+        )
+        for node in nodes:
+            if not self.is_owner:
+                return
+            try:
+                await self._peers.call(
+                    node.address, 'ping', {}, HANDOVER_TIMEOUT_S
+                )
+            except errors.PeerError as error:
+                self._note('no_successor', peer=node.name, error=str(error))
+                continue
+            if await self._name(node):
+                return
+
+    async def _name(self, node: _schema.Node) -> bool:
+        before = self.view.owner
+        assert before is not None
+        owner = _schema.Owner(
+            node.name, node.address, node.incarnation, before.epoch + 1
+        )
+        change = ports.Transaction(
+            _schema.CELL,
+            {OWNER: self.view.owner_version},
+            {OWNER: _schema.dump(owner)},
+        )
+        try:
+            answer = await self._store.transact(change, TAKE_TIMEOUT_S)
+        except errors.StoreError as error:
+            self._note('handover_unknown', to=node.name, error=str(error))
+            return True
+        if isinstance(answer, ports.Conflict):
+            self.step_down('the store names a later owner')
+            return True
+        self._note('cell_handed_over', to=node.name, epoch=owner.epoch)
+        self.view.look(
+            time.monotonic(), owner, answer.version, self.view.beat_version
+        )
+        self._lost('handed over')
+        for other in self._membership.others:
+            self.spawn(self._announce(other.address, owner, answer.version))
+        return True
--- /dev/null
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -0,0 +1,294 @@
+"""A node: it serves callers, follows the store, and may own the cell."""
+
+import asyncio
+from collections.abc import Callable
+import signal
+import time
+from typing import Any
+from typing import Protocol
+import uuid
+
+from aiohttp import web
+
+import celeryshift_cell as cell
+from celeryshift_cell import events
+from celeryshift_cellnode import _advisers
+from celeryshift_cellnode import _election
+from celeryshift_cellnode import _followers
+from celeryshift_cellnode import _logs
+from celeryshift_cellnode import _membership
+from celeryshift_cellnode import _metrics
+from celeryshift_cellnode import _ownership
+from celeryshift_cellnode import _peers
+from celeryshift_cellnode import _records
+from celeryshift_cellnode import _runner
+from celeryshift_cellnode import _schema
+from celeryshift_cellnode import errors
+from celeryshift_cellnode import ports
+from celeryshift_cellnode import service
+from celeryshift_net import pools
+
+# The balancer needs two misses, a second apart, to see that a node leaves.
+LEAVE_S = 2.5
+# Kept from the time to stop for answers that are under way.
+LAST_ANSWERS_S = 1.0
+BACKLOG = 512
+KEEPALIVE_S = 75.0
+# Pause before a takeover whose rows could not be read is tried again.
+RESTORE_PAUSE_S = 0.2
+CLOCK_SLACK_S = 0.1
+
+
+class Front(Protocol):
+    """Translate the calls of clients."""
+
+    is_closing: bool
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        """Answer a client."""
+
+
+class Node:
+    """Run a node until it is told to stop."""
+
+    def __init__(
+        self,
+        settings: ports.Settings,
+        channels: pools.Channels,
+        store: ports.Store,
+        workers: ports.Workers,
+        adviser: ports.Adviser,
+        make_decoder: Callable[[Callable[..., None]], ports.Decoder],
+        tables: ports.Tables,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._workers = workers
+        self._adviser = adviser
+        self._tables = tables
+        self._log = _logs.DecisionLog(settings.name)
+        self._note = self._log.write
+        self._metrics = _metrics.Metrics()
+        self._decoder = make_decoder(self._note)
+        self._me = _schema.Node(
+            settings.name,
+            f'{settings.host}:{settings.peer_port}',
+            uuid.uuid4().hex[:12],
+            settings.data_centre,
+        )
+        self._peers = _peers.Peers(channels)
+        self._membership = _membership.Membership(store, self._me, self._note)
+        self._ownership = _ownership.Ownership(
+            store,
+            self._me,
+            self._membership,
+            self._peers,
+            self._note,
+            self._own,
+            self._disown,
+        )
+        self.service = service.Service(
+            store, self._ownership, self._peers, self._note, self._metrics
+        )
+        self._runner: _runner.Runner | None = None
+        self._followers: list[asyncio.Task[None]] = []
+        self._stopping = asyncio.Event()
+
+    async def run(
+        self,
+        front: Front,
+        callers: tuple[str, int],
+        readiness: tuple[str, int],
+    ) -> None:
+        """Serve until SIGTERM, then leave without cutting a call."""
+        self._note('started', incarnation=self._me.incarnation)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        peers = await self._serve_peers()
+        ready = await _listen(self._ready, *readiness)
+        clients = await _listen(front.answer, *callers)
+        background = [
+            loop.create_task(self._follow_configuration()),
+            loop.create_task(self._membership.run()),
+            loop.create_task(self._ownership.run()),
+        ]
+        await self._stopping.wait()
+        await self._leave(front, clients)
+        for task in background:
+            task.cancel()
+        await clients.cleanup()
+        await ready.cleanup()
+        await peers.cleanup()
+        self._note('stopped')
+
+    def _reload(self) -> None:
+        # Nothing in the settings file changes while a process runs that
+        # this node uses: addresses of others come from the store.
+        self._note('reloaded')
+
+    async def _leave(self, front: Front, clients: web.ServerRunner) -> None:
+        began = time.monotonic()
+        self._note('stopping', owner=self._ownership.is_owner)
+        front.is_closing = True
+        if self._ownership.is_owner:
+            await self._ownership.hand_over()
+        self._ownership.is_leaving = True
+        spent_s = time.monotonic() - began
+        await asyncio.sleep(max(0.0, LEAVE_S - spent_s))
+        for site in list(clients.sites):
+            await site.stop()
+        await asyncio.sleep(LAST_ANSWERS_S)
+
+    async def _ready(self, request: web.BaseRequest) -> web.Response:
+        is_ready = (
+            self.service.configuration is not None
+            and not self._stopping.is_set()
+        )
+        return web.Response(status=200 if is_ready else 503)
+
+    async def _serve_peers(self) -> web.ServerRunner:
+        server = _peers.PeerServer(self._metrics_text, self._note)
+        for name, handler in self.service.handlers.items():
+            server.serve(name, handler)
+        server.serve('ping', self._ownership.ping)
+        server.serve('owner', self._ownership.announced)
+        server.serve('promise', self._ownership.promise)
+        server.serve('advise', self._advise)
+        settings = self._settings
+        return await server.start(settings.host, settings.peer_port)
+
+    def _metrics_text(self) -> tuple[bytes, str]:
+        for name, count in self._log.counters.items():
+            self._metrics.gauge(name, count)
+        if self._runner is not None:
+            state = self._runner.state
+            self._metrics.gauge('jobs', len(state.jobs))
+            self._metrics.gauge('steps_waiting', len(state.waiting))
+            self._metrics.gauge('workers', len(state.workers))
+        return self._metrics.text()
+
+    async def _advise(self, body: Any) -> dict[str, Any]:
+        advised = await self._adviser.advise(
+            body['step'], body['workers'], body['timeout_s']
+        )
+        return {
+            'tickets': dict(advised.tickets_by_worker),
+            'validity_ms': advised.validity_ms,
+        }
+
+    async def _ask_adviser(
+        self, address: str, step: str, workers: list[str], timeout_s: float
+    ) -> ports.Advised:
+        if address == self._me.address:
+            return await self._adviser.advise(step, workers, timeout_s)
+        body = {'step': step, 'workers': workers, 'timeout_s': timeout_s}
+        answer = await self._peers.call(address, 'advise', body, timeout_s)
+        return ports.Advised(answer['tickets'], answer['validity_ms'])
+
+    async def _follow_configuration(self) -> None:
+        follower = _followers.ConfigurationFollower(
+            self._store, self._tables, self._decoder, self._note
+        )
+        async for configuration in follower.follow():
+            self.service.configure(configuration)
+            self._note('configuration', version=configuration.version)
+            if self._runner is not None:
+                self._runner.feed(
+                    events.ConfigChanged(time.monotonic(), configuration.cell)
+                )
+
+    async def _own(
+        self, owner: _schema.Owner, version: int, is_ended: bool
+    ) -> None:
+        """Read the rows of the cell, and begin to give orders."""
+        self._disown('taken anew')
+        restored = await self._restore(version)
+        if restored is None:
+            return
+        workers, workers_version = restored[1]
+        runner = self._make_runner(owner, version)
+        options = runner.state.options
+        lease_s = options.lease_s / (1 - options.clock_drift)
+        doubt_until = time.monotonic() + lease_s + CLOCK_SLACK_S
+        if not is_ended:
+            doubt_until += _election.RIGHT_S
+        now = time.monotonic()
+        configuration = self.service.configuration
+        if configuration is not None:
+            runner.feed(events.ConfigChanged(now, configuration.cell))
+        runner.feed(events.WorkersListed(now, tuple(workers)))
+        runner.feed(restored[0].event(doubt_until))
+        self._runner = self.service.runner = runner
+        loop = asyncio.get_running_loop()
+        jobs = _followers.JobsFollower(self._store, runner, self._note)
+        listed = _followers.WorkersFollower(
+            self._store, self._tables, self._decoder, runner, self._note
+        )
+        self._followers = [
+            loop.create_task(jobs.run(restored[0].version)),
+            loop.create_task(
+                listed.run({entry.id for entry in workers}, workers_version)
+            ),
+        ]
+
+    async def _restore(self, version: int) -> Any:
+        while (
+            self._ownership.is_owner
+            and self._ownership.view.owner_version == version
+        ):
+            try:
+                return await asyncio.gather(
+                    _records.restore(self._store),
+                    _followers.read_workers(
+                        self._store, self._tables, self._decoder
+                    ),
+                )
+            except errors.StoreError as error:
+                self._note('rows_not_read', error=str(error))
+                await asyncio.sleep(RESTORE_PAUSE_S)
+        return None
+
+    def _make_runner(
+        self, owner: _schema.Owner, version: int
+    ) -> _runner.Runner:
+        told = self._settings.cell
+        options = cell.Options(
+            lease_s=told.max_lease_s,
+            gang_timeout_s=told.gang_timeout_s,
+            remote_penalty=told.remote_penalty,
+            restore_ms=int(told.restore_ms),
+        )
+        return _runner.Runner(
+            owner.epoch,
+            options,
+            self._ownership.right,
+            self._workers,
+            _advisers.Advisers(
+                self._ask_adviser, lambda: self._membership.addresses
+            ),
+            _records.Records(self._store, version),
+            self._note,
+            self._metrics,
+            self._ownership.step_down,
+        )
+
+    def _disown(self, why: str) -> None:
+        if self._runner is None:
+            return
+        self._note('orders_end', why=why, epoch=self._runner.epoch)
+        self._runner.close()
+        self._runner = self.service.runner = None
+        for task in self._followers:
+            task.cancel()
+
+
+async def _listen(handler: Any, host: str, port: int) -> web.ServerRunner:
+    server = web.Server(handler, access_log=None)
+    server_runner = web.ServerRunner(
+        server, access_log=None, keepalive_timeout=KEEPALIVE_S
+    )
+    await server_runner.setup()
+    site = web.TCPSite(server_runner, host, port, backlog=BACKLOG)
+    await site.start()
+    return server_runner
--- /dev/null
+++ b/packages/net/celeryshift_net/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to other processes, and calls over them."""
--- a/packages/node/celeryshift_node/_calls.py
+++ b/packages/node/celeryshift_node/_calls.py
@@ -1,24 +1,16 @@
 """Calls to other processes, and what is known when one fails."""
 
-import asyncio
 import json
 from typing import Any
 
-import aiohttp
 import attrs
 
 from celeryshift_core import events
-from celeryshift_node import _channels
+from celeryshift_net import exchanges
+from celeryshift_net import pools
 
 Outcome = events.Outcome
 
-JSON_HEADERS = {'Content-Type': 'application/json'}
-NOT_CONNECTED = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-)
-FAILED = (aiohttp.ClientError, ValueError, OSError)
-
 
 @attrs.frozen(slots=True)
 class Reply:
@@ -35,7 +27,7 @@
 
 
 async def call(
-    channel: _channels.Channel,
+    channel: pools.Channel,
     method: str,
     url: str,
     body: Any = None,
@@ -47,30 +39,13 @@
     The outcome is UNSENT only if no byte of the call can have left.
     """
     data = b'' if body is None else json.dumps(body).encode()
-    headers = {**JSON_HEADERS, **(headers or {})}
-    channel.traffic.sent(len(data))
-    session = channel.acquire()
-    silent = False
+    headers = {**exchanges.JSON_HEADERS, **(headers or {})}
     try:
-        async with (
-            asyncio.timeout(timeout_s),
-            session.request(
-                method, url, data=data or None, headers=headers
-            ) as response,
-        ):
-            channel.traffic.received(len(await response.read()))
-            decoded = await response.json(content_type=None)
-            return Reply(Outcome.OK, response.status, decoded)
-    except NOT_CONNECTED:
+        status, received = await exchanges.exchange(
+            channel, method, url, data, timeout_s, headers
+        )
+        return Reply(Outcome.OK, status, json.loads(received))
+    except exchanges.NotSentError:
         return Reply(Outcome.UNSENT)
-    except TimeoutError:
-        silent = True
-        return Reply(Outcome.UNKNOWN)
-    except FAILED:
+    except (exchanges.NoAnswerError, ValueError):
         return Reply(Outcome.UNKNOWN)
-    except asyncio.CancelledError:
-        # Whoever cancels a call has found its connection silent.
-        silent = True
-        raise
-    finally:
-        await channel.release(session, silent)
--- a/packages/node/celeryshift_node/_peers.py
+++ b/packages/node/celeryshift_node/_peers.py
@@ -5,8 +5,8 @@
 import celeryshift_core as core
 from celeryshift_core import effects
 from celeryshift_core import events
+from celeryshift_net import pools
 from celeryshift_node import _calls
-from celeryshift_node import _channels
 from celeryshift_node import _wire
 
 TIMEOUT_S = 2.0
@@ -21,7 +21,7 @@
 
     def __init__(
         self,
-        channels: _channels.Channels,
+        channels: pools.Channels,
         token: str,
         node: str,
         scheme: str = 'http',
@@ -80,7 +80,7 @@
         self, address: str, path: str, body: Any, timeout_s: float
     ) -> _calls.Reply:
         url = f'{self._scheme}://{address}/peer/v1/{path}'
-        channel = self._channels.to(address, _channels.PEERS)
+        channel = self._channels.to(address, pools.PEERS)
         return await _calls.call(
             channel, 'POST', url, body, timeout_s, self._headers
         )
--- a/packages/node/celeryshift_node/_platform.py
+++ b/packages/node/celeryshift_node/_platform.py
@@ -3,8 +3,8 @@
 from celeryshift_core import effects
 from celeryshift_core import events
 from celeryshift_core import schema
+from celeryshift_net import pools
 from celeryshift_node import _calls
-from celeryshift_node import _channels
 from celeryshift_node import _wire
 
 TIMEOUT_S = 2.0
@@ -16,9 +16,9 @@
 class Platform:
     """Call the platform's services."""
 
-    def __init__(self, channels: _channels.Channels, url: str) -> None:
+    def __init__(self, channels: pools.Channels, url: str) -> None:
         self._url = url.rstrip('/')
-        self._channel = channels.to(self._url, _channels.PLATFORM)
+        self._channel = channels.to(self._url, pools.PLATFORM)
 
     async def write(
         self, effect: effects.WriteStore
--- a/packages/node/celeryshift_node/_service.py
+++ b/packages/node/celeryshift_node/_service.py
@@ -9,7 +9,7 @@
 
 import celeryshift_core as core
 from celeryshift_core import events
-from celeryshift_node import _channels
+from celeryshift_net import pools
 from celeryshift_node import _http
 from celeryshift_node import _listener
 from celeryshift_node import _metrics
@@ -33,7 +33,7 @@
         settings = self.settings
         per_worker = settings.bounds.max_connections_per_worker
         context = _tls.calling(settings.tls)
-        self._channels = _channels.Channels(per_worker, context)
+        self._channels = pools.Channels(per_worker, context)
         self._web, address = await self._listen()
         self._runner = self._make_runner(address)
         self._api.runner = self._runner
--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -8,8 +8,8 @@
 
 from celeryshift_core import effects
 from celeryshift_core import events
+from celeryshift_net import pools
 from celeryshift_node import _calls
-from celeryshift_node import _channels
 from celeryshift_node import _wire
 
 TIMEOUT_S = 2.0
@@ -39,7 +39,7 @@
 
     def __init__(
         self,
-        channels: _channels.Channels,
+        channels: pools.Channels,
         silent_after_s: float,
         scheme: str = 'http',
     ) -> None:
@@ -229,7 +229,7 @@
         path: str,
         body: dict[str, Any],
         timeout_s: float = TIMEOUT_S,
-        channel: _channels.Channel | None = None,
+        channel: pools.Channel | None = None,
     ) -> _calls.Reply:
         return await _calls.call(
             channel or self._channels.to(address),
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -8,8 +8,8 @@
 
 import celeryshift_client
 import celeryshift_core as core
+from celeryshift_net import pools
 from celeryshift_node import _calls
-from celeryshift_node import _channels
 from celeryshift_node import _settings
 from celeryshift_node import _tls
 
@@ -52,8 +52,8 @@
 def test_a_node_calls_those_that_it_trusts(tls, outcome):
     async def call():
         async with entries.node(tls=TLS) as entry:
-            channels = _channels.Channels(context=_tls.calling(tls))
-            channel = channels.to(entry.url, _channels.PEERS)
+            channels = pools.Channels(context=_tls.calling(tls))
+            channel = channels.to(entry.url, pools.PEERS)
             reply = await _calls.call(channel, 'GET', f'{entry.url}/healthz')
             await channels.close()
             return reply, channels.counters['control.peers.received_bytes']
