--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -14,15 +14,12 @@
 
 def queue_of(cell: _state.Cell, job: model.Job) -> model.Queue:
     """Give the policy of a job's queue."""
-    return cell.config.queues_by_name.get(job.queue) or model.Queue(
-        job.queue, ''
-    )
+    known = cell.config.queues_by_name.get(job.queue) or job.policy
+    return known or model.Queue(job.queue, '')
 
 
-def accept(cell: _state.Cell, spec: model.Job) -> _state.JobRun | None:
-    """Take over a job that is stored, unless it is known."""
-    if spec.id in cell.jobs:
-        return None
+def accept(cell: _state.Cell, spec: model.Job) -> _state.JobRun:
+    """Take over a job that is stored."""
     job = _state.JobRun(spec, queue_of(cell, spec))
     for occurrence in range(spec.occurrences):
         for number, step in enumerate(spec.steps):
--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -46,5 +46,8 @@
     # A job that has ended is answered from memory for so long, then from
     # the store.
     keep_ended_s: float = 10.0
+    # That it has ended is remembered for so long, in case it is told of
+    # again.
+    remember_ended_s: float = 600.0
     # Most entries of a transaction of the store.
     max_records: int = 45
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -126,6 +126,24 @@
             continue
         if not any(t.runs for s in job.steps.values() for t in s.tasks):
             del cell.jobs[job_id]
+            cell.ended_at[job_id] = cell.now
+    for job_id, at in list(cell.ended_at.items()):
+        if cell.now - at < cell.options.remember_ended_s:
+            break
+        del cell.ended_at[job_id]
+
+
+def is_news(cell: _state.Cell, stored: events.StoredJob) -> bool:
+    """Tell whether a job has not been here before.
+
+    A job may be told of again, and late: by the node that took it and by
+    the table of jobs. One that was stored before this owner read the table,
+    and was not there, has ended.
+    """
+    job_id = stored.job.id
+    if job_id in cell.jobs or job_id in cell.ended_at:
+        return False
+    return stored.version > cell.restored_version
 
 
 def take_over(cell: _state.Cell, event: events.Restored) -> None:
@@ -145,8 +163,9 @@
     for worker in cell.workers.values():
         if not worker.is_fenced:
             cell.unfenced.add(worker.id)
-    for spec in event.jobs:
-        _restore_job(cell, spec, event)
+    cell.restored_version = event.version
+    for stored in event.jobs:
+        _restore_job(cell, stored.job, event)
     cell.note(
         'cell_restored',
         epoch=cell.epoch,
@@ -159,8 +178,6 @@
     cell: _state.Cell, spec: model.Job, event: events.Restored
 ) -> None:
     job = _jobs.accept(cell, spec)
-    if job is None:
-        return
     restore(job, event.records_by_job.get(spec.id, EMPTY))
     for step in job.steps.values():
         step.in_doubt = True
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -38,15 +38,16 @@
 
 
 def _job_accepted(cell: _state.Cell, event: events.JobAccepted) -> None:
-    job = _jobs.accept(cell, event.job)
-    if job is None:
+    spec = event.stored.job
+    if not _records.is_news(cell, event.stored):
         return
+    job = _jobs.accept(cell, spec)
     cell.note(
         'job_taken',
-        job=event.job.id,
-        queue=event.job.queue,
-        team=event.job.team,
-        age_ms=round(cell.wall_ms - event.job.arrived_ms),
+        job=spec.id,
+        queue=spec.queue,
+        team=spec.team,
+        age_ms=round(cell.wall_ms - spec.arrived_ms),
         config=cell.config.version,
     )
     _jobs.release(cell, job)
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -233,6 +233,10 @@
     waiting: dict[str, StepRun] = attrs.field(factory=dict)
     # Steps whose time has not come, as (due in Unix ms, name).
     timed: list[tuple[int, str]] = attrs.field(factory=list)
+    # Jobs that have ended and left memory.
+    ended_at: dict[str, float] = attrs.field(factory=dict)
+    # The store was read at this version when this owner began.
+    restored_version: int = 0
     # Jobs whose stored progress is behind.
     dirty: dict[str, JobRun] = attrs.field(factory=dict)
     save_out: bool = False
--- a/packages/cell/celeryshift_cell/events.py
+++ b/packages/cell/celeryshift_cell/events.py
@@ -48,12 +48,20 @@
     gone: tuple[str, ...] = ()
 
 
+@attrs.frozen(slots=True)
+class StoredJob:
+    """Hold a job and the version of the store that it came with."""
+
+    job: model.Job
+    version: int
+
+
 @attrs.frozen(slots=True)
 class JobAccepted:
     """Report a job that is stored."""
 
     now: float
-    job: model.Job
+    stored: StoredJob
 
 
 @attrs.frozen(slots=True)
@@ -176,13 +184,15 @@
 
     now: float
     wall_ms: int
-    jobs: tuple[model.Job, ...]
+    jobs: tuple[StoredJob, ...]
     records_by_job: dict[str, str]
     cancelled: tuple[str, ...]
     # Workers on which a former owner may have started something.
     workers: tuple[tuple[str, int, str], ...]
     # Nothing that a former owner sent can take effect after this.
     doubt_until: float
+    # The version of the store that all this was read at, or a lower one.
+    version: int
 
 
 @attrs.frozen(slots=True)
--- a/packages/cell/celeryshift_cell/model.py
+++ b/packages/cell/celeryshift_cell/model.py
@@ -73,28 +73,6 @@
     may_miss: int = 0
 
 
-@attrs.frozen(slots=True)
-class Job:
-    """Describe work that was accepted."""
-
-    id: str
-    queue: str
-    team: str
-    spec: str
-    steps: tuple[Step, ...]
-    # When the caller's first call arrived, in Unix milliseconds.
-    arrived_ms: int
-    first_due_ms: int = 0
-    every_ms: int = 0
-    # How often the steps run at set times; 0 for once and at once.
-    times: int = 0
-
-    @property
-    def occurrences(self) -> int:
-        """Count how often the steps run."""
-        return max(1, self.times)
-
-
 @attrs.frozen(slots=True)
 class Advice:
     """Describe the policy service that a queue's steps need."""
@@ -118,6 +96,30 @@
     advice: Advice | None = None
 
 
+@attrs.frozen(slots=True)
+class Job:
+    """Describe work that was accepted."""
+
+    id: str
+    queue: str
+    team: str
+    spec: str
+    steps: tuple[Step, ...]
+    # When the caller's first call arrived, in Unix milliseconds.
+    arrived_ms: int
+    first_due_ms: int = 0
+    every_ms: int = 0
+    # How often the steps run at set times; 0 for once and at once.
+    times: int = 0
+    # The policy at the time of acceptance, used once the queue is gone.
+    policy: Queue | None = None
+
+    @property
+    def occurrences(self) -> int:
+        """Count how often the steps run."""
+        return max(1, self.times)
+
+
 @attrs.frozen(slots=True)
 class Team:
     """Hold what a team may use."""
--- a/packages/cellnode/celeryshift_cellnode/_ownership.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownership.py
@@ -7,17 +7,21 @@
 from typing import Any
 
 from celeryshift_cellnode import _election
+from celeryshift_cellnode import _journal
 from celeryshift_cellnode import _membership
 from celeryshift_cellnode import _peers
 from celeryshift_cellnode import _schema
 from celeryshift_cellnode import errors
 from celeryshift_cellnode import ports
 
-OWNER = ports.Key(_schema.CELLS, _schema.OWNER_KEY)
-BEAT = ports.Key(_schema.BEATS, _schema.BEAT_KEY)
-RENEW_TIMEOUT_S = 1.4
+OWNER = _journal.OWNER
+BEAT = _journal.BEAT
 TAKE_TIMEOUT_S = 2.0
 LOOK_TIMEOUT_S = 1.0
+# How often an owner looks at its right to act, and the rest of it with
+# which it asks the other nodes for promises.
+OWNER_LOOK_S = 0.2
+ASK_PROMISES_S = 0.7
 PING_TIMEOUT_S = 0.5
 PROMISE_TIMEOUT_S = 0.5
 # A successor is asked whether it is there before it is named.
@@ -48,7 +52,6 @@
         self._lost = lost
         self.view = _election.View()
         self.right = _election.Right()
-        self.store_seen_at = 0.0
         self.is_leaving = False
         # The version of the owner's row that this node has acted on.
         self._active_version = 0
@@ -85,8 +88,8 @@
                     # Named by a handover, or by a write whose answer was
                     # lost.
                     await self._become(None, True)
-                self._start_renewal()
-                await asyncio.sleep(_election.RENEW_S)
+                await self._keep_right()
+                await asyncio.sleep(OWNER_LOOK_S)
                 continue
             await self._follow()
             if self.is_owner:
@@ -134,7 +137,6 @@
         beats = await self._store.read(
             _schema.BEATS, _schema.CELL, timeout_s=LOOK_TIMEOUT_S
         )
-        self.store_seen_at = time.monotonic()
         beat_version = beats.rows[0].version if beats.rows else 0
         row = cells.rows[0] if cells.rows else None
         owner = _schema.load(_schema.Owner, row.value) if row else None
@@ -214,7 +216,6 @@
         self.right.until = 0.0
         if sent_at is not None:
             self.right.renewed(sent_at)
-        self._start_renewal()
         await self._taken(owner, version, is_ended)
         for node in self._membership.others:
             self.spawn(self._announce(node.address, owner, version))
@@ -252,28 +253,10 @@
             self._lost(f'{owner.node} owns the cell')
         return {}
 
-    def _start_renewal(self) -> None:
-        self.spawn(self._renew())
-
-    async def _renew(self) -> None:
-        sent_at = time.monotonic()
-        version = self.view.owner_version
-        change = ports.Transaction(
-            _schema.CELL, {OWNER: version}, {BEAT: b'{}'}
-        )
-        try:
-            answer = await self._store.transact(change, RENEW_TIMEOUT_S)
-        except errors.StoreError as error:
-            self._note('renewal_failed', error=str(error))
+    async def _keep_right(self) -> None:
+        left_s = self.right.until - time.monotonic()
+        if left_s < ASK_PROMISES_S:
             await self._ask_promises()
-            return
-        if version != self.view.owner_version or not self.is_owner:
-            return
-        if isinstance(answer, ports.Conflict):
-            self.step_down('the store names a later owner')
-            return
-        self.store_seen_at = time.monotonic()
-        self.right.renewed(sent_at)
 
     async def _ask_promises(self) -> None:
         """Ask all other nodes not to take the cell for a while."""
--- a/packages/cellnode/celeryshift_cellnode/_records.py
+++ b/packages/cellnode/celeryshift_cellnode/_records.py
@@ -1,6 +1,5 @@
 """Reads and writes the rows of a cell."""
 
-import enum
 import time
 
 import attrs
@@ -8,66 +7,44 @@
 from celeryshift_cell import effects
 from celeryshift_cell import events
 from celeryshift_cell import model
+from celeryshift_cellnode import _journal
 from celeryshift_cellnode import _schema
-from celeryshift_cellnode import errors
 from celeryshift_cellnode import ports
 
-SAVE_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 2.0
 
 
-class Result(enum.Enum):
-    """Name what became of a save."""
-
-    SAVED = 'saved'
-    # It may or may not be stored.
-    UNKNOWN = 'unknown'
-    NOT_OWNER = 'not owner'
-
-
-class Records:
-    """Keep the progress of jobs, under the version of the owner's row."""
-
-    def __init__(self, store: ports.Store, owner_version: int) -> None:
-        self._store = store
-        self._owner = ports.Key(_schema.CELLS, _schema.OWNER_KEY)
-        self._owner_version = owner_version
-
-    async def save(self, order: effects.SaveRecords) -> Result:
-        """Store the progress and the ends of jobs."""
-        puts: dict[ports.Key, bytes] = {}
-        removes: list[ports.Key] = []
-        at_ms = int(time.time() * 1000)
-        for job_id, record in order.progress_by_job.items():
-            puts[ports.Key(_schema.PROGRESS, job_id)] = record.encode()
-        for job_id, state in order.ended_by_job.items():
-            ended = _schema.Ended(state, at_ms)
-            puts[ports.Key(_schema.ENDED, job_id)] = _schema.dump(ended)
-            removes += [
-                ports.Key(_schema.JOBS, job_id),
-                ports.Key(_schema.JOBS, job_id + _schema.CANCEL_SUFFIX),
-                ports.Key(_schema.PROGRESS, job_id),
-            ]
-        if order.workers is not None:
-            key = ports.Key(_schema.CELLS, _schema.WORKERS_KEY)
-            puts[key] = _schema.dump([list(entry) for entry in order.workers])
-        expected = {self._owner: self._owner_version}
-        change = ports.Transaction(_schema.CELL, expected, puts, removes)
-        try:
-            answer = await self._store.transact(change, SAVE_TIMEOUT_S)
-        except errors.StoreError:
-            # The client of the store has logged it.
-            return Result.UNKNOWN
-        if isinstance(answer, ports.Conflict):
-            return Result.NOT_OWNER
-        return Result.SAVED
+async def save(
+    journal: _journal.Journal, order: effects.SaveRecords
+) -> _journal.Written:
+    """Store the progress and the ends of jobs."""
+    puts: dict[ports.Key, bytes] = {}
+    removes: list[ports.Key] = []
+    at_ms = int(time.time() * 1000)
+    for job_id, record in order.progress_by_job.items():
+        puts[ports.Key(_schema.PROGRESS, job_id)] = record.encode()
+    for job_id, state in order.ended_by_job.items():
+        ended = _schema.Ended(state, at_ms)
+        puts[ports.Key(_schema.ENDED, job_id)] = _schema.dump(ended)
+        removes += [
+            ports.Key(_schema.JOBS, job_id),
+            ports.Key(_schema.JOBS, job_id + _schema.CANCEL_SUFFIX),
+            ports.Key(_schema.PROGRESS, job_id),
+        ]
+    if order.workers is not None:
+        key = ports.Key(_schema.CELLS, _schema.WORKERS_KEY)
+        puts[key] = _schema.dump([list(entry) for entry in order.workers])
+    result = await journal.write(
+        _journal.Change(puts=puts, removes=tuple(removes))
+    )
+    return result.written
 
 
 @attrs.frozen(slots=True)
 class Restored:
     """Hold the rows of a cell, and the version to follow them from."""
 
-    jobs: dict[str, model.Job]
+    jobs: dict[str, events.StoredJob]
     records: dict[str, str]
     cancelled: tuple[str, ...]
     workers: tuple[tuple[str, int, str], ...]
@@ -83,6 +60,7 @@
             self.cancelled,
             self.workers,
             doubt_until,
+            self.version,
         )
 
 
@@ -108,17 +86,18 @@
 
 def decode_jobs(
     rows: list[ports.Row],
-) -> tuple[dict[str, model.Job], tuple[str, ...]]:
+) -> tuple[dict[str, events.StoredJob], tuple[str, ...]]:
     """Give the jobs that rows hold, and the ids of those cancelled."""
-    jobs: dict[str, model.Job] = {}
+    jobs: dict[str, events.StoredJob] = {}
     cancelled: list[str] = []
     for row in rows:
         if row.is_removed:
-            continue
-        if row.key.endswith(_schema.CANCEL_SUFFIX):
+            jobs.pop(row.key, None)
+        elif row.key.endswith(_schema.CANCEL_SUFFIX):
             cancelled.append(row.key.removesuffix(_schema.CANCEL_SUFFIX))
         else:
-            jobs[row.key] = _schema.load(model.Job, row.value)
+            job = _schema.load(model.Job, row.value)
+            jobs[row.key] = events.StoredJob(job, row.version)
     return jobs, tuple(cancelled)
 
 
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -10,6 +10,7 @@
 from celeryshift_cell import events
 from celeryshift_cellnode import _advisers
 from celeryshift_cellnode import _election
+from celeryshift_cellnode import _journal
 from celeryshift_cellnode import _metrics
 from celeryshift_cellnode import _records
 from celeryshift_cellnode import ports
@@ -28,7 +29,7 @@
         right: _election.Right,
         workers: ports.Workers,
         advisers: _advisers.Advisers,
-        records: _records.Records,
+        journal: _journal.Journal,
         note: Callable[..., None],
         metrics: _metrics.Metrics,
         lost: Callable[[str], None],
@@ -37,7 +38,7 @@
         self._right = right
         self._workers = workers
         self._advisers = advisers
-        self._records = records
+        self.journal = journal
         self._note = note
         self._metrics = metrics
         self._lost = lost
@@ -64,6 +65,7 @@
     def close(self) -> None:
         """Give no further orders."""
         self._is_over = True
+        self.journal.close()
         for task in self._tasks:
             task.cancel()
 
@@ -155,12 +157,10 @@
         self.feed(await self._advisers.ask(question))
 
     async def _save(self, order: effects.SaveRecords) -> None:
-        result = await self._records.save(order)
+        written = await _records.save(self.journal, order)
         now = time.monotonic()
-        if result is _records.Result.SAVED:
+        if written is _journal.Written.STORED:
             self.feed(events.RecordsSaved(now))
-        elif result is _records.Result.NOT_OWNER:
-            self._lost('the store names a later owner')
         else:
             self.feed(events.RecordsFailed(now))
 
--- a/packages/cellnode/celeryshift_cellnode/_schema.py
+++ b/packages/cellnode/celeryshift_cellnode/_schema.py
@@ -68,7 +68,13 @@
 
 
 _converter = cattrs.Converter(omit_if_default=True)
-for _type in (model.Size, model.Step, model.Job):
+for _type in (
+    model.Size,
+    model.Step,
+    model.Advice,
+    model.Queue,
+    model.Job,
+):
     _converter.register_unstructure_hook(
         _type,
         gen.make_dict_unstructure_fn(
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -15,11 +15,13 @@
 from celeryshift_cellnode import _advisers
 from celeryshift_cellnode import _election
 from celeryshift_cellnode import _followers
+from celeryshift_cellnode import _journal
 from celeryshift_cellnode import _logs
 from celeryshift_cellnode import _membership
 from celeryshift_cellnode import _metrics
 from celeryshift_cellnode import _ownership
 from celeryshift_cellnode import _peers
+from celeryshift_cellnode import _reach
 from celeryshift_cellnode import _records
 from celeryshift_cellnode import _runner
 from celeryshift_cellnode import _schema
@@ -62,12 +64,12 @@
         tables: ports.Tables,
     ) -> None:
         self._settings = settings
-        self._store = store
         self._workers = workers
         self._adviser = adviser
         self._tables = tables
         self._log = _logs.DecisionLog(settings.name)
         self._note = self._log.write
+        self._store = _reach.WatchedStore(store, self._note)
         self._metrics = _metrics.Metrics()
         self._decoder = make_decoder(self._note)
         self._me = _schema.Node(
@@ -77,9 +79,11 @@
             settings.data_centre,
         )
         self._peers = _peers.Peers(channels)
-        self._membership = _membership.Membership(store, self._me, self._note)
+        self._membership = _membership.Membership(
+            self._store, self._me, self._note
+        )
         self._ownership = _ownership.Ownership(
-            store,
+            self._store,
             self._me,
             self._membership,
             self._peers,
@@ -87,8 +91,16 @@
             self._own,
             self._disown,
         )
+        self._reach = _reach.Reach(
+            self._store,
+            self._peers,
+            self._membership,
+            settings.data_centre,
+            self._note,
+        )
+        link = _reach.OwnerLink(self._peers, self._ownership, self._note)
         self.service = service.Service(
-            store, self._ownership, self._peers, self._note, self._metrics
+            self._store, link, self._note, self._metrics
         )
         self._runner: _runner.Runner | None = None
         self._followers: list[asyncio.Task[None]] = []
@@ -112,6 +124,7 @@
             loop.create_task(self._follow_configuration()),
             loop.create_task(self._membership.run()),
             loop.create_task(self._ownership.run()),
+            loop.create_task(self._reach.run()),
         ]
         await self._stopping.wait()
         await self._leave(front, clients)
@@ -144,6 +157,8 @@
         is_ready = (
             self.service.configuration is not None
             and not self._stopping.is_set()
+            # Clients of a zone that is cut off are served by others.
+            and not self._reach.is_cut_off
         )
         return web.Response(status=200 if is_ready else 503)
 
@@ -203,11 +218,14 @@
     ) -> None:
         """Read the rows of the cell, and begin to give orders."""
         self._disown('taken anew')
+        # It renews the right to act while the rows are read.
+        journal = self._make_journal(version)
         restored = await self._restore(version)
         if restored is None:
+            journal.close()
             return
         workers, workers_version = restored[1]
-        runner = self._make_runner(owner, version)
+        runner = self._make_runner(owner, journal)
         options = runner.state.options
         lease_s = options.lease_s / (1 - options.clock_drift)
         doubt_until = time.monotonic() + lease_s + CLOCK_SLACK_S
@@ -249,8 +267,19 @@
                 await asyncio.sleep(RESTORE_PAUSE_S)
         return None
 
+    def _make_journal(self, version: int) -> _journal.Journal:
+        ownership = self._ownership
+        return _journal.Journal(
+            self._store,
+            version,
+            ownership.view.beat_version,
+            ownership.right,
+            self._note,
+            ownership.step_down,
+        )
+
     def _make_runner(
-        self, owner: _schema.Owner, version: int
+        self, owner: _schema.Owner, journal: _journal.Journal
     ) -> _runner.Runner:
         told = self._settings.cell
         options = cell.Options(
@@ -267,7 +296,7 @@
             _advisers.Advisers(
                 self._ask_adviser, lambda: self._membership.addresses
             ),
-            _records.Records(self._store, version),
+            journal,
             self._note,
             self._metrics,
             self._ownership.step_down,
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -12,16 +12,16 @@
 from celeryshift_cell import events
 from celeryshift_cell import model
 from celeryshift_cellnode import _jobspec
+from celeryshift_cellnode import _journal
 from celeryshift_cellnode import _metrics
-from celeryshift_cellnode import _ownership
-from celeryshift_cellnode import _peers
+from celeryshift_cellnode import _reach
 from celeryshift_cellnode import _routing
 from celeryshift_cellnode import _runner
 from celeryshift_cellnode import _schema
 from celeryshift_cellnode import errors
 from celeryshift_cellnode import ports
 
-# One try to store a job; the store answers in some 12 ms.
+# One try to store a job past the owner; the store answers in some 12 ms.
 STORE_TRY_S = 1.0
 # Kept from a caller's time for the answer to travel.
 ANSWER_S = 0.25
@@ -29,6 +29,9 @@
 SETTLE_PAUSE_S = 0.1
 # The owner answers from memory; without an answer the store is asked.
 OWNER_TIMEOUT_S = 0.4
+# The owner stores a job before it answers; a slow store takes two seconds
+# for the group that is under way and the next.
+OWNER_WRITE_S = 2.2
 # Jobs are told to the owner again so often, and for so long; the owner also
 # follows the table of jobs.
 DELIVER_PAUSE_S = 0.2
@@ -75,20 +78,32 @@
     budget_s: float
 
 
+STORED = _journal.Written.STORED.value
+EXISTS = _journal.Written.EXISTS.value
+REFUSED = _journal.Written.REFUSED.value
+UNKNOWN = _journal.Written.UNKNOWN.value
+# The owner has surely not got the call.
+NOT_ASKED = (errors.PeerGoneError, _reach.OwnerAwayError)
+
+
+def _away(reason: str) -> Answer:
+    return Answer(
+        Verdict.UNAVAILABLE, retry_after_s=STORE_AWAY_RETRY_S, reason=reason
+    )
+
+
 class Service:
     """Answer callers, with the store and the owner of the cell."""
 
     def __init__(
         self,
-        store: ports.Store,
-        ownership: _ownership.Ownership,
-        peers: _peers.Peers,
+        store: _reach.WatchedStore,
+        owner_link: _reach.OwnerLink,
         note: Callable[..., None],
         metrics: _metrics.Metrics,
     ) -> None:
         self._store = store
-        self._ownership = ownership
-        self._peers = peers
+        self._owner_link = owner_link
         self._note = note
         self._metrics = metrics
         self.configuration: ports.Configuration | None = None
@@ -104,11 +119,7 @@
     def admit(self, call: Call) -> tuple[ports.Route, str] | Answer:
         """Find the queue and the team of a call, or refuse it."""
         if self.configuration is None:
-            return Answer(
-                Verdict.UNAVAILABLE,
-                retry_after_s=STORE_AWAY_RETRY_S,
-                reason='no configuration yet',
-            )
+            return _away('no configuration yet')
         route = self._router.find(call.host, call.path)
         if route is None:
             return Answer(Verdict.NO_QUEUE)
@@ -130,50 +141,77 @@
         try:
             job = describe(job_id, route.queue, team)
             _jobspec.check(job)
+            job = attrs.evolve(job, policy=self._policy(route.queue))
         except errors.JobError as error:
             answer = Answer(Verdict.MALFORMED, reason=str(error))
             return self._answered('submit', call, began, answer)
         until = began + call.budget_s - ANSWER_S
-        answer = await self._store_job(job, until)
-        if answer.verdict is Verdict.OK:
-            self._deliver(job)
+        answer = await self._accept(job, until)
         return self._answered('submit', call, began, answer, team)
 
-    async def _store_job(self, job: model.Job, until: float) -> Answer:
+    def _policy(self, queue: str) -> model.Queue | None:
+        assert self.configuration is not None
+        return self.configuration.cell.queues_by_name.get(queue)
+
+    async def _accept(self, job: model.Job, until: float) -> Answer:
+        """Let the owner store a job, or else store it past the owner."""
+        body = {'job': _schema.dump_parts(job)}
+        in_doubt = False
+        try:
+            told = await self._ask_owner('accept', body, OWNER_WRITE_S)
+        except errors.PeerError as error:
+            # Unless it surely has not got the call, the owner may still
+            # store the job. Storing the same row here settles the matter.
+            in_doubt = not isinstance(error, NOT_ASKED)
+        else:
+            if told['written'] in (STORED, EXISTS):
+                return Answer(Verdict.OK)
+            in_doubt = told['written'] == UNKNOWN
+        if self._store.is_away and not in_doubt:
+            return _away('neither the store nor an owner answers')
+        answer, version = await self._store_job(job, until, in_doubt)
+        if version:
+            self._deliver(events.StoredJob(job, version))
+        return answer
+
+    async def _store_job(
+        self, job: model.Job, until: float, in_doubt: bool
+    ) -> tuple[Answer, int]:
+        """Store a job; gives the version of its row if it is a new one."""
         live = ports.Key(_schema.JOBS, job.id)
         ended = ports.Key(_schema.ENDED, job.id)
         change = ports.Transaction(
             _schema.CELL, {live: 0, ended: 0}, {live: _schema.dump(job)}
         )
-        in_doubt = False
-        while True:
+        while time.monotonic() < until:
             left_s = until - time.monotonic()
-            if left_s <= 0:
-                break
             try:
-                await self._store.transact(change, min(STORE_TRY_S, left_s))
+                stored = await self._store.transact(
+                    change, min(STORE_TRY_S, left_s)
+                )
             except errors.StoreRefusedError as error:
                 if not in_doubt:
-                    return Answer(
-                        Verdict.UNAVAILABLE,
-                        retry_after_s=STORE_AWAY_RETRY_S,
-                        reason=str(error),
-                    )
+                    return _away(str(error)), 0
             except errors.StoreSilentError:
                 # It may land later, so it must not be told as refused.
                 in_doubt = True
             else:
-                # A conflict means that the job is there already.
-                return Answer(Verdict.OK)
+                if isinstance(stored, ports.Committed):
+                    return Answer(Verdict.OK), stored.version
+                # The job is there already; the owner follows the table.
+                return Answer(Verdict.OK), 0
             await asyncio.sleep(SETTLE_PAUSE_S)
-        return Answer(Verdict.UNKNOWN, reason='no answer from the store')
+        return Answer(Verdict.UNKNOWN, reason='no answer from the store'), 0
 
-    def _deliver(self, job: model.Job) -> None:
+    def _deliver(self, stored: events.StoredJob) -> None:
         if self.runner is not None:
-            self._take([job])
+            self._take(stored)
             return
-        body = {'jobs': [_schema.dump_parts(job)]}
-        self._tell_owner('jobs', body, job.id)
+        body = {
+            'job': _schema.dump_parts(stored.job),
+            'version': stored.version,
+        }
+        self._tell_owner('job', body, stored.job.id)
 
     def _tell_owner(self, name: str, body: Any, job_id: str) -> None:
         work = self._tell(name, body, job_id)
@@ -183,55 +221,92 @@
 
     async def _tell(self, name: str, body: Any, job_id: str) -> None:
         until = time.monotonic() + DELIVER_FOR_S
+        reason = ''
         while time.monotonic() < until:
-            if await self._ask_owner(name, body) is not None:
+            try:
+                await self._ask_owner(name, body)
                 return
+            except errors.PeerError as error:
+                reason = str(error)
             await asyncio.sleep(DELIVER_PAUSE_S)
-        self._note('owner_not_told', job=job_id, what=name)
+        self._note('owner_not_told', job=job_id, what=name, error=reason)
+
+    async def _ask_owner(
+        self, name: str, body: Any, timeout_s: float = OWNER_TIMEOUT_S
+    ) -> Any:
+        """Call the owner, which may be this node.
 
-    async def _ask_owner(self, name: str, body: Any) -> Any:
-        """Call the owner, which may be this node; None without an answer."""
+        Raises ``PeerError`` without an answer; one of ``NOT_ASKED`` if the
+        owner surely has done nothing.
+        """
         if self.runner is not None:
-            return await self.handlers[name](body)
-        owner = self._ownership.owner
-        if owner is None or self._ownership.is_owner:
-            return None
-        try:
-            answer = await self._peers.call(
-                owner.address, name, body, OWNER_TIMEOUT_S
-            )
-        except errors.PeerError as error:
-            self._note('owner_silent', owner=owner.node, error=str(error))
-            return None
-        return answer if answer.get('is_owner') else None
+            answer = await self.handlers[name](body)
+        else:
+            answer = await self._owner_link.ask(name, body, timeout_s)
+        if not answer['is_owner']:
+            raise _reach.OwnerAwayError('the node asked is not the owner')
+        return answer
 
-    def _take(self, jobs: list[model.Job]) -> None:
+    def _take(self, stored: events.StoredJob) -> None:
         assert self.runner is not None
-        now = time.monotonic()
-        for job in jobs:
-            self.runner.feed(events.JobAccepted(now, job))
+        self.runner.feed(events.JobAccepted(time.monotonic(), stored))
 
     @property
     def handlers(self) -> dict[str, Any]:
         """Give what other nodes may call of the owner."""
         return {
-            'jobs': self._jobs_told,
-            'cancel': self._cancel_told,
+            'accept': self._accept_asked,
+            'job': self._job_told,
+            'cancel': self._cancel_asked,
+            'cancelled': self._cancel_told,
             'state': self._state_asked,
             'waiting': self._waiting_asked,
         }
 
-    async def _jobs_told(self, body: Any) -> dict[str, Any]:
+    async def _accept_asked(self, body: Any) -> dict[str, Any]:
         if self.runner is None:
             return {'is_owner': False}
-        self._take([_schema.load_parts(model.Job, j) for j in body['jobs']])
+        job = _schema.load_parts(model.Job, body['job'])
+        live = ports.Key(_schema.JOBS, job.id)
+        ended = ports.Key(_schema.ENDED, job.id)
+        change = _journal.Change(
+            absent=(live, ended),
+            puts={live: _schema.dump(job)},
+            gives_up=True,
+        )
+        result = await self.runner.journal.write(change)
+        is_stored = result.written is _journal.Written.STORED
+        if is_stored and self.runner is not None:
+            self._take(events.StoredJob(job, result.version))
+        return {'is_owner': True, 'written': result.written.value}
+
+    async def _job_told(self, body: Any) -> dict[str, Any]:
+        if self.runner is None:
+            return {'is_owner': False}
+        job = _schema.load_parts(model.Job, body['job'])
+        self._take(events.StoredJob(job, body['version']))
         return {'is_owner': True}
 
+    async def _cancel_asked(self, body: Any) -> dict[str, Any]:
+        """Cancel a job that is known here; else the caller reads the rows."""
+        job_id = body['job']
+        if self.runner is None:
+            return {'is_owner': False}
+        if job_id not in self.runner.state.jobs:
+            return {'is_owner': True, 'written': REFUSED}
+        mark = ports.Key(_schema.JOBS, job_id + _schema.CANCEL_SUFFIX)
+        change = _journal.Change(puts={mark: b'{}'}, gives_up=True)
+        result = await self.runner.journal.write(change)
+        if result.version and self.runner is not None:
+            event = events.JobCancelled(time.monotonic(), job_id)
+            self.runner.feed(event)
+        return {'is_owner': True, 'written': result.written.value}
+
     async def _cancel_told(self, body: Any) -> dict[str, Any]:
         if self.runner is None:
             return {'is_owner': False}
-        now = time.monotonic()
-        self.runner.feed(events.JobCancelled(now, body['job']))
+        event = events.JobCancelled(time.monotonic(), body['job'])
+        self.runner.feed(event)
         return {'is_owner': True}
 
     async def _state_asked(self, body: Any) -> dict[str, Any]:
@@ -266,27 +341,24 @@
         return self._answered('state', call, began, answer)
 
     async def _waiting(self, queue: str) -> Answer:
-        told = await self._ask_owner('waiting', {'queue': queue})
-        if told is None:
-            return Answer(
-                Verdict.UNAVAILABLE,
-                retry_after_s=STORE_AWAY_RETRY_S,
-                reason='no answer from the owner',
-            )
+        try:
+            told = await self._ask_owner('waiting', {'queue': queue})
+        except errors.PeerError as error:
+            return _away(str(error))
         return Answer(Verdict.OK, {'waiting': told['waiting']})
 
     async def _state(self, job_id: str) -> Answer:
-        told = await self._ask_owner('state', {'job': job_id})
-        if told is not None and told['state'] is not None:
-            return Answer(Verdict.OK, {'state': told['state']})
+        try:
+            told = await self._ask_owner('state', {'job': job_id})
+            if told['state'] is not None:
+                return Answer(Verdict.OK, {'state': told['state']})
+        except errors.PeerError as error:
+            if self._store.is_away:
+                return _away(str(error))
         try:
             state = await self._stored_state(job_id)
         except errors.StoreError as error:
-            return Answer(
-                Verdict.UNAVAILABLE,
-                retry_after_s=STORE_AWAY_RETRY_S,
-                reason=str(error),
-            )
+            return _away(str(error))
         if state is None:
             return Answer(Verdict.NO_JOB)
         return Answer(Verdict.OK, {'state': state})
@@ -322,11 +394,25 @@
         route, _ = found
         job_id = call.path[len(route.path_prefix) :]
         until = began + call.budget_s - ANSWER_S
-        answer = await self._store_cancel(job_id, until)
-        if answer.verdict is Verdict.OK:
-            self._tell_owner('cancel', {'job': job_id}, job_id)
+        told = await self._ask_owner('cancel', {'job': job_id}, OWNER_WRITE_S)
+        if told is not None and told.get('written') == STORED:
+            answer = Answer(Verdict.OK)
+        else:
+            answer = await self._store_cancel(job_id, until)
         return self._answered('cancel', call, began, answer)
 
+    async def _cancel(self, job_id: str, until: float) -> Answer:
+        try:
+            told = await self._ask_owner(
+                'cancel', {'job': job_id}, OWNER_WRITE_S
+            )
+            if told['written'] == STORED:
+                return Answer(Verdict.OK)
+        except errors.PeerError as error:
+            if self._store.is_away:
+                return _away(str(error))
+        return await self._store_cancel(job_id, until)
+
     async def _store_cancel(self, job_id: str, until: float) -> Answer:
         live = ports.Key(_schema.JOBS, job_id)
         mark = ports.Key(_schema.JOBS, job_id + _schema.CANCEL_SUFFIX)
@@ -344,6 +430,7 @@
                 )
                 stored = await self._store.transact(change, STORE_TRY_S)
                 if isinstance(stored, ports.Committed):
+                    self._tell_owner('cancelled', {'job': job_id}, job_id)
                     return Answer(Verdict.OK)
             except errors.StoreError as error:
                 reason = str(error)
--- /dev/null
+++ b/packages/standins/celeryshift_standins/rowstore.py
@@ -0,0 +1,131 @@
+"""A store of rows in memory, with faults, for tests of nodes."""
+
+import asyncio
+import enum
+
+from celeryshift_cellnode import errors
+from celeryshift_cellnode import ports
+
+TICK_S = 0.005
+
+
+class Fault(enum.Enum):
+    """Name what may happen to a call."""
+
+    # Nothing is done, and the caller is told so.
+    REFUSE = 'refuse'
+    # Nothing is done, and nothing is answered.
+    IGNORE = 'ignore'
+    # Done, but not answered.
+    LOSE_ANSWER = 'lose answer'
+    # Done some time after the caller has given up.
+    DO_LATE = 'do late'
+
+
+class RowStore:
+    """Keep rows with versions, changed by whole transactions."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str, str], ports.Row] = {}
+        self.version = 0
+        self.faults: list[Fault] = []
+        self.latency_s = 0.0
+        self.late_s = 0.3
+        self.writes = 0
+        self._log: list[ports.Row] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    def put(self, table: str, part: str, key: str, value: bytes) -> None:
+        """Write a row from outside."""
+        self._apply(
+            ports.Transaction(part, {}, {ports.Key(table, key): value})
+        )
+
+    async def transact(
+        self, transaction: ports.Transaction, timeout_s: float
+    ) -> ports.Committed | ports.Conflict:
+        """Carry out a transaction, unless a fault is due."""
+        self.writes += 1
+        fault = self.faults.pop(0) if self.faults else None
+        if self.latency_s > timeout_s:
+            fault = Fault.DO_LATE
+        await asyncio.sleep(min(self.latency_s, timeout_s))
+        if fault is Fault.REFUSE:
+            raise errors.StoreRefusedError('refused')
+        if fault is Fault.DO_LATE:
+            task = asyncio.get_running_loop().create_task(
+                self._later(transaction)
+            )
+            self._tasks.add(task)
+        if fault is Fault.LOSE_ANSWER:
+            self._apply(transaction)
+        if fault is not None:
+            await asyncio.sleep(timeout_s)
+            raise errors.StoreSilentError('no answer')
+        return self._apply(transaction)
+
+    async def _later(self, transaction: ports.Transaction) -> None:
+        await asyncio.sleep(self.late_s)
+        self._apply(transaction)
+
+    def _apply(
+        self, transaction: ports.Transaction
+    ) -> ports.Committed | ports.Conflict:
+        part = transaction.part
+        found = {
+            key: self.rows.get((key.table, part, key.key))
+            for key in transaction.expected
+        }
+        for key, version in transaction.expected.items():
+            row = found[key]
+            if (row.version if row else 0) != version:
+                rows = {k: r for k, r in found.items() if r is not None}
+                return ports.Conflict(rows)
+        self.version += 1
+        for key in transaction.removes:
+            row = self.rows.pop((key.table, part, key.key), None)
+            if row is not None:
+                self._log.append(
+                    ports.Row(
+                        key.table, part, key.key, b'', self.version, True
+                    )
+                )
+        for key, value in transaction.puts.items():
+            row = ports.Row(key.table, part, key.key, value, self.version)
+            self.rows[key.table, part, key.key] = row
+            self._log.append(row)
+        return ports.Committed(self.version)
+
+    async def read(
+        self,
+        table: str,
+        part: str,
+        first: str = '',
+        last: str | None = None,
+        timeout_s: float = 1.0,
+    ) -> ports.Read:
+        """Read rows as of now."""
+        await asyncio.sleep(self.latency_s)
+        rows = [
+            row
+            for (known, where, key), row in sorted(self.rows.items())
+            if known == table
+            and where == part
+            and key >= first
+            and (last is None or key < last)
+        ]
+        return ports.Read(rows, self.version)
+
+    async def feed(self, table: str, after: int, wait_ms: int) -> ports.Read:
+        """Wait for rows that changed after a version."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_ms / 1000
+        while True:
+            rows = [
+                row
+                for row in self._log
+                if row.table == table and row.version > after
+            ]
+            if rows or loop.time() >= until:
+                return ports.Read(rows, self.version)
+            await asyncio.sleep(TICK_S)
--- /dev/null
+++ b/tests/cells.py
@@ -0,0 +1,170 @@
+"""Builders of cells, jobs and workers for tests."""
+
+import attrs
+
+import celeryshift_cell as cell
+from celeryshift_cell import effects
+from celeryshift_cell import events
+from celeryshift_cell import model
+
+UPSTREAM = 'coding'
+TEAM = 'ministry'
+QUEUE = model.Queue('field', UPSTREAM, max_attempts=2, stretch=1.5)
+ADVISED = model.Queue(
+    'advised', UPSTREAM, max_attempts=2, advice=model.Advice(30, 0.5, 2500)
+)
+LAST = model.Queue('weekly', UPSTREAM, priority=2, max_attempts=3)
+CORE = 1000
+
+
+def config(
+    maximum: model.Size | None = None, version: int = 1
+) -> model.Config:
+    """Build a configuration with some queues and one team."""
+    team = model.Team(TEAM, maximum=maximum or model.Size())
+    queues = {queue.name: queue for queue in (QUEUE, ADVISED, LAST)}
+    upstreams = {UPSTREAM: model.Upstream(UPSTREAM)}
+    return model.Config(version, queues, {TEAM: team}, upstreams)
+
+
+def step(count: int = 1, cores: float = 1, **fields: object) -> model.Step:
+    """Build a step."""
+    size = model.Size(int(cores * CORE), 1024)
+    return model.Step(count, size, 1000, **fields)  # type: ignore[arg-type]
+
+
+def job(
+    name: str, *steps: model.Step, queue: str = 'field', **fields: object
+) -> model.Job:
+    """Build a job; a short name is padded to an id."""
+    return model.Job(
+        id=name.ljust(16, '0'),
+        queue=queue,
+        team=TEAM,
+        spec='spec',
+        steps=steps or (step(),),
+        arrived_ms=0,
+        **fields,  # type: ignore[arg-type]
+    )
+
+
+def entry(
+    name: str, cores: int = 32, life: int = 1, **fields: object
+) -> model.WorkerEntry:
+    """Build the entry of a worker."""
+    return model.WorkerEntry(
+        name,
+        life,
+        UPSTREAM,
+        f'{name}:80',
+        'here',
+        model.Size(cores * CORE, 131_072),
+        **fields,  # type: ignore[arg-type]
+    )
+
+
+class Bench:
+    """Drive a cell by hand: workers answer as the test says."""
+
+    def __init__(
+        self,
+        workers: tuple[model.WorkerEntry, ...] = (),
+        configuration: model.Config | None = None,
+        epoch: int = 1,
+        options: cell.Options | None = None,
+    ) -> None:
+        self.state = cell.Cell(epoch, options or cell.Options())
+        self.now = 0.0
+        self.version = 0
+        self.out: list[effects.Effect] = []
+        self.send(events.ConfigChanged(0.0, configuration or config()))
+        if workers:
+            self.join(*workers)
+
+    def send(self, event: events.Event) -> list[effects.Effect]:
+        """Apply an event at the time of the bench; give its effects."""
+        event = attrs.evolve(event, now=self.now)
+        self.out = cell.reduce(self.state, event)
+        return self.out
+
+    def of(self, kind: type) -> list:
+        """Give the last effects of one kind."""
+        return [effect for effect in self.out if isinstance(effect, kind)]
+
+    def tick(self, seconds: float = 0.1) -> list[effects.Effect]:
+        """Let time pass."""
+        self.now += seconds
+        return self.send(events.Ticked(0.0, int(self.now * 1000)))
+
+    def join(self, *entries: model.WorkerEntry) -> None:
+        """Let workers join, and answer the first question to each."""
+        self.send(events.WorkersListed(0.0, entries))
+        for known in entries:
+            self.hold(known.id, life=known.life)
+        # The list of workers is stored.
+        self.saved()
+
+    def hold(
+        self,
+        worker: str,
+        running: tuple[events.RunListed, ...] = (),
+        ended: tuple[events.RunEnded, ...] = (),
+        life: int = 1,
+        sent_at: float | None = None,
+    ) -> list[effects.Effect]:
+        """Let a worker give its lists."""
+        at = self.now if sent_at is None else sent_at
+        return self.send(
+            events.HoldAnswered(
+                0.0, at, worker, life, int(self.now * 1000), running, ended
+            )
+        )
+
+    def accept(self, *jobs: model.Job) -> list[effects.StartRun]:
+        """Accept jobs; give the orders to start."""
+        starts = []
+        for described in jobs:
+            self.version += 1
+            stored = events.StoredJob(described, self.version)
+            self.send(events.JobAccepted(0.0, stored))
+            starts += self.of(effects.StartRun)
+        return starts
+
+    def answer(
+        self,
+        order: effects.StartRun,
+        outcome: events.Outcome = events.Outcome.DONE,
+    ) -> list[effects.Effect]:
+        """Answer an order to start."""
+        return self.send(
+            events.StartAnswered(
+                0.0, order.worker_id, order.task, order.run, outcome
+            )
+        )
+
+    def end(
+        self,
+        order: effects.StartRun,
+        ending: model.Ending = model.Ending.DONE,
+        number: int | None = None,
+        saved: str = '',
+    ) -> list[effects.Effect]:
+        """Let a run end, as its worker lists it."""
+        worker = self.state.workers[order.worker_id]
+        ended = events.RunEnded(
+            number or worker.last_end + 1,
+            order.task,
+            order.run,
+            ending,
+            saved,
+        )
+        running = tuple(
+            events.RunListed(task, run, '', 0)
+            for task, run in worker.runs
+            if (task, run) != (order.task, order.run)
+        )
+        return self.hold(order.worker_id, running, (ended,), worker.entry.life)
+
+    def saved(self) -> list[effects.Effect]:
+        """Let the records that are on their way be stored."""
+        return self.send(events.RecordsSaved(0.0))
--- /dev/null
+++ b/tests/test_cell_jobs.py
@@ -0,0 +1,104 @@
+"""Jobs in a cell: order of steps, ends, attempts, and being told twice."""
+
+from tests import cells
+
+from celeryshift_cell import effects
+from celeryshift_cell import events
+from celeryshift_cell import model
+
+
+def _state(bench, name):
+    return bench.state.jobs[name.ljust(16, '0')].state
+
+
+def test_steps_run_in_their_order():
+    bench = cells.Bench((cells.entry('w'),))
+    job = cells.job('a', cells.step(2), cells.step(1, after=(0,)))
+    first, second = bench.accept(job)
+    bench.answer(first)
+    bench.answer(second)
+    bench.end(first)
+    assert not bench.of(effects.StartRun)
+    bench.end(second)
+    (last,) = bench.of(effects.StartRun)
+    assert last.task.endswith('.0.1.0')
+    bench.answer(last)
+    bench.end(last)
+    assert _state(bench, 'a') is model.JobState.COMPLETED
+
+
+def test_a_task_fails_its_job_after_its_attempts():
+    bench = cells.Bench((cells.entry('w'),))
+    (order,) = bench.accept(cells.job('a'))
+    bench.answer(order)
+    bench.end(order, model.Ending.FAILED)
+    (again,) = bench.of(effects.StartRun)
+    assert again.run > order.run
+    bench.answer(again)
+    bench.end(again, model.Ending.FAILED)
+    assert not bench.of(effects.StartRun)
+    assert _state(bench, 'a') is model.JobState.FAILED
+
+
+def test_a_worker_is_told_of_an_end_only_once_it_is_stored():
+    bench = cells.Bench((cells.entry('w'),))
+    first, second = bench.accept(cells.job('a', cells.step(2)))
+    bench.answer(first)
+    bench.answer(second)
+    bench.end(first)
+    assert bench.of(effects.SaveRecords)
+    assert not bench.of(effects.Hold)
+    bench.saved()
+    (hold,) = bench.of(effects.Hold)
+    assert hold.last_seen == 1
+
+
+def test_a_job_told_again_after_its_end_does_not_run_again():
+    # Seen on the bench: a client repeated its call after a takeover, and
+    # the new owner, which did not know the job, ran it again (TWICE).
+    bench = cells.Bench((cells.entry('w'),), epoch=2)
+    job = cells.job('a')
+    bench.send(
+        events.Restored(0.0, 0, (), {}, (), (), doubt_until=0.0, version=7)
+    )
+    bench.send(events.JobAccepted(0.0, events.StoredJob(job, 5)))
+    assert not bench.of(effects.StartRun)
+    bench.send(events.JobAccepted(0.0, events.StoredJob(job, 9)))
+    assert len(bench.of(effects.StartRun)) == 1
+
+
+def test_a_job_told_again_long_after_its_end_does_not_run_again():
+    bench = cells.Bench((cells.entry('w'),))
+    (order,) = bench.accept(cells.job('a'))
+    bench.answer(order)
+    bench.end(order)
+    bench.saved()
+    bench.tick(60.0)
+    bench.tick()
+    assert not bench.state.jobs
+    assert not bench.accept(cells.job('a'))
+
+
+def test_progress_is_read_back_by_the_next_owner():
+    bench = cells.Bench((cells.entry('w'),))
+    orders = bench.accept(cells.job('a', cells.step(3)))
+    for order in orders:
+        bench.answer(order)
+    bench.end(orders[0])
+    (save,) = bench.of(effects.SaveRecords)
+    later = cells.Bench((cells.entry('w'),), epoch=2)
+    later.send(
+        events.Restored(
+            0.0,
+            0,
+            (events.StoredJob(cells.job('a', cells.step(3)), 1),),
+            save.progress_by_job,
+            (),
+            (),
+            doubt_until=0.0,
+            version=5,
+        )
+    )
+    starts = later.of(effects.StartRun)
+    assert sorted(order.task[-1] for order in starts) == ['1', '2']
+    assert min(order.run for order in starts) > max(o.run for o in orders)
