--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -63,11 +63,30 @@
 
 
 def _team_allows(cell: _state.Cell, step: _state.StepRun) -> bool:
+    return _allows(cell, step, step.spec.size)
+
+
+def _allows(cell: _state.Cell, step: _state.StepRun, size: model.Size) -> bool:
     name = step.job.spec.team
     team = cell.config.teams_by_name.get(name)
     if team is None:
         return True
-    return cell.usage(name).allows(step.spec.size, team.maximum)
+    used = cell.usage(name)
+    if cell.unfenced:
+        used = _with_doubt(cell, name, used)
+    return used.allows(size, team.maximum)
+
+
+def _with_doubt(
+    cell: _state.Cell, team: str, used: _state.Usage
+) -> _state.Usage:
+    """Count what may run on workers that have not answered this owner."""
+    total = _state.Usage(used.cpu_milli, used.memory_mb, used.accelerators)
+    for step in cell.waiting.values():
+        if step.in_doubt and step.job.spec.team == team:
+            for _ in step.pending:
+                total.book(step.spec.size, 1)
+    return total
 
 
 def best_worker(
@@ -128,8 +147,7 @@
         return 0
     if any(task.runs for task in step.tasks):
         return 0
-    team = cell.config.teams_by_name.get(step.job.spec.team)
-    if team is not None and not _gang_allowed(cell, step, team):
+    if not _allows(cell, step, _gang_size(step.spec)):
         step.team_full = True
         return 0
     step.team_full = False
@@ -143,17 +161,13 @@
     return len(plan)
 
 
-def _gang_allowed(
-    cell: _state.Cell, step: _state.StepRun, team: model.Team
-) -> bool:
-    size = step.spec.size
-    count = step.spec.count
-    whole = model.Size(
-        size.cpu_milli * count,
-        size.memory_mb * count,
-        size.accelerators * count,
+def _gang_size(spec: model.Step) -> model.Size:
+    size = spec.size
+    return model.Size(
+        size.cpu_milli * spec.count,
+        size.memory_mb * spec.count,
+        size.accelerators * spec.count,
     )
-    return cell.usage(team.name).allows(whole, team.maximum)
 
 
 def _gang_plan(
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -99,7 +99,9 @@
     worker.ask_at = None
     worker.holds_out += 1
     deadline_ms = None
-    if worker.is_fenced:
+    # A silent worker may get the question late; it must not extend a lease
+    # that is waited for.
+    if worker.is_fenced and not worker.is_silent:
         deadline_ms = _leases.extend(cell, worker)
     entry = worker.entry
     cell.emit(
@@ -134,7 +136,7 @@
         if event.life > worker.entry.life:
             _restarted(cell, worker, event.life)
         return
-    worker.holds_out -= 1
+    worker.holds_out = max(0, worker.holds_out - 1)
     if worker.is_silent:
         cell.note('worker_answers', worker=worker.id)
     worker.is_silent = False
@@ -191,7 +193,7 @@
     worker = cell.workers.get(event.worker_id)
     if worker is None or worker.entry.life != event.life:
         return
-    worker.holds_out -= 1
+    worker.holds_out = max(0, worker.holds_out - 1)
     if event.outcome is events.Outcome.FENCED:
         cell.emit(effects.Yield(event.worker_id))
         return
--- a/tests/test_cell_jobs.py
+++ b/tests/test_cell_jobs.py
@@ -110,7 +110,7 @@
     bench = cells.Bench((cells.entry('w', cores=500),))
     orders = []
     for number in range(60):
-        orders += bench.accept(cells.job(f'{number:x}'))
+        orders += bench.accept(cells.job(f'{number:02x}'))
     assert len(orders) == 60
     for order in orders:
         bench.answer(order)
--- /dev/null
+++ b/tests/test_cell_workers.py
@@ -0,0 +1,154 @@
+"""Workers in a cell: leases, silence, other lives, and orders in doubt."""
+
+from tests import cells
+
+from celeryshift_cell import effects
+from celeryshift_cell import events
+from celeryshift_cell import model
+
+Outcome = events.Outcome
+LEASE_S = 6.3
+
+
+def _fail_holds(bench, worker, seconds):
+    """Leave every question to a worker unanswered for a while."""
+    starts = []
+    until = bench.now + seconds
+    while bench.now < until:
+        bench.tick(0.1)
+        starts += bench.of(effects.StartRun)
+        for hold in bench.of(effects.Hold):
+            if hold.worker_id == worker:
+                bench.send(events.HoldFailed(0.0, worker, 1, Outcome.UNKNOWN))
+                starts += bench.of(effects.StartRun)
+    return starts
+
+
+def _silence(bench, worker):
+    bench.state.workers[worker].holds_out = 0
+    bench.send(events.HoldFailed(0.0, worker, 1, Outcome.UNKNOWN))
+
+
+def test_a_task_on_a_silent_worker_starts_elsewhere_after_the_lease():
+    # Seen on the bench (LOST): every question that a silent worker left
+    # unanswered extended its lease once more, so that it never ran out.
+    bench = cells.Bench((cells.entry('a'),))
+    (order,) = bench.accept(cells.job('j', cells.step(is_lasting=True)))
+    bench.answer(order)
+    bench.join(cells.entry('b'))
+    _silence(bench, 'a')
+    assert not _fail_holds(bench, 'a', 5.5)
+    (again,) = _fail_holds(bench, 'a', 1.0)
+    assert again.worker_id == 'b'
+
+
+def test_a_stop_without_an_answer_is_settled_by_the_lease():
+    bench = cells.Bench((cells.entry('a'),))
+    (order,) = bench.accept(cells.job('j'))
+    bench.answer(order, Outcome.UNKNOWN)
+    bench.join(cells.entry('b'))
+    _silence(bench, 'a')
+    (again,) = _fail_holds(bench, 'a', LEASE_S + 0.5)
+    assert again.worker_id == 'b'
+
+
+def test_an_unanswered_start_that_is_listed_goes_on():
+    bench = cells.Bench((cells.entry('a'),))
+    (order,) = bench.accept(cells.job('j'))
+    bench.answer(order, Outcome.UNKNOWN)
+    bench.tick()
+    bench.hold('a', (events.RunListed(order.task, order.run, '', 10),))
+    assert not bench.of(effects.StopRun)
+    bench.tick()
+    bench.end(order)
+    job = next(iter(bench.state.jobs.values()))
+    assert job.state is model.JobState.COMPLETED
+
+
+def test_an_unanswered_start_that_is_not_listed_is_stopped_first():
+    bench = cells.Bench((cells.entry('a'),))
+    (order,) = bench.accept(cells.job('j'))
+    bench.answer(order, Outcome.UNKNOWN)
+    bench.tick()
+    bench.hold('a')
+    (stop,) = bench.of(effects.StopRun)
+    assert not bench.of(effects.StartRun)
+    bench.tick(0.5)
+    bench.send(
+        events.StopAnswered(0.0, 'a', stop.task, stop.run, Outcome.DONE)
+    )
+    bench.tick()
+    bench.hold('a')
+    (again,) = bench.of(effects.StartRun)
+    assert again.run > order.run
+
+
+def test_a_restarted_worker_runs_nothing_of_before():
+    bench = cells.Bench((cells.entry('a'),))
+    (order,) = bench.accept(cells.job('j'))
+    bench.answer(order)
+    bench.send(events.WorkersListed(0.0, (cells.entry('a', life=2),)))
+    assert not bench.of(effects.StartRun)
+    bench.hold('a', life=2)
+    (again,) = bench.of(effects.StartRun)
+    assert again.life == 2
+
+
+def test_an_order_under_way_may_reach_the_next_life():
+    bench = cells.Bench((cells.entry('a'),))
+    (order,) = bench.accept(cells.job('j'))
+    bench.send(events.WorkersListed(0.0, (cells.entry('a', life=2),)))
+    listed = events.RunListed(order.task, order.run, '', 0)
+    bench.hold('a', (listed,), life=2)
+    assert not bench.of(effects.StartRun)
+
+
+def test_room_that_may_be_in_use_is_not_given_again():
+    bench = cells.Bench((cells.entry('a', cores=4),))
+    first = bench.accept(cells.job('1', cells.step(4)))
+    assert len(first) == 4
+    bench.answer(first[0], Outcome.UNKNOWN)
+    assert not bench.accept(cells.job('2'))
+
+
+def test_a_team_may_hold_what_a_silent_worker_may_still_run():
+    # Seen on the bench (QUOTA): after a takeover the runs on a worker that
+    # had not answered were not counted for their team.
+    maximum = model.Size(cpu_milli=4000)
+    bench = cells.Bench(
+        (cells.entry('a'),), cells.config(maximum=maximum), epoch=2
+    )
+    old = cells.job('1', cells.step(3))
+    bench.send(
+        events.Restored(
+            0.0,
+            0,
+            (events.StoredJob(old, 1),),
+            {},
+            (),
+            (('b', 1, 'b:80'),),
+            doubt_until=7.0,
+            version=3,
+        )
+    )
+    assert not bench.of(effects.StartRun)
+    bench.version = 10
+    assert len(bench.accept(cells.job('2', cells.step(3)))) == 1
+
+
+def test_tasks_that_a_silent_worker_may_run_wait_for_the_doubt_to_end():
+    bench = cells.Bench((cells.entry('a'),), epoch=2)
+    bench.send(
+        events.Restored(
+            0.0,
+            0,
+            (events.StoredJob(cells.job('1'), 1),),
+            {},
+            (),
+            (('b', 1, 'b:80'),),
+            doubt_until=7.0,
+            version=3,
+        )
+    )
+    assert not _fail_holds(bench, 'b', 6.5)
+    assert _fail_holds(bench, 'b', 1.0)
