--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -115,6 +115,18 @@
     wake(cell, task.step)
 
 
+def copy(cell: _state.Cell, task: _state.Task, why: str) -> None:
+    """Let a task that is running start on another worker as well."""
+    step = task.step
+    if task.is_done or step.spec.is_lasting or step.spec.is_gang:
+        return
+    if step.job.state in FINAL or task.index in step.pending:
+        return
+    step.pending.add(task.index)
+    wake(cell, step)
+    cell.note('task_copied', job=step.job.spec.id, task=task.name, why=why)
+
+
 def task_done(cell: _state.Cell, task: _state.Task) -> None:
     """Note that a task has ended well, and what follows from it."""
     if task.is_done:
--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -7,12 +7,15 @@
 class Options:
     """Hold what a deployment may set."""
 
-    # The longest lease that workers grant; from the platform's settings.
-    lease_s: float = 6.0
+    # A lease outlives a restart of all nodes, which takes some two seconds,
+    # and otherwise is short, since whatever a silent worker runs can start
+    # elsewhere only after it. Workers may grant less.
+    lease_s: float = 4.0
     # Lease time runs on the worker's clock, which may be so much slow.
     clock_drift: float = 0.02
-    # How long a question to a worker waits for an end; the platform's most.
-    hold_wait_ms: int = 2000
+    # How long a question to a worker waits for an end. It also is the part
+    # of a lease that may be gone when the owner dies.
+    hold_wait_ms: int = 1200
     # Pause before a worker that did not answer is asked again.
     hold_retry_s: float = 0.4
     # Pause between looks at ends that cannot be stored yet.
@@ -21,8 +24,6 @@
     stop_retry_s: float = 1.0
     # Pause before records that were not stored are sent again.
     save_retry_s: float = 0.3
-    # A worker that has not answered for so long gets no new work.
-    silent_s: float = 2.6
     # The members of a gang must be there within this time.
     gang_timeout_s: float = 3.0
     # A ticket is not used in the last part of its validity, since the order
@@ -37,9 +38,17 @@
     # Failures of so many jobs in a row, on one worker, make it suspect.
     quarantine_failures: int = 3
     quarantine_s: float = 4.0
-    # A task that stands still for so long is started elsewhere.
-    stall_s: float = 3.0
-    stall_factor: float = 2.0
+    # A task that has run so many times as long as expected, and so much
+    # longer, is started elsewhere as well, where copies are allowed.
+    straggler_factor: float = 2.0
+    straggler_s: float = 0.3
+    # Samples that what is known of a worker's kind counts for, beside those
+    # of the worker itself.
+    kind_samples: float = 4.0
+    # Workers this much slower than others are avoided by all work.
+    slow_factor: float = 1.8
+    # Workers whose times differ by less count as alike.
+    alike_factor: float = 1.12
     # Tasks slow down by this factor away from their data.
     remote_penalty: float = 1.5
     restore_ms: int = 600
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -1,6 +1,7 @@
 """Decides which waiting task starts next, and on which worker."""
 
 from collections.abc import Iterator
+import math
 
 from celeryshift_cell import _advice
 from celeryshift_cell import _jobs
@@ -98,7 +99,9 @@
     for worker, ticket in _candidates(cell, step):
         if not worker.has_room(step.spec):
             continue
-        cost = _cost(step, task, worker)
+        if any(run.worker is worker for run in task.runs.values()):
+            continue
+        cost = _cost(cell, step, task, worker)
         if found is None or cost < lowest:
             found, lowest = (worker, ticket), cost
     return found
@@ -130,16 +133,29 @@
 
 
 def _cost(
-    step: _state.StepRun, task: _state.Task, worker: _state.Worker
+    cell: _state.Cell,
+    step: _state.StepRun,
+    task: _state.Task,
+    worker: _state.Worker,
 ) -> tuple[float, ...]:
+    """Rank a worker for a task; the lowest is best.
+
+    Urgent work goes where it is done soonest. All other work is packed, so
+    that large tasks find room, and so leaves the fast workers to the urgent.
+    """
     spec = step.spec
     far = bool(spec.near_rack) and worker.entry.rack != spec.near_rack
-    capacity = worker.entry.capacity
+    failed = worker.id in task.failed_on
     if spec.is_filler:
         idle = worker.free_cpu - worker.filler_cpu
-        return (worker.id in task.failed_on, far, worker.slowness, -idle)
-    left = (worker.free_cpu - spec.size.cpu_milli) / max(capacity.cpu_milli, 1)
-    return (worker.id in task.failed_on, far, worker.slowness, left)
+        return (failed, far, -idle)
+    capacity = max(worker.entry.capacity.cpu_milli, 1)
+    left = (worker.free_cpu - spec.size.cpu_milli) / capacity
+    is_slow = worker.slowness > cell.options.slow_factor
+    if step.job.queue.priority > 0:
+        return (failed, far, is_slow, left)
+    alike = math.log(cell.options.alike_factor)
+    return (failed, far, math.log(worker.slowness) // alike, left)
 
 
 def _place_gang(cell: _state.Cell, step: _state.StepRun) -> int:
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from celeryshift_cell import _advice
+from celeryshift_cell import _health
 from celeryshift_cell import _jobs
 from celeryshift_cell import _placement
 from celeryshift_cell import _records
@@ -63,6 +64,7 @@
     _workers.expire(cell)
     _workers.settle(cell)
     _workers.ask_due(cell)
+    _health.stragglers(cell)
     _records.forget_ended(cell)
     _placement.look_again(cell)
 
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -4,6 +4,7 @@
 import enum
 import heapq
 from typing import Any
+from typing import ClassVar
 
 import attrs
 
@@ -129,6 +130,22 @@
     chain_ms: float = 0.0
 
 
+@attrs.define(slots=True, eq=False)
+class Mean:
+    """Follow the mean of what is seen, the newest weighing most."""
+
+    # Older samples fade beyond so many.
+    LONGEST: ClassVar[int] = 40
+
+    value: float = 1.0
+    count: int = 0
+
+    def add(self, sample: float) -> None:
+        """Take in a sample."""
+        self.count = min(self.count + 1, self.LONGEST)
+        self.value += (sample - self.value) / self.count
+
+
 @attrs.define(slots=True, eq=False)
 class Worker:
     """Follow one life of a worker."""
@@ -162,6 +179,8 @@
     filler_cpu: int = 0
     # How many times as long tasks take here as elsewhere.
     slowness: float = 1.0
+    # Times of tasks by their estimates.
+    speed: Mean = attrs.field(factory=Mean)
 
     @property
     def id(self) -> str:
@@ -251,6 +270,8 @@
     # Workers that a former owner may have used and that are silent.
     unfenced: set[str] = attrs.field(factory=set)
     doubt_until: float = 0.0
+    speed: Mean = attrs.field(factory=Mean)
+    speed_by_kind: dict[str, Mean] = attrs.field(factory=dict)
     ms_by_image: dict[str, float] = attrs.field(factory=dict)
     counters: collections.Counter[str] = attrs.field(
         factory=collections.Counter
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from celeryshift_cell import _health
 from celeryshift_cell import _leases
 from celeryshift_cell import _runs
 from celeryshift_cell import _state
@@ -206,6 +207,7 @@
         )
     worker.is_silent = True
     worker.ask_at = cell.now + cell.options.hold_retry_s
+    _health.copy_runs(cell, worker)
 
 
 def expire(cell: _state.Cell) -> None:
--- a/packages/cell/celeryshift_cell/model.py
+++ b/packages/cell/celeryshift_cell/model.py
@@ -163,6 +163,8 @@
     capacity: Size
     labels: tuple[str, ...] = ()
     rack: str = ''
+    # Workers of one kind are about equally fast.
+    kind: str = ''
     is_draining: bool = False
     clock_ms: int = 0
     remaining_ms: int | None = None
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -299,7 +299,7 @@
     ) -> _runner.Runner:
         told = self._settings.cell
         options = cell.Options(
-            lease_s=told.max_lease_s,
+            lease_s=min(told.max_lease_s, cell.Options().lease_s),
             gang_timeout_s=told.gang_timeout_s,
             remote_penalty=told.remote_penalty,
             restore_ms=int(told.restore_ms),
