--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -97,6 +97,12 @@
             job=step.job.spec.id,
             step=step.name,
             waiting=len(step.pending),
+            cpu_milli=step.spec.size.cpu_milli,
+            memory_mb=step.spec.size.memory_mb,
+            is_lasting=step.spec.is_lasting,
+            is_filler=step.spec.is_filler,
+            target_ms=step.spec.target_ms,
+            may_miss=step.spec.may_miss,
         )
 
 
@@ -127,8 +133,12 @@
     cell.note('task_copied', job=step.job.spec.id, task=task.name, why=why)
 
 
-def task_done(cell: _state.Cell, task: _state.Task) -> None:
-    """Note that a task has ended well, and what follows from it."""
+def task_done(cell: _state.Cell, task: _state.Task, was_known: bool) -> None:
+    """Note that a task has ended well, and what follows from it.
+
+    A run that this owner has known before it ended cannot have made a
+    former owner start what comes after it.
+    """
     if task.is_done:
         return
     task.is_done = True
@@ -149,6 +159,8 @@
         if step.number in spec.after and all(
             job.steps[step.occurrence, i].left == 0 for i in spec.after
         ):
+            if was_known:
+                later.in_doubt = False
             make_ready(cell, later)
 
 
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -331,7 +331,7 @@
     if entry.ending is model.Ending.DONE and not step.spec.is_lasting:
         members = step.tasks if step.spec.is_gang else [task]
         for member in members:
-            _jobs.task_done(cell, member)
+            _jobs.task_done(cell, member, run is not None)
         for copy in list(task.runs.values()):
             if copy.phase is not Phase.STOPPING:
                 stop(cell, copy, 'another copy ended')
--- a/packages/cellnode/celeryshift_cellnode/_followers.py
+++ b/packages/cellnode/celeryshift_cellnode/_followers.py
@@ -24,6 +24,62 @@
 WORKERS_PAUSE_S = 0.4
 
 
+class _Feed:
+    """Follow one table: its rows first, then what changes."""
+
+    def __init__(
+        self,
+        store: ports.Store,
+        table: str,
+        part: str,
+        wait_ms: int,
+        note: Callable[..., None],
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._part = part
+        self._wait_ms = wait_ms
+        self._note = note
+        self._is_silent = False
+        # The version to go on from; None if the table has to be read.
+        self.after: int | None = None
+
+    async def next(self) -> tuple[list[ports.Row], bool]:
+        """Give rows, and whether they are all there are.
+
+        Goes on until the store answers; a line is written for the first
+        failure alone.
+        """
+        while True:
+            try:
+                rows, is_whole = await self._read()
+            except errors.HistoryLostError:
+                self._note('history_lost', table=self._table, at=self.after)
+                self.after = None
+            except errors.StoreError as error:
+                if not self._is_silent:
+                    self._note(
+                        'feed_lost', table=self._table, error=str(error)
+                    )
+                self._is_silent = True
+                await asyncio.sleep(RETRY_S)
+            else:
+                if self._is_silent:
+                    self._note('feed_regained', table=self._table)
+                self._is_silent = False
+                return rows, is_whole
+
+    async def _read(self) -> tuple[list[ports.Row], bool]:
+        if self.after is None:
+            rows, self.after = await _records.read_all(
+                self._store, self._table, self._part
+            )
+            return rows, True
+        read = await self._store.feed(self._table, self.after, self._wait_ms)
+        self.after = read.version
+        return list(read.rows), False
+
+
 class ConfigurationFollower:
     """Yield configurations as they come; versions only rise."""
 
@@ -34,33 +90,17 @@
         decoder: ports.Decoder,
         note: Callable[..., None],
     ) -> None:
-        self._store = store
+        self._feed = _Feed(
+            store, tables.operator, '', CONFIGURATION_WAIT_MS, note
+        )
         self._tables = tables
         self._decoder = decoder
-        self._note = note
         self._version = 0
 
     async def follow(self) -> AsyncIterator[ports.Configuration]:
         """Yield each configuration with a version above all before it."""
-        after: int | None = None
         while True:
-            try:
-                if after is None:
-                    rows, after = await _records.read_all(
-                        self._store, self._tables.operator, ''
-                    )
-                else:
-                    read = await self._store.feed(
-                        self._tables.operator, after, CONFIGURATION_WAIT_MS
-                    )
-                    rows, after = list(read.rows), read.version
-            except errors.HistoryLostError:
-                after = None
-                continue
-            except errors.StoreError as error:
-                self._note('configuration_not_seen', error=str(error))
-                await asyncio.sleep(RETRY_S)
-                continue
+            rows, _ = await self._feed.next()
             for row in rows:
                 found = self._newer(row)
                 if found is not None:
@@ -85,31 +125,16 @@
         runner: _runner.Runner,
         note: Callable[..., None],
     ) -> None:
-        self._store = store
+        self._feed = _Feed(
+            store, _schema.JOBS, _schema.CELL, FEED_WAIT_MS, note
+        )
         self._runner = runner
-        self._note = note
 
     async def run(self, version: int) -> None:
         """Follow the table of jobs from a version on."""
-        after: int | None = version
+        self._feed.after = version
         while True:
-            try:
-                if after is None:
-                    rows, after = await _records.read_all(
-                        self._store, _schema.JOBS
-                    )
-                else:
-                    read = await self._store.feed(
-                        _schema.JOBS, after, FEED_WAIT_MS
-                    )
-                    rows, after = list(read.rows), read.version
-            except errors.HistoryLostError:
-                after = None
-                continue
-            except errors.StoreError as error:
-                self._note('jobs_not_followed', error=str(error))
-                await asyncio.sleep(RETRY_S)
-                continue
+            rows, _ = await self._feed.next()
             self._tell(rows)
             await asyncio.sleep(JOBS_PAUSE_S)
 
@@ -142,37 +167,20 @@
         runner: _runner.Runner,
         note: Callable[..., None],
     ) -> None:
-        self._store = store
-        self._tables = tables
+        self._feed = _Feed(store, tables.workers, '', FEED_WAIT_MS, note)
         self._decoder = decoder
         self._runner = runner
-        self._note = note
         self._known: set[str] = set()
 
     async def run(self, known: set[str], version: int) -> None:
         """Follow the entries of workers from a version on."""
         self._known = known
-        after: int | None = version
+        self._feed.after = version
         while True:
-            try:
-                if after is None:
-                    entries, after = await read_workers(
-                        self._store, self._tables, self._decoder
-                    )
-                    gone = self._known - {entry.id for entry in entries}
-                else:
-                    read = await self._store.feed(
-                        self._tables.workers, after, FEED_WAIT_MS
-                    )
-                    after = read.version
-                    entries, gone = self._sort(list(read.rows))
-            except errors.HistoryLostError:
-                after = None
-                continue
-            except errors.StoreError as error:
-                self._note('workers_not_followed', error=str(error))
-                await asyncio.sleep(RETRY_S)
-                continue
+            rows, is_whole = await self._feed.next()
+            entries, gone = self._sort(rows)
+            if is_whole:
+                gone |= self._known - {entry.id for entry in entries}
             self._tell(entries, gone)
             await asyncio.sleep(WORKERS_PAUSE_S)
 
--- a/packages/cellnode/celeryshift_cellnode/_membership.py
+++ b/packages/cellnode/celeryshift_cellnode/_membership.py
@@ -13,6 +13,8 @@
 WRITE_TIMEOUT_S = 2.0
 # Rows that have not changed for so long are removed by whoever sees it.
 FORGET_S = 60.0
+# The first pause between looks; each one is twice as long, up to the usual.
+FIRST_PAUSE_S = 0.3
 
 
 class Membership:
@@ -43,14 +45,23 @@
         return [node for node in self.nodes.values() if node.name != mine]
 
     async def run(self) -> None:
-        """Renew this node's row, and read those of the others."""
+        """Renew this node's row, and read those of the others.
+
+        At first often, since all nodes may have started together.
+        """
+        pause_s = FIRST_PAUSE_S
+        is_known = True
         while True:
             try:
                 await self._write()
                 await self.read()
+                is_known = True
             except errors.StoreError as error:
-                self._note('membership_unknown', error=str(error))
-            await asyncio.sleep(_election.NODE_RENEW_S)
+                if is_known:
+                    self._note('membership_unknown', error=str(error))
+                is_known = False
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, _election.NODE_RENEW_S)
 
     async def _write(self) -> None:
         key = ports.Key(_schema.NODES, self._me.name)
--- /dev/null
+++ b/tests/test_cell_processes.py
@@ -0,0 +1,332 @@
+"""The real programs on loopback: killed, stopped, and without a store."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+from typing import Any
+
+import aiohttp
+from tests import site
+
+NODES = 3
+START_S = 15.0
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for made in sockets:
+        made.bind((site.LOOPBACK, 0))
+    ports = [made.getsockname()[1] for made in sockets]
+    for made in sockets:
+        made.close()
+    return ports
+
+
+class Program:
+    """Hold one node as a process of its own."""
+
+    def __init__(
+        self, name: str, platform: site.Site, folder: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.front, ready, self.peer = _free_ports(3)
+        self.ready = ready
+        self.lines: list[dict[str, Any]] = []
+        self._settings = folder / f'{name}.json'
+        self._settings.write_text(
+            json.dumps(
+                {
+                    'node': name,
+                    'ip': site.LOOPBACK,
+                    'zone': f'zone-{name}',
+                    'listen': {
+                        'front': f'{site.LOOPBACK}:{self.front}',
+                        'ready': f'{site.LOOPBACK}:{ready}',
+                    },
+                    'internal_ports': [self.peer, self.peer],
+                    'bounds': {'max_hold_ms': 6000, 'grace_s': 6},
+                    'advice': f'{site.LOOPBACK}:{platform.port}',
+                    'platform': {
+                        'address': f'{site.LOOPBACK}:{platform.port}'
+                    },
+                }
+            )
+        )
+        self.process: asyncio.subprocess.Process | None = None
+        self._reader: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'celeryshift_platform',
+            env={**os.environ, 'CELERYSHIFT_CONFIG': str(self._settings)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._reader = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        assert self.process is not None
+        assert self.process.stdout is not None
+        async for line in self.process.stdout:
+            self.lines.append(json.loads(line))
+
+    def decisions(self, name: str) -> list[dict[str, Any]]:
+        """Give the lines of one decision."""
+        return [line for line in self.lines if line['decision'] == name]
+
+    @property
+    def owns(self) -> bool:
+        """Tell whether the last lines say that it owns the cell."""
+        ends = len(self.decisions('orders_end'))
+        return len(self.decisions('cell_restored')) > ends
+
+    async def end(self) -> None:
+        """End the process, by its id."""
+        assert self.process is not None
+        with contextlib.suppress(ProcessLookupError):
+            self.process.kill()
+        await self.process.wait()
+
+
+class Bed:
+    """Hold a platform, nodes, and a caller."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.site = site.Site()
+        self._folder = folder
+        self.programs: list[Program] = []
+
+    async def __aenter__(self) -> 'Bed':
+        await self.site.start()
+        self.session = aiohttp.ClientSession()
+        for number in range(NODES):
+            program = Program(f'n{number}', self.site, self._folder)
+            await program.start()
+            self.programs.append(program)
+        await until(lambda: any(p.owns for p in self.programs), START_S)
+        for program in self.programs:
+            await until(lambda p=program: p.decisions('configuration'))
+            await until(
+                lambda p=program: len(p.decisions('node_joined')) >= NODES - 1
+            )
+        return self
+
+    async def __aexit__(self, *failure: object) -> None:
+        await self.session.close()
+        for program in self.programs:
+            await program.end()
+        await self.site.close()
+
+    @property
+    def owner(self) -> Program:
+        """Give the program that owns the cell."""
+        (owner,) = [p for p in self.programs if p.owns]
+        return owner
+
+    @property
+    def others(self) -> list[Program]:
+        """Give the programs that don't own the cell."""
+        return [p for p in self.programs if not p.owns]
+
+    async def call(
+        self,
+        program: Program,
+        method: str,
+        job: str,
+        body: Any = None,
+        key: str = site.KEY,
+    ) -> tuple[int, dict[str, Any]]:
+        """Make a call of a client."""
+        async with self.session.request(
+            method,
+            f'http://{site.LOOPBACK}:{program.front}{site.PREFIX}{job}',
+            json=body,
+            headers={
+                'Host': site.HOST,
+                'Authorization': f'Token {key}',
+                'Deadline-Ms': '3000',
+            },
+        ) as answer:
+            return answer.status, json.loads(await answer.read())
+
+    async def submit(
+        self, program: Program, job: str, tasks: int = 2, took_s: float = 0.1
+    ) -> int:
+        """Hand a job in."""
+        body = {
+            'spec': json.dumps({'took_s': took_s}),
+            'steps': [
+                {'count': tasks, 'cpu': 500, 'mem_mb': 64},
+                {'count': 1, 'cpu': 500, 'mem_mb': 64, 'after': [0]},
+            ],
+        }
+        status, _ = await self.call(program, 'POST', job, body)
+        return status
+
+    async def completed(self, program: Program, job: str) -> None:
+        """Wait until a job is shown as completed."""
+
+        async def is_completed() -> bool:
+            status, answer = await self.call(program, 'GET', job)
+            return status == 200 and answer['state'] == 'completed'
+
+        async with asyncio.timeout(15):
+            while not await is_completed():
+                await asyncio.sleep(0.05)
+
+    def check_once(self) -> None:
+        """Check that no task has ended well twice."""
+        done = [task for worker in self.site.workers for task in worker.done]
+        assert len(done) == len(set(done))
+
+
+async def until(condition: Any, within_s: float = 10.0) -> None:
+    async with asyncio.timeout(within_s):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def run(work: Any, folder: pathlib.Path) -> None:
+    async def whole() -> None:
+        async with asyncio.timeout(60), Bed(folder) as bed:
+            await work(bed)
+            bed.check_once()
+
+    asyncio.run(whole())
+
+
+def job_id(number: int) -> str:
+    return f'{number:016x}'
+
+
+def test_jobs_are_served_through_any_node(tmp_path):
+    async def work(bed):
+        for number, program in enumerate(bed.programs):
+            assert await bed.submit(program, job_id(number)) == 200
+        for number in range(NODES):
+            for program in bed.programs:
+                await bed.completed(program, job_id(number))
+        status, _ = await bed.call(bed.programs[0], 'GET', job_id(99))
+        assert status == 410
+        status, _ = await bed.call(
+            bed.programs[0], 'GET', job_id(0), key='unknown'
+        )
+        assert status == 401
+        status, _ = await bed.call(bed.programs[0], 'POST', 'short', {})
+        assert status == 400
+
+    run(work, tmp_path)
+
+
+def test_a_killed_owner_loses_and_doubles_nothing(tmp_path):
+    async def work(bed):
+        owner, others = bed.owner, bed.others
+        for number in range(12):
+            program = bed.programs[number % NODES]
+            assert await bed.submit(program, job_id(number), 3, 1.0) == 200
+        owner.process.send_signal(signal.SIGKILL)
+        await until(lambda: any(p.owns for p in others), 6.0)
+        assert await bed.submit(others[0], job_id(50)) == 200
+        for number in (*range(12), 50):
+            await bed.completed(others[1], job_id(number))
+
+    run(work, tmp_path)
+
+
+def test_a_paused_owner_wakes_without_harm(tmp_path):
+    async def work(bed):
+        owner, others = bed.owner, bed.others
+        for number in range(6):
+            assert await bed.submit(others[0], job_id(number), 3, 1.0) == 200
+        owner.process.send_signal(signal.SIGSTOP)
+        await until(lambda: any(p.owns for p in others), 8.0)
+        owner.process.send_signal(signal.SIGCONT)
+        await until(lambda: not owner.owns, 5.0)
+        for number in range(6):
+            await bed.completed(others[1], job_id(number))
+
+    run(work, tmp_path)
+
+
+def test_a_stopped_node_cuts_no_call(tmp_path):
+    async def work(bed):
+        owner, others = bed.owner, bed.others
+        statuses = []
+
+        async def press() -> None:
+            for number in range(40):
+                statuses.append(await bed.submit(owner, job_id(number)))
+                await asyncio.sleep(0.03)
+
+        pressing = asyncio.create_task(press())
+        await asyncio.sleep(0.3)
+        owner.process.send_signal(signal.SIGTERM)
+        await pressing
+        assert statuses == [200] * 40
+        assert await asyncio.wait_for(owner.process.wait(), 6.0) == 0
+        for number in range(40):
+            await bed.completed(others[0], job_id(number))
+
+    run(work, tmp_path)
+
+
+def test_accepted_work_goes_on_without_the_store(tmp_path):
+    async def work(bed):
+        owner, others = bed.owner, bed.others
+        for number in range(8):
+            assert await bed.submit(others[0], job_id(number), 3, 0.5) == 200
+        bed.site.is_away = True
+        starts = sum(len(w.starts) for w in bed.site.workers)
+        await asyncio.sleep(0.5)
+        assert await bed.submit(others[0], job_id(90)) == 503
+        # The later steps start, though their ends can't be stored.
+        await until(
+            lambda: (
+                sum(len(w.starts) for w in bed.site.workers) > starts
+                and all(not w.running for w in bed.site.workers)
+            ),
+            8.0,
+        )
+        await asyncio.sleep(3.0)
+        bed.site.is_away = False
+        for number in range(8):
+            await bed.completed(others[1], job_id(number))
+        assert owner.owns
+
+    run(work, tmp_path)
+
+
+def test_a_withdrawn_key_is_refused_soon(tmp_path):
+    async def work(bed):
+        assert await bed.submit(bed.programs[0], job_id(1)) == 200
+        bed.site.configure(2, ())
+        await asyncio.sleep(2.0)
+        for program in bed.programs:
+            assert await bed.submit(program, job_id(2)) == 401
+
+    run(work, tmp_path)
+
+
+def test_a_failed_call_is_explained_by_log_lines(tmp_path):
+    async def work(bed):
+        bed.site.is_away = True
+        await asyncio.sleep(1.0)
+        node = bed.others[0]
+        assert await bed.submit(node, job_id(5)) == 503
+        (line,) = [
+            line
+            for line in node.decisions('submit_answered')
+            if line['path'].endswith(job_id(5))
+        ]
+        assert line['verdict'] == 'unavailable'
+        assert line['reason']
+        assert node.decisions('store_lost')
+
+    run(work, tmp_path)
--- a/tests/test_cell_workers.py
+++ b/tests/test_cell_workers.py
@@ -204,3 +204,48 @@
         bench.end(order)
     orders = bench.accept(cells.job('ff', cells.step(8)))
     assert {order.worker_id for order in orders} == {'a'}
+
+
+def test_a_step_whose_turn_comes_under_the_new_owner_is_not_in_doubt():
+    bench = cells.Bench((cells.entry('a'),), epoch=2)
+    job = cells.job('1', cells.step(1), cells.step(1, after=(0,)))
+    bench.send(
+        events.Restored(
+            0.0,
+            0,
+            (events.StoredJob(job, 1),),
+            {},
+            (),
+            (('b', 1, 'b:80'),),
+            doubt_until=7.0,
+            version=3,
+        )
+    )
+    first = f'{job.id}.0.0.0'
+    bench.hold('a', (events.RunListed(first, 1, '', 10),))
+    ended = events.RunEnded(1, first, 1, model.Ending.DONE, '')
+    bench.hold('a', (), (ended,))
+    (start,) = bench.of(effects.StartRun)
+    assert start.task == f'{job.id}.0.1.0'
+
+
+def test_a_step_that_the_former_owner_may_have_started_is_in_doubt():
+    bench = cells.Bench((cells.entry('a'),), epoch=2)
+    job = cells.job('1', cells.step(1), cells.step(1, after=(0,)))
+    bench.send(
+        events.Restored(
+            0.0,
+            0,
+            (events.StoredJob(job, 1),),
+            {},
+            (),
+            (('b', 1, 'b:80'),),
+            doubt_until=7.0,
+            version=3,
+        )
+    )
+    # Ended before this owner had heard of it: the former may have gone on.
+    first = f'{job.id}.0.0.0'
+    ended = events.RunEnded(1, first, 1, model.Ending.DONE, '')
+    bench.hold('a', (), (ended,))
+    assert not bench.of(effects.StartRun)
