--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -16,6 +16,18 @@
     # How long a question to a worker waits for an end. It also is the part
     # of a lease that may be gone when the owner dies.
     hold_wait_ms: int = 1200
+    # The same beside fillers, whose harm is to be seen within a second.
+    filler_wait_ms: int = 400
+    # Tails of serving tasks as parts of their targets: fillers are slowed
+    # above the one and sped up below the other.
+    strain_high: float = 0.8
+    strain_low: float = 0.55
+    # The pace rises by so many percent at a time.
+    pace_step: int = 15
+    # A filler that stands still for so long is moved.
+    filler_patience_s: float = 2.0
+    # Time for a stop and a start before a worker leaves.
+    leave_margin_s: float = 1.2
     # Pause before a worker that did not answer is asked again.
     hold_retry_s: float = 0.4
     # Pause between looks at ends that cannot be stored yet.
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -152,7 +152,7 @@
     """
     spec = step.spec
     far = bool(spec.near_rack) and worker.entry.rack != spec.near_rack
-    failed = worker.id in task.failed_on
+    failed = worker.id in task.failed_on or worker.id in task.avoid
     if spec.is_filler:
         idle = worker.free_cpu - worker.filler_cpu
         return (failed, far, -idle)
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -4,11 +4,13 @@
 from typing import Any
 
 from celeryshift_cell import _advice
+from celeryshift_cell import _draining
 from celeryshift_cell import _health
 from celeryshift_cell import _jobs
 from celeryshift_cell import _placement
 from celeryshift_cell import _records
 from celeryshift_cell import _runs
+from celeryshift_cell import _sharing
 from celeryshift_cell import _state
 from celeryshift_cell import _workers
 from celeryshift_cell import effects
@@ -65,6 +67,8 @@
     _workers.settle(cell)
     _workers.ask_due(cell)
     _health.stragglers(cell)
+    _draining.move(cell)
+    _sharing.move(cell)
     _records.forget_ended(cell)
     _placement.look_again(cell)
 
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -46,8 +46,9 @@
     # When the percent last rose.
     moved_at: float = 0.0
     load: int = 0
-    # The share of its speed that the run is paced to.
+    # The share of its speed that the run is paced to, and since when.
     pace: int = 100
+    paced_at: float = 0.0
 
 
 @attrs.define(slots=True, eq=False)
@@ -64,6 +65,8 @@
     runs: dict[int, Run] = attrs.field(factory=dict)
     # Workers on which the task has failed.
     failed_on: set[str] = attrs.field(factory=set)
+    # Workers that it was moved off.
+    avoid: set[str] = attrs.field(factory=set)
 
 
 @attrs.define(slots=True, eq=False)
@@ -157,6 +160,8 @@
     # The worker has confirmed that it obeys this owner.
     is_fenced: bool = False
     is_listed: bool = True
+    # When the entry was last read.
+    listed_at: float = 0.0
     # The last question or order got no answer.
     is_silent: bool = False
     joined_at: float = 0.0
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -5,6 +5,7 @@
 from celeryshift_cell import _health
 from celeryshift_cell import _leases
 from celeryshift_cell import _runs
+from celeryshift_cell import _sharing
 from celeryshift_cell import _state
 from celeryshift_cell import effects
 from celeryshift_cell import events
@@ -60,6 +61,7 @@
         capacity.memory_mb,
         capacity.accelerators,
         joined_at=cell.now,
+        listed_at=cell.now,
     )
     cell.workers[entry.id] = worker
     return worker
@@ -85,6 +87,7 @@
     if not worker.is_listed:
         cell.note('worker_back', worker=entry.id)
     worker.is_listed = True
+    worker.listed_at = cell.now
     worker.entry = entry
     if not known.capacity.fits(capacity) or known != entry:
         wake_all(cell)
@@ -150,6 +153,7 @@
             worker.last_end = entry.number
             _runs.ended(cell, worker, entry)
     _runs.listed(cell, worker, event)
+    _sharing.control(cell, worker)
     if not was_fenced:
         wake_all(cell)
     _ask_next(cell, worker)
@@ -169,11 +173,18 @@
         # The ends are stored first, so that the worker may forget them.
         worker.ask_at = cell.now + cell.options.unsaved_look_s
     elif worker.runs:
-        _ask(cell, worker, cell.options.hold_wait_ms)
+        _ask(cell, worker, _wait_ms(cell, worker))
     else:
         worker.ask_at = None
 
 
+def _wait_ms(cell: _state.Cell, worker: _state.Worker) -> int:
+    if any(run.task.step.spec.is_filler for run in worker.runs.values()):
+        # What fillers do to others changes within seconds.
+        return cell.options.filler_wait_ms
+    return cell.options.hold_wait_ms
+
+
 def ends_saved(cell: _state.Cell) -> None:
     """Tell workers that their ends are stored."""
     for worker_id, number in cell.saving.items():
