--- a/packages/cell/celeryshift_cell/__init__.py
+++ b/packages/cell/celeryshift_cell/__init__.py
@@ -1,5 +1,8 @@
 """The decisions of the owner of a cell, as a pure reducer over events."""
 
+from celeryshift_cell._explain import describe
+from celeryshift_cell._explain import explain
+from celeryshift_cell._fitting import reason_to_refuse
 from celeryshift_cell._jobs import shown_state
 from celeryshift_cell._options import Options
 from celeryshift_cell._reducer import reduce
@@ -8,6 +11,9 @@
 __all__ = [
     'Cell',
     'Options',
+    'describe',
+    'explain',
+    'reason_to_refuse',
     'reduce',
     'shown_state',
 ]
--- /dev/null
+++ b/packages/cell/celeryshift_cell/_explain.py
@@ -0,0 +1,88 @@
+"""Says how a cell stands, and why the tasks of a job wait."""
+
+import collections
+from typing import Any
+
+from celeryshift_cell import _advice
+from celeryshift_cell import _placement
+from celeryshift_cell import _state
+from celeryshift_cell import _workers
+
+
+def describe(cell: _state.Cell) -> dict[str, Any]:
+    """Sum a cell up."""
+    phases = collections.Counter(
+        run.phase.value
+        for worker in cell.workers.values()
+        for run in worker.runs.values()
+    )
+    workers = cell.workers.values()
+    return {
+        'epoch': cell.epoch,
+        'jobs': len(cell.jobs),
+        'steps_waiting': len(cell.waiting),
+        'runs': dict(phases),
+        'workers': len(cell.workers),
+        'workers_usable': sum(_workers.is_usable(cell, w) for w in workers),
+        'workers_silent': sorted(w.id for w in workers if w.is_silent),
+        'workers_in_doubt': sorted(cell.unfenced),
+        'teams': {
+            name: [use.cpu_milli, use.memory_mb, use.accelerators]
+            for name, use in cell.usage_by_team.items()
+        },
+    }
+
+
+def explain(cell: _state.Cell, job_id: str) -> dict[str, Any] | None:
+    """Say how a job stands, step by step."""
+    job = cell.jobs.get(job_id)
+    if job is None:
+        return None
+    return {
+        'state': job.state.value,
+        'is_recorded': job.is_recorded,
+        'queue': job.spec.queue,
+        'team': job.spec.team,
+        'age_ms': round(cell.wall_ms - job.spec.arrived_ms),
+        'steps': {
+            step.name: _explain_step(cell, step) for step in job.steps.values()
+        },
+    }
+
+
+def _explain_step(cell: _state.Cell, step: _state.StepRun) -> dict[str, Any]:
+    return {
+        'left': step.left,
+        'waiting': len(step.pending),
+        'why': _why(cell, step),
+        'runs': {
+            f'{task.name} run {run.number}': [
+                run.worker.id,
+                run.phase.value,
+                run.percent,
+            ]
+            for task in step.tasks
+            for run in task.runs.values()
+        },
+    }
+
+
+def _why(cell: _state.Cell, step: _state.StepRun) -> str:
+    """Say why the tasks of a step wait."""
+    if step.left == 0:
+        return 'done'
+    if not step.is_ready:
+        return 'earlier steps or its time'
+    if not step.pending:
+        return 'running'
+    if _placement.must_wait(cell, step):
+        return 'a silent worker may still run its tasks'
+    if step.team_full:
+        return 'the limit of its team'
+    if step.asking:
+        return 'the answer of the policy service'
+    if _advice.policy(cell, step) is not None and not any(
+        _advice.ticket(cell, step, worker) for worker in cell.workers.values()
+    ):
+        return 'no ticket for a worker'
+    return 'no room on the workers that may run it'
--- /dev/null
+++ b/packages/cell/celeryshift_cell/_fitting.py
@@ -0,0 +1,37 @@
+"""Tells jobs that can never run, so that they are refused at once."""
+
+from celeryshift_cell import _jobs
+from celeryshift_cell import _state
+from celeryshift_cell import model
+
+
+def reason_to_refuse(cell: _state.Cell, job: model.Job) -> str | None:
+    """Say why a job can't run as things are, or return None.
+
+    Without workers nothing is known, and the job may wait for them.
+    """
+    team = cell.config.teams_by_name.get(job.team)
+    queue = _jobs.queue_of(cell, job)
+    workers = [
+        worker
+        for worker in cell.workers.values()
+        if worker.entry.upstream == queue.upstream and worker.is_listed
+    ]
+    for number, step in enumerate(job.steps):
+        if team is not None and not _state.Usage().allows(
+            step.size, team.maximum
+        ):
+            return f'a task of step {number} is over the limit of {team.name}'
+        if workers and not any(_suits(step, worker) for worker in workers):
+            return f'no worker is large enough for step {number}'
+    return None
+
+
+def _suits(step: model.Step, worker: _state.Worker) -> bool:
+    label = step.required_label
+    if label and label not in worker.entry.labels:
+        return False
+    size = step.size
+    if step.is_filler:
+        size = model.Size(0, size.memory_mb, size.accelerators)
+    return size.fits(worker.entry.capacity)
--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -36,6 +36,9 @@
     stop_retry_s: float = 1.0
     # Pause before records that were not stored are sent again.
     save_retry_s: float = 0.3
+    # Waiting steps are looked at again so often, since tickets and
+    # quarantines run out without an event.
+    look_again_s: float = 0.25
     # The members of a gang must be there within this time.
     gang_timeout_s: float = 3.0
     # A ticket is not used in the last part of its validity, since the order
@@ -54,6 +57,9 @@
     # longer, is started elsewhere as well, where copies are allowed.
     straggler_factor: float = 2.0
     straggler_s: float = 0.3
+    # A new owner waits so long for the lists of workers before it starts
+    # copies of what they may run.
+    copy_grace_s: float = 0.4
     # Samples that what is known of a worker's kind counts for, beside those
     # of the worker itself.
     kind_samples: float = 4.0
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -20,10 +20,11 @@
     steps = [
         step
         for step in cell.waiting.values()
-        if not step.is_blocked and not _must_wait(cell, step)
+        if not step.is_blocked and not must_wait(cell, step)
     ]
     if not steps:
         return
+    cell.doubts = _doubts(cell)
     steps.sort(key=lambda step: _ordering.key(cell, step))
     starts = 0
     for step in steps:
@@ -32,11 +33,13 @@
         starts += _place(cell, step)
 
 
-def _must_wait(cell: _state.Cell, step: _state.StepRun) -> bool:
+def must_wait(cell: _state.Cell, step: _state.StepRun) -> bool:
     """Tell whether a silent worker may still run the tasks of a step."""
-    return bool(
-        step.in_doubt and cell.unfenced and not step.spec.allows_copies
-    )
+    if not (step.in_doubt and cell.unfenced):
+        return False
+    # A copy is started only beside workers that don't answer at once.
+    is_early = cell.now < cell.restored_at + cell.options.copy_grace_s
+    return is_early or not step.spec.allows_copies
 
 
 def _place(cell: _state.Cell, step: _state.StepRun) -> int:
@@ -44,6 +47,18 @@
         placed = _place_gang(cell, step)
     else:
         placed = _place_each(cell, step)
+    if placed:
+        cell.note(
+            'tasks_placed',
+            job=step.job.spec.id,
+            step=step.name,
+            priority=step.job.queue.priority,
+            workers=dict(cell.placed),
+            waited_ms=round((cell.now - step.ready_at) * 1000),
+            left=len(step.pending),
+            config=cell.config.version,
+        )
+        cell.placed.clear()
     if step.pending:
         step.is_blocked = True
         _advice.ask(cell, step)
@@ -90,13 +105,40 @@
 ) -> _state.Usage:
     """Count what may run on workers that have not answered this owner."""
     total = _state.Usage(used.cpu_milli, used.memory_mb, used.accelerators)
-    for step in cell.waiting.values():
-        if step.in_doubt and step.job.spec.team == team:
-            for _ in step.pending:
+    for step in cell.doubts:
+        if step.job.spec.team != team:
+            continue
+        for task in step.tasks:
+            # Where copies are allowed, one may run beside those known.
+            is_known = task.runs and not step.spec.allows_copies
+            if not task.is_done and not is_known:
                 total.book(step.spec.size, 1)
     return total
 
 
+def _doubts(cell: _state.Cell) -> list[_state.StepRun]:
+    """Give the steps of which a silent worker may run tasks."""
+    if not cell.unfenced:
+        return []
+    return [
+        step
+        for job in cell.jobs.values()
+        if job.state not in _jobs.FINAL
+        for step in job.steps.values()
+        if step.in_doubt and step.left and _may_have_begun(step)
+    ]
+
+
+def _may_have_begun(step: _state.StepRun) -> bool:
+    """Tell whether all that comes before may have ended unheard."""
+    steps = step.job.steps
+    return not any(
+        task.runs
+        for number in step.spec.after
+        for task in steps[step.occurrence, number].tasks
+    )
+
+
 def best_worker(
     cell: _state.Cell, step: _state.StepRun, task: _state.Task
 ) -> tuple[_state.Worker, str] | None:
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -60,14 +60,10 @@
 
 def save(cell: _state.Cell) -> None:
     """Send what is behind to the store, one transaction at a time."""
-    known = tuple(
-        sorted(
-            (worker.id, worker.entry.life, worker.entry.address)
-            for worker in cell.workers.values()
-        )
-    )
-    is_due = cell.dirty or known != cell.stored_workers
-    if cell.save_out or not is_due or cell.now < cell.save_after:
+    is_changed = cell.workers_version != cell.stored_version
+    if cell.save_out or not (cell.dirty or is_changed):
+        return
+    if cell.now < cell.save_after:
         return
     progress, ended = {}, {}
     # One is left for the list of workers.
@@ -93,9 +89,18 @@
         cell.saving = {}
     cell.saving_jobs = (*progress, *ended)
     cell.saving_ended = tuple(ended)
-    changed = known != cell.stored_workers
-    cell.stored_workers = known
-    cell.emit(effects.SaveRecords(progress, ended, known if changed else None))
+    cell.stored_version = cell.workers_version
+    workers = _workers_list(cell) if is_changed else None
+    cell.emit(effects.SaveRecords(progress, ended, workers))
+
+
+def _workers_list(
+    cell: _state.Cell,
+) -> tuple[tuple[str, int, str], ...]:
+    return tuple(
+        (worker.id, worker.entry.life, worker.entry.address)
+        for worker in cell.workers.values()
+    )
 
 
 def saved(cell: _state.Cell) -> None:
@@ -119,7 +124,7 @@
         job = cell.jobs.get(job_id)
         if job is not None:
             cell.dirty[job_id] = job
-    cell.stored_workers = None
+    cell.stored_version = 0
     cell.saving = {}
 
 
@@ -154,6 +159,7 @@
 def take_over(cell: _state.Cell, event: events.Restored) -> None:
     """Become the owner of what is stored."""
     cell.doubt_until = event.doubt_until
+    cell.restored_at = event.now
     for worker_id, life, address in event.workers:
         known = cell.workers.get(worker_id)
         if known is None:
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -18,18 +18,18 @@
 
 
 def reduce(
-    cell: _state.Cell, event: events.Event, place: bool = True
+    cell: _state.Cell, event: events.Event, may_start: bool = True
 ) -> list[effects.Effect]:
     """Apply an event; the state is changed in place.
 
-    Without ``place``, the pass over waiting tasks is left to a later event,
-    so that one pass serves several events that arrive together.
+    Without ``may_start`` no task is started: the caller has no right to, or
+    has more events at hand, so that one pass serves them all.
     """
     cell.now = max(cell.now, event.now)
     HANDLERS[type(event)](cell, event)
-    if place:
+    if may_start:
         _placement.run(cell)
-        _records.save(cell)
+    _records.save(cell)
     out, cell.out = cell.out, []
     return out
 
@@ -70,7 +70,9 @@
     _draining.move(cell)
     _sharing.move(cell)
     _records.forget_ended(cell)
-    _placement.look_again(cell)
+    if event.now >= cell.look_at:
+        cell.look_at = event.now + cell.options.look_again_s
+        _placement.look_again(cell)
 
 
 def _restored(cell: _state.Cell, event: events.Restored) -> None:
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -47,6 +47,7 @@
     task.last_run = max(task.last_run, number)
     run = _state.Run(task, number, worker, Phase.SENT, cell.now)
     _attach(cell, run)
+    cell.placed[task.index] = worker.id
     step.pending.discard(task.index)
     if not step.pending:
         cell.waiting.pop(step.key, None)
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -270,17 +270,25 @@
     saving_jobs: tuple[str, ...] = ()
     saving_ended: tuple[str, ...] = ()
     save_after: float = 0.0
-    # Workers in the stored list of those that may hold runs.
-    stored_workers: tuple[tuple[str, int, str], ...] | None = None
+    # When waiting steps are looked at again.
+    look_at: float = 0.0
+    # Rises when a worker joins or goes; and the one that is stored.
+    workers_version: int = 1
+    stored_version: int = 0
     # Workers that a former owner may have used and that are silent.
     unfenced: set[str] = attrs.field(factory=set)
     doubt_until: float = 0.0
+    restored_at: float = 0.0
+    # Steps of which a silent worker may run tasks, as of the last pass.
+    doubts: list[StepRun] = attrs.field(factory=list)
     speed: Mean = attrs.field(factory=Mean)
     speed_by_kind: dict[str, Mean] = attrs.field(factory=dict)
     ms_by_image: dict[str, float] = attrs.field(factory=dict)
     counters: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
+    # The workers by the index of the tasks that a step has just started.
+    placed: dict[int, str] = attrs.field(factory=dict)
     out: list[effects.Effect] = attrs.field(factory=list)
 
     def emit(self, effect: effects.Effect) -> None:
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -64,6 +64,7 @@
         listed_at=cell.now,
     )
     cell.workers[entry.id] = worker
+    cell.workers_version += 1
     return worker
 
 
@@ -234,6 +235,7 @@
             _runs.expired(cell, worker)
         if not worker.is_listed and worker.id not in cell.unfenced:
             del cell.workers[worker.id]
+            cell.workers_version += 1
             cell.note('worker_forgotten', worker=worker.id)
 
 
--- a/packages/cellnode/celeryshift_cellnode/_logs.py
+++ b/packages/cellnode/celeryshift_cellnode/_logs.py
@@ -65,7 +65,10 @@
             'decision': decision,
             **fields,
         }
-        self._waiting += orjson.dumps(line, default=str) + b'\n'
+        self._waiting += (
+            orjson.dumps(line, default=str, option=orjson.OPT_NON_STR_KEYS)
+            + b'\n'
+        )
 
     def flush(self) -> None:
         """Write what waits, as far as the reader takes it."""
--- a/packages/cellnode/celeryshift_cellnode/_metrics.py
+++ b/packages/cellnode/celeryshift_cellnode/_metrics.py
@@ -7,6 +7,7 @@
 from celeryshift_cell import effects
 
 # Upper bounds in seconds; objectives are from 0.25 s up.
+MS_PER_S = 1000
 BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 
 
@@ -22,6 +23,19 @@
             ['decision'],
             registry=registry,
         )
+        self._waits = prometheus_client.Histogram(
+            'celeryshift_wait_seconds',
+            'Tasks from their turn until they are started',
+            ['priority'],
+            buckets=BUCKETS,
+            registry=registry,
+        )
+        self._ends = prometheus_client.Counter(
+            'celeryshift_run_ends',
+            'Ends of runs',
+            ['how'],
+            registry=registry,
+        )
         self._orders = prometheus_client.Histogram(
             'celeryshift_order_seconds',
             'Orders to workers until answered',
@@ -46,6 +60,13 @@
     def decided(self, decision: effects.Decided) -> None:
         """Count a decision of the cell."""
         self.count(decision.decision)
+        if decision.decision == 'tasks_placed':
+            fields = decision.fields
+            waits = self._waits.labels(str(fields['priority']))
+            for _ in fields['workers']:
+                waits.observe(fields['waited_ms'] / MS_PER_S)
+        elif decision.decision == 'run_ended':
+            self._ends.labels(decision.fields['how']).inc()
 
     def count(self, decision: str) -> None:
         """Count a decision."""
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -17,6 +17,8 @@
 
 # Leases, tickets and pauses are looked at so often.
 TICK_S = 0.1
+# An owner without the right to act looks so often whether it is back.
+RIGHT_PAUSE_S = 0.05
 
 
 class Runner:
@@ -76,7 +78,8 @@
         queue, self._queue = self._queue, []
         last = len(queue) - 1
         for index, event in enumerate(queue):
-            for effect in cell.reduce(self.state, event, index == last):
+            may_start = index == last and self._may_act()
+            for effect in cell.reduce(self.state, event, may_start):
                 self._carry_out(effect)
 
     def _spawn(self, work: Any) -> None:
@@ -137,16 +140,9 @@
         self.feed(answer)
 
     async def _hold(self, order: effects.Hold) -> None:
-        if not self._may_act():
-            self.feed(
-                events.HoldFailed(
-                    time.monotonic(),
-                    order.worker_id,
-                    order.life,
-                    events.Outcome.UNSENT,
-                )
-            )
-            return
+        while not self._may_act():
+            # The lease that it grants was counted from before.
+            await asyncio.sleep(RIGHT_PAUSE_S)
         self.feed(await self._workers.hold(order, self.epoch, time.monotonic))
 
     async def _pace(self, order: effects.Pace) -> None:
--- a/packages/cellnode/celeryshift_cellnode/errors.py
+++ b/packages/cellnode/celeryshift_cellnode/errors.py
@@ -5,6 +5,10 @@
     """Stand at the root of the errors of a node."""
 
 
+class SettingsError(CellNodeError):
+    """Report every mistake in a settings file."""
+
+
 class StoreError(CellNodeError):
     """Report a call to the store that failed."""
 
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -21,6 +21,7 @@
 from celeryshift_cellnode import _metrics
 from celeryshift_cellnode import _ownership
 from celeryshift_cellnode import _peers
+from celeryshift_cellnode import _pruning
 from celeryshift_cellnode import _reach
 from celeryshift_cellnode import _records
 from celeryshift_cellnode import _runner
@@ -65,8 +66,11 @@
         adviser: ports.Adviser,
         make_decoder: Callable[[Callable[..., None]], ports.Decoder],
         tables: ports.Tables,
+        read_settings: Callable[[], dict[str, str]],
     ) -> None:
         self._settings = settings
+        # Gives what has changed, by the name of the setting.
+        self._read_settings = read_settings
         self._workers = workers
         self._adviser = adviser
         self._tables = tables
@@ -119,7 +123,7 @@
         self._note('started', incarnation=self._me.incarnation)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         peers = await self._serve_peers()
         ready = await _listen(self._ready, *readiness)
         clients = await _listen(front.answer, *callers)
@@ -150,10 +154,14 @@
                 self._note('work_failed', work=repr(work), error=repr(error))
             await asyncio.sleep(RESTART_PAUSE_S)
 
-    def _reload(self) -> None:
-        # Nothing in the settings file changes while a process runs that
-        # this node uses: addresses of others come from the store.
-        self._note('reloaded')
+    def reload(self) -> None:
+        """Take over the settings that may change while a node runs."""
+        try:
+            changes = self._read_settings()
+        except errors.SettingsError as error:
+            self._note('settings_unreadable', error=str(error))
+            return
+        self._note('reloaded', changes=changes)
 
     async def _leave(self, front: Front, clients: web.ServerRunner) -> None:
         began = time.monotonic()
@@ -186,6 +194,8 @@
         server.serve('promise', self._ownership.promise)
         server.serve('resigned', self._ownership.resigned)
         server.serve('advise', self._advise)
+        server.serve('show', self._show)
+        server.serve('explain', self._explain)
         settings = self._settings
         return await server.start(settings.host, settings.peer_port)
 
@@ -199,6 +209,29 @@
             self._metrics.gauge('workers', len(state.workers))
         return self._metrics.text()
 
+    async def _show(self, body: Any) -> dict[str, Any]:
+        view = self._ownership.view
+        shown: dict[str, Any] = {
+            'node': self._me.name,
+            'owner': view.owner.node if view.owner else None,
+            'epoch': view.owner.epoch if view.owner else None,
+            'owner_seen_s': round(time.monotonic() - view.looked_at, 1),
+            'configuration': self.service.configuration
+            and self.service.configuration.version,
+            'is_cut_off': self._reach.is_cut_off,
+            'store_is_away': self._store.is_away,
+            'nodes': sorted(self._membership.nodes),
+        }
+        if self._runner is not None:
+            shown['cell'] = cell.describe(self._runner.state)
+        return shown
+
+    async def _explain(self, body: Any) -> dict[str, Any]:
+        if self._runner is None:
+            return {'is_owner': False}
+        found = cell.explain(self._runner.state, body['job'])
+        return {'is_owner': True, 'job': found}
+
     async def _advise(self, body: Any) -> dict[str, Any]:
         advised = await self._adviser.advise(
             body['step'], body['workers'], body['timeout_s']
@@ -257,8 +290,12 @@
         listed = _followers.WorkersFollower(
             self._store, self._tables, self._decoder, runner, self._note
         )
+        pruner = _pruning.Pruner(
+            self._store, journal, self._settings.end_visible_s, self._note
+        )
         self._followers = [
             loop.create_task(jobs.run(restored[0].version)),
+            loop.create_task(pruner.run()),
             loop.create_task(
                 listed.run({entry.id for entry in workers}, workers_version)
             ),
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -38,6 +38,8 @@
 DELIVER_FOR_S = 5.0
 # Callers come back after this time when the store is away.
 STORE_AWAY_RETRY_S = 1
+# What no worker and no limit allows may change with workers or limits.
+NEVER_FITS_RETRY_S = 60
 
 
 class Verdict(enum.Enum):
@@ -82,6 +84,8 @@
 EXISTS = _journal.Written.EXISTS.value
 REFUSED = _journal.Written.REFUSED.value
 UNKNOWN = _journal.Written.UNKNOWN.value
+# The owner knows that the job can't run.
+IMPOSSIBLE = 'impossible'
 # The owner has surely not got the call.
 NOT_ASKED = (errors.PeerGoneError, _reach.OwnerAwayError)
 
@@ -172,6 +176,12 @@
         else:
             if told['written'] in (STORED, EXISTS):
                 return Answer(Verdict.OK)
+            if told['written'] == IMPOSSIBLE:
+                return Answer(
+                    Verdict.TRY_LATER,
+                    retry_after_s=NEVER_FITS_RETRY_S,
+                    reason=told['reason'],
+                )
             in_doubt = told['written'] == UNKNOWN
         if self._store.is_away and not in_doubt:
             return _away('neither the store nor an owner answers')
@@ -273,6 +283,9 @@
         if self.runner is None:
             return {'is_owner': False}
         job = _schema.load_parts(model.Job, body['job'])
+        why = cell.reason_to_refuse(self.runner.state, job)
+        if why is not None:
+            return {'is_owner': True, 'written': IMPOSSIBLE, 'reason': why}
         live = ports.Key(_schema.JOBS, job.id)
         ended = ports.Key(_schema.ENDED, job.id)
         change = _journal.Change(
