--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -65,17 +65,22 @@
         return
     if cell.now < cell.save_after:
         return
-    progress, ended = {}, {}
+    progress: dict[str, str] = {}
+    ended: dict[str, effects.JobEnd] = {}
     # One is left for the list of workers.
     room = effects.MAX_SAVE_ENTRIES - 1
     while cell.dirty and room >= effects.ENTRIES_PER_END:
         job_id, job = next(iter(cell.dirty.items()))
         del cell.dirty[job_id]
         if job.state in _jobs.FINAL:
-            ended[job_id] = job.state.value
+            is_cancelled = job.state is model.JobState.CANCELLED
+            ended[job_id] = effects.JobEnd(
+                job.state.value, job.has_record, is_cancelled
+            )
             room -= effects.ENTRIES_PER_END
         else:
             progress[job_id] = encode(job)
+            job.has_record = True
             room -= 1
     cell.save_out = True
     if not cell.dirty:
@@ -189,7 +194,9 @@
     cell: _state.Cell, spec: model.Job, event: events.Restored
 ) -> None:
     job = _jobs.accept(cell, spec)
-    restore(job, event.records_by_job.get(spec.id, EMPTY))
+    record = event.records_by_job.get(spec.id)
+    job.has_record = record is not None
+    restore(job, record or EMPTY)
     for step in job.steps.values():
         step.in_doubt = True
     if spec.id in event.cancelled:
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -129,6 +129,8 @@
     # What is stored says that the job has ended.
     is_recorded: bool = False
     recorded_at: float = 0.0
+    # Its progress is or may be stored.
+    has_record: bool = False
     # The expected time of the longest chain of steps.
     chain_ms: float = 0.0
 
--- a/packages/cell/celeryshift_cell/effects.py
+++ b/packages/cell/celeryshift_cell/effects.py
@@ -73,17 +73,25 @@
 
 # A transaction of the platform's store holds at most 100 entries.
 MAX_SAVE_ENTRIES = 90
-# The final state is written, and three rows are removed.
+# The final state is written, and up to three rows are removed.
 ENTRIES_PER_END = 4
 
 
+@attrs.frozen(slots=True)
+class JobEnd:
+    """Hold the final state of a job, and which rows there are of it."""
+
+    state: str
+    has_progress: bool = True
+    has_cancel: bool = True
+
+
 @attrs.frozen(slots=True)
 class SaveRecords:
     """Store the progress of jobs in one transaction."""
 
     progress_by_job: dict[str, str]
-    # The final state by the id of a job that has ended.
-    ended_by_job: dict[str, str]
+    ended_by_job: dict[str, JobEnd]
     # The workers that hold or may hold runs, if that changed.
     workers: tuple[tuple[str, int, str], ...] | None = None
 
--- a/packages/cellnode/celeryshift_cellnode/_journal.py
+++ b/packages/cellnode/celeryshift_cellnode/_journal.py
@@ -167,6 +167,8 @@
     def _next_group(self) -> list[_Waiting]:
         group: list[_Waiting] = []
         entries = 0
+        # Callers wait for what gives up; the sort keeps the order else.
+        self._queue.sort(key=lambda waiting: not waiting.change.gives_up)
         while self._queue:
             entries += self._queue[0].change.entries
             if group and entries > MAX_ENTRIES:
--- a/packages/cellnode/celeryshift_cellnode/_logs.py
+++ b/packages/cellnode/celeryshift_cellnode/_logs.py
@@ -13,8 +13,8 @@
 import orjson
 
 # Lines beyond this rate are left out; a burst of two seconds' worth may pass.
-LINES_PER_S = 400.0
-BURST_LINES = 800.0
+LINES_PER_S = 1000.0
+BURST_LINES = 2000.0
 # What waits for a slow reader, in bytes.
 MAX_WAITING_BYTES = 256 * 1024
 STDOUT = 1
--- a/packages/cellnode/celeryshift_cellnode/_membership.py
+++ b/packages/cellnode/celeryshift_cellnode/_membership.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import time
+from typing import Any
 
 from celeryshift_cellnode import _election
 from celeryshift_cellnode import _records
@@ -31,6 +32,9 @@
         self._note = note
         self._versions: dict[str, int] = {}
         self._changed_at: dict[str, float] = {}
+        self._is_leaving = False
+        # Processes that have said that they end.
+        self._ended: set[str] = set()
         self.nodes: dict[str, _schema.Node] = {me.name: me}
 
     @property
@@ -53,7 +57,8 @@
         is_known = True
         while True:
             try:
-                await self._write()
+                if not self._is_leaving:
+                    await self._write()
                 await self.read()
                 is_known = True
             except errors.StoreError as error:
@@ -80,7 +85,9 @@
                 self._changed_at[row.key] = now
             unchanged_s = now - self._changed_at[row.key]
             if unchanged_s < _election.NODE_STALE_S:
-                nodes[row.key] = _schema.load(_schema.Node, row.value)
+                node = _schema.load(_schema.Node, row.value)
+                if node.incarnation not in self._ended:
+                    nodes[row.key] = node
             elif unchanged_s > FORGET_S:
                 stale.append(row)
         nodes[self._me.name] = self._me
@@ -89,6 +96,21 @@
         if stale:
             await self._forget(stale)
 
+    async def leave(self) -> None:
+        """Remove this node's row, and write it no more."""
+        self._is_leaving = True
+        key = ports.Key(_schema.NODES, self._me.name)
+        change = ports.Transaction('', removes=[key])
+        await self._store.transact(change, WRITE_TIMEOUT_S)
+
+    async def left(self, body: Any) -> dict[str, Any]:
+        """Forget a process that has said that it ends."""
+        self._ended.add(body['incarnation'])
+        node = self.nodes.get(body['name'])
+        if node is not None and node.incarnation in self._ended:
+            del self.nodes[body['name']]
+        return {}
+
     def _tell(self, nodes: dict[str, _schema.Node]) -> None:
         for name in nodes.keys() - self.nodes.keys():
             self._note('node_joined', peer=name, address=nodes[name].address)
--- a/packages/cellnode/celeryshift_cellnode/_records.py
+++ b/packages/cellnode/celeryshift_cellnode/_records.py
@@ -23,14 +23,15 @@
     at_ms = int(time.time() * 1000)
     for job_id, record in order.progress_by_job.items():
         puts[ports.Key(_schema.PROGRESS, job_id)] = record.encode()
-    for job_id, state in order.ended_by_job.items():
-        ended = _schema.Ended(state, at_ms)
+    for job_id, end in order.ended_by_job.items():
+        ended = _schema.Ended(end.state, at_ms)
         puts[ports.Key(_schema.ENDED, job_id)] = _schema.dump(ended)
-        removes += [
-            ports.Key(_schema.JOBS, job_id),
-            ports.Key(_schema.JOBS, job_id + _schema.CANCEL_SUFFIX),
-            ports.Key(_schema.PROGRESS, job_id),
-        ]
+        removes.append(ports.Key(_schema.JOBS, job_id))
+        if end.has_cancel:
+            mark = job_id + _schema.CANCEL_SUFFIX
+            removes.append(ports.Key(_schema.JOBS, mark))
+        if end.has_progress:
+            removes.append(ports.Key(_schema.PROGRESS, job_id))
     if order.workers is not None:
         key = ports.Key(_schema.CELLS, _schema.WORKERS_KEY)
         puts[key] = _schema.dump([list(entry) for entry in order.workers])
--- a/packages/cellnode/celeryshift_cellnode/_watchedstore.py
+++ b/packages/cellnode/celeryshift_cellnode/_watchedstore.py
@@ -12,6 +12,9 @@
 # The store counts as away when nothing has been heard of it for so long and
 # the last call failed.
 AWAY_S = 0.3
+# A store that takes this long for a call is slow: it usually takes some
+# 10 ms.
+SLOW_S = 0.15
 
 T = TypeVar('T')
 
@@ -26,6 +29,8 @@
         self._failed_at: float | None = None
         self._is_lost = False
         self._numbers = itertools.count()
+        # How long the last call took that was to be answered at once.
+        self._took_s = 0.0
         # When the calls that are to be answered at once were sent.
         self._sent_at: dict[int, float] = {}
 
@@ -37,6 +42,11 @@
             and self._failed_at - self._answered_at > AWAY_S
         )
 
+    @property
+    def is_slow(self) -> bool:
+        """Tell whether the store takes far longer than usual."""
+        return self._took_s > SLOW_S
+
     @property
     def unheard_s(self) -> float:
         """Give for how long calls have waited in vain; 0 if none does."""
@@ -88,7 +98,9 @@
                 self._note('store_lost', error=str(error))
             raise
         finally:
-            self._sent_at.pop(number, None)
+            sent_at = self._sent_at.pop(number, None)
+            if sent_at is not None:
+                self._took_s = time.monotonic() - sent_at
         self._heard()
         return answer
 
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -170,12 +170,28 @@
         if self._ownership.is_owner:
             await self._ownership.hand_over()
         self._ownership.is_leaving = True
+        await self._say_goodbye()
         spent_s = time.monotonic() - began
         await asyncio.sleep(max(0.0, LEAVE_S - spent_s))
         for site in list(clients.sites):
             await site.stop()
         await asyncio.sleep(LAST_ANSWERS_S)
 
+    async def _say_goodbye(self) -> None:
+        """Let the owner need no promise of this node any more."""
+        owner = self._ownership.owner
+        try:
+            if owner is not None:
+                body = {
+                    'name': self._me.name,
+                    'incarnation': self._me.incarnation,
+                }
+                await self._peers.call(owner.address, 'left', body)
+            await self._membership.leave()
+        except (errors.PeerError, errors.StoreError) as error:
+            # It is forgotten later, when its row grows old.
+            self._note('goodbye_not_heard', error=str(error))
+
     async def _ready(self, request: web.BaseRequest) -> web.Response:
         is_ready = (
             self.service.configuration is not None
@@ -194,6 +210,7 @@
         server.serve('promise', self._ownership.promise)
         server.serve('resigned', self._ownership.resigned)
         server.serve('advise', self._advise)
+        server.serve('left', self._membership.left)
         server.serve('show', self._show)
         server.serve('explain', self._explain)
         settings = self._settings
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -28,6 +28,8 @@
 ANSWER_S = 0.25
 # A caller in a hurry gets at least so much.
 MIN_BUDGET_S = 0.1
+# A try at the store that has less time than this only adds to its load.
+MIN_TRY_S = 0.3
 # Pause between tries to find out whether a write took effect.
 SETTLE_PAUSE_S = 0.1
 # The owner answers from memory; without an answer the store is asked.
@@ -163,8 +165,31 @@
 
     async def _accept(self, job: model.Job, until: float) -> Answer:
         """Let the owner store a job, or else store it past the owner."""
+        answer, in_doubt = await self._ask_to_accept(job, until)
+        while answer is None and not in_doubt and self._store.is_slow:
+            # Writes of many nodes would hold up the next owner, and it
+            # will be here sooner than they are done.
+            if time.monotonic() > until - OWNER_TIMEOUT_S:
+                return _away('the store is slow, and no owner answers')
+            await asyncio.sleep(SETTLE_PAUSE_S)
+            answer, in_doubt = await self._ask_to_accept(job, until)
+        if answer is not None:
+            return answer
+        if self._store.is_away and not in_doubt:
+            return _away('neither the store nor an owner answers')
+        answer, version = await self._store_job(job, until, in_doubt)
+        if version:
+            self._deliver(events.StoredJob(job, version))
+        return answer
+
+    async def _ask_to_accept(
+        self, job: model.Job, until: float
+    ) -> tuple[Answer | None, bool]:
+        """Ask the owner to store a job.
+
+        Gives its answer, or else whether it may store the job all the same.
+        """
         body = {'job': _schema.dump_parts(job)}
-        in_doubt = False
         try:
             # An owner that is there is waited for: the store is slow then,
             # and further writes would make it slower.
@@ -172,23 +197,18 @@
         except errors.PeerError as error:
             # Unless it surely has not got the call, the owner may still
             # store the job. Storing the same row here settles the matter.
-            in_doubt = not isinstance(error, NOT_ASKED)
-        else:
-            if told['written'] in (STORED, EXISTS):
-                return Answer(Verdict.OK)
-            if told['written'] == IMPOSSIBLE:
-                return Answer(
-                    Verdict.TRY_LATER,
-                    retry_after_s=NEVER_FITS_RETRY_S,
-                    reason=told['reason'],
-                )
-            in_doubt = told['written'] == UNKNOWN
-        if self._store.is_away and not in_doubt:
-            return _away('neither the store nor an owner answers')
-        answer, version = await self._store_job(job, until, in_doubt)
-        if version:
-            self._deliver(events.StoredJob(job, version))
-        return answer
+            return None, not isinstance(error, NOT_ASKED)
+        written = told['written']
+        if written in (STORED, EXISTS):
+            return Answer(Verdict.OK), False
+        if written == IMPOSSIBLE:
+            answer = Answer(
+                Verdict.TRY_LATER,
+                retry_after_s=NEVER_FITS_RETRY_S,
+                reason=told['reason'],
+            )
+            return answer, False
+        return None, written == UNKNOWN
 
     async def _store_job(
         self, job: model.Job, until: float, in_doubt: bool
@@ -199,8 +219,8 @@
         change = ports.Transaction(
             _schema.CELL, {live: 0, ended: 0}, {live: _schema.dump(job)}
         )
-        while time.monotonic() < until:
-            left_s = until - time.monotonic()
+        pause_s = SETTLE_PAUSE_S
+        while (left_s := until - time.monotonic()) > MIN_TRY_S:
             try:
                 stored = await self._store.transact(
                     change, min(STORE_TRY_S, left_s)
@@ -216,7 +236,8 @@
                     return Answer(Verdict.OK), stored.version
                 # The job is there already; the owner follows the table.
                 return Answer(Verdict.OK), 0
-            await asyncio.sleep(SETTLE_PAUSE_S)
+            await asyncio.sleep(pause_s)
+            pause_s *= 2
         return Answer(Verdict.UNKNOWN, reason='no answer from the store'), 0
 
     def _deliver(self, stored: events.StoredJob) -> None:
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -355,8 +355,8 @@
                 return
             self.version += 1
             self.records.update(order.progress_by_job)
-            for job_id, state in order.ended_by_job.items():
-                self.finals[job_id] = state
+            for job_id, end in order.ended_by_job.items():
+                self.finals[job_id] = end.state
                 self.jobs.pop(job_id, None)
                 self.records.pop(job_id, None)
             if order.workers is not None:
