--- a/packages/cell/celeryshift_cell/_health.py
+++ b/packages/cell/celeryshift_cell/_health.py
@@ -87,16 +87,6 @@
     )
 
 
-def unanswered(cell: _state.Cell, worker: _state.Worker) -> None:
-    """Ask a worker at once that has left an order unanswered."""
-    worker.is_silent = True
-    copy_runs(cell, worker)
-    worker.ask_at = cell.now
-    worker.quarantined_until = max(
-        worker.quarantined_until, cell.now + cell.options.hold_retry_s
-    )
-
-
 def copy_runs(cell: _state.Cell, worker: _state.Worker) -> None:
     """Start copies of what a silent worker runs, where they are allowed."""
     for run in worker.runs.values():
--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -13,9 +13,9 @@
     lease_s: float = 4.0
     # Lease time runs on the worker's clock, which may be so much slow.
     clock_drift: float = 0.02
-    # How long a question to a worker waits for an end. It also is the part
-    # of a lease that may be gone when the owner dies.
-    hold_wait_ms: int = 1200
+    # How long a question to a worker waits for an end. A lost answer hides
+    # the ends of so long, and a lease may be so old when the owner dies.
+    hold_wait_ms: int = 500
     # The same beside fillers, whose harm is to be seen within a second.
     filler_wait_ms: int = 400
     # Tails of serving tasks as parts of their targets: fillers are slowed
@@ -33,7 +33,7 @@
     # Pause between looks at ends that cannot be stored yet.
     unsaved_look_s: float = 0.4
     # Pause before an order to stop that got no answer is sent again.
-    stop_retry_s: float = 1.0
+    stop_retry_s: float = 0.4
     # Pause before records that were not stored are sent again.
     save_retry_s: float = 0.3
     # Waiting steps are looked at again so often, since tickets and
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -9,7 +9,6 @@
 from celeryshift_cell import _jobs
 from celeryshift_cell import _placement
 from celeryshift_cell import _records
-from celeryshift_cell import _runs
 from celeryshift_cell import _sharing
 from celeryshift_cell import _state
 from celeryshift_cell import _workers
@@ -86,8 +85,8 @@
     events.WorkersListed: _workers.listed,
     events.JobAccepted: _job_accepted,
     events.JobCancelled: _job_cancelled,
-    events.StartAnswered: _runs.start_answered,
-    events.StopAnswered: _runs.stop_answered,
+    events.StartAnswered: _workers.start_answered,
+    events.StopAnswered: _workers.stop_answered,
     events.HoldAnswered: _workers.hold_answered,
     events.HoldFailed: _workers.hold_failed,
     events.AdviceAnswered: _advice.answered,
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -140,18 +140,23 @@
                     stop(cell, run, why)
 
 
-def start_answered(cell: _state.Cell, event: events.StartAnswered) -> None:
-    """Settle an order to start, or note the doubt."""
+def start_answered(
+    cell: _state.Cell, event: events.StartAnswered
+) -> _state.Worker | None:
+    """Settle an order to start, or note the doubt.
+
+    Gives the worker, if it is to be asked at once.
+    """
     worker = cell.workers.get(event.worker_id)
     run = worker and worker.runs.get((event.task, event.run))
     if worker is None or not run:
-        return
+        return None
     outcome = event.outcome
     if outcome is Outcome.DONE:
         if run.phase in (Phase.SENT, Phase.DOUBT):
             run.phase = Phase.RUNNING
             run.confirmed_at = run.moved_at = cell.now
-        return
+        return None
     cell.note(
         'start_not_confirmed',
         job=run.task.step.job.spec.id,
@@ -171,7 +176,8 @@
         if run.phase is Phase.SENT:
             run.phase = Phase.DOUBT
             run.since = cell.now
-        _health.unanswered(cell, worker)
+        return worker
+    return None
 
 
 def _not_run(
@@ -199,17 +205,24 @@
             stop(cell, run, 'gang incomplete')
 
 
-def stop_answered(cell: _state.Cell, event: events.StopAnswered) -> None:
-    """Note that a run can't be there any more after the next list."""
+def stop_answered(
+    cell: _state.Cell, event: events.StopAnswered
+) -> _state.Worker | None:
+    """Note that a run can't be there any more after the next list.
+
+    Gives the worker, if it is to be asked for that list at once.
+    """
     worker = cell.workers.get(event.worker_id)
     run = worker and worker.runs.get((event.task, event.run))
     if worker is None or not run:
-        return
+        return None
     if event.outcome is Outcome.FENCED:
         cell.emit(effects.Yield(event.worker_id))
     elif event.outcome is Outcome.DONE:
         run.stopped_at = cell.now
+        return None if run.confirmed_at else worker
     # Without an answer, the tick sends the order again.
+    return None
 
 
 def listed(
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -164,7 +164,9 @@
     is_listed: bool = True
     # When the entry was last read.
     listed_at: float = 0.0
-    # The last question or order got no answer.
+    # An order or a question got no answer; another question is out.
+    is_suspect: bool = False
+    # That question got no answer either.
     is_silent: bool = False
     joined_at: float = 0.0
     # The worker's clock minus ours, at the last answer.
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -106,7 +106,7 @@
     deadline_ms = None
     # A silent worker may get the question late; it must not extend a lease
     # that is waited for.
-    if worker.is_fenced and not worker.is_silent:
+    if worker.is_fenced and not (worker.is_silent or worker.is_suspect):
         deadline_ms = _leases.extend(cell, worker)
     entry = worker.entry
     cell.emit(
@@ -144,7 +144,8 @@
     worker.holds_out = max(0, worker.holds_out - 1)
     if worker.is_silent:
         cell.note('worker_answers', worker=worker.id)
-    worker.is_silent = False
+    was_out = worker.is_silent or worker.is_suspect
+    worker.is_silent = worker.is_suspect = False
     _leases.note_clock(cell, worker, event.clock_ms)
     was_fenced = worker.is_fenced
     worker.is_fenced = True
@@ -155,7 +156,7 @@
             _runs.ended(cell, worker, entry)
     _runs.listed(cell, worker, event)
     _sharing.control(cell, worker)
-    if not was_fenced:
+    if was_out or not was_fenced:
         wake_all(cell)
     _ask_next(cell, worker)
 
@@ -213,6 +214,10 @@
     if event.outcome is events.Outcome.OTHER_LIFE:
         _runs.other_life(cell, worker)
         return
+    is_unsure = event.outcome is events.Outcome.UNKNOWN
+    if is_unsure and not (worker.is_suspect or worker.is_silent):
+        suspect(cell, worker)
+        return
     if not worker.is_silent:
         cell.note(
             'worker_silent', worker=worker.id, outcome=event.outcome.value
@@ -222,6 +227,26 @@
     _health.copy_runs(cell, worker)
 
 
+def start_answered(cell: _state.Cell, event: events.StartAnswered) -> None:
+    """Settle an order to start; ask for the lists if it is in doubt."""
+    worker = _runs.start_answered(cell, event)
+    if worker is not None and not (worker.is_suspect or worker.is_silent):
+        suspect(cell, worker)
+
+
+def stop_answered(cell: _state.Cell, event: events.StopAnswered) -> None:
+    """Settle an order to stop; ask whether the run ever came to be."""
+    worker = _runs.stop_answered(cell, event)
+    if worker is not None and not worker.is_silent:
+        _ask(cell, worker, 0)
+
+
+def suspect(cell: _state.Cell, worker: _state.Worker) -> None:
+    """Ask a worker at once that has left an order or a question open."""
+    worker.is_suspect = True
+    _ask(cell, worker, 0)
+
+
 def expire(cell: _state.Cell) -> None:
     """Conclude what must have ended from leases that ran out."""
     if cell.unfenced and cell.now > cell.doubt_until:
@@ -245,6 +270,7 @@
         worker.is_fenced
         and worker.is_listed
         and not worker.is_silent
+        and not worker.is_suspect
         and not worker.entry.is_draining
         and worker.quarantined_until <= cell.now
     )
