--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -15,7 +15,7 @@
     clock_drift: float = 0.02
     # How long a question to a worker waits for an end. A lost answer hides
     # the ends of so long, and a lease may be so old when the owner dies.
-    hold_wait_ms: int = 500
+    hold_wait_ms: int = 800
     # The same beside fillers, whose harm is to be seen within a second.
     filler_wait_ms: int = 400
     # Tails of serving tasks as parts of their targets: fillers are slowed
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -166,7 +166,7 @@
     async def _accept(self, job: model.Job, until: float) -> Answer:
         """Let the owner store a job, or else store it past the owner."""
         answer, in_doubt = await self._ask_to_accept(job, until)
-        while answer is None and not in_doubt and self._store.is_slow:
+        while answer is None and not in_doubt and self._is_store_slow:
             # Writes of many nodes would hold up the next owner, and it
             # will be here sooner than they are done.
             if time.monotonic() > until - OWNER_TIMEOUT_S:
@@ -182,6 +182,10 @@
             self._deliver(events.StoredJob(job, version))
         return answer
 
+    @property
+    def _is_store_slow(self) -> bool:
+        return self._store.is_slow and not self._store.is_away
+
     async def _ask_to_accept(
         self, job: model.Job, until: float
     ) -> tuple[Answer | None, bool]:
