--- a/packages/cellnode/celeryshift_cellnode/_journal.py
+++ b/packages/cellnode/celeryshift_cellnode/_journal.py
@@ -107,6 +107,8 @@
         self._note = note
         self._lost = lost
         self._queue: list[_Waiting] = []
+        # What is on its way to the store.
+        self._group: list[_Waiting] = []
         self._news = asyncio.Event()
         self._numbers = itertools.count(1)
         self._name = f'{owner_version}'
@@ -134,12 +136,14 @@
         self._task.cancel()
         for task in self._late:
             task.cancel()
+        for waiting in self._group:
+            self._settle(waiting, Written.UNKNOWN)
         for waiting in self._queue:
             self._settle(waiting, Written.NOT_OWNER)
 
     async def flush(self) -> None:
         """Wait until nothing waits any more."""
-        while self._queue and not self._is_closed:
+        while (self._queue or self._group) and not self._is_closed:
             await asyncio.sleep(LINGER_S)
 
     async def _run(self) -> None:
@@ -160,7 +164,9 @@
                 # Nothing to store: a renewal alone.
                 pass
             self._news.clear()
-            await self._write_group(self._next_group())
+            self._group = self._next_group()
+            await self._write_group(self._group)
+            self._group = []
             if self._queue:
                 self._news.set()
 
@@ -182,7 +188,7 @@
             try:
                 version, rows = await self._attempt(group)
             except errors.StoreError as error:
-                group = self._failed(group, error)
+                group = self._group = self._failed(group, error)
                 await asyncio.sleep(RETRY_S)
                 continue
             self._is_away = False
@@ -195,7 +201,7 @@
                     self._settle(waiting, Written.NOT_OWNER)
                 self._lost('the store names a later owner')
                 return
-            group = self._without_present(group, rows)
+            group = self._group = self._without_present(group, rows)
 
     def _failed(
         self, group: list[_Waiting], error: errors.StoreError
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -36,6 +36,8 @@
 LEAVE_S = 2.5
 # Kept from the time to stop for answers that are under way.
 LAST_ANSWERS_S = 1.0
+# A handover waits so long for what is on its way to the store.
+FLUSH_S = 0.5
 BACKLOG = 512
 KEEPALIVE_S = 75.0
 # Pause before a takeover whose rows could not be read is tried again.
@@ -167,7 +169,8 @@
         began = time.monotonic()
         self._note('stopping', owner=self._ownership.is_owner)
         front.is_closing = True
-        if self._ownership.is_owner:
+        if self._runner is not None:
+            await self._flush(self._runner)
             await self._ownership.hand_over()
         self._ownership.is_leaving = True
         await self._say_goodbye()
@@ -177,6 +180,14 @@
             await site.stop()
         await asyncio.sleep(LAST_ANSWERS_S)
 
+    async def _flush(self, runner: _runner.Runner) -> None:
+        """Store what waits, so that the next owner need not ask again."""
+        try:
+            async with asyncio.timeout(FLUSH_S):
+                await runner.journal.flush()
+        except TimeoutError:
+            self._note('not_flushed', within_s=FLUSH_S)
+
     async def _say_goodbye(self) -> None:
         """Let the owner need no promise of this node any more."""
         owner = self._ownership.owner
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -122,7 +122,10 @@
         self._deliveries: set[asyncio.Task[None]] = set()
 
     def configure(self, configuration: ports.Configuration) -> None:
-        """Put a configuration in force."""
+        """Put a configuration in force, unless a later one is."""
+        known = self.configuration
+        if known is not None and known.version >= configuration.version:
+            return
         self.configuration = configuration
         self._router = _routing.Router(configuration.routes)
 
--- a/tests/test_cell_journal.py
+++ b/tests/test_cell_journal.py
@@ -154,6 +154,21 @@
     run(work)
 
 
+def test_a_change_on_its_way_when_the_journal_closes_is_in_doubt():
+    async def work():
+        desk = Desk()
+        desk.store.latency_s = 0.5
+        sent = asyncio.create_task(desk.journal.write(change('sent')))
+        await asyncio.sleep(0.1)
+        queued = asyncio.create_task(desk.journal.write(change('queued')))
+        await asyncio.sleep(0.05)
+        desk.journal.close()
+        assert (await sent).written is Written.UNKNOWN
+        assert (await queued).written is Written.NOT_OWNER
+
+    run(work)
+
+
 def test_an_idle_owner_renews_its_right():
     async def work():
         desk = Desk()
--- /dev/null
+++ b/tests/test_cell_logs.py
@@ -0,0 +1,56 @@
+"""Decision lines: bounded, and never waited for."""
+
+import json
+import os
+import time
+
+from celeryshift_cellnode import _logs
+
+
+def _read(descriptor):
+    os.set_blocking(descriptor, False)
+    data = b''
+    while True:
+        try:
+            part = os.read(descriptor, 1 << 16)
+        except BlockingIOError:
+            return [json.loads(line) for line in data.splitlines()]
+        data += part
+
+
+def test_a_line_holds_the_decision_and_its_fields():
+    reading, writing = os.pipe()
+    log = _logs.DecisionLog('n1', writing)
+    log.write('job_taken', job='j', age_ms=3)
+    (line,) = _read(reading)
+    assert line['decision'] == 'job_taken'
+    assert line['node'] == 'n1'
+    assert line['age_ms'] == 3
+
+
+def test_a_reader_that_stops_holds_nobody_up():
+    _, writing = os.pipe()
+    log = _logs.DecisionLog('n1', writing)
+    began = time.monotonic()
+    for number in range(20_000):
+        log.write('job_taken', job='j' * 200, number=number)
+    assert time.monotonic() - began < 5.0
+    assert log.counters['log_lines_dropped'] > 0
+    assert len(log._waiting) < 2 * _logs.MAX_WAITING_BYTES
+
+
+def test_what_was_dropped_is_said():
+    reading, writing = os.pipe()
+    log = _logs.DecisionLog('n1', writing)
+    for number in range(int(_logs.BURST_LINES) + 50):
+        log.write('x', number=number)
+        if number % 100 == 0:
+            _read(reading)
+    dropped = log.counters['log_lines_dropped']
+    assert dropped > 0
+    _read(reading)
+    time.sleep(0.1)
+    log.write('after')
+    lines = _read(reading)
+    (said,) = [x for x in lines if x['decision'] == 'lines_dropped']
+    assert said['lines'] == dropped
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,123 @@
+"""The adapter: settings, entries and jobs, whole and broken."""
+
+import pytest
+
+from celeryshift_cell import model
+from celeryshift_cellnode import errors
+from celeryshift_platform import _decode
+from celeryshift_platform import _settings
+
+SETTINGS = {
+    'node': 'front-a-1',
+    'ip': '10.1.0.17',
+    'zone': 'a',
+    'listen': {'front': '10.1.0.17:8183', 'ready': '10.1.0.17:8184'},
+    'internal_ports': [7420, 7435],
+    'bounds': {'max_hold_ms': 5000, 'gang_timeout_ms': 3000},
+    'advice': '10.200.1.9:8182',
+    'platform': {'address': '10.200.1.7:8182'},
+    'unheard_of': {'new': 1},
+}
+WORKER = (
+    b'{"service":"s","address":"10.0.0.9:80","zone":"a","state":"ready",'
+    b'"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],'
+    b'"clock_ms":482113,"born":1779324295004}'
+)
+
+
+class Notes:
+    """Keep what was logged."""
+
+    def __init__(self) -> None:
+        self.decisions: list[str] = []
+
+    def __call__(self, decision: str, **fields: object) -> None:
+        self.decisions.append(decision)
+
+
+def test_settings_are_decoded_into_names_of_our_own():
+    settings = _settings.decode(SETTINGS)
+    assert settings.node.data_centre == 'a'
+    assert settings.node.peer_port == 7420
+    assert settings.node.cell.max_lease_s == 5.0
+    assert settings.callers == _settings.Address('10.1.0.17', 8183)
+    assert settings.store_address == '10.200.1.7:8182'
+
+
+def test_every_mistake_in_the_settings_is_told_at_once():
+    broken = {**SETTINGS, 'node': 7, 'listen': {'front': 'nowhere'}}
+    with pytest.raises(errors.SettingsError) as caught:
+        _settings.decode(broken)
+    for path in ('node', 'listen.front', 'listen.ready'):
+        assert path in str(caught.value)
+
+
+def test_a_worker_is_decoded():
+    entry = _decode.Decoder(Notes()).worker('i-1', WORKER)
+    assert entry is not None
+    assert entry.life == 1779324295004
+    assert entry.capacity == model.Size(16000, 32768, 0)
+    assert (entry.kind, entry.rack) == ('a', 'r1-3')
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'',
+        b'\xff\xfe',
+        b'[]',
+        b'{}',
+        WORKER.replace(b'"ready"', b'"asleep"'),
+        WORKER.replace(b'16000', b'"many"'),
+        WORKER.replace(b'"s"', b'null'),
+    ],
+)
+def test_an_entry_that_cannot_be_read_names_no_worker(value):
+    notes = Notes()
+    assert _decode.Decoder(notes).worker('i-1', value) is None
+    assert notes.decisions == ['worker_unreadable']
+
+
+def test_a_configuration_that_cannot_be_read_changes_nothing():
+    notes = Notes()
+    assert _decode.Decoder(notes).configuration(b'{"version":3}') is None
+    assert notes.decisions == ['configuration_unreadable']
+
+
+def test_poor_names_of_the_wire_become_ours():
+    document = {
+        'spec': 'x',
+        'steps': [
+            {
+                'count': 2,
+                'cpu': 500,
+                'affinity': 'r1-3',
+                'anti_affinity': 1,
+                'allow_duplicates': True,
+                'fills': True,
+            }
+        ],
+    }
+    (step,) = _decode.job(document, 'a' * 16, 'q', 't', 5).steps
+    assert step.near_rack == 'r1-3'
+    assert step.most_per_worker == 1
+    assert step.allows_copies
+    assert step.is_filler
+
+
+@pytest.mark.parametrize(
+    'document',
+    [
+        None,
+        [],
+        {},
+        {'steps': 3},
+        {'steps': [{}]},
+        {'steps': [{'count': 'two'}]},
+        {'steps': [{'count': True}]},
+        {'spec': 7, 'steps': [{'count': 1}]},
+    ],
+)
+def test_a_malformed_job_is_told(document):
+    with pytest.raises(_decode.BAD_VALUE):
+        _decode.job(document, 'a' * 16, 'q', 't', 5)
