--- a/tests/test_cell_processes.py
+++ b/tests/test_cell_processes.py
@@ -31,8 +31,13 @@
     """Hold one node as a process of its own."""
 
     def __init__(
-        self, name: str, platform: site.Site, folder: pathlib.Path
+        self,
+        name: str,
+        platform: site.Site,
+        folder: pathlib.Path,
+        store_port: int | None = None,
     ) -> None:
+        store_port = store_port or platform.port
         self.name = name
         self.front, ready, self.peer = _free_ports(3)
         self.ready = ready
@@ -51,9 +56,7 @@
                     'internal_ports': [self.peer, self.peer],
                     'bounds': {'max_hold_ms': 6000, 'grace_s': 6},
                     'advice': f'{site.LOOPBACK}:{platform.port}',
-                    'platform': {
-                        'address': f'{site.LOOPBACK}:{platform.port}'
-                    },
+                    'platform': {'address': f'{site.LOOPBACK}:{store_port}'},
                 }
             )
         )
@@ -95,6 +98,39 @@
         await self.process.wait()
 
 
+async def call(
+    session: aiohttp.ClientSession,
+    program: Program,
+    method: str,
+    job: str,
+    body: Any = None,
+    key: str = site.KEY,
+) -> tuple[int, dict[str, Any]]:
+    """Make a call of a client."""
+    async with session.request(
+        method,
+        f'http://{site.LOOPBACK}:{program.front}{site.PREFIX}{job}',
+        json=body,
+        headers={
+            'Host': site.HOST,
+            'Authorization': f'Token {key}',
+            'Deadline-Ms': '3000',
+        },
+    ) as answer:
+        return answer.status, json.loads(await answer.read())
+
+
+def job_body(tasks: int, took_s: float) -> dict[str, Any]:
+    """Describe a job of two steps, the second of one task."""
+    return {
+        'spec': json.dumps({'took_s': took_s}),
+        'steps': [
+            {'count': tasks, 'cpu': 500, 'mem_mb': 64},
+            {'count': 1, 'cpu': 500, 'mem_mb': 64, 'after': [0]},
+        ],
+    }
+
+
 class Bed:
     """Hold a platform, nodes, and a caller."""
 
@@ -144,29 +180,13 @@
         key: str = site.KEY,
     ) -> tuple[int, dict[str, Any]]:
         """Make a call of a client."""
-        async with self.session.request(
-            method,
-            f'http://{site.LOOPBACK}:{program.front}{site.PREFIX}{job}',
-            json=body,
-            headers={
-                'Host': site.HOST,
-                'Authorization': f'Token {key}',
-                'Deadline-Ms': '3000',
-            },
-        ) as answer:
-            return answer.status, json.loads(await answer.read())
+        return await call(self.session, program, method, job, body, key)
 
     async def submit(
         self, program: Program, job: str, tasks: int = 2, took_s: float = 0.1
     ) -> int:
         """Hand a job in."""
-        body = {
-            'spec': json.dumps({'took_s': took_s}),
-            'steps': [
-                {'count': tasks, 'cpu': 500, 'mem_mb': 64},
-                {'count': 1, 'cpu': 500, 'mem_mb': 64, 'after': [0]},
-            ],
-        }
+        body = job_body(tasks, took_s)
         status, _ = await self.call(program, 'POST', job, body)
         return status
 
