--- a/packages/cellnode/celeryshift_cellnode/_journal.py
+++ b/packages/cellnode/celeryshift_cellnode/_journal.py
@@ -142,9 +142,10 @@
             self._settle(waiting, Written.NOT_OWNER)
 
     async def flush(self) -> None:
-        """Wait until nothing waits any more."""
-        while (self._queue or self._group) and not self._is_closed:
-            await asyncio.sleep(LINGER_S)
+        """Wait until what waits now is stored, or is not."""
+        waiting = [entry.future for entry in (*self._group, *self._queue)]
+        if waiting:
+            await asyncio.wait(waiting)
 
     async def _run(self) -> None:
         try:
--- a/packages/cellnode/celeryshift_cellnode/_ownership.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownership.py
@@ -300,7 +300,9 @@
             heard=heard,
             right_left_s=round(self.right.until - asked_at, 3),
         )
-        if not heard and Promise.REFUSED in answers:
+        # The store may be back by the time the answers are here.
+        is_still_away = self._store.unheard_s >= _election.OWNER_HEARS_S
+        if not heard and is_still_away and Promise.REFUSED in answers:
             await self._resign(others[answers.index(Promise.REFUSED)])
 
     async def _resign(self, node: _schema.Node) -> None:
--- a/tests/test_cell_journal.py
+++ b/tests/test_cell_journal.py
@@ -169,6 +169,25 @@
     run(work)
 
 
+def test_a_flush_waits_for_what_is_there_and_no_more():
+    async def work():
+        desk = Desk()
+        first = asyncio.create_task(desk.journal.write(change('first')))
+        await asyncio.sleep(0)
+
+        async def press() -> None:
+            for number in range(1000):
+                await desk.journal.write(change(f'more-{number}'))
+
+        pressing = asyncio.create_task(press())
+        async with asyncio.timeout(1.0):
+            await desk.journal.flush()
+        assert first.done()
+        pressing.cancel()
+
+    run(work)
+
+
 def test_an_idle_owner_renews_its_right():
     async def work():
         desk = Desk()
--- a/tests/test_cell_ownership.py
+++ b/tests/test_cell_ownership.py
@@ -5,6 +5,7 @@
 from tests import cellnodes
 
 from celeryshift_cellnode import _election
+from celeryshift_cellnode import _ownership
 from celeryshift_cellnode import _schema
 
 # The target: half of the takeovers from a killed owner within a second.
@@ -72,6 +73,29 @@
     run(work)
 
 
+def test_an_owner_that_hears_the_store_again_does_not_resign():
+    # Seen in an incident: the others heard the store first when it came
+    # back, and the owner gave the cell up just as it heard it too.
+    async def work():
+        made, _ = await cellnodes.members('a', 'b', 'c')
+        owner, _ = cellnodes.split(made)
+        ownership = owner.ownership
+        owner.access.is_open = False
+
+        async def refuse_late(address, heard):
+            assert not heard
+            owner.access.is_open = True
+            await ownership.look()
+            return _ownership.Promise.REFUSED
+
+        await asyncio.sleep(_election.OWNER_HEARS_S + 0.1)
+        ownership._promise_of = refuse_late
+        await ownership._ask_promises()
+        assert ownership.is_owner
+
+    run(work)
+
+
 def test_the_owner_goes_on_while_the_store_is_away_for_all():
     async def work():
         made, _ = await cellnodes.members('a', 'b', 'c')
