Tests of processes wait for log lines, and press as long as a balancer would

The first test pressed by count, so that it lasted longer on a busy machine; it now presses until the balancer has seen two misses, which the platform's pages give as 2 s. A node that leaves now listens for 3.2 s.

--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -33,7 +33,7 @@
 from celeryshift_net import pools
 
 # The balancer needs two misses, a second apart, to see that a node leaves.
-LEAVE_S = 2.5
+LEAVE_S = 3.2
 # Kept from the time to stop for answers that are under way.
 LAST_ANSWERS_S = 1.0
 # A handover waits so long for what is on its way to the store.
--- a/tests/test_cell_processes.py
+++ b/tests/test_cell_processes.py
@@ -15,6 +15,7 @@
 
 NODES = 3
 START_S = 15.0
+BALANCER_S = 2.0
 
 
 def _free_ports(count: int) -> list[int]:
@@ -279,9 +280,14 @@
     async def work(bed):
         owner, others = bed.owner, bed.others
         statuses = []
+        loop = asyncio.get_running_loop()
+        told_at = loop.time() + 0.3
 
         async def press() -> None:
-            for number in range(40):
+            # The balancer sends new connections elsewhere after two looks,
+            # a second apart.
+            while loop.time() < told_at + BALANCER_S:
+                number = len(statuses)
                 statuses.append(await bed.submit(owner, job_id(number)))
                 await asyncio.sleep(0.03)
 
@@ -289,9 +295,10 @@
         await asyncio.sleep(0.3)
         owner.process.send_signal(signal.SIGTERM)
         await pressing
-        assert statuses == [200] * 40
+        assert len(statuses) > 10
+        assert set(statuses) == {200}
         assert await asyncio.wait_for(owner.process.wait(), 6.0) == 0
-        for number in range(40):
+        for number in range(len(statuses)):
             await bed.completed(others[0], job_id(number))
 
     run(work, tmp_path)
@@ -340,11 +347,16 @@
         await asyncio.sleep(1.0)
         node = bed.others[0]
         assert await bed.submit(node, job_id(5)) == 503
-        (line,) = [
-            line
-            for line in node.decisions('submit_answered')
-            if line['path'].endswith(job_id(5))
-        ]
+
+        def lines() -> list[dict[str, Any]]:
+            return [
+                line
+                for line in node.decisions('submit_answered')
+                if line['path'].endswith(job_id(5))
+            ]
+
+        await until(lines)
+        (line,) = lines()
         assert line['verdict'] == 'unavailable'
         assert line['reason']
         assert node.decisions('store_lost')
