Nothing starts beside runs of unknown size

After a takeover workers may list runs of jobs that have ended and are being stopped; the new owner does not know them, and gave their room away. The test failed first.

--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -230,6 +230,7 @@
 ) -> None:
     """Compare the runs that a worker lists with those that are known."""
     seen = set()
+    worker.has_strangers = False
     for entry in event.running:
         seen.add((entry.task, entry.run))
         run = worker.runs.get((entry.task, entry.run))
@@ -247,6 +248,7 @@
 ) -> _state.Run | None:
     task = cell.task(entry.task)
     if task is None:
+        worker.has_strangers = True
         life = worker.entry
         cell.note('unknown_run', task=entry.task, worker=worker.id)
         cell.emit(
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -168,6 +168,9 @@
     is_suspect: bool = False
     # That question got no answer either.
     is_silent: bool = False
+    # It lists runs of jobs that are not known any more; their size is not
+    # known either.
+    has_strangers: bool = False
     joined_at: float = 0.0
     # The worker's clock minus ours, at the last answer.
     clock_offset_ms: float = 0.0
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -144,7 +144,7 @@
     worker.holds_out = max(0, worker.holds_out - 1)
     if worker.is_silent:
         cell.note('worker_answers', worker=worker.id)
-    was_out = worker.is_silent or worker.is_suspect
+    was_out = worker.is_silent or worker.is_suspect or worker.has_strangers
     worker.is_silent = worker.is_suspect = False
     _leases.note_clock(cell, worker, event.clock_ms)
     was_fenced = worker.is_fenced
@@ -174,7 +174,7 @@
     if worker.last_end > worker.last_saved_end:
         # The ends are stored first, so that the worker may forget them.
         worker.ask_at = cell.now + cell.options.unsaved_look_s
-    elif worker.runs:
+    elif worker.runs or worker.has_strangers:
         _ask(cell, worker, _wait_ms(cell, worker))
     else:
         worker.ask_at = None
@@ -271,6 +271,7 @@
         and worker.is_listed
         and not worker.is_silent
         and not worker.is_suspect
+        and not worker.has_strangers
         and not worker.entry.is_draining
         and worker.quarantined_until <= cell.now
     )
--- a/tests/test_cell_workers.py
+++ b/tests/test_cell_workers.py
@@ -285,3 +285,19 @@
     bench.now += 0.005
     bench.hold('a')
     assert len(bench.of(effects.StartRun)) == 1
+
+
+def test_nothing_starts_beside_a_run_of_unknown_size():
+    # Seen in a hunt (LIMIT): runs of jobs that had ended before a takeover
+    # were being stopped, and used room that the new owner gave away.
+    bench = cells.Bench(epoch=2)
+    bench.send(events.WorkersListed(0.0, (cells.entry('a'),)))
+    stranger = events.RunListed(f'{"f" * 16}.0.0.0', 1, '', 50)
+    bench.hold('a', (stranger,))
+    (stop,) = bench.of(effects.StopRun)
+    assert stop.task == stranger.task
+    assert bench.of(effects.Hold)
+    assert not bench.accept(cells.job('1'))
+    bench.tick()
+    bench.hold('a')
+    assert len(bench.of(effects.StartRun)) == 1
