--- a/packages/cell/celeryshift_cell/effects.py
+++ b/packages/cell/celeryshift_cell/effects.py
@@ -41,7 +41,8 @@
     # 0 if the life is not known yet.
     life: int
     address: str
-    last_seen: int
+    # The worker may forget its ends up to this one.
+    stored_end: int
     wait_ms: int
     # On the worker's clock; None before that clock is known.
     deadline_ms: int | None
--- /dev/null
+++ b/packages/cellnode/celeryshift_cellnode/_desk.py
@@ -0,0 +1,109 @@
+"""What the owner of a cell answers to other nodes, and to its own."""
+
+import time
+from typing import Any
+
+import celeryshift_cell as cell
+from celeryshift_cell import events
+from celeryshift_cell import model
+from celeryshift_cellnode import _journal
+from celeryshift_cellnode import _runner
+from celeryshift_cellnode import _schema
+from celeryshift_cellnode import ports
+
+REFUSED = _journal.Written.REFUSED.value
+# The owner knows that the job can't run.
+IMPOSSIBLE = 'impossible'
+
+
+class Desk:
+    """Answer for the owner, as long as this node is one.
+
+    Every answer says whether it is.
+    """
+
+    def __init__(self) -> None:
+        self.runner: _runner.Runner | None = None
+
+    def take(self, stored: events.StoredJob) -> None:
+        """Tell the cell of a job that is stored."""
+        assert self.runner is not None
+        self.runner.feed(events.JobAccepted(time.monotonic(), stored))
+
+    @property
+    def handlers(self) -> dict[str, Any]:
+        """Give what other nodes may call of the owner."""
+        return {
+            'accept': self._accept_asked,
+            'job': self._job_told,
+            'cancel': self._cancel_asked,
+            'cancelled': self._cancel_told,
+            'state': self._state_asked,
+            'waiting': self._waiting_asked,
+        }
+
+    async def _accept_asked(self, body: Any) -> dict[str, Any]:
+        if self.runner is None:
+            return {'is_owner': False}
+        job = _schema.load_parts(model.Job, body['job'])
+        why = cell.reason_to_refuse(self.runner.state, job)
+        if why is not None:
+            return {'is_owner': True, 'written': IMPOSSIBLE, 'reason': why}
+        live = ports.Key(_schema.JOBS, job.id)
+        ended = ports.Key(_schema.ENDED, job.id)
+        change = _journal.Change(
+            absent=(live, ended),
+            puts={live: _schema.dump(job)},
+            gives_up=True,
+        )
+        result = await self.runner.journal.write(change)
+        is_stored = result.written is _journal.Written.STORED
+        if is_stored and self.runner is not None:
+            self.take(events.StoredJob(job, result.version))
+        return {'is_owner': True, 'written': result.written.value}
+
+    async def _job_told(self, body: Any) -> dict[str, Any]:
+        if self.runner is None:
+            return {'is_owner': False}
+        job = _schema.load_parts(model.Job, body['job'])
+        self.take(events.StoredJob(job, body['version']))
+        return {'is_owner': True}
+
+    async def _cancel_asked(self, body: Any) -> dict[str, Any]:
+        """Cancel a job that is known here; else the caller reads the rows."""
+        job_id = body['job']
+        if self.runner is None:
+            return {'is_owner': False}
+        if job_id not in self.runner.state.jobs:
+            return {'is_owner': True, 'written': REFUSED}
+        mark = ports.Key(_schema.JOBS, job_id + _schema.CANCEL_SUFFIX)
+        change = _journal.Change(puts={mark: b'{}'}, gives_up=True)
+        result = await self.runner.journal.write(change)
+        if result.version and self.runner is not None:
+            event = events.JobCancelled(time.monotonic(), job_id)
+            self.runner.feed(event)
+        return {'is_owner': True, 'written': result.written.value}
+
+    async def _cancel_told(self, body: Any) -> dict[str, Any]:
+        if self.runner is None:
+            return {'is_owner': False}
+        event = events.JobCancelled(time.monotonic(), body['job'])
+        self.runner.feed(event)
+        return {'is_owner': True}
+
+    async def _state_asked(self, body: Any) -> dict[str, Any]:
+        if self.runner is None:
+            return {'is_owner': False}
+        job = self.runner.state.jobs.get(body['job'])
+        state = None if job is None else cell.shown_state(job).value
+        return {'is_owner': True, 'state': state}
+
+    async def _waiting_asked(self, body: Any) -> dict[str, Any]:
+        if self.runner is None:
+            return {'is_owner': False}
+        waiting = sum(
+            job.spec.queue == body['queue']
+            and job.state is model.JobState.QUEUED
+            for job in self.runner.state.jobs.values()
+        )
+        return {'is_owner': True, 'waiting': waiting}
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -214,7 +214,7 @@
 
     async def _serve_peers(self) -> web.ServerRunner:
         server = _peers.PeerServer(self._metrics_text, self._note)
-        for name, handler in self.service.handlers.items():
+        for name, handler in self.service.desk.handlers.items():
             server.serve(name, handler)
         server.serve('ping', self._ownership.ping)
         server.serve('owner', self._ownership.announced)
@@ -312,7 +312,7 @@
             runner.feed(events.ConfigChanged(now, configuration.cell))
         runner.feed(events.WorkersListed(now, tuple(workers)))
         runner.feed(restored[0].event(doubt_until))
-        self._runner = self.service.runner = runner
+        self._runner = self.service.desk.runner = runner
         loop = asyncio.get_running_loop()
         jobs = _followers.JobsFollower(self._store, runner, self._note)
         listed = _followers.WorkersFollower(
@@ -390,7 +390,7 @@
             return
         self._note('orders_end', why=why, epoch=self._runner.epoch)
         self._runner.close()
-        self._runner = self.service.runner = None
+        self._runner = self.service.desk.runner = None
         for task in self._followers:
             task.cancel()
 
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -8,15 +8,14 @@
 
 import attrs
 
-import celeryshift_cell as cell
 from celeryshift_cell import events
 from celeryshift_cell import model
+from celeryshift_cellnode import _desk
 from celeryshift_cellnode import _jobspec
 from celeryshift_cellnode import _journal
 from celeryshift_cellnode import _metrics
 from celeryshift_cellnode import _reach
 from celeryshift_cellnode import _routing
-from celeryshift_cellnode import _runner
 from celeryshift_cellnode import _schema
 from celeryshift_cellnode import _watchedstore
 from celeryshift_cellnode import errors
@@ -84,10 +83,7 @@
 
 STORED = _journal.Written.STORED.value
 EXISTS = _journal.Written.EXISTS.value
-REFUSED = _journal.Written.REFUSED.value
 UNKNOWN = _journal.Written.UNKNOWN.value
-# The owner knows that the job can't run.
-IMPOSSIBLE = 'impossible'
 # The owner has surely not got the call.
 NOT_ASKED = (errors.PeerGoneError, _reach.OwnerAwayError)
 
@@ -118,7 +114,8 @@
         self._metrics = metrics
         self.configuration: ports.Configuration | None = None
         self._router = _routing.Router(())
-        self.runner: _runner.Runner | None = None
+        # Answers for the owner, if this node is one.
+        self.desk = _desk.Desk()
         self._deliveries: set[asyncio.Task[None]] = set()
 
     def configure(self, configuration: ports.Configuration) -> None:
@@ -208,7 +205,7 @@
         written = told['written']
         if written in (STORED, EXISTS):
             return Answer(Verdict.OK), False
-        if written == IMPOSSIBLE:
+        if written == _desk.IMPOSSIBLE:
             answer = Answer(
                 Verdict.TRY_LATER,
                 retry_after_s=NEVER_FITS_RETRY_S,
@@ -248,8 +245,8 @@
         return Answer(Verdict.UNKNOWN, reason='no answer from the store'), 0
 
     def _deliver(self, stored: events.StoredJob) -> None:
-        if self.runner is not None:
-            self._take(stored)
+        if self.desk.runner is not None:
+            self.desk.take(stored)
             return
         body = {
             'job': _schema.dump_parts(stored.job),
@@ -283,96 +280,14 @@
         Raises ``PeerError`` without an answer; one of ``NOT_ASKED`` if the
         owner surely has done nothing.
         """
-        if self.runner is not None:
-            answer = await self.handlers[name](body)
+        if self.desk.runner is not None:
+            answer = await self.desk.handlers[name](body)
         else:
             answer = await self._owner_link.ask(name, body, timeout_s)
         if not answer['is_owner']:
             raise _reach.OwnerAwayError('the node asked is not the owner')
         return answer
 
-    def _take(self, stored: events.StoredJob) -> None:
-        assert self.runner is not None
-        self.runner.feed(events.JobAccepted(time.monotonic(), stored))
-
-    @property
-    def handlers(self) -> dict[str, Any]:
-        """Give what other nodes may call of the owner."""
-        return {
-            'accept': self._accept_asked,
-            'job': self._job_told,
-            'cancel': self._cancel_asked,
-            'cancelled': self._cancel_told,
-            'state': self._state_asked,
-            'waiting': self._waiting_asked,
-        }
-
-    async def _accept_asked(self, body: Any) -> dict[str, Any]:
-        if self.runner is None:
-            return {'is_owner': False}
-        job = _schema.load_parts(model.Job, body['job'])
-        why = cell.reason_to_refuse(self.runner.state, job)
-        if why is not None:
-            return {'is_owner': True, 'written': IMPOSSIBLE, 'reason': why}
-        live = ports.Key(_schema.JOBS, job.id)
-        ended = ports.Key(_schema.ENDED, job.id)
-        change = _journal.Change(
-            absent=(live, ended),
-            puts={live: _schema.dump(job)},
-            gives_up=True,
-        )
-        result = await self.runner.journal.write(change)
-        is_stored = result.written is _journal.Written.STORED
-        if is_stored and self.runner is not None:
-            self._take(events.StoredJob(job, result.version))
-        return {'is_owner': True, 'written': result.written.value}
-
-    async def _job_told(self, body: Any) -> dict[str, Any]:
-        if self.runner is None:
-            return {'is_owner': False}
-        job = _schema.load_parts(model.Job, body['job'])
-        self._take(events.StoredJob(job, body['version']))
-        return {'is_owner': True}
-
-    async def _cancel_asked(self, body: Any) -> dict[str, Any]:
-        """Cancel a job that is known here; else the caller reads the rows."""
-        job_id = body['job']
-        if self.runner is None:
-            return {'is_owner': False}
-        if job_id not in self.runner.state.jobs:
-            return {'is_owner': True, 'written': REFUSED}
-        mark = ports.Key(_schema.JOBS, job_id + _schema.CANCEL_SUFFIX)
-        change = _journal.Change(puts={mark: b'{}'}, gives_up=True)
-        result = await self.runner.journal.write(change)
-        if result.version and self.runner is not None:
-            event = events.JobCancelled(time.monotonic(), job_id)
-            self.runner.feed(event)
-        return {'is_owner': True, 'written': result.written.value}
-
-    async def _cancel_told(self, body: Any) -> dict[str, Any]:
-        if self.runner is None:
-            return {'is_owner': False}
-        event = events.JobCancelled(time.monotonic(), body['job'])
-        self.runner.feed(event)
-        return {'is_owner': True}
-
-    async def _state_asked(self, body: Any) -> dict[str, Any]:
-        if self.runner is None:
-            return {'is_owner': False}
-        job = self.runner.state.jobs.get(body['job'])
-        state = None if job is None else cell.shown_state(job).value
-        return {'is_owner': True, 'state': state}
-
-    async def _waiting_asked(self, body: Any) -> dict[str, Any]:
-        if self.runner is None:
-            return {'is_owner': False}
-        waiting = sum(
-            job.spec.queue == body['queue']
-            and job.state is model.JobState.QUEUED
-            for job in self.runner.state.jobs.values()
-        )
-        return {'is_owner': True, 'waiting': waiting}
-
     async def state(self, call: Call) -> Answer:
         """Say how a job stands, or how many of a queue wait."""
         began = time.monotonic()
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -137,9 +137,9 @@
         if order.deadline_ms is not None:
             self.until_ms = max(self.until_ms, order.deadline_ms)
         for end in self.ended:
-            if end.number <= order.last_seen:
+            if end.number <= order.stored_end:
                 self.sim.noted(end)
-        self.ended = [e for e in self.ended if e.number > order.last_seen]
+        self.ended = [e for e in self.ended if e.number > order.stored_end]
         return Outcome.DONE
 
 
--- a/tests/test_cell_jobs.py
+++ b/tests/test_cell_jobs.py
@@ -50,7 +50,7 @@
     assert not bench.of(effects.Hold)
     bench.saved()
     (hold,) = bench.of(effects.Hold)
-    assert hold.last_seen == 1
+    assert hold.stored_end == 1
 
 
 def test_a_job_told_again_after_its_end_does_not_run_again():
