An owner asks the store once more before it resigns

Seen once in tests/test_cell_processes.py (accepted work without the store): as the store came back the others heard it first, and the owner gave the cell up.

--- a/packages/cellnode/celeryshift_cellnode/_election.py
+++ b/packages/cellnode/celeryshift_cellnode/_election.py
@@ -43,6 +43,9 @@
 # A node that reaches the store within this time does not promise to an
 # owner that is out of touch with it.
 STORE_PROBE_S = 0.4
+# An owner asks the store once more before it resigns; one that is not slow
+# answers well within this.
+LAST_LOOK_S = 0.1
 
 
 @attrs.define(slots=True)
--- a/packages/cellnode/celeryshift_cellnode/_ownership.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownership.py
@@ -303,9 +303,10 @@
             heard=heard,
             right_left_s=round(self.right.until - asked_at, 3),
         )
-        # The store may be back by the time the answers are here.
-        is_still_away = self._store.unheard_s >= _election.OWNER_HEARS_S
-        if not heard and is_still_away and Promise.REFUSED in answers:
+        if heard or Promise.REFUSED not in answers:
+            return
+        # The store may be back by now, and the others have heard it first.
+        if not await self._reaches_store(_election.LAST_LOOK_S):
             await self._resign(others[answers.index(Promise.REFUSED)])
 
     async def _resign(self, node: _schema.Node) -> None:
@@ -349,19 +350,21 @@
         """Promise not to take the cell from an owner that may go on."""
         if self.is_owner:
             return {'promised': False}
-        if not body['heard'] and await self._reaches_store():
+        if not body['heard'] and await self._reaches_store(
+            _election.STORE_PROBE_S
+        ):
             return {'promised': False}
         self.view.promised_until = time.monotonic() + _election.PROMISE_S
         return {'promised': True}
 
-    async def _reaches_store(self) -> bool:
+    async def _reaches_store(self, within_s: float) -> bool:
         try:
             await self._store.read(
                 _schema.CELLS,
                 _schema.CELL,
                 BEAT.key,
                 OWNER.key,
-                timeout_s=_election.STORE_PROBE_S,
+                timeout_s=within_s,
             )
         except errors.StoreError:
             # The asker logs what follows from it.
