--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 STEPS ?= 2000
 
 .PHONY: setup demo playground test lint types unit format scenarios bench \
-	capacity explore
+	capacity explore soak
 
 setup: $(VENV)/.ready
 
@@ -61,3 +61,9 @@
 
 capacity: setup
 	$(PY) -m bench.capacity
+
+# Seeds of the soak: the first, and the one after the last.
+SOAK ?= 1 11
+
+soak: setup
+	$(PY) -m tests.soak $(SOAK)
