--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -104,7 +104,7 @@
 
 def answered(cell: _state.Cell, event: events.AdviceAnswered) -> None:
     """Keep the verdicts and the tickets."""
-    step = find_step(cell, event.step)
+    step = cell.step(event.step)
     if step is None:
         return
     step.asking = frozenset()
@@ -133,7 +133,7 @@
 
 def failed(cell: _state.Cell, event: events.AdviceFailed) -> None:
     """Ask again after a pause."""
-    step = find_step(cell, event.step)
+    step = cell.step(event.step)
     if step is None:
         return
     step.asking = frozenset()
@@ -145,12 +145,3 @@
         reason=event.reason,
     )
     step.is_blocked = False
-
-
-def find_step(cell: _state.Cell, name: str) -> _state.StepRun | None:
-    """Find a step by its name."""
-    job_id, occurrence, number = name.split('.')
-    job = cell.jobs.get(job_id)
-    if job is None:
-        return None
-    return job.steps.get((int(occurrence), int(number)))
--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -78,10 +78,9 @@
     """Let the steps start whose time of day has come."""
     while cell.timed and cell.timed[0][0] <= cell.wall_ms:
         _, name = heapq.heappop(cell.timed)
-        job_id, occurrence, number = name.split('.')
-        job = cell.jobs.get(job_id)
-        if job is not None and job.state not in FINAL:
-            make_ready(cell, job.steps[int(occurrence), int(number)])
+        step = cell.step(name)
+        if step is not None and step.job.state not in FINAL:
+            make_ready(cell, step)
 
 
 def make_ready(cell: _state.Cell, step: _state.StepRun) -> None:
@@ -109,7 +108,7 @@
 def wake(cell: _state.Cell, step: _state.StepRun) -> None:
     """Look at the waiting tasks of a step at the next pass."""
     if step.is_ready and step.pending and step.job.state not in FINAL:
-        cell.waiting[step.key] = step
+        cell.waiting[step.name] = step
         step.is_blocked = False
 
 
@@ -149,7 +148,7 @@
     cell.dirty[job.spec.id] = job
     if step.left:
         return
-    cell.waiting.pop(step.key, None)
+    cell.waiting.pop(step.name, None)
     job.left -= 1
     if job.left == 0:
         finish(cell, job, model.JobState.COMPLETED)
@@ -197,7 +196,7 @@
     job.state = state
     cell.dirty[job.spec.id] = job
     for step in job.steps.values():
-        cell.waiting.pop(step.key, None)
+        cell.waiting.pop(step.name, None)
         step.pending.clear()
     cell.note('job_ended', job=job.spec.id, state=state.value)
 
--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -39,8 +39,6 @@
     # Waiting steps are looked at again so often, since tickets and
     # quarantines run out without an event.
     look_again_s: float = 0.25
-    # The members of a gang must be there within this time.
-    gang_timeout_s: float = 3.0
     # A ticket is not used in the last part of its validity, since the order
     # needs time to arrive.
     ticket_margin_s: float = 0.15
@@ -67,9 +65,6 @@
     slow_factor: float = 1.8
     # Workers whose times differ by less count as alike.
     alike_factor: float = 1.12
-    # Tasks slow down by this factor away from their data.
-    remote_penalty: float = 1.5
-    restore_ms: int = 600
     # A job that has ended is answered from memory for so long, then from
     # the store.
     keep_ended_s: float = 10.0
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -69,7 +69,7 @@
     placed = 0
     step.team_full = False
     for index in sorted(step.pending):
-        if not _team_allows(cell, step):
+        if not _allows(cell, step, step.spec.size):
             step.team_full = True
             break
         task = step.tasks[index]
@@ -85,10 +85,6 @@
     return placed
 
 
-def _team_allows(cell: _state.Cell, step: _state.StepRun) -> bool:
-    return _allows(cell, step, step.spec.size)
-
-
 def _allows(cell: _state.Cell, step: _state.StepRun, size: model.Size) -> bool:
     name = step.job.spec.team
     team = cell.config.teams_by_name.get(name)
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -48,11 +48,6 @@
     run = _state.Run(task, number, worker, Phase.SENT, cell.now)
     _attach(cell, run)
     cell.placed[task.index] = worker.id
-    step.pending.discard(task.index)
-    if not step.pending:
-        cell.waiting.pop(step.key, None)
-    if job.state is model.JobState.QUEUED:
-        job.state = model.JobState.RUNNING
     entry = worker.entry
     cell.emit(
         effects.StartRun(
@@ -79,6 +74,11 @@
     run.worker.book(step.spec, 1)
     step.on_worker[run.worker.id] += 1
     cell.usage(step.job.spec.team).book(step.spec.size, 1)
+    step.pending.discard(task.index)
+    if not step.pending:
+        cell.waiting.pop(step.name, None)
+    if step.job.state is model.JobState.QUEUED:
+        step.job.state = model.JobState.RUNNING
 
 
 def detach(cell: _state.Cell, run: _state.Run) -> None:
@@ -155,7 +155,7 @@
     if outcome is Outcome.DONE:
         if run.phase in (Phase.SENT, Phase.DOUBT):
             run.phase = Phase.RUNNING
-            run.confirmed_at = run.moved_at = cell.now
+            run.confirmed_at = cell.now
         return None
     cell.note(
         'start_not_confirmed',
@@ -258,13 +258,10 @@
         )
         return None
     run = _state.Run(task, entry.run, worker, Phase.RUNNING, cell.now)
-    run.confirmed_at = run.moved_at = cell.now
+    run.confirmed_at = cell.now
     others = len(task.runs)
     task.last_run = max(task.last_run, entry.run)
     _attach(cell, run)
-    task.step.pending.discard(task.index)
-    if not task.step.pending:
-        cell.waiting.pop(task.step.key, None)
     cell.note(
         'run_adopted',
         job=task.step.job.spec.id,
@@ -273,8 +270,6 @@
         worker=worker.id,
     )
     job = task.step.job
-    if job.state is model.JobState.QUEUED:
-        job.state = model.JobState.RUNNING
     is_spare = others and not task.step.spec.allows_copies
     if task.is_done or job.state in _jobs.FINAL or is_spare:
         stop(cell, run, 'not wanted')
@@ -286,11 +281,9 @@
 ) -> None:
     if run.phase in (Phase.SENT, Phase.DOUBT):
         run.phase = Phase.RUNNING
-        run.confirmed_at = run.moved_at = cell.now
+        run.confirmed_at = cell.now
     if entry.saved:
         run.task.saved = entry.saved
-    if entry.percent > run.percent:
-        run.moved_at = cell.now
     run.percent = entry.percent
     run.load = entry.load
 
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -43,8 +43,6 @@
     # the run proves that it never came to be.
     stopped_at: float | None = None
     percent: int = 0
-    # When the percent last rose.
-    moved_at: float = 0.0
     load: int = 0
     # The share of its speed that the run is paced to, and since when.
     pace: int = 100
@@ -110,11 +108,6 @@
     # A former owner may have started the tasks.
     in_doubt: bool = False
 
-    @property
-    def key(self) -> str:
-        """Give the name that identifies the step in a cell."""
-        return self.name
-
 
 @attrs.define(slots=True, eq=False)
 class JobRun:
@@ -171,7 +164,6 @@
     # It lists runs of jobs that are not known any more; their size is not
     # known either.
     has_strangers: bool = False
-    joined_at: float = 0.0
     # The worker's clock minus ours, at the last answer.
     clock_offset_ms: float = 0.0
     # The last end that was processed, and the last that is stored.
@@ -183,7 +175,6 @@
     # When to ask again; None while a question is out.
     ask_at: float | None = 0.0
     runs: dict[tuple[str, int], Run] = attrs.field(factory=dict)
-    failures: int = 0
     # No task is started there until then.
     quarantined_until: float = 0.0
     # Failures since the last success, by the name of the job.
@@ -291,9 +282,6 @@
     speed: Mean = attrs.field(factory=Mean)
     speed_by_kind: dict[str, Mean] = attrs.field(factory=dict)
     ms_by_image: dict[str, float] = attrs.field(factory=dict)
-    counters: collections.Counter[str] = attrs.field(
-        factory=collections.Counter
-    )
     # The workers by the index of the tasks that a step has just started.
     placed: dict[int, str] = attrs.field(factory=dict)
     out: list[effects.Effect] = attrs.field(factory=list)
@@ -303,8 +291,7 @@
         self.out.append(effect)
 
     def note(self, decision: str, **fields: Any) -> None:
-        """Count a decision and say why it was made."""
-        self.counters[decision] += 1
+        """Say what was decided, and why."""
         self.out.append(effects.Decided(decision, fields))
 
     @property
@@ -316,17 +303,23 @@
         """Give what a team has running."""
         return self.usage_by_team.setdefault(team, Usage())
 
+    def step(self, name: str) -> StepRun | None:
+        """Find a step by its name; others than ours have no step."""
+        job_id, _, rest = name.partition('.')
+        job = self.jobs.get(job_id)
+        occurrence, _, number = rest.partition('.')
+        if job is None or not (occurrence.isdigit() and number.isdigit()):
+            return None
+        return job.steps.get((int(occurrence), int(number)))
+
     def task(self, name: str) -> Task | None:
         """Find a task by its name."""
-        parts = name.split('.')
-        job = self.jobs.get(parts[0])
-        if job is None or len(parts) != 4:
-            return None
-        try:
-            step = job.steps.get((int(parts[1]), int(parts[2])))
-            return None if step is None else step.tasks[int(parts[3])]
-        except (ValueError, IndexError):
+        step_name, _, index = name.rpartition('.')
+        step = self.step(step_name)
+        if step is None or not index.isdigit():
             return None
+        is_known = int(index) < len(step.tasks)
+        return step.tasks[int(index)] if is_known else None
 
     def schedule(self, due_ms: int, name: str) -> None:
         """Let a step wait until a time of day."""
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -60,7 +60,6 @@
         capacity.cpu_milli,
         capacity.memory_mb,
         capacity.accelerators,
-        joined_at=cell.now,
         listed_at=cell.now,
     )
     cell.workers[entry.id] = worker
--- a/packages/cellnode/celeryshift_cellnode/_peers.py
+++ b/packages/cellnode/celeryshift_cellnode/_peers.py
@@ -13,7 +13,6 @@
 
 # Answers between nodes take some milliseconds; a second means trouble.
 CALL_TIMEOUT_S = 1.0
-MAX_BODY_BYTES = 8 * 1024 * 1024
 
 Handler = Callable[[Any], Awaitable[Any]]
 
@@ -49,6 +48,15 @@
             raise errors.PeerError(f'{name} at {address}: status {status}')
         return orjson.loads(received)
 
+    async def answers(self, address: str, timeout_s: float) -> bool:
+        """Tell whether a node is there; the caller logs what follows."""
+        try:
+            await self.call(address, 'ping', {}, timeout_s)
+        except errors.PeerError:
+            # The answer is all that the caller needs to know.
+            return False
+        return True
+
 
 class PeerServer:
     """Serve the calls of other nodes, and the metrics."""
--- a/packages/cellnode/celeryshift_cellnode/_reach.py
+++ b/packages/cellnode/celeryshift_cellnode/_reach.py
@@ -66,7 +66,9 @@
         )
         try:
             done, _ = await asyncio.wait({call}, timeout=DOUBT_S)
-            if not done and not await self._pings(owner.address):
+            if not done and not await self._peers.answers(
+                owner.address, PING_TIMEOUT_S
+            ):
                 self._lost(owner.address, version, f'{name}: no answer')
                 raise errors.PeerError(f'{name}: the owner is silent')
             return await call
@@ -76,14 +78,6 @@
         finally:
             call.cancel()
 
-    async def _pings(self, address: str) -> bool:
-        try:
-            await self._peers.call(address, 'ping', {}, PING_TIMEOUT_S)
-        except errors.PeerError:
-            # The caller logs that the owner is silent.
-            return False
-        return True
-
     def _lost(self, address: str, version: int, error: str) -> None:
         if self._silent_version == version:
             return
@@ -99,7 +93,7 @@
             owner = self._ownership.owner
             if owner is None or not self.is_silent:
                 return
-            if await self._pings(owner.address):
+            if await self._peers.answers(owner.address, PING_TIMEOUT_S):
                 self._silent_version = None
                 self._note('owner_answers', owner=owner.node)
                 return
@@ -142,13 +136,8 @@
         ]
         if not elsewhere:
             return False
-        pings = [self._pings(address) for address in elsewhere[:MAX_PINGS]]
+        pings = [
+            self._peers.answers(address, PING_TIMEOUT_S)
+            for address in elsewhere[:MAX_PINGS]
+        ]
         return not any(await asyncio.gather(*pings))
-
-    async def _pings(self, address: str) -> bool:
-        try:
-            await self._peers.call(address, 'ping', {}, PING_TIMEOUT_S)
-        except errors.PeerError:
-            # Only the sum of all counts, and that is logged.
-            return False
-        return True
--- a/packages/cellnode/celeryshift_cellnode/_schema.py
+++ b/packages/cellnode/celeryshift_cellnode/_schema.py
@@ -64,7 +64,6 @@
 
     state: str
     at_ms: int
-    queue: str = ''
 
 
 _converter = cattrs.Converter(omit_if_default=True)
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -367,9 +367,6 @@
         told = self._settings.cell
         options = cell.Options(
             lease_s=min(told.max_lease_s, cell.Options().lease_s),
-            gang_timeout_s=told.gang_timeout_s,
-            remote_penalty=told.remote_penalty,
-            restore_ms=int(told.restore_ms),
         )
         return _runner.Runner(
             owner.epoch,
--- a/packages/cellnode/celeryshift_cellnode/ports.py
+++ b/packages/cellnode/celeryshift_cellnode/ports.py
@@ -205,7 +205,3 @@
     """Hold the times that the platform guarantees."""
 
     max_lease_s: float = 6.0
-    gang_timeout_s: float = 3.0
-    stop_timeout_s: float = 0.9
-    restore_ms: int = 600
-    remote_penalty: float = 1.5
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -132,6 +132,21 @@
             starts += self.of(effects.StartRun)
         return starts
 
+    def restore(self, stored: model.Job, silent: str) -> list[effects.Effect]:
+        """Take over a job, and a worker that the former owner may use."""
+        return self.send(
+            events.Restored(
+                0.0,
+                0,
+                (events.StoredJob(stored, 1),),
+                {},
+                (),
+                ((silent, 1, f'{silent}:80'),),
+                doubt_until=7.0,
+                version=3,
+            )
+        )
+
     def answer(
         self,
         order: effects.StartRun,
--- a/tests/test_cell_workers.py
+++ b/tests/test_cell_workers.py
@@ -120,18 +120,7 @@
         (cells.entry('a'),), cells.config(maximum=maximum), epoch=2
     )
     old = cells.job('1', cells.step(3))
-    bench.send(
-        events.Restored(
-            0.0,
-            0,
-            (events.StoredJob(old, 1),),
-            {},
-            (),
-            (('b', 1, 'b:80'),),
-            doubt_until=7.0,
-            version=3,
-        )
-    )
+    bench.restore(old, silent='b')
     assert not bench.of(effects.StartRun)
     bench.version = 10
     assert len(bench.accept(cells.job('2', cells.step(3)))) == 1
@@ -139,18 +128,7 @@
 
 def test_tasks_that_a_silent_worker_may_run_wait_for_the_doubt_to_end():
     bench = cells.Bench((cells.entry('a'),), epoch=2)
-    bench.send(
-        events.Restored(
-            0.0,
-            0,
-            (events.StoredJob(cells.job('1'), 1),),
-            {},
-            (),
-            (('b', 1, 'b:80'),),
-            doubt_until=7.0,
-            version=3,
-        )
-    )
+    bench.restore(cells.job('1'), silent='b')
     assert not _fail_holds(bench, 'b', 6.5)
     assert _fail_holds(bench, 'b', 1.0)
 
@@ -210,18 +188,7 @@
 def test_a_step_whose_turn_comes_under_the_new_owner_is_not_in_doubt():
     bench = cells.Bench((cells.entry('a'),), epoch=2)
     job = cells.job('1', cells.step(1), cells.step(1, after=(0,)))
-    bench.send(
-        events.Restored(
-            0.0,
-            0,
-            (events.StoredJob(job, 1),),
-            {},
-            (),
-            (('b', 1, 'b:80'),),
-            doubt_until=7.0,
-            version=3,
-        )
-    )
+    bench.restore(job, silent='b')
     first = f'{job.id}.0.0.0'
     bench.hold('a', (events.RunListed(first, 1, '', 10),))
     ended = events.RunEnded(1, first, 1, model.Ending.DONE, '')
@@ -233,18 +200,7 @@
 def test_a_step_that_the_former_owner_may_have_started_is_in_doubt():
     bench = cells.Bench((cells.entry('a'),), epoch=2)
     job = cells.job('1', cells.step(1), cells.step(1, after=(0,)))
-    bench.send(
-        events.Restored(
-            0.0,
-            0,
-            (events.StoredJob(job, 1),),
-            {},
-            (),
-            (('b', 1, 'b:80'),),
-            doubt_until=7.0,
-            version=3,
-        )
-    )
+    bench.restore(job, silent='b')
     # Ended before this owner had heard of it: the former may have gone on.
     first = f'{job.id}.0.0.0'
     ended = events.RunEnded(1, first, 1, model.Ending.DONE, '')
