Log what tells the causes of a doubled run apart

The lines of a run that was started twice did not say which ownership gave each order, how old the reading of the worker's clock was when its lease was computed, nor which incarnation a refused order had named. A worker that reported a run after its owner had dropped it left no line at all.

- tasks_placed has the run numbers, and so the epochs.
- run_gone has the phase and incarnation, when the run was confirmed, when the worker last answered, how long ago the lease ended, and the age of the reading of the clock that the lease was computed from.
- start_not_confirmed and the new worker_replaced have the incarnation that the order named beside the current one; StartAnswered and StopAnswered carry it.
- worker_fenced and doubt_over tell how a takeover settled each worker.
- dropped_run_reported tells that a run was dropped too early.
It is an alarm.

No decision changes.

--- a/packages/cell/celeryshift_cell/_leases.py
+++ b/packages/cell/celeryshift_cell/_leases.py
@@ -15,6 +15,7 @@
     lease_s = cell.options.lease_s
     max_local_s = lease_s / (1 - cell.options.clock_drift) + ROUNDING_S
     worker.lease_until = max(worker.lease_until, cell.now + max_local_s)
+    worker.lease_clock_age_s = cell.now - worker.clock_read_at
     return int((cell.now + lease_s) * 1000 + worker.clock_offset_ms)
 
 
@@ -23,3 +24,4 @@
 ) -> None:
     """Update the clock offset of a worker from a response just received."""
     worker.clock_offset_ms = clock_ms - cell.now * 1000
+    worker.clock_read_at = cell.now
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -65,6 +65,7 @@
             step=step.name,
             priority=step.job.queue.priority,
             workers=dict(cell.placements),
+            runs=_run_numbers(step, cell.placements),
             waited_ms=round((cell.now - step.ready_at) * 1000),
             left=len(step.pending),
             config=cell.config.version,
@@ -78,6 +79,13 @@
     return placed
 
 
+def _run_numbers(
+    step: _state.StepRun, placements: dict[int, str]
+) -> dict[int, int]:
+    """Return the run numbers of the tasks that were just placed."""
+    return {index: step.tasks[index].last_run for index in placements}
+
+
 def _record_wait(cell: _state.Cell, step: _state.StepRun) -> None:
     """Reserve what a waiting step needs next and log why it waits."""
     if step.blocked_by_limit:
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -1,5 +1,6 @@
 """Life cycle of runs: orders to workers, their responses, and results."""
 
+from celeryshift_cell import _dropped_runs
 from celeryshift_cell import _headroom
 from celeryshift_cell import _health
 from celeryshift_cell import _jobs
@@ -194,11 +195,14 @@
         worker=event.worker_id,
         outcome=outcome.value,
         after_ms=round((cell.now - run.since) * 1000),
+        phase=run.phase.value,
+        life=worker.entry.incarnation,
+        ordered_life=event.incarnation,
     )
     if outcome is Outcome.FENCED:
         cell.emit(effects.StepDown(event.worker_id))
     if outcome is Outcome.OTHER_INCARNATION:
-        handle_other_incarnation(cell, worker)
+        handle_other_incarnation(cell, worker, 'start', event.incarnation)
     elif outcome in NOT_STARTED:
         _revert_start(cell, run, outcome)
     elif outcome is Outcome.UNKNOWN:
@@ -303,6 +307,7 @@
             )
         )
         return None
+    _dropped_runs.log_report(cell, worker, task, status.run, 'running')
     other_runs = len(task.runs)
     run = _register_run(cell, task, status.run, worker)
     cell.log_decision(
@@ -383,14 +388,7 @@
 
 
 def _drop_run(cell: _state.Cell, run: _state.Run, reason: str) -> None:
-    cell.log_decision(
-        'run_gone',
-        job=run.task.step.job.spec.id,
-        task=run.task.name,
-        run=run.number,
-        worker=run.worker.id,
-        why=reason,
-    )
+    _dropped_runs.record(cell, run, reason)
     detach(cell, run)
     if run.task.step.spec.is_gang:
         stop_gang(cell, run.task.step, run.number)
@@ -406,6 +404,10 @@
         cell.early_completions.append((cell.now, worker.id, completion))
         return
     run = worker.runs.get((completion.task, completion.run))
+    if run is None:
+        _dropped_runs.log_report(
+            cell, worker, task, completion.run, completion.result.value
+        )
     task.last_run = max(task.last_run, completion.run)
     if completion.checkpoint:
         task.checkpoint = completion.checkpoint
@@ -471,8 +473,19 @@
     new.lease_until = old.lease_until
 
 
-def handle_other_incarnation(cell: _state.Cell, worker: _state.Worker) -> None:
+def handle_other_incarnation(
+    cell: _state.Cell, worker: _state.Worker, order: str, incarnation: int
+) -> None:
     """Drop all runs of a worker once another incarnation rejects an order."""
+    cell.log_decision(
+        'worker_replaced',
+        worker=worker.id,
+        by=order,
+        life=worker.entry.incarnation,
+        ordered_life=incarnation,
+        address=worker.entry.address,
+        runs=len(worker.runs),
+    )
     drop_confirmed_runs(cell, worker, 'another worker answers')
     for run in list(worker.runs.values()):
         # Start orders that arrive later are rejected as well.
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -84,6 +84,10 @@
     failed_on: set[str] = attrs.field(factory=set)
     # Workers that the task was moved away from.
     avoided_workers: set[str] = attrs.field(factory=set)
+    # Why and when runs were dropped without a result, by (worker id, number).
+    dropped_runs: dict[tuple[str, int], tuple[str, float]] = attrs.field(
+        factory=dict
+    )
 
 
 @attrs.define(slots=True, eq=False)
@@ -202,6 +206,9 @@
     unknown_runs: set[tuple[str, int]] = attrs.field(factory=set)
     # The worker's clock minus the local clock, at the last response.
     clock_offset_ms: float = 0.0
+    # When that response arrived, and its age when the lease was last extended.
+    clock_read_at: float = 0.0
+    lease_clock_age_s: float = 0.0
     # Numbers of the last completion processed and of the last one stored.
     last_completion: int = 0
     last_stored_completion: int = 0
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -163,6 +163,15 @@
     _leases.update_clock_offset(cell, worker, event.clock_ms)
     was_fenced = worker.is_fenced
     worker.is_fenced = True
+    if worker.id in cell.unfenced:
+        cell.log_decision(
+            'worker_fenced',
+            worker=worker.id,
+            runs=len(event.running),
+            ended=len(event.ended),
+            after_ms=round((cell.now - cell.restored_at) * 1000),
+            unfenced=len(cell.unfenced) - 1,
+        )
     cell.unfenced.discard(worker.id)
     for completion in event.ended:
         if completion.number > worker.last_completion:
@@ -230,7 +239,7 @@
         cell.emit(effects.StepDown(event.worker_id))
         return
     if event.outcome is events.Outcome.OTHER_INCARNATION:
-        _runs.handle_other_incarnation(cell, worker)
+        _runs.handle_other_incarnation(cell, worker, 'poll', event.incarnation)
         return
     is_unknown = event.outcome is events.Outcome.UNKNOWN
     if is_unknown and not (worker.is_suspect or worker.is_silent):
@@ -272,7 +281,12 @@
 def expire_leases(cell: _state.Cell) -> None:
     """Drop the runs and workers whose leases have certainly expired."""
     if cell.unfenced and cell.now > cell.in_doubt_until:
-        cell.log_decision('doubt_over', workers=len(cell.unfenced))
+        cell.log_decision(
+            'doubt_over',
+            workers=len(cell.unfenced),
+            unfenced=sorted(cell.unfenced),
+            after_ms=round((cell.now - cell.restored_at) * 1000),
+        )
         cell.unfenced.clear()
         unblock_all(cell)
     for worker in list(cell.workers.values()):
--- a/packages/cell/celeryshift_cell/events.py
+++ b/packages/cell/celeryshift_cell/events.py
@@ -84,6 +84,8 @@
 
     now: float
     worker_id: str
+    # The incarnation that the order was sent to.
+    incarnation: int
     task: str
     run: int
     outcome: Outcome
@@ -95,6 +97,8 @@
 
     now: float
     worker_id: str
+    # The incarnation that the order was sent to.
+    incarnation: int
     task: str
     run: int
     outcome: Outcome
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -123,6 +123,7 @@
                 events.StartAnswered(
                     time.monotonic(),
                     order.worker_id,
+                    order.incarnation,
                     order.task,
                     order.run,
                     events.Outcome.NOT_SENT,
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -167,7 +167,12 @@
         """Answer a start order."""
         return self.send(
             events.StartAnswered(
-                0.0, order.worker_id, order.task, order.run, outcome
+                0.0,
+                order.worker_id,
+                order.incarnation,
+                order.task,
+                order.run,
+                outcome,
             )
         )
 
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -223,7 +223,12 @@
         def answer(outcome: Outcome) -> None:
             self.feed(
                 event_type(
-                    0.0, order.worker_id, order.task, order.run, outcome
+                    0.0,
+                    order.worker_id,
+                    order.incarnation,
+                    order.task,
+                    order.run,
+                    outcome,
                 )
             )
 
--- a/tests/test_cell_workers.py
+++ b/tests/test_cell_workers.py
@@ -79,7 +79,9 @@
     assert not bench.effects_of(effects.StartRun)
     bench.tick(0.5)
     bench.send(
-        events.StopAnswered(0.0, 'a', stop.task, stop.run, Outcome.DONE)
+        events.StopAnswered(
+            0.0, 'a', stop.incarnation, stop.task, stop.run, Outcome.DONE
+        )
     )
     bench.tick()
     bench.answer_poll('a')
@@ -239,7 +241,9 @@
     (stop,) = bench.effects_of(effects.StopRun)
     bench.now += 0.005
     bench.send(
-        events.StopAnswered(0.0, 'a', stop.task, stop.run, Outcome.DONE)
+        events.StopAnswered(
+            0.0, 'a', stop.incarnation, stop.task, stop.run, Outcome.DONE
+        )
     )
     assert [poll.wait_ms for poll in bench.effects_of(effects.PollWorker)] == [
         0
@@ -401,3 +405,18 @@
     bench.answer_poll('a', (), ends[:1])
     (start,) = bench.accept(job)
     assert start.task == ends[1].task
+
+
+def test_a_report_of_a_dropped_run_is_logged():
+    bench = cells.Bench((cells.entry('a'),))
+    (order,) = bench.accept(cells.job('j'))
+    bench.answer_start(order)
+    _silence(bench, 'a')
+    _fail_polls(bench, 'a', MAX_LEASE_S + 0.5)
+    bench.answer_poll('a', (events.RunStatus(order.task, order.run, '', 10),))
+    (line,) = [
+        line.fields
+        for line in bench.effects_of(effects.LogDecision)
+        if line.decision == 'dropped_run_reported'
+    ]
+    assert (line['run'], line['why']) == (order.run, 'lease ran out')
