Tests that show leases that outlast their end by the owner's clock

A task of a worker that was cut off after it had idled started elsewhere while the worker still ran it.

The end of a lease is computed with the offset that the worker's clock had in its last poll. An idle worker is not polled, and its clock may be 2 % slow, so the lease lasts longer by 2 % of the time since, up to max_hold_ms (6 s), while the owner counts it as expired after 4.13 s. On the reducer, with a clock that is 2 % slow, the task starts elsewhere before the lease ends by that clock: by 0.04 s after 5 s of idling, 0.14 s after 10 s, 0.54 s after 30 s, and 1.94 s after 120 s and 600 s. After 1 s the margin for rounding covers it.

simulate_idle_phases in test_cell_random runs tasks of 4 to 10 s after idle phases of 5 to 120 s, on workers whose clocks are exact or at the slow bound, and cuts two of five workers off within 2 s.

Why the seeds missed it: tasks ran for at most 2 s, less than a lease, so a run on a silent worker had always ended. The stand-in for the platform has exact clocks.

--- a/tests/cells.py
+++ b/tests/cells.py
@@ -79,6 +79,8 @@
     ) -> None:
         self.state = cell.Cell(epoch, options or cell.Options())
         self.now = 0.0
+        # Rates of the workers' clocks, by worker id.
+        self.clock_rates: dict[str, float] = {}
         self.version = 0
         self.last_effects: list[effects.Effect] = []
         self.send(events.ConfigChanged(0.0, configuration or config()))
@@ -104,6 +106,10 @@
         self.now += seconds
         return self.send(events.Ticked(0.0, int(self.now * 1000)))
 
+    def clock_ms(self, worker: str) -> float:
+        """Return a worker's clock."""
+        return self.now * self.clock_rates.get(worker, 1.0) * 1000
+
     def join(self, *entries: model.WorkerEntry) -> None:
         """Add workers and answer the first poll of each."""
         self.send(events.WorkersChanged(0.0, entries))
@@ -128,7 +134,7 @@
                 at,
                 worker,
                 incarnation,
-                int(self.now * 1000),
+                int(self.clock_ms(worker)),
                 running,
                 ended,
             )
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -29,6 +29,8 @@
 OWNER_LEASE_S = 0.8
 # Lease and clock drift of workers, equal to the defaults of ``Options``.
 LEASE_S = 4.0
+# Maximum lease that a worker grants.
+MAX_HOLD_S = 6.0
 DRIFT = 0.02
 NEVER = float('inf')
 # Default resource limit of the team.
@@ -90,7 +92,7 @@
             return Outcome.STALE_RUN
         if order.deadline_ms < self.clock_ms:
             return Outcome.DEADLINE_PASSED
-        self.lease_until_ms = max(self.lease_until_ms, order.deadline_ms)
+        self._extend_lease(order.deadline_ms)
         self.sim.check_start(self, order)
         run_s = self.sim.duration_s(order.task)
         self.running[key] = self.sim.now + run_s
@@ -127,6 +129,10 @@
         for answer in waiting:
             answer()
 
+    def _extend_lease(self, deadline_ms: float) -> None:
+        granted_ms = min(deadline_ms, self.clock_ms + MAX_HOLD_S * 1000)
+        self.lease_until_ms = max(self.lease_until_ms, granted_ms)
+
     def expire_lease(self) -> None:
         """End all runs if the lease has expired."""
         if self.clock_ms > self.lease_until_ms:
@@ -156,7 +162,7 @@
             return rejection
         self.expire_lease()
         if order.deadline_ms is not None:
-            self.lease_until_ms = max(self.lease_until_ms, order.deadline_ms)
+            self._extend_lease(order.deadline_ms)
         for completion in self.ended:
             if completion.number <= order.stored_completion:
                 self.sim.record_stored(completion)
--- a/tests/test_cell_random.py
+++ b/tests/test_cell_random.py
@@ -3,6 +3,7 @@
 To run a range of seeds: ``python -m tests.test_cell_random 100 400``.
 """
 
+import itertools
 import sys
 
 import attrs
@@ -21,11 +22,20 @@
     62: 'an order cut off on its way was never answered here',
     368: 'copies were started before the workers had been heard',
 }
+# Seeds of the simulation with idle phases, which failed when leases were based
+# on old readings of the workers' clocks.
+IDLE_SEEDS = (0, 1, 9, 17, 41, 49, 55, 85)
 FAULTS_S = 30.0
 # Time after the last fault by which all leases have expired, no run is in
 # doubt any more, and all jobs have ended.
 SETTLE_S = 60.0
 JOBS = 40
+# Factors between estimates and run times that outlast a lease.
+LONG_RUN_RANGE = (4.0, 10.0)
+IDLE_PHASES = 3
+IDLE_RANGE_S = (5.0, 120.0)
+# Time by which the job that follows an idle phase has ended.
+LONG_SETTLE_S = 300.0
 # Interval at which a worker publishes its entry. The platform documents that
 # the entry is back within two seconds.
 REPUBLISH_S = 1.5
@@ -111,6 +121,49 @@
     sim.schedule(duration_s, lambda: setattr(sim, 'store_open', True))
 
 
+def simulate_idle_phases(seed: int) -> cellsim.Sim:
+    """Run long tasks after idle phases, and cut workers off at their start.
+
+    Raises ``InvariantError`` as ``simulate`` does.
+    """
+    sim = cellsim.Sim(seed)
+    sim.duration_range = LONG_RUN_RANGE
+    for worker in sim.workers.values():
+        worker.clock_rate = sim.random.choice((1.0, 1 - cellsim.DRIFT))
+    for number in range(IDLE_PHASES):
+        sim.run(sim.now + sim.random.uniform(*IDLE_RANGE_S))
+        sim.submit(_random_job(sim, number))
+        for worker in sim.random.sample(list(sim.workers.values()), 2):
+            sim.schedule(
+                sim.random.uniform(0, 2),
+                lambda w=worker: _disconnect(sim, w, sim.random.uniform(3, 9)),
+            )
+        if sim.random.random() < 0.2:
+            sim.schedule(
+                sim.random.uniform(0, 2), lambda: sim.take_over(is_dead=True)
+            )
+        _settle(sim)
+    return sim
+
+
+def _settle(sim):
+    """Run until all jobs have ended."""
+    until = sim.now + LONG_SETTLE_S
+    while sim.jobs and sim.now < until:
+        sim.run(sim.now + 1)
+    _check_all_ended(sim)
+
+
+def _check_all_ended(sim):
+    unfinished = set(sim.jobs)
+    if unfinished:
+        first = min(unfinished)
+        explanation = cellsim.cell.explain(sim.owner.state, first)
+        raise cellsim.InvariantError(
+            f'{len(unfinished)} jobs never end: {first} {explanation}'
+        )
+
+
 def simulate(seed: int) -> cellsim.Sim:
     """Run the simulation of a seed to its end.
 
@@ -128,13 +181,7 @@
             sim.random.uniform(1, FAULTS_S), lambda: _inject_fault(sim)
         )
     sim.run(FAULTS_S + SETTLE_S)
-    unfinished = set(sim.jobs)
-    if unfinished:
-        first = min(unfinished)
-        explanation = cellsim.cell.explain(sim.owner.state, first)
-        raise cellsim.InvariantError(
-            f'{len(unfinished)} jobs never end: {first} {explanation}'
-        )
+    _check_all_ended(sim)
     return sim
 
 
@@ -144,10 +191,19 @@
     assert len(sim.final_states) == JOBS
 
 
+@pytest.mark.parametrize('seed', IDLE_SEEDS)
+def test_no_lease_lasts_too_long_after_idle_phases(seed):
+    sim = simulate_idle_phases(seed)
+    assert len(sim.final_states) == IDLE_PHASES
+
+
+SIMULATIONS = (simulate, simulate_idle_phases)
+
+
 if __name__ == '__main__':
     first, last = (int(text) for text in sys.argv[1:3])
-    for number in range(first, last):
+    for number, run in itertools.product(range(first, last), SIMULATIONS):
         try:
-            simulate(number)
+            run(number)
         except cellsim.InvariantError as error:
-            sys.stdout.write(f'seed {number}: {error}\n')
+            sys.stdout.write(f'{run.__name__} {number}: {error}\n')
