Count a worker's lease from the earliest time its clock may show

What callers saw: two runs of a task at once. A worker that had idled was cut off soon after a start; the owner took its lease as expired and started its tasks elsewhere, while the worker still ran them.

Cause: the deadline of an order was computed with the offset that the worker's clock had in its last poll. An idle worker is not polled, and its clock may be 2 % slow, so its lease lasted longer by 2 % of the time since. Answers to starts and stops did not renew the offset.

The owner now keeps a lower bound of each worker's clock: the highest of the readings so far, each advanced by the elapsed time at the slowest rate. A lease counted from this bound ends at the latest after lease_s / (1 - clock_drift) by the owner's clock, whatever the age of the reading; that is what lease_until and in_doubt_until assume. Every answer of the worker's current incarnation that has clock_ms renews the bound; a delayed answer does not lower it.

With the bound, the lease of a worker whose clock is exact gets shorter by 2 % of the age, and would be over at once after 200 s. Workers without a reading for 30 s are therefore polled, at most 1 % of the workers at a time, so that the owner is not held up. That is 20 polls of a worker in 10 minutes of idling, and leases of at least 3 s, with exact and with slow clocks.

--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -14,6 +14,11 @@
     # Leases are measured on the worker's clock, which may be slow by up to
     # this fraction.
     clock_drift: float = 0.02
+    # Age of the last reading of a worker's clock at which the worker is polled
+    # even if it is idle. Leases may be shorter by ``clock_drift`` of that age.
+    clock_refresh_s: float = 30.0
+    # Share of the workers that are polled for this reason at a time.
+    clock_refresh_share: float = 0.01
     # How long a poll waits for a completion. If its response is lost, all
     # completions of that period are reported late. If the owner dies, the
     # workers' leases may have been extended that long ago, and so expire that
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -204,8 +204,9 @@
     # Reported runs of unknown jobs, as (task name, run number). The jobs were
     # evicted or have not arrived yet, so the runs' size is unknown too.
     unknown_runs: set[tuple[str, int]] = attrs.field(factory=set)
-    # The worker's clock minus the local clock, at the last response.
-    clock_offset_ms: float = 0.0
+    # Earliest time that the worker's clock may have shown when its last
+    # response arrived.
+    min_clock_ms: float = float('-inf')
     # When that response arrived, and its age when the lease was last extended.
     clock_read_at: float = 0.0
     lease_clock_age_s: float = 0.0
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -1,5 +1,7 @@
 """Workers that join and leave, and the polls that track their runs."""
 
+import math
+
 import attrs
 
 from celeryshift_cell import _fillers
@@ -126,9 +128,13 @@
 
 
 def poll_due(cell: _state.Cell) -> None:
-    """Poll the workers that are due."""
+    """Poll the workers that are due, and some with an old clock reading."""
+    refreshes = math.ceil(cell.options.clock_refresh_share * len(cell.workers))
     for worker in cell.workers.values():
         if worker.poll_at is None or worker.poll_at > cell.now:
+            if refreshes and _is_clock_poll_due(cell, worker):
+                refreshes -= 1
+                _poll(cell, worker, 0)
             continue
         if worker.polls_in_flight > 1 or (
             worker.polls_in_flight and not worker.is_silent
@@ -141,6 +147,32 @@
         _poll(cell, worker, 0 if is_immediate else cell.options.poll_wait_ms)
 
 
+def _is_clock_poll_due(cell: _state.Cell, worker: _state.Worker) -> bool:
+    return (
+        worker.is_fenced
+        and worker.is_listed
+        and not worker.is_silent
+        and not worker.polls_in_flight
+        and _leases.needs_reading(cell, worker)
+    )
+
+
+def _record_clock(
+    cell: _state.Cell,
+    event: events.StartAnswered | events.StopAnswered | events.PollFailed,
+) -> None:
+    worker = cell.workers.get(event.worker_id)
+    if worker is None or event.clock_ms is None:
+        return
+    # Each incarnation has a clock of its own.
+    is_current = (
+        worker.entry.incarnation == event.incarnation
+        and event.outcome is not events.Outcome.OTHER_INCARNATION
+    )
+    if is_current:
+        _leases.record_clock(cell, worker, event.clock_ms)
+
+
 def handle_poll_answered(
     cell: _state.Cell, event: events.PollAnswered
 ) -> None:
@@ -160,7 +192,7 @@
         worker.is_silent or worker.is_suspect or bool(worker.unknown_runs)
     )
     worker.is_silent = worker.is_suspect = False
-    _leases.update_clock_offset(cell, worker, event.clock_ms)
+    _leases.record_clock(cell, worker, event.clock_ms)
     was_fenced = worker.is_fenced
     worker.is_fenced = True
     if worker.id in cell.unfenced:
@@ -231,6 +263,7 @@
 
 def handle_poll_failed(cell: _state.Cell, event: events.PollFailed) -> None:
     """Handle a poll that failed or reached another incarnation."""
+    _record_clock(cell, event)
     worker = cell.workers.get(event.worker_id)
     if worker is None or worker.entry.incarnation != event.incarnation:
         return
@@ -258,6 +291,7 @@
     cell: _state.Cell, event: events.StartAnswered
 ) -> None:
     """Handle the outcome of a start order; poll the worker if in doubt."""
+    _record_clock(cell, event)
     worker = _runs.handle_start_answered(cell, event)
     if worker is not None and not (worker.is_suspect or worker.is_silent):
         probe(cell, worker)
@@ -267,6 +301,7 @@
     cell: _state.Cell, event: events.StopAnswered
 ) -> None:
     """Handle the outcome of a stop order; poll the worker if needed."""
+    _record_clock(cell, event)
     worker = _runs.handle_stop_answered(cell, event)
     if worker is not None and not worker.is_silent:
         _poll(cell, worker, 0)
--- a/packages/cell/celeryshift_cell/events.py
+++ b/packages/cell/celeryshift_cell/events.py
@@ -89,6 +89,8 @@
     task: str
     run: int
     outcome: Outcome
+    # Clock of the incarnation that answered, if it told.
+    clock_ms: int | None = None
 
 
 @attrs.frozen(slots=True)
@@ -102,6 +104,8 @@
     task: str
     run: int
     outcome: Outcome
+    # Clock of the incarnation that answered, if it told.
+    clock_ms: int | None = None
 
 
 @attrs.frozen(slots=True)
@@ -150,6 +154,7 @@
     worker_id: str
     incarnation: int
     outcome: Outcome
+    clock_ms: int | None = None
 
 
 @attrs.frozen(slots=True)
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -179,6 +179,7 @@
                 order.task,
                 order.run,
                 outcome,
+                int(self.clock_ms(order.worker_id)),
             )
         )
 
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -229,7 +229,7 @@
         epoch = self.state.epoch
         settled = []
 
-        def answer(outcome: Outcome) -> None:
+        def answer(outcome: Outcome, clock_ms: int | None = None) -> None:
             if settled:
                 return
             settled.append(True)
@@ -241,6 +241,7 @@
                     order.task,
                     order.run,
                     outcome,
+                    clock_ms,
                 )
             )
 
@@ -248,8 +249,11 @@
             if not worker.is_reachable:
                 return
             outcome = carry_out(worker, order, epoch)
+            clock_ms = int(worker.clock_ms)
             if not lost:
-                self.sim.schedule(ROUND_TRIP_S / 2, lambda: answer(outcome))
+                self.sim.schedule(
+                    ROUND_TRIP_S / 2, lambda: answer(outcome, clock_ms)
+                )
 
         chance = self.sim.random.random()
         late = chance < self.sim.late_share
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,11 +1,18 @@
-"""Decoding of valid and invalid settings, store entries and jobs."""
+"""Decoding of settings, store entries, jobs and answers of workers."""
+
+import asyncio
+import time
+from unittest import mock
 
 import pytest
 
+from celeryshift_cell import effects
 from celeryshift_cell import model
 from celeryshift_cellnode import errors
+from celeryshift_net import exchanges
 from celeryshift_platform import _decode
 from celeryshift_platform import _settings
+from celeryshift_platform import _workers
 
 SETTINGS = {
     'node': 'front-a-1',
@@ -60,6 +67,31 @@
     assert (entry.kind, entry.rack) == ('a', 'r1-3')
 
 
+@pytest.mark.parametrize(
+    ('status', 'body', 'clock_ms'),
+    [
+        (200, b'{"clock_ms":482113}', 482113),
+        (409, b'{"clock_ms":482113,"reason":"late"}', 482113),
+        (503, b'', None),
+        (400, b'[]', None),
+        (200, b'{"clock_ms":"soon"}', None),
+    ],
+)
+def test_the_clock_is_decoded_from_every_answer_that_has_it(
+    monkeypatch, status, body, clock_ms
+):
+    async def exchange(*_):
+        return status, body
+
+    monkeypatch.setattr(exchanges, 'exchange', exchange)
+    workers = _workers.Workers(mock.Mock())
+    start = effects.StartRun('i-1', 1, 'a:80', 't', 1, '', '', '', 5)
+    stop = effects.StopRun('i-1', 1, 'a:80', 't', 1)
+    started = asyncio.run(workers.start(start, 1, time.monotonic))
+    stopped = asyncio.run(workers.stop(stop, 1, time.monotonic))
+    assert started.clock_ms == stopped.clock_ms == clock_ms
+
+
 @pytest.mark.parametrize(
     'value',
     [
