A test that shows runs dropped at a takeover before their lease ends

A data centre that was cut off just after a takeover, before the new owner had extended the lease of a worker that it had heard: the runs found on the worker started elsewhere at once, 0.3 s after the takeover and 6.7 s before the former owner's lease had certainly ended.

The new owner takes lease_until of the worker, which is 0, as its end. It extends the lease with the next poll, but that poll waits for 0.4 s if the worker listed ended runs; the probe of a silent data centre comes first, and does not extend it.

--- a/tests/test_cell_leases.py
+++ b/tests/test_cell_leases.py
@@ -1,10 +1,12 @@
 """Leases of workers, by clocks of their own that may run slow."""
 
+import attrs
 import pytest
 from tests import cells
 
 from celeryshift_cell import effects
 from celeryshift_cell import events
+from celeryshift_cell import model
 
 Outcome = events.Outcome
 # Rate of the slowest clock that the platform allows.
@@ -151,3 +153,31 @@
     bench.send(events.PollAnswered(0.0, 8.0, 'a', 1, 8000, (), ()))
     (order,) = bench.accept(cells.job('j'))
     assert order.deadline_ms - bench.clock_ms('a') > MIN_LEASE_MS
+
+
+def test_runs_found_at_a_takeover_start_elsewhere_before_their_lease_ends():
+    # A data centre was cut off before the new owner had extended the lease.
+    bench = cells.Bench(epoch=2)
+    job = cells.job('1', cells.step(3))
+    bench.restore(job, silent='a')
+    entries = tuple(
+        attrs.evolve(cells.entry(name, cores=2), data_centre=data_centre)
+        for name, data_centre in (('a', 'x'), ('b', 'x'), ('c', 'y'))
+    )
+    bench.send(events.WorkersChanged(0.0, entries))
+    names = [f'{job.id}.0.0.{index}' for index in range(3)]
+    running = tuple(events.RunStatus(name, 1, '', 10) for name in names[:2])
+    ended = events.RunCompletion(1, names[2], 1, model.RunResult.FAILED, '')
+    bench.answer_poll('b')
+    bench.answer_poll('a', running, (ended,))
+    bench.answer_poll('c')
+    starts = []
+    while bench.now < bench.state.in_doubt_until:
+        starts += bench.effects_of(effects.StartRun)
+        bench.tick(TICK_S)
+        for poll in bench.effects_of(effects.PollWorker):
+            if poll.worker_id == 'a':
+                failed = events.PollFailed(0.0, 'a', 1, Outcome.UNKNOWN)
+                bench.send(failed)
+                starts += bench.effects_of(effects.StartRun)
+    assert not {start.task for start in starts} & set(names[:2])
