A worker's lease after a takeover includes the former owner's

What callers saw: two runs of a task at once after a takeover, when a data centre was cut off just then.

The runs found on the worker were dropped with "lease ran out" as soon as it was silent, while the lease from the former owner lasted.

When a worker first answers, lease_until is now at least in_doubt_until, until which the orders of the former owner may have an effect. It matters only for workers that fall silent within that time.

--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -195,6 +195,9 @@
     _leases.record_clock(cell, worker, event.clock_ms)
     was_fenced = worker.is_fenced
     worker.is_fenced = True
+    if not was_fenced:
+        # The former owner may have extended the lease until then.
+        worker.lease_until = max(worker.lease_until, cell.in_doubt_until)
     if worker.id in cell.unfenced:
         cell.log_decision(
             'worker_fenced',
