Tests that fail: takeovers by one node, workers cut off after one answer

The random simulation gets takeovers: the same node acquires the cell again, at times twice, on a slow store, beside entries of workers that are missing, and with a data centre that is cut off some milliseconds after its workers have answered the new owner.

Also, a simulated order to a worker that was cut off while the order was under way was never answered; it now times out as the others do.

--- a/tests/cellnodes.py
+++ b/tests/cellnodes.py
@@ -91,6 +91,8 @@
         self.access = StoreAccess(store)
         self.decisions: list[str] = []
         self.acquired_at: list[float] = []
+        # Until when the former owner may act, by the last ownership.
+        self.former_owner_until = 0.0
         self.lost_at: list[float] = []
         watched = _watchedstore.WatchedStore(self.access, self.log_decision)
         self.membership = _membership.Membership(
@@ -117,6 +119,7 @@
         self, owner: _schema.Owner, version: int, former_owner_until: float
     ) -> None:
         self.acquired_at.append(asyncio.get_running_loop().time())
+        self.former_owner_until = former_owner_until
         self.tasks.append(asyncio.create_task(self._renew()))
 
     def _on_lost(self, reason: str) -> None:
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -47,6 +47,10 @@
         self.entry = entry
         self.clock_rate = 1 - sim.random.random() * DRIFT
         self.is_reachable = True
+        # The worker's entry is missing before this time. Once the worker is
+        # cut off, it remains until the second one.
+        self.entry_from = 0.0
+        self.entry_until = 0.0
         self.reset(1)
 
     def reset(self, incarnation: int) -> None:
@@ -64,6 +68,13 @@
         # Callbacks that answer the polls in progress.
         self.waiting: list[Any] = []
 
+    @property
+    def has_entry(self) -> bool:
+        """Return whether the store has the worker's entry."""
+        now = self.sim.now
+        is_alive = self.is_reachable or now < self.entry_until
+        return is_alive and now >= self.entry_from
+
     @property
     def clock_ms(self) -> float:
         """Return the worker's clock."""
@@ -219,8 +230,12 @@
     ) -> None:
         worker = self.sim.workers[order.worker_id]
         epoch = self.state.epoch
+        settled = []
 
         def answer(outcome: Outcome) -> None:
+            if settled:
+                return
+            settled.append(True)
             self.feed(
                 event_type(
                     0.0,
@@ -242,8 +257,7 @@
         chance = self.sim.random.random()
         late = chance < self.sim.late_share
         lost = late or chance > 1 - self.sim.lost_share
-        if lost or not worker.is_reachable:
-            self.sim.schedule(ORDER_TIMEOUT_S, lambda: answer(Outcome.UNKNOWN))
+        self.sim.schedule(ORDER_TIMEOUT_S, lambda: answer(Outcome.UNKNOWN))
         delay_s = self.sim.random.uniform(1, 8) if late else ROUND_TRIP_S / 2
         self.sim.schedule(delay_s, arrive)
 
@@ -311,6 +325,7 @@
         self.late_share = 0.0
         self.lost_share = 0.0
         self.store_open = True
+        self.store_write_s = STORE_WRITE_S
         self.maximum = maximum
         # Range of the factor between estimates and run times.
         self.duration_range = (0.5, 2.0)
@@ -335,7 +350,7 @@
         self.specs: dict[str, model.Job] = {}
         self.owner: Owner
         Owner(self, 1)
-        self.owner.feed(self._listing())
+        self.owner.feed(self.listing())
 
     def schedule(self, delay_s: float, work: Any) -> None:
         """Schedule a callback after a delay."""
@@ -349,10 +364,9 @@
             work()
         self.now = until
 
-    def _listing(self) -> events.WorkersChanged:
-        entries = tuple(
-            w.entry for w in self.workers.values() if w.is_reachable
-        )
+    def listing(self) -> events.WorkersChanged:
+        """Return the list of the workers that have an entry."""
+        entries = tuple(w.entry for w in self.workers.values() if w.has_entry)
         return events.WorkersChanged(0.0, entries)
 
     def submit(self, job: model.Job) -> None:
@@ -372,7 +386,7 @@
         previous_until = self.now if is_dead else previous.owner_lease_until
         self.version += 1
         owner = Owner(self, previous.state.epoch + 1)
-        owner.feed(self._listing())
+        owner.feed(self.listing())
         lease_s = LEASE_S / (1 - DRIFT)
         owner.feed(
             events.Restored(
@@ -406,7 +420,7 @@
                 self.stored_workers = order.workers
             owner.feed(events.RecordsSaved(0.0))
 
-        self.schedule(STORE_WRITE_S, store)
+        self.schedule(self.store_write_s, store)
 
     def advise(self, owner: Owner, query: effects.RequestAdvice) -> None:
         """Answer a policy query, approving about 0.7 of the workers and w0."""
--- a/tests/test_cell_ownership.py
+++ b/tests/test_cell_ownership.py
@@ -8,6 +8,7 @@
 from celeryshift_cellnode import _election
 from celeryshift_cellnode import _ownership
 from celeryshift_cellnode import _schema
+from celeryshift_standins import rowstore
 
 # Upper bounds for a single takeover. The target is that half of the takeovers
 # from a killed owner take at most one second.
@@ -190,6 +191,69 @@
     assert view.takeover_reason(12.1, 0, me) == 'owner silent'
 
 
+def test_a_new_owner_is_not_taken_for_its_former_process():
+    # The node of the owner had restarted and acquired the cell again. A ping
+    # to the former process, answered late, marked the new one as ended, and
+    # the cell was taken from it while it acted.
+    async def work():
+        network = cellnodes.Network()
+        member = cellnodes.Member('b', rowstore.RowStore(), network)
+        view = member.ownership.view
+        view.update(1.0, _schema.Owner('a', 'a', 'a-1', 4), 7, 9)
+
+        async def answer_late(body):
+            view.update(2.0, _schema.Owner('a', 'a', 'a-2', 5), 10, 9)
+            return {'incarnation': 'a-2', 'is_leaving': False}
+
+        network.handlers['a'] = {'ping': answer_late}
+        await member.ownership._ping_owner()
+        assert not view.has_restarted
+
+    run(work)
+
+
+def test_a_late_resignation_does_not_replace_the_next_owner():
+    async def work():
+        members, _ = await cellnodes.start_members('a', 'b', 'c')
+        owner, (other, _) = cellnodes.split_owner(members)
+        version = other.ownership.view.owner_version
+        # Another node has acquired the cell since its former owner resigned.
+        await other.ownership.handle_resignation({'version': version - 1})
+        await asyncio.sleep(0.3)
+        assert owner.ownership.is_owner
+        assert not other.acquired_at
+
+    run(work)
+
+
+def test_a_promise_that_is_given_during_a_takeover_counts():
+    async def work():
+        members, _ = await cellnodes.start_members('a', 'b', 'c')
+        owner, others = cellnodes.split_owner(members)
+        for other in others:
+            other.access.answer_delay_s = 0.5
+        owner.kill()
+        candidate, *_ = sorted(others, key=lambda m: m.ownership._rank())
+        started_at = time.monotonic()
+        while (await _read_owner(owner.access.store)) == owner.node.name:
+            await asyncio.sleep(0.01)
+            assert time.monotonic() < started_at + 5
+        answer = await candidate.ownership.handle_promise_request(
+            {'heard': True}
+        )
+        promised_until = candidate.ownership.view.promised_until
+        await cellnodes.wait_until(lambda: candidate.acquired_at)
+        if answer['promised']:
+            assert candidate.former_owner_until >= promised_until
+
+    run(work)
+
+
+async def _read_owner(store):
+    row = store.rows['cells', _schema.CELL, _schema.OWNER_KEY]
+    return _schema.load(_schema.Owner, row.value).node
+
+
 def test_a_promise_is_kept():
     me = _schema.Node('b', 'b:1', 'x', 'here')
     view = _election.OwnerView()
--- /dev/null
+++ b/tests/test_cell_runner.py
@@ -0,0 +1,153 @@
+"""Events and effects of a cell that its runner handles."""
+
+import asyncio
+import time
+
+from tests import cells
+
+import celeryshift_cell as cell
+from celeryshift_cell import events
+from celeryshift_cell import model
+from celeryshift_cellnode import _election
+from celeryshift_cellnode import _groupwriter
+from celeryshift_cellnode import _metrics
+from celeryshift_cellnode import _runner
+from celeryshift_cellnode import _schema
+from celeryshift_standins import rowstore
+
+LEASE_S = 60.0
+
+
+class Workers:
+    """Workers that record start orders and leave polls unanswered."""
+
+    def __init__(self) -> None:
+        self.started: list[str] = []
+        # How long the connection of a start order takes.
+        self.connect_s = 0.0
+
+    async def start(self, order, fence, now):
+        """Record a start order once its connection is open."""
+        await asyncio.sleep(self.connect_s)
+        self.started.append(order.worker_id)
+        return events.StartAnswered(
+            now(),
+            order.worker_id,
+            order.incarnation,
+            order.task,
+            order.run,
+            events.Outcome.DONE,
+        )
+
+    async def poll(self, order, fence, now):
+        """Leave a poll unanswered; tests enqueue the answers."""
+        await asyncio.Event().wait()
+
+
+def _run(work):
+    async def bounded():
+        workers = Workers()
+        store = rowstore.RowStore()
+        store.put(_schema.CELLS, _schema.CELL, _schema.OWNER_KEY, b'me')
+        lease = _election.OwnerLease(time.monotonic() + LEASE_S)
+        writer = _groupwriter.GroupWriter(
+            store,
+            store.version,
+            0,
+            lease,
+            lambda *_, **__: None,
+            lambda _: None,
+        )
+        runner = _runner.Runner(
+            2,
+            cell.Options(),
+            lease,
+            workers,
+            None,  # type: ignore[arg-type]
+            writer,
+            lambda *_, **__: None,
+            _metrics.Metrics(),
+            lambda _: None,
+        )
+        async with asyncio.timeout(10):
+            await work(runner, workers)
+        runner.close()
+
+    asyncio.run(bounded())
+
+
+def _restore(runner, job):
+    now = time.monotonic()
+    runner.enqueue(events.ConfigChanged(now, cells.config()))
+    entries = (cells.entry('a'), cells.entry('b'))
+    runner.enqueue(events.WorkersChanged(now, entries))
+    runner.enqueue(
+        events.Restored(
+            now,
+            0,
+            (events.StoredJob(job, 1),),
+            {},
+            (),
+            (),
+            in_doubt_until=now + LEASE_S,
+            version=1,
+        )
+    )
+
+
+def _answer_poll(runner, worker, running=(), ended=()):
+    now = time.monotonic()
+    runner.enqueue(
+        events.PollAnswered(now, now, worker, 1, 1000, running, ended)
+    )
+
+
+def test_a_list_that_can_not_be_applied_is_not_taken_for_an_empty_one():
+    async def work(runner, workers):
+        job = cells.job('1', cells.step(2))
+        _restore(runner, job)
+        running = events.RunStatus(f'{job.id}.0.0.0', 1, '', 10)
+        malformed = events.RunCompletion(
+            1,
+            f'{job.id}.0.0.1',
+            None,  # type: ignore[arg-type]
+            model.RunResult.DONE,
+            '',
+        )
+        _answer_poll(runner, 'a', (running,), (malformed,))
+        await asyncio.sleep(0.05)
+        _answer_poll(runner, 'b')
+        await asyncio.sleep(0.2)
+        assert not workers.started
+
+    _run(work)
+
+
+def test_an_event_that_fails_does_not_take_others_with_it():
+    async def work(runner, workers):
+        _restore(runner, cells.job('1'))
+        await asyncio.sleep(0.05)
+        malformed = events.RunStatus('x', 1, '', 10)
+        runner.enqueue(
+            events.PollAnswered(0.0, 0.0, 'a', 1, None, (malformed,), ())
+        )
+        _answer_poll(runner, 'a')
+        _answer_poll(runner, 'b')
+        await asyncio.sleep(0.2)
+        assert len(workers.started) == 1
+
+    _run(work)
+
+
+def test_an_order_that_is_connecting_is_not_sent_after_the_ownership():
+    async def work(runner, workers):
+        workers.connect_s = 0.1
+        _restore(runner, cells.job('1'))
+        _answer_poll(runner, 'a')
+        _answer_poll(runner, 'b')
+        await asyncio.sleep(0.05)
+        runner.close()
+        await asyncio.sleep(0.2)
+        assert not workers.started
+
+    _run(work)
