A worker that answered a new owner once keeps its runs for a lease

A new owner adopted the runs that a worker reported, and 0.5 s later dropped them all with "lease ran out" and started them elsewhere, while the first runs went on.

Cause: a worker had no lease until this owner granted one. The poll that does so waits until the completions of the first answer are stored. If the worker became silent before that, by its own poll or as one of a data centre that answered no start, its lease was taken to have ended at time 0. The lease that the former owner had granted still ran for up to 4 s.

Fix: the first answer shows that the worker is fenced. Until then a former owner may have extended the lease, so it ends one lease after that answer.

Evidence: test_a_worker_that_answers_once_keeps_its_runs_for_a_lease failed before.

--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -163,6 +163,9 @@
     _leases.update_clock_offset(cell, worker, event.clock_ms)
     was_fenced = worker.is_fenced
     worker.is_fenced = True
+    if not was_fenced:
+        # A former owner may have extended the lease until just now.
+        _leases.extend(cell, worker)
     if worker.id in cell.unfenced:
         cell.log_decision(
             'worker_fenced',
