A new owner stores no list of workers before it has restored the state

What callers would see: two runs of a task at the same time, several tasks of a job at once, when an owner is replaced soon after it acquired the cell.

Cause: the reducer stores the list of workers as soon as it has changed. The events of a new owner come one after the other: the configuration, the workers that have an entry, and the stored state. So its first write replaced the stored list by an empty one, and the next write, one store call later, stored the complete one. An owner that took over in between, also the same node again, did not know workers without an entry, which the store loses when it is away or when they can't reach it. Their runs were not in doubt, and all tasks that ran there started elsewhere at once.

Fix: nothing is stored until the stored state has been restored; the first list then has both the recorded workers and those with an entry. The test bench and the simulation restore the first owner too, as a node does.

--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -62,6 +62,9 @@
 
 def save_dirty_jobs(cell: _state.Cell) -> None:
     """Save the changed jobs and workers, one transaction at a time."""
+    if not cell.is_restored:
+        # The list of workers still lacks those that only the stored one names.
+        return
     workers_changed = cell.workers_version != cell.stored_workers_version
     if cell.save_in_flight or not (cell.dirty_jobs or workers_changed):
         return
@@ -178,6 +181,7 @@
     cell.in_doubt_until = event.in_doubt_until
     cell.former_owner_until = event.former_owner_until
     cell.restored_at = event.now
+    cell.is_restored = True
     for worker_id, incarnation, address in event.workers:
         recorded = cell.workers.get(worker_id)
         if recorded is None:
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -423,6 +423,8 @@
     )
     # Until when the former owner may have sent orders.
     former_owner_until: float = float('-inf')
+    # Whether the stored state has been restored, and when.
+    is_restored: bool = False
     restored_at: float = 0.0
     # What teams may be running on unfenced workers, and when to recount it.
     in_doubt_by_team: dict[str, Usage] = attrs.field(factory=dict)
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -82,6 +82,7 @@
         self.version = 0
         self.last_effects: list[effects.Effect] = []
         self.send(events.ConfigChanged(0.0, configuration or config()))
+        self.send(events.Restored(0.0, 0, (), {}, (), (), 0.0, 0))
         # The first save stores the empty list of workers.
         self.store_records()
         if workers:
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -349,8 +349,7 @@
         self.version = 0
         self.specs: dict[str, model.Job] = {}
         self.owner: Owner
-        Owner(self, 1)
-        self.owner.feed(self.listing())
+        self._start_owner(1, self.now)
 
     def schedule(self, delay_s: float, work: Any) -> None:
         """Schedule a callback after a delay."""
@@ -384,8 +383,11 @@
         if is_dead:
             previous.is_alive = False
         previous_until = self.now if is_dead else previous.owner_lease_until
+        self._start_owner(previous.state.epoch + 1, previous_until)
+
+    def _start_owner(self, epoch: int, previous_until: float) -> None:
         self.version += 1
-        owner = Owner(self, previous.state.epoch + 1)
+        owner = Owner(self, epoch)
         owner.feed(self.listing())
         lease_s = LEASE_S / (1 - DRIFT)
         owner.feed(
