A step after copies stays in doubt after a takeover

What callers would see: two runs of a task at the same time, of a step that follows one whose tasks may run in several copies.

Cause: a step was no longer in doubt once its predecessor had completed by a run that this owner knew, since no former owner can have seen that run end. If the predecessor allows copies, the former owner may have seen another copy end, and have started the step on a worker that does not answer this owner.

Fix: that conclusion is not drawn from a step that allows copies.

--- a/packages/cell/celeryshift_cell/_in_doubt.py
+++ b/packages/cell/celeryshift_cell/_in_doubt.py
@@ -77,11 +77,11 @@
     """Return whether all steps before a step may already have completed.
 
     A former owner may have received completions that this one has not, except
-    for a task of which this owner still knows a run.
+    for a task of which this owner still knows the only run.
     """
     steps = step.job.steps
     return not any(
-        task.runs
+        task.runs and not task.step.spec.allows_copies
         for number in step.spec.after
         for task in steps[step.occurrence, number].tasks
     )
--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -143,6 +143,7 @@
 
     If this owner knew the run before it ended, no former owner can have seen
     its completion and started the steps after it, so these are not in doubt.
+    That does not hold if another copy may have completed before.
     """
     if task.is_done:
         return
@@ -165,7 +166,7 @@
             job.steps[step.occurrence, i].remaining_tasks == 0
             for i in spec.after
         ):
-            if was_known:
+            if was_known and not step.spec.allows_copies:
                 successor.in_doubt = False
             make_ready(cell, successor)
 
