A ping to a former process does not end the ownership of the next one

What callers would see: after a restart of the owner's node, two nodes that act as the owner for up to 0.8 s. The second one takes the first for ended, so it also counts its leases as ended too early.

Cause: a node reads the owner row and pings the owner at the same time. If the restarted process had acquired the cell when the row was read, its answer to the ping was compared with the incarnation before it, and the new owner was marked as restarted. A restarted owner is replaced at once.

Fix: an answer, or a refusal, counts only for the owner that was pinged.

Evidence: test_a_new_owner_is_not_taken_for_its_former_process failed before.

--- a/packages/cellnode/celeryshift_cellnode/_ownership.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownership.py
@@ -211,13 +211,16 @@
                 owner.address, 'ping', {}, PING_TIMEOUT_S
             )
         except errors.PeerRefusedError:
-            if self.view.refused_since is None:
+            if self.view.owner is owner and self.view.refused_since is None:
                 self.view.refused_since = time.monotonic()
             return
         except errors.PeerError:
             # A timeout alone does not show that the owner has failed. Missing
             # heartbeats in the store show it.
             return
+        if self.view.owner is not owner:
+            # The answer says nothing about an owner that was read meanwhile.
+            return
         self.view.refused_since = None
         if answer['incarnation'] != owner.incarnation:
             self.view.has_restarted = True
