--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -49,6 +49,10 @@
         self.entry = entry
         self.clock_rate = 1 - sim.random.random() * DRIFT
         self.is_reachable = True
+        # The worker's entry is missing before this time. Once the worker is
+        # cut off, it remains until the second one.
+        self.entry_from = 0.0
+        self.entry_until = 0.0
         self.reset(1)
 
     def reset(self, incarnation: int) -> None:
@@ -66,6 +70,13 @@
         # Callbacks that answer the polls in progress.
         self.waiting: list[Any] = []
 
+    @property
+    def has_entry(self) -> bool:
+        """Return whether the store has the worker's entry."""
+        now = self.sim.now
+        is_alive = self.is_reachable or now < self.entry_until
+        return is_alive and now >= self.entry_from
+
     @property
     def clock_ms(self) -> float:
         """Return the worker's clock."""
@@ -326,6 +337,7 @@
         self.late_share = 0.0
         self.lost_share = 0.0
         self.store_open = True
+        self.store_write_s = STORE_WRITE_S
         self.maximum = maximum
         # Range of the factor between estimates and run times.
         self.duration_range = (0.5, 2.0)
@@ -349,8 +361,7 @@
         self.version = 0
         self.specs: dict[str, model.Job] = {}
         self.owner: Owner
-        Owner(self, 1)
-        self.owner.feed(self._listing())
+        self._start_owner(1, self.now)
 
     def schedule(self, delay_s: float, work: Any) -> None:
         """Schedule a callback after a delay."""
@@ -364,10 +375,9 @@
             work()
         self.now = until
 
-    def _listing(self) -> events.WorkersChanged:
-        entries = tuple(
-            w.entry for w in self.workers.values() if w.is_reachable
-        )
+    def listing(self) -> events.WorkersChanged:
+        """Return the list of the workers that have an entry."""
+        entries = tuple(w.entry for w in self.workers.values() if w.has_entry)
         return events.WorkersChanged(0.0, entries)
 
     def submit(self, job: model.Job) -> None:
@@ -385,9 +395,12 @@
         if is_dead:
             previous.is_alive = False
         previous_until = self.now if is_dead else previous.owner_lease_until
+        self._start_owner(previous.state.epoch + 1, previous_until)
+
+    def _start_owner(self, epoch: int, previous_until: float) -> None:
         self.version += 1
-        owner = Owner(self, previous.state.epoch + 1)
-        owner.feed(self._listing())
+        owner = Owner(self, epoch)
+        owner.feed(self.listing())
         lease_s = LEASE_S / (1 - DRIFT)
         owner.feed(
             events.Restored(
@@ -421,7 +434,7 @@
                 self.stored_workers = order.workers
             owner.feed(events.RecordsSaved(0.0))
 
-        self.schedule(STORE_WRITE_S, store)
+        self.schedule(self.store_write_s, store)
 
     def advise(self, owner: Owner, query: effects.RequestAdvice) -> None:
         """Answer a policy query, approving about 0.7 of the workers and w0."""
