A late resignation does not take the cell from the next owner

What callers would see: two nodes that act as the owner for up to 0.8 s, and leases of the first one that count as ended too early.

Cause: an owner that resigns asks one node to acquire the cell at once. If that call arrived late, the node acquired the cell from whichever node owned it by then, and took the owner for ended.

Fix: the call names the version of the owner row that is given up, and has no effect under a later one.

Evidence: test_a_late_resignation_does_not_replace_the_next_owner failed before.

--- a/packages/cellnode/celeryshift_cellnode/_ownership.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownership.py
@@ -386,9 +386,12 @@
         """Give the cell up to a node that can reach the store."""
         if not self.is_owner:
             return
+        version = self.view.owner_version
         self.step_down('only other nodes reach the store')
         try:
-            await self._peers.call(node.address, 'resigned', {})
+            await self._peers.call(
+                node.address, 'resigned', {'version': version}
+            )
         except errors.PeerError as error:
             # The other nodes notice that the heartbeats have stopped.
             self._log_decision(
@@ -397,17 +400,21 @@
 
     async def handle_resignation(self, body: Any) -> dict[str, Any]:
         """Acquire the cell from an owner that resigns."""
-        self.view.promised_until = 0.0
-        self._spawn(self._acquire_resigned())
+        self._spawn(self._acquire_resigned(body['version']))
         return {}
 
-    async def _acquire_resigned(self) -> None:
+    async def _acquire_resigned(self, version: int) -> None:
+        """Acquire the cell if the owner row still has a version."""
         try:
             await self.read_owner()
         except errors.StoreError as error:
             self._log_decision('owner_not_seen', error=str(error))
             return
+        if self.view.owner_version != version:
+            # Another node has acquired the cell since.
+            return
         if not self.is_owner and not self.is_leaving:
+            self.view.promised_until = 0.0
             await self.acquire('owner resigned', time.monotonic())
 
     async def _request_promise(
