A promise given during a takeover counts for the former owner

What callers would see: a new owner that takes the former one for ended up to 1 s too early, and so may start tasks that a silent worker still runs.

Cause: the time until which the former owner may act was computed before the owner row was written. While that write is under way, as on a slow store, the node may still promise the owner not to acquire the cell, which extends the owner's lease. Only nodes that learned of their ownership by a read counted such a promise.

Fix: the node's own promise is counted once the write is answered.

Evidence: test_a_promise_that_is_given_during_a_takeover_counts failed before.

--- a/packages/cellnode/celeryshift_cellnode/_ownership.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownership.py
@@ -283,6 +283,8 @@
         view.update(
             time.monotonic(), owner, answer.version, view.heartbeat_version
         )
+        # The former owner may rely on a promise that was given meanwhile.
+        former_owner_until = max(former_owner_until, view.promised_until)
         await self._start_owning(sent_at, former_owner_until)
 
     def _latest_former_owner_until(self) -> float:
