A call that is redirected is not reported as not sent

What callers would see: a task that runs twice, if a worker answered a start order with a redirection to an address where nothing listens.

Cause: aiohttp follows redirections by default, and the failed connection to the second address was taken to show that no byte had been sent.

Fix: redirections are not followed; their status is an unknown outcome.

Evidence: test_a_call_that_is_redirected_is_not_reported_as_unsent failed before for all five statuses. The other tests of the module passed: calls that were received, on new and on reused connections, are never reported as unsent.

--- a/packages/net/celeryshift_net/exchanges.py
+++ b/packages/net/celeryshift_net/exchanges.py
@@ -52,8 +52,13 @@
     try:
         async with (
             asyncio.timeout(timeout_s),
+            # A redirected call has been sent even if the second one has not.
             session.request(
-                method, url, data=data or None, headers=headers
+                method,
+                url,
+                data=data or None,
+                headers=headers,
+                allow_redirects=False,
             ) as response,
         ):
             body = await response.read()
