A query that fails does not show that its request was not sent

Callers could see a request that must not be repeated run twice. If the answer to a request is lost, its outcome is queried from the worker. When the query itself could not be sent, because the worker had stopped listening, its outcome, UNSENT, was returned as that of the request: the core took the request as not sent, and sent it to another worker.

Found by reading, not seen in a run of the system.

The client now returns UNKNOWN for every query without an answer, on both paths: the query that the core asks for, and the one after a status query. The core refuses an unknown outcome as possibly run, and does not repeat it.

Both tests of tests/test_outcomes.py failed before (UNSENT in place of UNKNOWN).

--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -252,7 +252,8 @@
         reply = await self._post(
             address, 'outcomes', body, timeout_s, self._single_use_channel
         )
-        if reply.outcome is Outcome.OK and not reply.ok:
+        if not reply.ok:
+            # The outcome of the query is not that of the request.
             return Outcome.UNKNOWN, False, None
         return _decode_answer(reply, task)
 
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,96 @@
+"""Outcomes of requests whose worker stops answering."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+
+import celeryshift_core as core
+from celeryshift_core import effects
+from celeryshift_core import events
+from celeryshift_net import pools
+from celeryshift_node import _workers
+
+LOOPBACK = '127.0.0.1'
+SILENT_AFTER_S = 0.05
+TIMEOUT_S = 2.0
+
+
+@contextlib.asynccontextmanager
+async def _client():
+    channels = pools.ChannelPool()
+    workers = _workers.Workers(channels, SILENT_AFTER_S)
+    try:
+        yield workers
+    finally:
+        await workers.close()
+        await channels.close()
+
+
+@contextlib.asynccontextmanager
+async def _worker_that_stops_listening():
+    """Run a worker that ends a request, but answers only a status query."""
+
+    released = asyncio.Event()
+
+    async def handle_request(request):
+        await released.wait()
+        return web.Response()
+
+    async def handle_status(request):
+        await site.stop()
+        return web.json_response({'phase': 'ended'})
+
+    app = web.Application()
+    app.router.add_post('/v1/requests', handle_request)
+    app.router.add_post('/v1/status', handle_status)
+    runner = web.AppRunner(app, shutdown_timeout=0)
+    await runner.setup()
+    site = web.TCPSite(runner, LOOPBACK, 0)
+    await site.start()
+    try:
+        yield f'{LOOPBACK}:{runner.addresses[0][1]}'
+    finally:
+        released.set()
+        await runner.cleanup()
+
+
+def _send(address):
+    return effects.SendRequest(
+        'r1',
+        1,
+        'r1.1',
+        'w1',
+        address,
+        'ministry',
+        'seal',
+        core.Size(1),
+        False,
+        TIMEOUT_S,
+        TIMEOUT_S,
+    )
+
+
+def test_a_query_that_is_not_sent_does_not_show_that_its_request_was_not():
+    async def query():
+        async with _worker_that_stops_listening() as address:
+            pass
+        async with _client() as workers:
+            return await workers.query_outcome(
+                effects.QueryOutcome('r1', 1, 'r1.1', 'w1', address, TIMEOUT_S)
+            )
+
+    outcome, _, _ = asyncio.run(query())
+    assert outcome is events.Outcome.UNKNOWN
+
+
+def test_a_request_that_ended_is_not_taken_as_unsent_if_its_worker_is_gone():
+    async def send():
+        async with (
+            _worker_that_stops_listening() as address,
+            _client() as workers,
+        ):
+            return await workers.request(_send(address), None)
+
+    outcome, _, _ = asyncio.run(send())
+    assert outcome is events.Outcome.UNKNOWN
