Poll answers carry the incarnation that the poll named

PollAnswered said which incarnation had answered, but not which one the poll was sent to, so an answer could not be matched with the poll it belongs to. All answers of a worker now carry the incarnation that the order named.

No decision changes.

--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -148,9 +148,9 @@
     worker = cell.workers.get(event.worker_id)
     if worker is None:
         return
-    if worker.entry.incarnation != event.incarnation:
-        if event.incarnation > worker.entry.incarnation:
-            _replace_incarnation(cell, worker, event.incarnation)
+    if worker.entry.incarnation != event.answered_by:
+        if event.answered_by > worker.entry.incarnation:
+            _replace_incarnation(cell, worker, event.answered_by)
         return
     worker.polls_in_flight = max(0, worker.polls_in_flight - 1)
     cell.mark_data_centre_reachable(worker)
--- a/packages/cell/celeryshift_cell/events.py
+++ b/packages/cell/celeryshift_cell/events.py
@@ -136,7 +136,9 @@
     # When the poll was sent.
     sent_at: float
     worker_id: str
+    # The incarnation that the poll was sent to, and the one that answered.
     incarnation: int
+    answered_by: int
     clock_ms: int
     running: tuple[RunStatus, ...]
     ended: tuple[RunCompletion, ...]
@@ -148,6 +150,7 @@
 
     now: float
     worker_id: str
+    # The incarnation that the poll was sent to.
     incarnation: int
     outcome: Outcome
 
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -119,14 +119,20 @@
         ended: tuple[events.RunCompletion, ...] = (),
         incarnation: int = 1,
         sent_at: float | None = None,
+        sent_to: int | None = None,
     ) -> list[effects.Effect]:
-        """Answer a poll with running and completed runs."""
+        """Answer a poll with running and completed runs.
+
+        ``sent_to`` is the incarnation that the poll named, if it is not the
+        one that answers.
+        """
         at = self.now if sent_at is None else sent_at
         return self.send(
             events.PollAnswered(
                 0.0,
                 at,
                 worker,
+                incarnation if sent_to is None else sent_to,
                 incarnation,
                 int(self.now * 1000),
                 running,
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -270,6 +270,7 @@
                     0.0,
                     sent_at,
                     order.worker_id,
+                    order.incarnation,
                     worker.entry.incarnation,
                     int(worker.clock_ms),
                     tuple(worker.run_status(*key) for key in worker.running),
