Simulated orders to a worker that is cut off meanwhile time out

A start order that was under way when its worker was cut off got no answer in the simulation, not even a timeout, so its run stayed in the phase sent for good. The runner reports every order that it sends as answered or timed out.

--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -219,8 +219,12 @@
     ) -> None:
         worker = self.sim.workers[order.worker_id]
         epoch = self.state.epoch
+        settled = []
 
         def answer(outcome: Outcome) -> None:
+            if settled:
+                return
+            settled.append(True)
             self.feed(
                 event_type(
                     0.0,
@@ -242,8 +246,7 @@
         chance = self.sim.random.random()
         late = chance < self.sim.late_share
         lost = late or chance > 1 - self.sim.lost_share
-        if lost or not worker.is_reachable:
-            self.sim.schedule(ORDER_TIMEOUT_S, lambda: answer(Outcome.UNKNOWN))
+        self.sim.schedule(ORDER_TIMEOUT_S, lambda: answer(Outcome.UNKNOWN))
         delay_s = self.sim.random.uniform(1, 8) if late else ROUND_TRIP_S / 2
         self.sim.schedule(delay_s, arrive)
 
