Failing tests: answers that belong to another incarnation of a worker

The simulation could not show them: an order that named another incarnation was always refused, no worker moved to another address, a restarted worker was away for at least 1.7 s, and answers and saves took a few milliseconds, so none was under way at a restart. A platform that identifies a worker by its id alone carries out a late order under the next incarnation.

--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -69,9 +69,13 @@
         """Return the worker's clock."""
         return (self.sim.now - self.started_at) * self.clock_rate * 1000
 
-    def _check_order(self, incarnation: int, fence: int) -> Outcome | None:
+    def _check_order(self, order: Any, fence: int) -> Outcome | None:
         """Return why an order is rejected; otherwise store its fence."""
-        if incarnation != self.entry.incarnation:
+        if order.address != self.entry.address:
+            # Another worker has taken over the address.
+            return Outcome.OTHER_INCARNATION
+        is_current = order.incarnation == self.entry.incarnation
+        if self.sim.orders_name_incarnation and not is_current:
             return Outcome.OTHER_INCARNATION
         if fence < self.fence:
             return Outcome.FENCED
@@ -80,7 +84,7 @@
 
     def start(self, order: effects.StartRun, fence: int) -> Outcome:
         """Carry out a start order."""
-        rejection = self._check_order(order.incarnation, fence)
+        rejection = self._check_order(order, fence)
         if rejection is not None:
             return rejection
         key = (order.task, order.run)
@@ -135,7 +139,7 @@
 
     def stop(self, order: effects.StopRun, fence: int) -> Outcome:
         """Carry out a stop order."""
-        rejection = self._check_order(order.incarnation, fence)
+        rejection = self._check_order(order, fence)
         if rejection is not None:
             return rejection
         self.expire_lease()
@@ -149,7 +153,7 @@
 
     def poll(self, order: effects.PollWorker, fence: int) -> Outcome:
         """Extend the lease and discard the completions that are stored."""
-        rejection = self._check_order(order.incarnation, fence)
+        rejection = self._check_order(order, fence)
         if rejection is not None:
             return rejection
         self.expire_lease()
@@ -241,7 +245,9 @@
                 return
             outcome = carry_out(worker, order, epoch)
             if not lost:
-                self.sim.schedule(ROUND_TRIP_S / 2, lambda: answer(outcome))
+                self.sim.schedule(
+                    self.sim.answer_delay_s(), lambda: answer(outcome)
+                )
 
         chance = self.sim.random.random()
         late = chance < self.sim.late_share
@@ -279,14 +285,19 @@
                     tuple(worker.run_status(*key) for key in worker.running),
                     tuple(worker.ended),
                 )
-                self.sim.schedule(ROUND_TRIP_S / 2, lambda: self.feed(event))
+                self.sim.schedule(
+                    self.sim.answer_delay_s(), lambda: self.feed(event)
+                )
 
         def arrive() -> None:
             if not worker.is_reachable:
                 return
             outcome = worker.poll(order, epoch)
             if outcome is not Outcome.DONE:
-                fail(outcome)
+                self.sim.schedule(
+                    self.sim.answer_delay_s() - ROUND_TRIP_S / 2,
+                    lambda: fail(outcome),
+                )
             elif worker.ended or not order.wait_ms:
                 answer()
             else:
@@ -314,6 +325,11 @@
         self.log: list[Any] = []
         self.late_share = 0.0
         self.lost_share = 0.0
+        # Share of the answers that arrive shortly before the timeout.
+        self.slow_share = 0.0
+        # Whether orders tell the incarnations of a worker id apart.
+        self.orders_name_incarnation = True
+        self.store_write_s = STORE_WRITE_S
         self.store_open = True
         self.maximum = maximum
         # Range of the factor between estimates and run times.
@@ -353,6 +369,14 @@
             work()
         self.now = until
 
+    def answer_delay_s(self) -> float:
+        """Return the time from the execution of an order to its answer."""
+        if self.slow_share and self.random.random() < self.slow_share:
+            return self.random.uniform(
+                ROUND_TRIP_S / 2, ORDER_TIMEOUT_S - ROUND_TRIP_S
+            )
+        return ROUND_TRIP_S / 2
+
     def _listing(self) -> events.WorkersChanged:
         entries = tuple(
             w.entry for w in self.workers.values() if w.is_reachable
@@ -410,7 +434,7 @@
                 self.stored_workers = order.workers
             owner.feed(events.RecordsSaved(0.0))
 
-        self.schedule(STORE_WRITE_S, store)
+        self.schedule(self.store_write_s, store)
 
     def advise(self, owner: Owner, query: effects.RequestAdvice) -> None:
         """Answer a policy query, approving about 0.7 of the workers and w0."""
--- a/tests/test_cell_random.py
+++ b/tests/test_cell_random.py
@@ -9,6 +9,7 @@
 from tests import cellsim
 
 SEEDS = range(24)
+RESTART_SEEDS = range(24)
 # Seeds that failed in the past, each with its cause.
 REGRESSIONS = {
     37: 'runs on silent workers were not counted for their team',
@@ -24,6 +25,11 @@
 # Interval at which a worker publishes its entry. The platform documents that
 # the entry is back within two seconds.
 REPUBLISH_S = 1.5
+# Time in which a worker boots, and in which its new entry reaches the owner.
+RESTART_S = (0.02, 1.0)
+LISTING_DELAY_S = 1.0
+# Duration of a write while the store is slow.
+SLOW_WRITE_S = 1.0
 
 
 def _inject_fault(sim: cellsim.Sim) -> None:
@@ -67,6 +73,39 @@
     _disconnect(sim, worker, duration_s)
 
 
+def _inject_restart(sim: cellsim.Sim) -> None:
+    """Restart a worker under its id, perhaps at another address.
+
+    Meanwhile answers are slow, and often the store too.
+    """
+    worker = sim.random.choice(list(sim.workers.values()))
+    is_moved = sim.random.random() < 0.5
+    duration_s = sim.random.uniform(0.2, 4)
+    sim.slow_share = 0.5
+    sim.schedule(duration_s, lambda: setattr(sim, 'slow_share', 0.0))
+    if sim.random.random() < 0.5:
+        sim.store_write_s = SLOW_WRITE_S
+        sim.schedule(
+            duration_s,
+            lambda: setattr(sim, 'store_write_s', cellsim.STORE_WRITE_S),
+        )
+    for _ in range(sim.random.randint(1, 3)):
+        at_s = sim.random.uniform(0, duration_s)
+        sim.schedule(at_s, lambda: _restart(sim, worker, is_moved))
+
+
+def _restart(sim, worker, is_moved):
+    worker.reset(worker.entry.incarnation + 1)
+    if is_moved:
+        address = f'{worker.entry.id}-{worker.entry.incarnation}:80'
+        worker.entry = cellsim.attrs.evolve(worker.entry, address=address)
+    worker.is_reachable = False
+    boot_s = sim.random.uniform(*RESTART_S)
+    sim.schedule(boot_s, lambda: setattr(worker, 'is_reachable', True))
+    listed_s = boot_s + sim.random.uniform(0, LISTING_DELAY_S)
+    sim.schedule(listed_s, lambda: _publish_entry(sim, worker))
+
+
 def _isolate_owner(sim, duration_s):
     """Cut the owner off from the store, so that another one takes over."""
     previous = sim.owner
@@ -90,9 +129,12 @@
     sim.schedule(duration_s, lambda: setattr(sim, 'store_open', True))
 
 
-def simulate(seed: int) -> cellsim.Sim:
+def simulate(seed: int, restarts: bool = False) -> cellsim.Sim:
     """Run the simulation of a seed to its end.
 
+    With ``restarts``, workers also restart quickly under their ids, which
+    orders don't tell apart.
+
     Raises ``InvariantError`` if the cell violates an invariant or jobs never
     end.
     """
@@ -106,6 +148,12 @@
         sim.schedule(
             sim.random.uniform(1, FAULTS_S), lambda: _inject_fault(sim)
         )
+    if restarts:
+        sim.orders_name_incarnation = False
+        for _ in range(12):
+            sim.schedule(
+                sim.random.uniform(1, FAULTS_S), lambda: _inject_restart(sim)
+            )
     sim.run(FAULTS_S + SETTLE_S)
     unfinished = set(sim.jobs)
     if unfinished:
@@ -123,10 +171,22 @@
     assert len(sim.final_states) == JOBS
 
 
+def test_promises_hold_under_quick_restarts_of_workers():
+    errors = {}
+    for seed in RESTART_SEEDS:
+        try:
+            simulate(seed, restarts=True)
+        except cellsim.InvariantError as error:
+            errors[seed] = str(error)
+    assert not errors
+
+
 if __name__ == '__main__':
     first, last = (int(text) for text in sys.argv[1:3])
     for number in range(first, last):
-        try:
-            simulate(number)
-        except cellsim.InvariantError as error:
-            sys.stdout.write(f'seed {number}: {error}\n')
+        for with_restarts in (False, True):
+            try:
+                simulate(number, with_restarts)
+            except cellsim.InvariantError as error:
+                kind = ' with restarts' if with_restarts else ''
+                sys.stdout.write(f'seed {number}{kind}: {error}\n')
