A late 421 of an earlier incarnation drops no runs

A start that was refused with 421, since another worker had taken over the address, dropped all runs of the worker under the id, although it had started again at another address meanwhile: its tasks started elsewhere at once, beside their runs. Answers to starts were matched by the id of the worker alone.

The incarnation that a start named is now compared with the current one. If it is an earlier one, the answer says something about the order, but nothing about the worker: a refused start is not carried out, whoever refused it, and a confirmed one is in doubt until the worker is polled, since the run may have ended with the incarnation that confirmed it. A refusal no longer pauses the next incarnation, nor does it drop the ticket that this one has.

Failed before: test_a_late_421_of_the_previous_incarnation_drops_no_runs (two confirmed runs started again), test_a_refusal_by_the_previous_incarnation_... and test_a_start_confirmed_by_the_previous_incarnation_is_in_doubt.

--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -22,6 +22,7 @@
         Outcome.NO_CAPACITY,
         Outcome.NO_TICKET,
         Outcome.REFUSED,
+        Outcome.OTHER_INCARNATION,
         Outcome.INVALID,
         Outcome.NOT_SENT,
     }
@@ -181,9 +182,10 @@
     if worker is None or not run:
         return None
     outcome = event.outcome
-    if outcome not in (Outcome.UNKNOWN, Outcome.NOT_SENT):
+    is_current = cell.worker(event.worker_id, event.incarnation) is not None
+    if is_current and outcome not in (Outcome.UNKNOWN, Outcome.NOT_SENT):
         cell.mark_data_centre_reachable(worker)
-    if outcome is Outcome.DONE:
+    if is_current and outcome is Outcome.DONE:
         if run.phase in (Phase.SENT, Phase.IN_DOUBT):
             _confirm(cell, run)
         return None
@@ -201,11 +203,15 @@
     )
     if outcome is Outcome.FENCED:
         cell.emit(effects.StepDown(event.worker_id))
-    if outcome is Outcome.OTHER_INCARNATION:
-        handle_other_incarnation(cell, worker, 'start', event.incarnation)
+    if is_current and outcome is Outcome.OTHER_INCARNATION:
+        handle_other_incarnation(cell, worker, 'start')
     elif outcome in NOT_STARTED:
-        _revert_start(cell, run, outcome)
-    elif outcome is Outcome.UNKNOWN:
+        if is_current:
+            _pause_starts(cell, run, outcome)
+        _revert_start(cell, run)
+    else:
+        # After a start that an earlier incarnation confirmed, the run may
+        # have ended with it.
         if run.phase is Phase.SENT:
             run.phase = Phase.IN_DOUBT
             run.since = cell.now
@@ -218,7 +224,7 @@
     run.confirmed_at = run.progressed_at = cell.now
 
 
-def _revert_start(
+def _pause_starts(
     cell: _state.Cell, run: _state.Run, outcome: events.Outcome
 ) -> None:
     worker = run.worker
@@ -229,6 +235,10 @@
         worker.quarantined_until = max(
             worker.quarantined_until, cell.now + NOT_STARTED_PAUSE_S
         )
+
+
+def _revert_start(cell: _state.Cell, run: _state.Run) -> None:
+    step = run.task.step
     detach(cell, run)
     if step.spec.is_gang:
         stop_gang(cell, step, run.number)
@@ -474,15 +484,17 @@
 
 
 def handle_other_incarnation(
-    cell: _state.Cell, worker: _state.Worker, order: str, incarnation: int
+    cell: _state.Cell, worker: _state.Worker, order: str
 ) -> None:
-    """Drop all runs of a worker once another incarnation rejects an order."""
+    """Drop all runs of a worker once another one answers at its address.
+
+    The order must have named the current incarnation of the worker.
+    """
     cell.log_decision(
         'worker_replaced',
         worker=worker.id,
         by=order,
         life=worker.entry.incarnation,
-        ordered_life=incarnation,
         address=worker.entry.address,
         runs=len(worker.runs),
     )
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -484,6 +484,12 @@
             worker.entry.data_centre, DataCentre()
         )
 
+    def worker(self, worker_id: str, incarnation: int) -> Worker | None:
+        """Return a worker if this is its current incarnation."""
+        worker = self.workers.get(worker_id)
+        is_current = worker and worker.entry.incarnation == incarnation
+        return worker if is_current else None
+
     def step(self, name: str) -> StepRun | None:
         """Return the step of a name, or None if the cell has no such step."""
         job_id, _, rest = name.partition('.')
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -231,15 +231,15 @@
 
 def handle_poll_failed(cell: _state.Cell, event: events.PollFailed) -> None:
     """Handle a poll that failed or reached another incarnation."""
-    worker = cell.workers.get(event.worker_id)
-    if worker is None or worker.entry.incarnation != event.incarnation:
+    worker = cell.worker(event.worker_id, event.incarnation)
+    if worker is None:
         return
     worker.polls_in_flight = max(0, worker.polls_in_flight - 1)
     if event.outcome is events.Outcome.FENCED:
         cell.emit(effects.StepDown(event.worker_id))
         return
     if event.outcome is events.Outcome.OTHER_INCARNATION:
-        _runs.handle_other_incarnation(cell, worker, 'poll', event.incarnation)
+        _runs.handle_other_incarnation(cell, worker, 'poll')
         return
     is_unknown = event.outcome is events.Outcome.UNKNOWN
     if is_unknown and not (worker.is_suspect or worker.is_silent):
