A start may have been carried out by the next incarnation of a worker

The answer to a start does not say which incarnation of the worker carried it out. A worker that had restarted under its id and address carried out the starts that named its former incarnation, and confirmed them. When its new entry arrived, all runs that had been confirmed were taken to have ended with the former incarnation, and their tasks started elsewhere at once, beside their runs. The same happened to a start without an answer that had been stopped: its run was dropped at the restart, and a late start could still be carried out.

Only a list of runs names its incarnation (born). A run that the former incarnation listed has ended with it; every other run goes over to the next one and is settled by its first list, or, if the start was never answered, by a stop that the next incarnation acknowledges. The acknowledgement of a stop by the former one no longer counts.

Two changes to tests: test_a_restarted_worker_runs_nothing_of_before lets time pass between the confirmation and the restart, since a list shows the absence of a run only if the poll was sent after the confirmation. The simulation counts an end as acknowledged only by a poll that named the incarnation; a poll under way at a restart may make the worker forget ends, which no owner can prevent while the id is all that identifies it.

--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -267,7 +267,10 @@
         return None
     if event.outcome is Outcome.FENCED:
         cell.emit(effects.StepDown(event.worker_id))
-    elif event.outcome is Outcome.DONE:
+    elif (
+        event.outcome is Outcome.DONE
+        and worker.entry.incarnation == event.incarnation
+    ):
         run.stopped_at = cell.now
         return None if run.confirmed_at else worker
     # Without a response, ``_workers.retry_stops`` repeats the order.
@@ -340,6 +343,7 @@
     """Register a run that exists but was not ordered by this owner."""
     run = _state.Run(task, number, worker, Phase.RUNNING, cell.now)
     _confirm(cell, run)
+    run.is_listed = True
     task.last_run = max(task.last_run, number)
     _attach(cell, run)
     return run
@@ -376,6 +380,7 @@
 def _update_run(
     cell: _state.Cell, run: _state.Run, status: events.RunStatus
 ) -> None:
+    run.is_listed = True
     if run.phase in (Phase.SENT, Phase.IN_DOUBT):
         _confirm(cell, run)
     if status.checkpoint:
@@ -451,18 +456,16 @@
     _jobs.requeue(cell, task)
 
 
-def drop_confirmed_runs(
-    cell: _state.Cell, worker: _state.Worker, reason: str
-) -> None:
-    """Drop the runs of an incarnation of a worker that has ended.
+def drop_listed_runs(cell: _state.Cell, worker: _state.Worker) -> None:
+    """Drop the runs that an incarnation listed, which has ended.
 
-    Runs whose start order is in flight or in doubt are kept: the order may
-    name the worker by its id alone, so a later incarnation may carry it out.
+    All others are kept, even if their start was confirmed or they were
+    stopped: an order names the worker by its id alone, so the next incarnation
+    may have carried out the start, or may still do so.
     """
     for run in list(worker.runs.values()):
-        if run.phase in (Phase.SENT, Phase.IN_DOUBT):
-            continue
-        _drop_run(cell, run, reason)
+        if run.is_listed:
+            _drop_run(cell, run, 'worker restarted')
 
 
 def drop_all_runs(cell: _state.Cell, worker: _state.Worker) -> None:
@@ -478,6 +481,8 @@
     for key, run in list(old.runs.items()):
         del old.runs[key]
         run.worker = new
+        # The new incarnation knows of no stop order to the old one.
+        run.stopped_at = None
         new.runs[key] = run
         new.allocate(run.task.step.spec, 1)
     new.lease_until = old.lease_until
@@ -498,7 +503,6 @@
         address=worker.entry.address,
         runs=len(worker.runs),
     )
-    drop_confirmed_runs(cell, worker, 'another worker answers')
     for run in list(worker.runs.values()):
         # Start orders that arrive later are rejected as well.
         _drop_run(cell, run, 'another worker answers')
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -48,6 +48,9 @@
     since: float
     # When the worker confirmed the run; 0 if it has not.
     confirmed_at: float = 0.0
+    # The current incarnation of the worker has listed the run. The answer to
+    # a start order does not tell which incarnation carried the order out.
+    is_listed: bool = False
     # When the worker acknowledged a stop order. If a poll that was sent later
     # does not report the run, the run certainly does not exist.
     stopped_at: float | None = None
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -43,7 +43,7 @@
     previous: _state.Worker | None,
 ) -> None:
     if previous is not None:
-        _runs.drop_confirmed_runs(cell, previous, 'worker restarted')
+        _runs.drop_listed_runs(cell, previous)
     worker = add_worker(cell, entry)
     if previous is not None:
         _runs.transfer_runs(cell, previous, worker)
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -159,8 +159,10 @@
         self.expire_lease()
         if order.deadline_ms is not None:
             self.lease_until_ms = max(self.lease_until_ms, order.deadline_ms)
+        # A late poll may acknowledge the ends of another incarnation.
+        is_current = order.incarnation == self.entry.incarnation
         for completion in self.ended:
-            if completion.number <= order.stored_completion:
+            if is_current and completion.number <= order.stored_completion:
                 self.sim.record_stored(completion)
         self.ended = [
             e for e in self.ended if e.number > order.stored_completion
--- a/tests/test_cell_incarnations.py
+++ b/tests/test_cell_incarnations.py
@@ -85,6 +85,33 @@
     assert bench.effects_of(effects.PollWorker)
 
 
+def test_a_start_carried_out_by_the_next_incarnation_runs_once():
+    # The worker had restarted under its id and address, and its new entry
+    # arrived after the answers. All tasks just started there ran twice.
+    bench = cells.Bench((cells.entry('a'),))
+    orders = bench.accept(cells.job('j', cells.step(2)))
+    for order in orders:
+        bench.answer_start(order)
+    bench.join(cells.entry('b'))
+    bench.tick()
+    _restart(bench, address='a:80')
+    assert not bench.effects_of(effects.StartRun)
+    running = tuple(_status(order) for order in orders)
+    bench.answer_poll('a', running, incarnation=2)
+    assert not bench.effects_of(effects.StartRun)
+
+
+def test_a_run_listed_by_the_previous_incarnation_starts_again_at_once():
+    bench = cells.Bench((cells.entry('a'),))
+    (order,) = bench.accept(cells.job('j'))
+    bench.answer_start(order)
+    bench.answer_poll('a', (_status(order),))
+    bench.join(cells.entry('b'))
+    _restart(bench)
+    (again,) = bench.effects_of(effects.StartRun)
+    assert again.worker_id == 'b'
+
+
 def _stopped_unconfirmed_start(bench):
     """Stop a start without an answer; return the order and its stop."""
     (order,) = bench.accept(cells.job('j'))
--- a/tests/test_cell_workers.py
+++ b/tests/test_cell_workers.py
@@ -93,6 +93,7 @@
     bench = cells.Bench((cells.entry('a'),))
     (order,) = bench.accept(cells.job('j'))
     bench.answer_start(order)
+    bench.tick()
     bench.send(events.WorkersChanged(0.0, (cells.entry('a', incarnation=2),)))
     assert not bench.effects_of(effects.StartRun)
     bench.answer_poll('a', incarnation=2)
