A save begun before a restart acknowledges no ends after it

The numbers of ends that a save covers were kept by the id of the worker, and applied to whatever incarnation was there when the save ended. Ends are numbered anew after a restart, so the next poll acknowledged ends that nobody had seen: the worker forgot them, and tasks that were done ran again.

The numbers are now kept by id and incarnation.

Failed before: test_a_save_begun_before_a_restart_acknowledges_no_ends_after_it.

--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -94,7 +94,7 @@
     if not cell.dirty_jobs:
         # Only a save that leaves no job dirty covers all completions so far.
         cell.saving_completions = {
-            worker.id: worker.last_completion
+            (worker.id, worker.entry.incarnation): worker.last_completion
             for worker in cell.workers.values()
             if worker.last_completion > worker.last_stored_completion
         }
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -403,8 +403,9 @@
     # Jobs whose stored progress is out of date.
     dirty_jobs: dict[str, JobRun] = attrs.field(factory=dict)
     save_in_flight: bool = False
-    # The save in flight: last completion of each worker, jobs, ended jobs.
-    saving_completions: dict[str, int] = attrs.field(factory=dict)
+    # The save in flight: last completion of each worker, by its id and
+    # incarnation; jobs; ended jobs.
+    saving_completions: dict[tuple[str, int], int] = attrs.field(factory=dict)
     saving_jobs: tuple[str, ...] = ()
     saving_ended: tuple[str, ...] = ()
     # No save is started before this time.
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -216,8 +216,8 @@
 
 def handle_completions_saved(cell: _state.Cell) -> None:
     """Schedule the polls that tell workers which completions are stored."""
-    for worker_id, number in cell.saving_completions.items():
-        worker = cell.workers.get(worker_id)
+    for key, number in cell.saving_completions.items():
+        worker = cell.worker(*key)
         if worker is None or worker.last_stored_completion >= number:
             continue
         worker.last_stored_completion = number
