A 421 of a stale entry does not settle the incarnation on record

A new owner had an older list of workers than the former owner's record: the record named a later incarnation, at another address. The new owner kept the older one. When another worker answered at the old address, the worker no longer counted as one that may have runs of the former owner, and a task started again while its run went on.

The incarnation on record now replaces an older one of the list.

Failed before: test_a_421_of_a_stale_entry_does_not_settle_the_recorded_incarnation.

--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -187,11 +187,9 @@
             recorded = _workers.add_worker(cell, entry)
             recorded.is_listed = False
             recorded.poll_at = cell.now
-        if (
-            recorded.entry.incarnation == incarnation
-            and not recorded.is_fenced
-        ):
-            cell.unfenced.add(worker_id)
+        elif recorded.entry.incarnation < incarnation:
+            # The list of workers may be older than the record.
+            _workers.replace_incarnation(cell, recorded, incarnation, address)
     for worker in cell.workers.values():
         if not worker.is_fenced:
             cell.unfenced.add(worker.id)
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -150,7 +150,7 @@
         return
     if worker.entry.incarnation != event.answered_by:
         if event.answered_by > worker.entry.incarnation:
-            _replace_incarnation(cell, worker, event.answered_by)
+            replace_incarnation(cell, worker, event.answered_by)
         return
     worker.polls_in_flight = max(0, worker.polls_in_flight - 1)
     cell.mark_data_centre_reachable(worker)
@@ -185,11 +185,19 @@
     _schedule_poll(cell, worker)
 
 
-def _replace_incarnation(
-    cell: _state.Cell, replaced: _state.Worker, incarnation: int
+def replace_incarnation(
+    cell: _state.Cell,
+    replaced: _state.Worker,
+    incarnation: int,
+    address: str | None = None,
 ) -> None:
+    """Replace a worker by a later incarnation, whose entry is not known."""
     # The capacity of the new incarnation is not known until its entry arrives.
-    entry = attrs.evolve(replaced.entry, incarnation=incarnation)
+    entry = attrs.evolve(
+        replaced.entry,
+        incarnation=incarnation,
+        address=address or replaced.entry.address,
+    )
     _join(cell, entry, replaced)
     cell.workers[entry.id].is_listed = False
 
