A poll is counted for the incarnation that it was sent to

An answer of a restarted worker to a poll that had named its former incarnation was subtracted from the polls in flight of the current one, so a second poll was sent beside the first, and both went on for as long as the worker had runs.

Failed before: test_an_answer_to_a_poll_of_the_previous_incarnation_adds_no_polls (on the code with the new field of PollAnswered, without which the case can't be told).

--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -148,11 +148,12 @@
     worker = cell.workers.get(event.worker_id)
     if worker is None:
         return
+    if worker.entry.incarnation == event.incarnation:
+        worker.polls_in_flight = max(0, worker.polls_in_flight - 1)
     if worker.entry.incarnation != event.answered_by:
         if event.answered_by > worker.entry.incarnation:
             replace_incarnation(cell, worker, event.answered_by)
         return
-    worker.polls_in_flight = max(0, worker.polls_in_flight - 1)
     cell.mark_data_centre_reachable(worker)
     if worker.is_silent:
         cell.log_decision('worker_answers', worker=worker.id)
