A worker that is listed again after a 421 is polled

A worker whose poll was refused with 421 is silent and no longer polled. If its entry of the same incarnation was read again before its lease had run out, it stayed in the list for good without being polled, and got no tasks.

A worker that is back in the list is now polled. If it still refuses, it leaves the list again.

Failed before: test_a_worker_that_is_listed_after_a_421_is_used_again.

--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -91,6 +91,8 @@
         )
     if not worker.is_listed:
         cell.log_decision('worker_back', worker=entry.id)
+        if worker.poll_at is None and not worker.polls_in_flight:
+            worker.poll_at = cell.now
     worker.is_listed = True
     worker.listed_at = cell.now
     worker.entry = entry
