--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -97,7 +97,7 @@
     if not cell.dirty_jobs:
         # Only a save that leaves no job dirty covers all completions so far.
         cell.saving_completions = {
-            worker.id: worker.last_completion
+            (worker.id, worker.entry.incarnation): worker.last_completion
             for worker in cell.workers.values()
             if worker.last_completion > worker.last_stored_completion
         }
@@ -191,11 +191,9 @@
             recorded = _workers.add_worker(cell, entry)
             recorded.is_listed = False
             recorded.poll_at = cell.now
-        if (
-            recorded.entry.incarnation == incarnation
-            and not recorded.is_fenced
-        ):
-            cell.unfenced.add(worker_id)
+        elif recorded.entry.incarnation < incarnation:
+            # The list of workers may be older than the record.
+            _workers.replace_incarnation(cell, recorded, incarnation, address)
     for worker in cell.workers.values():
         if not worker.is_fenced:
             cell.unfenced.add(worker.id)
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -22,6 +22,7 @@
         Outcome.NO_CAPACITY,
         Outcome.NO_TICKET,
         Outcome.REFUSED,
+        Outcome.OTHER_INCARNATION,
         Outcome.INVALID,
         Outcome.NOT_SENT,
     }
@@ -181,9 +182,10 @@
     if worker is None or not run:
         return None
     outcome = event.outcome
-    if outcome not in (Outcome.UNKNOWN, Outcome.NOT_SENT):
+    is_current = cell.worker(event.worker_id, event.incarnation) is not None
+    if is_current and outcome not in (Outcome.UNKNOWN, Outcome.NOT_SENT):
         cell.mark_data_centre_reachable(worker)
-    if outcome is Outcome.DONE:
+    if is_current and outcome is Outcome.DONE:
         if run.phase in (Phase.SENT, Phase.IN_DOUBT):
             _confirm(cell, run)
         return None
@@ -201,11 +203,15 @@
     )
     if outcome is Outcome.FENCED:
         cell.emit(effects.StepDown(event.worker_id))
-    if outcome is Outcome.OTHER_INCARNATION:
-        handle_other_incarnation(cell, worker, 'start', event.incarnation)
+    if is_current and outcome is Outcome.OTHER_INCARNATION:
+        handle_other_incarnation(cell, worker, 'start')
     elif outcome in NOT_STARTED:
-        _revert_start(cell, run, outcome)
-    elif outcome is Outcome.UNKNOWN:
+        if is_current:
+            _pause_starts(cell, run, outcome)
+        _revert_start(cell, run)
+    else:
+        # After a start that an earlier incarnation confirmed, the run may
+        # have ended with it.
         if run.phase is Phase.SENT:
             run.phase = Phase.IN_DOUBT
             run.since = cell.now
@@ -218,7 +224,7 @@
     run.confirmed_at = run.progressed_at = cell.now
 
 
-def _revert_start(
+def _pause_starts(
     cell: _state.Cell, run: _state.Run, outcome: events.Outcome
 ) -> None:
     worker = run.worker
@@ -229,6 +235,10 @@
         worker.quarantined_until = max(
             worker.quarantined_until, cell.now + NOT_STARTED_PAUSE_S
         )
+
+
+def _revert_start(cell: _state.Cell, run: _state.Run) -> None:
+    step = run.task.step
     detach(cell, run)
     if step.spec.is_gang:
         stop_gang(cell, step, run.number)
@@ -257,7 +267,10 @@
         return None
     if event.outcome is Outcome.FENCED:
         cell.emit(effects.StepDown(event.worker_id))
-    elif event.outcome is Outcome.DONE:
+    elif (
+        event.outcome is Outcome.DONE
+        and worker.entry.incarnation == event.incarnation
+    ):
         run.stopped_at = cell.now
         return None if run.confirmed_at else worker
     # Without a response, ``_workers.retry_stops`` repeats the order.
@@ -330,6 +343,7 @@
     """Register a run that exists but was not ordered by this owner."""
     run = _state.Run(task, number, worker, Phase.RUNNING, cell.now)
     _confirm(cell, run)
+    run.is_listed = True
     task.last_run = max(task.last_run, number)
     _attach(cell, run)
     return run
@@ -366,6 +380,7 @@
 def _update_run(
     cell: _state.Cell, run: _state.Run, status: events.RunStatus
 ) -> None:
+    run.is_listed = True
     if run.phase in (Phase.SENT, Phase.IN_DOUBT):
         _confirm(cell, run)
     if status.checkpoint:
@@ -441,18 +456,16 @@
     _jobs.requeue(cell, task)
 
 
-def drop_confirmed_runs(
-    cell: _state.Cell, worker: _state.Worker, reason: str
-) -> None:
-    """Drop the runs of an incarnation of a worker that has ended.
+def drop_listed_runs(cell: _state.Cell, worker: _state.Worker) -> None:
+    """Drop the runs that an incarnation listed, which has ended.
 
-    Runs whose start order is in flight or in doubt are kept: the order may
-    name the worker by its id alone, so a later incarnation may carry it out.
+    All others are kept, even if their start was confirmed or they were
+    stopped: an order names the worker by its id alone, so the next incarnation
+    may have carried out the start, or may still do so.
     """
     for run in list(worker.runs.values()):
-        if run.phase in (Phase.SENT, Phase.IN_DOUBT):
-            continue
-        _drop_run(cell, run, reason)
+        if run.is_listed:
+            _drop_run(cell, run, 'worker restarted')
 
 
 def drop_all_runs(cell: _state.Cell, worker: _state.Worker) -> None:
@@ -468,25 +481,28 @@
     for key, run in list(old.runs.items()):
         del old.runs[key]
         run.worker = new
+        # The new incarnation knows of no stop order to the old one.
+        run.stopped_at = None
         new.runs[key] = run
         new.allocate(run.task.step.spec, 1)
     new.lease_until = old.lease_until
 
 
 def handle_other_incarnation(
-    cell: _state.Cell, worker: _state.Worker, order: str, incarnation: int
+    cell: _state.Cell, worker: _state.Worker, order: str
 ) -> None:
-    """Drop all runs of a worker once another incarnation rejects an order."""
+    """Drop all runs of a worker once another one answers at its address.
+
+    The order must have named the current incarnation of the worker.
+    """
     cell.log_decision(
         'worker_replaced',
         worker=worker.id,
         by=order,
         life=worker.entry.incarnation,
-        ordered_life=incarnation,
         address=worker.entry.address,
         runs=len(worker.runs),
     )
-    drop_confirmed_runs(cell, worker, 'another worker answers')
     for run in list(worker.runs.values()):
         # Start orders that arrive later are rejected as well.
         _drop_run(cell, run, 'another worker answers')
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -48,6 +48,9 @@
     since: float
     # When the worker confirmed the run; 0 if it has not.
     confirmed_at: float = 0.0
+    # The current incarnation of the worker has listed the run. The answer to
+    # a start order does not tell which incarnation carried the order out.
+    is_listed: bool = False
     # When the worker acknowledged a stop order. If a poll that was sent later
     # does not report the run, the run certainly does not exist.
     stopped_at: float | None = None
@@ -401,8 +404,9 @@
     # Jobs whose stored progress is out of date.
     dirty_jobs: dict[str, JobRun] = attrs.field(factory=dict)
     save_in_flight: bool = False
-    # The save in flight: last completion of each worker, jobs, ended jobs.
-    saving_completions: dict[str, int] = attrs.field(factory=dict)
+    # The save in flight: last completion of each worker, by its id and
+    # incarnation; jobs; ended jobs.
+    saving_completions: dict[tuple[str, int], int] = attrs.field(factory=dict)
     saving_jobs: tuple[str, ...] = ()
     saving_ended: tuple[str, ...] = ()
     # No save is started before this time.
@@ -487,6 +491,12 @@
             worker.entry.data_centre, DataCentre()
         )
 
+    def worker(self, worker_id: str, incarnation: int) -> Worker | None:
+        """Return a worker if this is its current incarnation."""
+        worker = self.workers.get(worker_id)
+        is_current = worker and worker.entry.incarnation == incarnation
+        return worker if is_current else None
+
     def step(self, name: str) -> StepRun | None:
         """Return the step of a name, or None if the cell has no such step."""
         job_id, _, rest = name.partition('.')
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -45,7 +45,7 @@
     previous: _state.Worker | None,
 ) -> None:
     if previous is not None:
-        _runs.drop_confirmed_runs(cell, previous, 'worker restarted')
+        _runs.drop_listed_runs(cell, previous)
     worker = add_worker(cell, entry)
     if previous is not None:
         _runs.transfer_runs(cell, previous, worker)
@@ -93,6 +93,8 @@
         )
     if not worker.is_listed:
         cell.log_decision('worker_back', worker=entry.id)
+        if worker.poll_at is None and not worker.polls_in_flight:
+            worker.poll_at = cell.now
     worker.is_listed = True
     worker.listed_at = cell.now
     worker.entry = entry
@@ -180,11 +182,12 @@
     worker = cell.workers.get(event.worker_id)
     if worker is None:
         return
-    if worker.entry.incarnation != event.incarnation:
-        if event.incarnation > worker.entry.incarnation:
-            _replace_incarnation(cell, worker, event.incarnation)
+    if worker.entry.incarnation == event.incarnation:
+        worker.polls_in_flight = max(0, worker.polls_in_flight - 1)
+    if worker.entry.incarnation != event.answered_by:
+        if event.answered_by > worker.entry.incarnation:
+            replace_incarnation(cell, worker, event.answered_by)
         return
-    worker.polls_in_flight = max(0, worker.polls_in_flight - 1)
     cell.mark_data_centre_reachable(worker)
     if worker.is_silent:
         cell.log_decision('worker_answers', worker=worker.id)
@@ -220,11 +223,19 @@
     _schedule_poll(cell, worker)
 
 
-def _replace_incarnation(
-    cell: _state.Cell, replaced: _state.Worker, incarnation: int
+def replace_incarnation(
+    cell: _state.Cell,
+    replaced: _state.Worker,
+    incarnation: int,
+    address: str | None = None,
 ) -> None:
+    """Replace a worker by a later incarnation, whose entry is not known."""
     # The capacity of the new incarnation is not known until its entry arrives.
-    entry = attrs.evolve(replaced.entry, incarnation=incarnation)
+    entry = attrs.evolve(
+        replaced.entry,
+        incarnation=incarnation,
+        address=address or replaced.entry.address,
+    )
     _join(cell, entry, replaced)
     cell.workers[entry.id].is_listed = False
 
@@ -251,8 +262,8 @@
 
 def handle_completions_saved(cell: _state.Cell) -> None:
     """Schedule the polls that tell workers which completions are stored."""
-    for worker_id, number in cell.saving_completions.items():
-        worker = cell.workers.get(worker_id)
+    for key, number in cell.saving_completions.items():
+        worker = cell.worker(*key)
         if worker is None or worker.last_stored_completion >= number:
             continue
         worker.last_stored_completion = number
@@ -267,15 +278,15 @@
 def handle_poll_failed(cell: _state.Cell, event: events.PollFailed) -> None:
     """Handle a poll that failed or reached another incarnation."""
     _record_clock(cell, event)
-    worker = cell.workers.get(event.worker_id)
-    if worker is None or worker.entry.incarnation != event.incarnation:
+    worker = cell.worker(event.worker_id, event.incarnation)
+    if worker is None:
         return
     worker.polls_in_flight = max(0, worker.polls_in_flight - 1)
     if event.outcome is events.Outcome.FENCED:
         cell.emit(effects.StepDown(event.worker_id))
         return
     if event.outcome is events.Outcome.OTHER_INCARNATION:
-        _runs.handle_other_incarnation(cell, worker, 'poll', event.incarnation)
+        _runs.handle_other_incarnation(cell, worker, 'poll')
         return
     is_unknown = event.outcome is events.Outcome.UNKNOWN
     if is_unknown and not (worker.is_suspect or worker.is_silent):
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -82,9 +82,13 @@
         """Return the worker's clock."""
         return (self.sim.now - self.started_at) * self.clock_rate * 1000
 
-    def _check_order(self, incarnation: int, fence: int) -> Outcome | None:
+    def _check_order(self, order: Any, fence: int) -> Outcome | None:
         """Return why an order is rejected; otherwise store its fence."""
-        if incarnation != self.entry.incarnation:
+        if order.address != self.entry.address:
+            # Another worker has taken over the address.
+            return Outcome.OTHER_INCARNATION
+        is_current = order.incarnation == self.entry.incarnation
+        if self.sim.orders_name_incarnation and not is_current:
             return Outcome.OTHER_INCARNATION
         if fence < self.fence:
             return Outcome.FENCED
@@ -93,7 +97,7 @@
 
     def start(self, order: effects.StartRun, fence: int) -> Outcome:
         """Carry out a start order."""
-        rejection = self._check_order(order.incarnation, fence)
+        rejection = self._check_order(order, fence)
         if rejection is not None:
             return rejection
         key = (order.task, order.run)
@@ -154,7 +158,7 @@
 
     def stop(self, order: effects.StopRun, fence: int) -> Outcome:
         """Carry out a stop order."""
-        rejection = self._check_order(order.incarnation, fence)
+        rejection = self._check_order(order, fence)
         if rejection is not None:
             return rejection
         self.expire_lease()
@@ -168,14 +172,16 @@
 
     def poll(self, order: effects.PollWorker, fence: int) -> Outcome:
         """Extend the lease and discard the completions that are stored."""
-        rejection = self._check_order(order.incarnation, fence)
+        rejection = self._check_order(order, fence)
         if rejection is not None:
             return rejection
         self.expire_lease()
         if order.deadline_ms is not None:
             self._extend_lease(order.deadline_ms)
+        # A late poll may acknowledge the ends of another incarnation.
+        is_current = order.incarnation == self.entry.incarnation
         for completion in self.ended:
-            if completion.number <= order.stored_completion:
+            if is_current and completion.number <= order.stored_completion:
                 self.sim.record_stored(completion)
         self.ended = [
             e for e in self.ended if e.number > order.stored_completion
@@ -257,13 +263,17 @@
             )
 
         def arrive() -> None:
-            if not worker.is_reachable:
+            # A worker holds an order that it carries out late, and loses it
+            # when it restarts.
+            is_lost = late and order.incarnation != worker.entry.incarnation
+            if is_lost or not worker.is_reachable:
                 return
             outcome = carry_out(worker, order, epoch)
             clock_ms = int(worker.clock_ms)
             if not lost:
                 self.sim.schedule(
-                    ROUND_TRIP_S / 2, lambda: answer(outcome, clock_ms)
+                    self.sim.answer_delay_s(),
+                    lambda: answer(outcome, clock_ms),
                 )
 
         chance = self.sim.random.random()
@@ -296,19 +306,25 @@
                     0.0,
                     sent_at,
                     order.worker_id,
+                    order.incarnation,
                     worker.entry.incarnation,
                     int(worker.clock_ms),
                     tuple(worker.run_status(*key) for key in worker.running),
                     tuple(worker.ended),
                 )
-                self.sim.schedule(ROUND_TRIP_S / 2, lambda: self.feed(event))
+                self.sim.schedule(
+                    self.sim.answer_delay_s(), lambda: self.feed(event)
+                )
 
         def arrive() -> None:
             if not worker.is_reachable:
                 return
             outcome = worker.poll(order, epoch)
             if outcome is not Outcome.DONE:
-                fail(outcome)
+                self.sim.schedule(
+                    self.sim.answer_delay_s() - ROUND_TRIP_S / 2,
+                    lambda: fail(outcome),
+                )
             elif worker.ended or not order.wait_ms:
                 answer()
             else:
@@ -336,6 +352,11 @@
         self.log: list[Any] = []
         self.late_share = 0.0
         self.lost_share = 0.0
+        # Share of the answers that arrive shortly before the timeout.
+        self.slow_share = 0.0
+        # Whether orders tell the incarnations of a worker id apart.
+        self.orders_name_incarnation = True
+        self.store_write_s = STORE_WRITE_S
         self.store_open = True
         self.store_write_s = STORE_WRITE_S
         self.maximum = maximum
@@ -375,6 +396,14 @@
             work()
         self.now = until
 
+    def answer_delay_s(self) -> float:
+        """Return the time from the execution of an order to its answer."""
+        if self.slow_share and self.random.random() < self.slow_share:
+            return self.random.uniform(
+                ROUND_TRIP_S / 2, ORDER_TIMEOUT_S - ROUND_TRIP_S
+            )
+        return ROUND_TRIP_S / 2
+
     def listing(self) -> events.WorkersChanged:
         """Return the list of the workers that have an entry."""
         entries = tuple(w.entry for w in self.workers.values() if w.has_entry)
--- a/tests/test_cell_random.py
+++ b/tests/test_cell_random.py
@@ -15,6 +15,7 @@
 from celeryshift_cell import model
 
 SEEDS = range(24)
+RESTART_SEEDS = range(24)
 # Seeds that failed in the past, each with its cause.
 REGRESSIONS = {
     37: 'runs on silent workers were not counted for their team',
@@ -38,6 +39,7 @@
 # Time by which the job that follows an idle phase has ended.
 LONG_SETTLE_S = 300.0
 FAULTS = 12
+RESTARTS = 12
 # Range of the write times of a slow store.
 SLOW_STORE_WRITE_S = (0.2, 1.5)
 # The entry of a worker that doesn't reach the store is removed after this.
@@ -48,6 +50,11 @@
 # Interval at which a worker publishes its entry. The platform documents that
 # the entry is back within two seconds.
 REPUBLISH_S = 1.5
+# Time in which a worker boots, and in which its new entry reaches the owner.
+RESTART_S = (0.02, 1.0)
+LISTING_DELAY_S = 1.0
+# Duration of a write while the store is slow.
+SLOW_WRITE_S = 1.0
 
 
 def _random_job(sim: cellsim.Sim, number: int) -> model.Job:
@@ -107,6 +114,39 @@
     _disconnect(sim, worker, duration_s)
 
 
+def _inject_restart(sim: cellsim.Sim) -> None:
+    """Restart a worker under its id, perhaps at another address.
+
+    Meanwhile answers are slow, and often the store too.
+    """
+    worker = sim.random.choice(list(sim.workers.values()))
+    is_moved = sim.random.random() < 0.5
+    duration_s = sim.random.uniform(0.2, 4)
+    sim.slow_share = 0.5
+    sim.schedule(duration_s, lambda: setattr(sim, 'slow_share', 0.0))
+    if sim.random.random() < 0.5:
+        sim.store_write_s = SLOW_WRITE_S
+        sim.schedule(
+            duration_s,
+            lambda: setattr(sim, 'store_write_s', cellsim.STORE_WRITE_S),
+        )
+    for _ in range(sim.random.randint(1, 3)):
+        at_s = sim.random.uniform(0, duration_s)
+        sim.schedule(at_s, lambda: _restart(sim, worker, is_moved))
+
+
+def _restart(sim, worker, is_moved):
+    worker.reset(worker.entry.incarnation + 1)
+    if is_moved:
+        address = f'{worker.entry.id}-{worker.entry.incarnation}:80'
+        worker.entry = cellsim.attrs.evolve(worker.entry, address=address)
+    worker.is_reachable = False
+    boot_s = sim.random.uniform(*RESTART_S)
+    sim.schedule(boot_s, lambda: setattr(worker, 'is_reachable', True))
+    listed_s = boot_s + sim.random.uniform(0, LISTING_DELAY_S)
+    sim.schedule(listed_s, lambda: _publish_entry(sim, worker))
+
+
 def _isolate_owner(sim, duration_s):
     """Cut the owner off from the store, so that another one takes over."""
     previous = sim.owner
@@ -239,7 +279,9 @@
 
 
 def simulate(
-    seed: int, inject: Callable[[cellsim.Sim], None] = _inject_fault
+    seed: int,
+    inject: Callable[[cellsim.Sim], None] = _inject_fault,
+    restarts: int = 0,
 ) -> cellsim.Sim:
     """Run the simulation of a seed to its end.
 
@@ -256,6 +298,12 @@
         )
     for _ in range(FAULTS):
         sim.schedule(sim.random.uniform(1, FAULTS_S), lambda: inject(sim))
+    if restarts:
+        sim.orders_name_incarnation = False
+    for _ in range(restarts):
+        sim.schedule(
+            sim.random.uniform(1, FAULTS_S), lambda: _inject_restart(sim)
+        )
     sim.run(FAULTS_S + SETTLE_S)
     _check_all_ended(sim)
     return sim
@@ -266,6 +314,14 @@
     return simulate(seed, _inject_takeover_fault)
 
 
+def simulate_restarts(seed: int) -> cellsim.Sim:
+    """Run the simulation with workers that also restart quickly.
+
+    They keep their ids, and orders don't tell their incarnations apart.
+    """
+    return simulate(seed, restarts=RESTARTS)
+
+
 def _spread_workers(sim):
     for worker, data_centre in zip(
         sim.workers.values(), DATA_CENTRES, strict=True
@@ -292,7 +348,22 @@
     assert len(sim.final_states) == JOBS
 
 
-SIMULATIONS = (simulate, simulate_takeovers, simulate_idle_phases)
+def test_promises_hold_under_quick_restarts_of_workers():
+    errors = {}
+    for seed in RESTART_SEEDS:
+        try:
+            simulate_restarts(seed)
+        except cellsim.InvariantError as error:
+            errors[seed] = str(error)
+    assert not errors
+
+
+SIMULATIONS = (
+    simulate,
+    simulate_takeovers,
+    simulate_restarts,
+    simulate_idle_phases,
+)
 
 
 if __name__ == '__main__':
