A run is not over while its end may be on a later page

A worker reports at most 500 ends in one answer. While the store was slow and more were waiting, a run that was neither listed nor among these ends was taken to be over without a result, although its end was among the others: a task that was done, or had failed, started again.

After a full page, no conclusions are drawn from runs that are missing. The ends of the page are stored and acknowledged, and the next answer has the rest.

Failed before: test_a_run_is_not_over_while_its_end_may_be_on_a_later_page.

--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -297,6 +297,9 @@
                 adopted.add(step.spec.size, 1)
         if run is not None:
             _update_run(cell, run, status)
+    if len(event.ended) >= events.MAX_REPORTED_COMPLETIONS:
+        # The missing runs may be among further completions.
+        return
     for key, run in list(worker.runs.items()):
         if key not in seen:
             _check_missing_run(cell, run, event.sent_at)
--- a/packages/cell/celeryshift_cell/events.py
+++ b/packages/cell/celeryshift_cell/events.py
@@ -104,6 +104,10 @@
     outcome: Outcome
 
 
+# A worker reports at most this many completions in one answer.
+MAX_REPORTED_COMPLETIONS = 500
+
+
 @attrs.frozen(slots=True)
 class RunStatus:
     """Status of a running run, as its worker reports it."""
