Advice on an earlier incarnation of a worker is not applied

An answer of the policy service was applied to the incarnation that was there when it arrived. A worker that had restarted meanwhile, perhaps as another kind, was never asked about again for a step that its former incarnation had been rejected for, or was sent a start with the ticket of that incarnation, which it refuses.

The query in flight now has the incarnations that it was sent for.

Failed before: test_advice_on_the_previous_incarnation_is_not_applied, both for a rejection and for a ticket.

--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -42,7 +42,9 @@
     workers = _query_candidates(cell, step, service)
     if not workers:
         return
-    step.pending_query = frozenset(worker.id for worker in workers)
+    step.pending_query = {
+        worker.id: worker.entry.incarnation for worker in workers
+    }
     job = step.job
     expected_ms = service.decision_ms + service.each_ms * len(workers)
     cell.emit(
@@ -111,13 +113,11 @@
     step = cell.step(event.step)
     if step is None:
         return
-    step.pending_query = frozenset()
+    queried, step.pending_query = step.pending_query, {}
     valid_until = event.sent_at + event.validity_ms / 1000
-    for worker_id in event.workers:
-        worker = cell.workers.get(worker_id)
-        if worker is None:
+    for worker_id, incarnation in queried.items():
+        if cell.worker(worker_id, incarnation) is None:
             continue
-        incarnation = worker.entry.incarnation
         ticket = event.tickets_by_worker.get(worker_id)
         if ticket is None:
             step.ineligible[worker_id] = incarnation
@@ -144,7 +144,7 @@
     step = cell.step(event.step)
     if step is None:
         return
-    step.pending_query = frozenset()
+    step.pending_query = {}
     step.query_after = cell.now + cell.options.query_retry_s
     cell.log_decision(
         'advice_failed',
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -134,8 +134,9 @@
     approvals: dict[str, Approval] = attrs.field(factory=dict)
     # Incarnations of workers that the policy service rejected, by worker id.
     ineligible: dict[str, int] = attrs.field(factory=dict)
-    # Worker ids in the query to the policy service in flight; empty if none.
-    pending_query: frozenset[str] = frozenset()
+    # Incarnations of the workers in the query to the policy service in flight,
+    # by worker id; empty if none.
+    pending_query: dict[str, int] = attrs.field(factory=dict)
     # No query is sent before this time.
     query_after: float = 0.0
     # Number of runs of this step, by worker id.
