--- a/tests/test_cell_leases.py
+++ b/tests/test_cell_leases.py
@@ -150,7 +150,7 @@
     bench.now = 10.0
     bench.answer_poll('a')
     bench.now = 11.0
-    bench.send(events.PollAnswered(0.0, 8.0, 'a', 1, 8000, (), ()))
+    bench.send(events.PollAnswered(0.0, 8.0, 'a', 1, 1, 8000, (), ()))
     (order,) = bench.accept(cells.job('j'))
     assert order.deadline_ms - bench.clock_ms('a') > MIN_LEASE_MS
 
