An event that can not be applied costs neither its batch nor a second run

What callers would see: two runs of a task at the same time, or jobs that are never heard of again, after one malformed answer of a worker.

Cause: an exception in the reducer lost all later events of the batch, the restored state among them if it came with the first answers. A worker counted as fenced before its lists were applied, so if that failed, the runs that it had just reported were taken not to exist and their tasks started elsewhere.

Fix: each event fails alone, with a line event_failed. A worker is fenced, and no longer in doubt, once its lists have been applied.

--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -162,7 +162,6 @@
     worker.is_silent = worker.is_suspect = False
     _leases.update_clock_offset(cell, worker, event.clock_ms)
     was_fenced = worker.is_fenced
-    worker.is_fenced = True
     if not was_fenced:
         # A former owner may have extended the lease until just now.
         _leases.extend(cell, worker)
@@ -175,12 +174,14 @@
             after_ms=round((cell.now - cell.restored_at) * 1000),
             unfenced=len(cell.unfenced) - 1,
         )
-    cell.unfenced.discard(worker.id)
     for completion in event.ended:
         if completion.number > worker.last_completion:
             worker.last_completion = completion.number
             _runs.handle_run_completed(cell, worker, completion)
     _runs.reconcile(cell, worker, event, is_first=not was_fenced)
+    # Only now are the runs of former owners known.
+    worker.is_fenced = True
+    cell.unfenced.discard(worker.id)
     _fillers.adjust_pace(cell, worker)
     _stalls.check_worker(cell, worker)
     if was_unusable or not was_fenced:
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -80,7 +80,17 @@
         # Tasks are placed once, after the last event of the batch.
         for index, event in enumerate(queue):
             may_start = index == last and self._may_act()
-            for effect in cell.reduce(self.state, event, may_start):
+            try:
+                emitted = cell.reduce(self.state, event, may_start)
+            except Exception as error:
+                # The other events of the batch must not be lost.
+                self._log_decision(
+                    'event_failed',
+                    event=type(event).__name__,
+                    error=repr(error),
+                )
+                continue
+            for effect in emitted:
                 self._execute(effect)
 
     def _spawn(self, work: Any) -> None:
