--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -197,7 +197,6 @@
     worker.is_silent = worker.is_suspect = False
     _leases.record_clock(cell, worker, event.clock_ms)
     was_fenced = worker.is_fenced
-    worker.is_fenced = True
     if not was_fenced:
         # The former owner may have extended the lease until then.
         worker.lease_until = max(worker.lease_until, cell.in_doubt_until)
@@ -210,12 +209,14 @@
             after_ms=round((cell.now - cell.restored_at) * 1000),
             unfenced=len(cell.unfenced) - 1,
         )
-    cell.unfenced.discard(worker.id)
     for completion in event.ended:
         if completion.number > worker.last_completion:
             worker.last_completion = completion.number
             _runs.handle_run_completed(cell, worker, completion)
     _runs.reconcile(cell, worker, event, is_first=not was_fenced)
+    # Only now are the runs of former owners known.
+    worker.is_fenced = True
+    cell.unfenced.discard(worker.id)
     _fillers.adjust_pace(cell, worker)
     _stalls.check_worker(cell, worker)
     if was_unusable or not was_fenced:
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -98,7 +98,7 @@
 def _answer_poll(runner, worker, running=(), ended=()):
     now = time.monotonic()
     runner.enqueue(
-        events.PollAnswered(now, now, worker, 1, 1000, running, ended)
+        events.PollAnswered(now, now, worker, 1, 1, 1000, running, ended)
     )
 
 
@@ -129,7 +129,7 @@
         await asyncio.sleep(0.05)
         malformed = events.RunStatus('x', 1, '', 10)
         runner.enqueue(
-            events.PollAnswered(0.0, 0.0, 'a', 1, None, (malformed,), ())
+            events.PollAnswered(0.0, 0.0, 'a', 1, 1, None, (malformed,), ())
         )
         _answer_poll(runner, 'a')
         _answer_poll(runner, 'b')
