The simulated worker follows the protocol

Its clock started at the time since the boot of the machine and was exact, leases were not capped, ends were noticed only by a poll, every worker answered for any id, and none could restart. It now has a clock of its own that may be slow, caps leases, ends runs at their exact time, rejects orders for another instance, restarts under its id at the same or another port, and may carry out orders late. It keeps a record of every run, so that tests can tell when a task ran twice at the same time.

--- a/tests/site.py
+++ b/tests/site.py
@@ -7,21 +7,22 @@
 import base64
 import json
 import random
-import time
 from typing import Any
 
 from aiohttp import web
+from tests import siteworker
 
 from celeryshift_cellnode import ports
 from celeryshift_standins import rowstore
 
-TICK_S = 0.01
-MS_PER_S = 1000
 KEY = 'key-of-the-ministry'
 HOST = 'calls.example'
 PREFIX = '/field/'
-UPSTREAM = 'coding'
-LOOPBACK = '127.0.0.1'
+UPSTREAM = siteworker.UPSTREAM
+LOOPBACK = siteworker.LOOPBACK
+# Data centres of the workers, in turn.
+ZONES = ('a', 'b', 'c')
+UPDATE_S = 0.05
 # A transaction that takes longer than this is applied late.
 STORE_TIMEOUT_S = 1.0
 # How long a connection stays open if its answer is lost. No client waits this
@@ -29,151 +30,17 @@
 LOST_ANSWER_DELAY_S = 8.0
 
 
-class FakeWorker:
-    """Worker whose tasks only wait."""
-
-    def __init__(self, name: str, cores: int = 32) -> None:
-        self.name = name
-        self.cores = cores
-        self.born = int(time.time() * MS_PER_S)
-        self.fence = 0
-        self.lease_until_ms = 0.0
-        # Start time and duration of each run, in seconds, by task and run
-        # number.
-        self.running: dict[tuple[str, int], tuple[float, float]] = {}
-        # Highest run number of each task that has ended or been stopped; the
-        # worker does not start this run or an earlier one.
-        self.stopped: dict[str, int] = {}
-        # Completions that the owner has not acknowledged, in the format of the
-        # protocol: number, task, run number, result and checkpoint.
-        self.completions: list[list[Any]] = []
-        self.last_completion = 0
-        # All starts that were carried out, for checks in tests.
-        self.starts: list[tuple[str, int]] = []
-        self.done: list[str] = []
-        self.is_silent = False
-        # Whether runs make no progress.
-        self.is_sick = False
-        self.port = 0
-
-    @property
-    def clock_ms(self) -> int:
-        """Return the time of the worker's own clock."""
-        return int(time.monotonic() * MS_PER_S)
-
-    def entry(self) -> dict[str, Any]:
-        """Return the entry that the worker writes to the store."""
-        return {
-            'service': UPSTREAM,
-            'address': f'{LOOPBACK}:{self.port}',
-            'zone': 'a',
-            'version': 'v1',
-            'slots': 8,
-            'state': 'ready',
-            'cold_remaining_ms': 0,
-            'capacity': {'cpu': self.cores * 1000, 'mem_mb': 131072},
-            'labels': ['a', 'r1-1'],
-            'clock_ms': self.clock_ms,
-            'sequence': 1,
-            'born': self.born,
-        }
-
-    async def answer(self, request: web.BaseRequest) -> web.Response:
-        """Answer an order."""
-        body = json.loads(await request.read())
-        if self.is_silent:
-            await asyncio.sleep(3600)
-        name = request.path.rpartition('/')[2]
-        if body['fencing_token'] < self.fence:
-            return self._refuse('fence')
-        self.fence = body['fencing_token']
-        self._update_runs()
-        if name == 'run-start':
-            return self._start(body)
-        if name == 'run-stop':
-            return self._stop(body)
-        return await self._poll(body)
-
-    def _respond(self, status: int = 200, **body: Any) -> web.Response:
-        body['clock_ms'] = self.clock_ms
-        return web.json_response(body, status=status)
-
-    def _refuse(self, reason: str) -> web.Response:
-        return self._respond(409, reason=reason)
-
-    def _start(self, body: dict[str, Any]) -> web.Response:
-        task, run = body['task'], body['run']
-        if (task, run) in self.running:
-            return self._respond()
-        if run <= self.stopped.get(task, 0):
-            return self._refuse('old')
-        if body['deadline_ms'] < self.clock_ms:
-            return self._refuse('late')
-        self.lease_until_ms = max(self.lease_until_ms, body['deadline_ms'])
-        took_s = json.loads(body['spec'])['took_s']
-        self.running[task, run] = (time.monotonic(), took_s)
-        self.starts.append((task, run))
-        return self._respond()
-
-    def _stop(self, body: dict[str, Any]) -> web.Response:
-        task, run = body['task'], body['run']
-        self.stopped[task] = max(self.stopped.get(task, 0), run)
-        if self.running.pop((task, run), None) is not None:
-            self._complete(task, run, 'stopped')
-        return self._respond()
-
-    async def _poll(self, body: dict[str, Any]) -> web.Response:
-        self.lease_until_ms = max(
-            self.lease_until_ms, body.get('deadline_ms', 0)
-        )
-        wait_until = time.monotonic() + body.get('wait_ms', 0) / MS_PER_S
-        last_seen = body['last_seen']
-        self.completions = [
-            completion
-            for completion in self.completions
-            if completion[0] > last_seen
-        ]
-        while not self.completions and time.monotonic() < wait_until:
-            await asyncio.sleep(TICK_S)
-            self._update_runs()
-        running = [
-            [task, run, '', self._percent(started_at, took_s)]
-            for (task, run), (started_at, took_s) in self.running.items()
-        ]
-        return self._respond(
-            running=running, ended_runs=self.completions, born=self.born
-        )
-
-    def _percent(self, started_at: float, took_s: float) -> int:
-        if self.is_sick:
-            return 0
-        share = (time.monotonic() - started_at) / max(took_s, 0.001)
-        return min(99, int(100 * share))
-
-    def _update_runs(self) -> None:
-        if self.clock_ms > self.lease_until_ms:
-            for task, run in list(self.running):
-                del self.running[task, run]
-                self._complete(task, run, 'lapsed')
-        now = time.monotonic()
-        for (task, run), (started_at, took_s) in list(self.running.items()):
-            if started_at + took_s <= now and not self.is_sick:
-                del self.running[task, run]
-                self.done.append(task)
-                self._complete(task, run, 'done')
-
-    def _complete(self, task: str, run: int, how: str) -> None:
-        self.last_completion += 1
-        self.stopped[task] = max(self.stopped.get(task, 0), run)
-        self.completions.append([self.last_completion, task, run, how, ''])
-
-
 class FakePlatform:
     """Server of the store, the policy service and some workers."""
 
     def __init__(self, workers: int = 3) -> None:
         self.rows = rowstore.RowStore()
-        self.workers = [FakeWorker(f'i-{number}') for number in range(workers)]
+        self.workers = [
+            siteworker.FakeWorker(f'i-{number}', ZONES[number % len(ZONES)])
+            for number in range(workers)
+        ]
+        # The worker that listens at each port of a worker.
+        self.occupants: dict[int, siteworker.FakeWorker] = {}
         self.runners: list[web.ServerRunner] = []
         self.port = 0
         # Whether the store refuses all calls.
@@ -181,30 +48,61 @@
         # This fraction of the transactions is applied but not answered.
         self.lost_share = 0.0
         self._random = random.Random(0)
-        self._heartbeat_task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Start to listen; store the configuration and the workers."""
         self.port = await self._listen(self._answer)
         for worker in self.workers:
-            worker.port = await self._listen(worker.answer)
+            worker.port = await self._listen(self._answer_as_worker)
+            self.occupants[worker.port] = worker
         self.configure()
-        self._write_workers()
-        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
+        self.write_workers()
+        self._tasks = [
+            asyncio.create_task(self._send_heartbeats()),
+            asyncio.create_task(self._update_runs()),
+        ]
 
     async def close(self) -> None:
         """Stop listening."""
-        assert self._heartbeat_task is not None
-        self._heartbeat_task.cancel()
+        for task in self._tasks:
+            task.cancel()
         for runner in self.runners:
             await runner.cleanup()
 
     async def _send_heartbeats(self) -> None:
         while True:
             await asyncio.sleep(1.0)
-            self._write_workers()
+            self.write_workers()
 
-    def _write_workers(self) -> None:
+    async def _update_runs(self) -> None:
+        while True:
+            await asyncio.sleep(UPDATE_S)
+            for worker in self.workers:
+                worker.update_runs()
+
+    async def _answer_as_worker(self, request: web.BaseRequest) -> Any:
+        assert request.transport is not None
+        port = request.transport.get_extra_info('sockname')[1]
+        delay_s = self.occupants[port].choose_delay_s()
+        # By then another incarnation or worker may listen at the port.
+        await asyncio.sleep(delay_s)
+        return await self.occupants[port].answer(request, delay_s > 0)
+
+    def swap_ports(
+        self, first: siteworker.FakeWorker, second: siteworker.FakeWorker
+    ) -> None:
+        """Restart two workers, each at the port of the other."""
+        port_by_worker = {w.name: port for port, w in self.occupants.items()}
+        first.restart()
+        second.restart()
+        self.occupants[port_by_worker[first.name]] = second
+        self.occupants[port_by_worker[second.name]] = first
+        first.port, second.port = second.port, first.port
+        self.write_workers()
+
+    def write_workers(self) -> None:
+        """Store the entries of the workers."""
         for worker in self.workers:
             value = json.dumps(worker.entry()).encode()
             self.rows.put('servers', '', worker.name, value)
