The soak and the process tests check that no task runs twice at once

They checked only that no task completed twice, so that a second run which was stopped or lapsed in time went unseen. The check uses the workers' own record of each run: no two runs of a task at once, no start after an acknowledged end, and none after an end that the owner may not know before the lease under which the run ended expires. The soak no longer rejects every second completion: after a worker was cut off until its lease expired, or was restarted, an end that nobody could read is lost, and the task runs again. The process tests, which do neither, still reject it.

The new test fails on the code as it is: a worker that was idle, with a clock that is 2 % slow, is granted a lease that ends later than the owner reckons.

--- a/tests/siteworker.py
+++ b/tests/siteworker.py
@@ -19,6 +19,8 @@
 MIN_LATE_S = 1.0
 MAX_LATE_S = 8.0
 MAX_LISTED_ENDS = 500
+# Clock rate of a worker whose clock is as slow as the protocol allows.
+SLOWEST_CLOCK = 0.98
 
 
 @attrs.define(eq=False)
@@ -54,7 +56,7 @@
         self.cores = cores
         self.born = 0
         # Seconds that the worker's clock counts per second.
-        self.clock_rate = 1.0
+        self.clock_rate = SLOWEST_CLOCK
         # Share of the orders that are carried out late and not answered.
         self.late_share = 0.0
         # All runs of all incarnations, in the order of their starts.
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,8 +4,8 @@
 the store and one in front of each worker. While faults are injected, callers
 submit jobs and repeat each call until the job is accepted. At the end, the
 guarantees are checked against what callers and workers saw: each accepted job
-completes, no task completes twice, and a job that was always refused does not
-run.
+completes, no task runs twice at once or again after its end was acknowledged,
+and a job that was always refused does not run.
 
 To run seeds 1 to 49: ``python -m tests.soak 1 50``.
 """
@@ -21,6 +21,8 @@
 from typing import Any
 
 import aiohttp
+from tests import proxies
+from tests import runchecks
 from tests import site
 from tests import test_cell_processes as processes
 
@@ -31,7 +33,6 @@
 JOBS_PER_S = 6.0
 MAX_ATTEMPTS = 12
 RETRY_S = 0.4
-CHUNK_BYTES = 65536
 ACCEPTED = 200
 # The outcome is unknown: the caller must not take this status as a refusal.
 IN_DOUBT = 504
@@ -63,74 +64,6 @@
 )
 
 
-class Proxy:
-    """TCP proxy with faults: delay, reset, and silent loss per direction."""
-
-    def __init__(self, port: int) -> None:
-        self._target = port
-        self.port = 0
-        self.delay_s = 0.0
-        # Bytes from the client (deaf) or to it (mute) are dropped, without
-        # an error on either side.
-        self.is_deaf = False
-        self.is_mute = False
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(
-            self._serve, site.LOOPBACK, 0
-        )
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    def reset(self) -> None:
-        """Abort all connections."""
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def close(self) -> None:
-        """Stop listening and abort all connections."""
-        assert self._server is not None
-        self._server.close()
-        self.reset()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            target = await asyncio.open_connection(site.LOOPBACK, self._target)
-        except OSError:
-            # Nothing listens at the target: the caller sees its connection
-            # reset, as it would without a proxy.
-            writer.transport.abort()
-            return
-        self._writers |= {writer, target[1]}
-        await asyncio.gather(
-            self._relay(reader, target[1], 'is_deaf'),
-            self._relay(target[0], writer, 'is_mute'),
-        )
-        self._writers -= {writer, target[1]}
-
-    async def _relay(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        fault: str,
-    ) -> None:
-        with contextlib.suppress(OSError):
-            while data := await reader.read(CHUNK_BYTES):
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
-                if getattr(self, fault):
-                    # These bytes are lost, and the stream cannot recover:
-                    # clearing the fault resets all connections.
-                    continue
-                writer.write(data)
-                await writer.drain()
-        writer.close()
-
-
 class Soak:
     """One run of the soak test, with the faults of one seed."""
 
@@ -139,8 +72,8 @@
         self._folder = folder
         self.platform = site.FakePlatform()
         self.programs: list[processes.Program] = []
-        self.store_proxies: list[Proxy] = []
-        self.worker_proxies: list[Proxy] = []
+        self.store_proxies: list[proxies.Proxy] = []
+        self.worker_proxies: list[proxies.Proxy] = []
         self.statuses: dict[str, list[int]] = collections.defaultdict(list)
         self.faults: list[str] = []
         self._restarting: set[str] = set()
@@ -170,13 +103,9 @@
 
     async def _start(self) -> None:
         for worker in self.platform.workers:
-            proxy = Proxy(worker.port)
-            await proxy.start()
-            self.worker_proxies.append(proxy)
-            # From now on nodes reach the worker through the proxy.
-            worker.port = proxy.port
+            self.worker_proxies.append(await proxies.put_before(worker))
         for number in range(processes.NODES):
-            proxy = Proxy(self.platform.port)
+            proxy = proxies.Proxy(self.platform.port)
             await proxy.start()
             self.store_proxies.append(proxy)
             program = processes.Program(
@@ -245,12 +174,12 @@
             self._version += 1
             self.platform.configure(self._version)
         elif kind in ('deaf store', 'deaf worker'):
-            proxies = (
+            chosen = (
                 self.store_proxies
                 if kind == 'deaf store'
                 else self.worker_proxies
             )
-            proxy = self.rng.choice(proxies)
+            proxy = self.rng.choice(chosen)
             proxy.is_deaf = self.rng.random() < 0.6
             proxy.is_mute = not proxy.is_deaf or self.rng.random() < 0.5
             self._schedule(duration_s, self._clear_proxy(proxy))
@@ -292,10 +221,8 @@
         with contextlib.suppress(ProcessLookupError):
             program.process.send_signal(signal.SIGCONT)
 
-    async def _clear_proxy(self, proxy: Proxy) -> None:
-        proxy.is_deaf = proxy.is_mute = False
-        proxy.delay_s = 0.0
-        proxy.reset()
+    async def _clear_proxy(self, proxy: proxies.Proxy) -> None:
+        proxy.clear()
 
     async def _restart(
         self, program: processes.Program, signal_number: signal.Signals
@@ -349,11 +276,11 @@
         return status == 200 and answer['state'] == 'completed'
 
     def _check_runs(self) -> None:
-        done = collections.Counter(
-            task for worker in self.platform.workers for task in worker.done
-        )
-        repeated = [task for task, times in done.items() if times > 1]
-        assert not repeated, f'completed more than once: {repeated}'
+        repetitions = runchecks.find_repetitions(self.platform.workers)
+        if repetitions:
+            lines = [line for p in self.programs for line in p.lines]
+            raise AssertionError(runchecks.report(repetitions, lines))
+        done = [t for w in self.platform.workers for t in w.done]
         for job, statuses in self.statuses.items():
             if ACCEPTED in statuses or IN_DOUBT in statuses:
                 continue
--- a/tests/test_cell_processes.py
+++ b/tests/test_cell_processes.py
@@ -12,6 +12,8 @@
 from typing import Any
 
 import aiohttp
+from tests import proxies
+from tests import runchecks
 from tests import site
 
 NODES = 3
@@ -151,6 +153,8 @@
         self.site = site.FakePlatform()
         self._folder = folder
         self.programs: list[Program] = []
+        # One in front of each worker.
+        self.proxies: list[proxies.Proxy] = []
 
     async def __aenter__(self) -> 'Cluster':
         try:
@@ -163,6 +167,8 @@
 
     async def _start(self) -> None:
         await self.site.start()
+        for worker in self.site.workers:
+            self.proxies.append(await proxies.put_before(worker))
         self.session = aiohttp.ClientSession()
         for number in range(NODES):
             program = Program(f'n{number}', self.site, self._folder)
@@ -180,6 +186,8 @@
         for program in self.programs:
             if program.process is not None:
                 await program.end()
+        for proxy in self.proxies:
+            await proxy.close()
         await self.site.close()
 
     @property
@@ -223,10 +231,13 @@
             while not await is_completed():
                 await asyncio.sleep(0.05)
 
-    def check_tasks_done_once(self) -> None:
-        """Check that no task has been completed twice."""
+    def check_runs(self) -> None:
+        """Check that no task was done twice or ran twice at once."""
         done = [task for worker in self.site.workers for task in worker.done]
         assert len(done) == len(set(done))
+        repetitions = runchecks.find_repetitions(self.site.workers)
+        lines = [line for p in self.programs for line in p.lines]
+        assert not repetitions, runchecks.report(repetitions, lines)
 
 
 async def until(condition: Any, within_s: float = 10.0) -> None:
@@ -239,7 +250,7 @@
     async def run_on_cluster() -> None:
         async with asyncio.timeout(60), Cluster(folder) as cluster:
             await work(cluster)
-            cluster.check_tasks_done_once()
+            cluster.check_runs()
 
     asyncio.run(run_on_cluster())
 
