The soak cuts workers off after starts, restarts and moves them

The faults that it had could not cause the reported incident: workers were never idle for long, none was cut off right after a start for as long as a lease, restarted under its id, or moved to another address, and no node lost the cell and acquired it again by design. These faults now come, overlap and repeat, and a burst of long tasks after an idle time is an option.

The new test fails on the code as it is: a late 421 to an order for an earlier incarnation of a worker drops the runs of the present one.

--- a/tests/proxies.py
+++ b/tests/proxies.py
@@ -88,9 +88,9 @@
         writer.close()
 
 
-async def put_before(worker: siteworker.FakeWorker) -> Proxy:
+async def put_before(address: siteworker.Address) -> Proxy:
     """Start a proxy through which nodes reach a worker."""
-    proxy = Proxy(worker.port)
+    proxy = Proxy(address.listen_port)
     await proxy.start()
-    worker.port = proxy.port
+    address.port = proxy.port
     return proxy
--- a/tests/site.py
+++ b/tests/site.py
@@ -39,8 +39,10 @@
             siteworker.FakeWorker(f'i-{number}', ZONES[number % len(ZONES)])
             for number in range(workers)
         ]
-        # The worker that listens at each port of a worker.
-        self.occupants: dict[int, siteworker.FakeWorker] = {}
+        # Addresses of the workers, in their order, and a spare one, at which
+        # a worker listens that is not registered.
+        self.addresses: list[siteworker.Address] = []
+        self._stranger = siteworker.FakeWorker('i-stranger')
         self.runners: list[web.ServerRunner] = []
         self.port = 0
         # Whether the store refuses all calls.
@@ -53,9 +55,10 @@
     async def start(self) -> None:
         """Start to listen; store the configuration and the workers."""
         self.port = await self._listen(self._answer)
-        for worker in self.workers:
-            worker.port = await self._listen(self._answer_as_worker)
-            self.occupants[worker.port] = worker
+        for worker in (*self.workers, self._stranger):
+            port = await self._listen(self._answer_as_worker)
+            worker.address = siteworker.Address(port, port, worker)
+            self.addresses.append(worker.address)
         self.configure()
         self.write_workers()
         self._tasks = [
@@ -84,23 +87,26 @@
     async def _answer_as_worker(self, request: web.BaseRequest) -> Any:
         assert request.transport is not None
         port = request.transport.get_extra_info('sockname')[1]
-        delay_s = self.occupants[port].choose_delay_s()
+        (address,) = [a for a in self.addresses if a.listen_port == port]
+        delay_s = address.occupant.choose_delay_s()
         # By then another incarnation or worker may listen at the port.
         await asyncio.sleep(delay_s)
-        return await self.occupants[port].answer(request, delay_s > 0)
-
-    def swap_ports(
-        self, first: siteworker.FakeWorker, second: siteworker.FakeWorker
-    ) -> None:
-        """Restart two workers, each at the port of the other."""
-        port_by_worker = {w.name: port for port, w in self.occupants.items()}
-        first.restart()
-        second.restart()
-        self.occupants[port_by_worker[first.name]] = second
-        self.occupants[port_by_worker[second.name]] = first
-        first.port, second.port = second.port, first.port
+        return await address.occupant.answer(request, delay_s > 0)
+
+    def restart(self, worker: siteworker.FakeWorker) -> None:
+        """Restart a worker under its id at the same port."""
+        worker.restart()
         self.write_workers()
 
+    def move(self, worker: siteworker.FakeWorker) -> None:
+        """Restart a worker under its id at the spare address."""
+        old, spare = worker.address, self._stranger.address
+        assert old is not None
+        assert spare is not None
+        old.occupant, spare.occupant = self._stranger, worker
+        worker.address, self._stranger.address = spare, old
+        self.restart(worker)
+
     def write_workers(self) -> None:
         """Store the entries of the workers."""
         for worker in self.workers:
--- a/tests/siteworker.py
+++ b/tests/siteworker.py
@@ -47,6 +47,16 @@
     acknowledged_at: float | None = None
 
 
+@attrs.define(eq=False)
+class Address:
+    """Port at which a worker listens."""
+
+    listen_port: int
+    # The port to call, which is that of a proxy if there is one.
+    port: int
+    occupant: 'FakeWorker'
+
+
 class FakeWorker:
     """Worker that keeps a record of all its runs."""
 
@@ -61,8 +71,9 @@
         self.late_share = 0.0
         # All runs of all incarnations, in the order of their starts.
         self.records: list[RunRecord] = []
+        self.polls = 0
         self.is_silent = False
-        self.port = 0
+        self.address: Address | None = None
         self._is_sick = False
         self._random = random.Random(name)
         self._reset()
@@ -128,9 +139,10 @@
 
     def entry(self) -> dict[str, Any]:
         """Return the entry that the worker writes to the store."""
+        assert self.address is not None
         return {
             'service': UPSTREAM,
-            'address': f'{LOOPBACK}:{self.port}',
+            'address': f'{LOOPBACK}:{self.address.port}',
             'zone': self.zone,
             'version': 'v1',
             'slots': 8,
@@ -153,7 +165,10 @@
         self, request: web.BaseRequest, is_late: bool
     ) -> web.Response:
         """Carry out an order and answer it."""
-        body = json.loads(await request.read())
+        try:
+            body = json.loads(await request.read())
+        except ConnectionResetError:
+            return web.Response()
         if self.is_silent:
             await asyncio.sleep(3600)
         if request.headers.get('Expected-Instance', self.name) != self.name:
@@ -215,6 +230,7 @@
 
     async def _poll(self, body: dict[str, Any]) -> web.Response:
         born = self.born
+        self.polls += 1
         self._extend_lease(body.get('deadline_ms', 0))
         self._acknowledge(body['last_seen'])
         wait_until = time.monotonic() + body.get('wait_ms', 0) / MS_PER_S
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -7,12 +7,16 @@
 completes, no task runs twice at once or again after its end was acknowledged,
 and a job that was always refused does not run.
 
-To run seeds 1 to 49: ``python -m tests.soak 1 50``.
+To run seeds 1 to 49: ``python -m tests.soak 1 50``. The options of
+``python -m tests.soak --help`` make runs longer and larger, or let workers
+idle before a burst of long tasks.
 """
 
+import argparse
 import asyncio
 import collections
 import contextlib
+import json
 import pathlib
 import random
 import signal
@@ -21,21 +25,42 @@
 from typing import Any
 
 import aiohttp
+import attrs
 from tests import proxies
 from tests import runchecks
 from tests import site
+from tests import siteworker
 from tests import test_cell_processes as processes
 
-FAULTS_S = 12.0
 # Within this time leases expire, in-doubt runs are settled and the remaining
 # work completes.
-SETTLE_S = 25.0
+SETTLE_S = 40.0
 JOBS_PER_S = 6.0
 MAX_ATTEMPTS = 12
 RETRY_S = 0.4
 ACCEPTED = 200
 # The outcome is unknown: the caller must not take this status as a refusal.
 IN_DOUBT = 504
+# Tasks of a burst run longer than a lease; so does this share of the others.
+LONG_SHARE = 0.3
+MIN_LONG_S = 4.0
+MAX_LONG_S = 6.0
+BURST_JOBS = 8
+# After a burst, how long its faults run before others begin.
+BURST_S = 5.0
+# How long a worker or a data centre is cut off.
+MIN_CUT_S = 3.0
+MAX_CUT_S = 8.0
+# How long a cut waits for a start, after which it begins.
+START_WAIT_S = 3.0
+# A worker moves while orders are on their way to its old address, and answers
+# take this much longer to return. An order and its answer together stay below
+# the timeout of a start.
+MOVE_DELAY_S = 0.13
+MOVED_S = 0.6
+LATE_SHARE = 0.3
+WORKER_CORES = 8
+CLOCK_RATES = (siteworker.SLOWEST_CLOCK, siteworker.SLOWEST_CLOCK, 1.0)
 # Faults of the store, each as the attribute to set and its value: the store
 # refuses all calls, is slow, or commits a share of the transactions without
 # answering in time.
@@ -49,28 +74,71 @@
 # and restart of one program (kill) or of all (herd), SIGTERM and restart
 # (term), SIGSTOP for a while (pause), and a worker whose runs make no progress
 # (sick).
-FAULT_KINDS = (
+PROGRAM_FAULTS = (
     *STORE_FAULTS,
     'configure',
     'deaf store',
-    'deaf worker',
     'delay',
     'herd',
     'kill',
     'pause',
     'reset',
-    'sick worker',
     'term',
 )
+# A worker that is cut off right after a start (cut), or all of its data centre
+# (cut zone); a restart under its id at the same port (restart worker) or at
+# another one, with an order in flight (move); orders carried out late.
+WORKER_FAULTS = (
+    'cut',
+    'cut zone',
+    'deaf worker',
+    'late orders',
+    'move',
+    'restart worker',
+    'sick worker',
+)
+# SIGSTOP of the owner, and its restart while the other nodes are stopped, so
+# that the same node acquires the cell again.
+OWNER_FAULTS = ('owner again', 'pause owner')
+FAULT_KINDS = (*PROGRAM_FAULTS, *WORKER_FAULTS, *OWNER_FAULTS)
+# Decisions that show which faults took effect.
+SUMMARISED = frozenset(
+    {
+        'cell_restored',
+        'doubt_over',
+        'dropped_run_reported',
+        'run_gone',
+        'start_not_confirmed',
+        'worker_replaced',
+    }
+)
+
+
+@attrs.frozen
+class Profile:
+    """Size and duration of a run."""
+
+    nodes: int = processes.NODES
+    workers: int = 6
+    # Time without any jobs, followed by a burst of long ones.
+    idle_s: float = 0.0
+    faults_s: float = 12.0
+    kinds: tuple[str, ...] = FAULT_KINDS
 
 
 class Soak:
     """One run of the soak test, with the faults of one seed."""
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self, seed: int, folder: pathlib.Path, profile: Profile
+    ) -> None:
         self.rng = random.Random(seed)
         self._folder = folder
-        self.platform = site.FakePlatform()
+        self._profile = profile
+        self.platform = site.FakePlatform(profile.workers)
+        for worker in self.platform.workers:
+            worker.cores = WORKER_CORES
+            worker.clock_rate = self.rng.choice(CLOCK_RATES)
         self.programs: list[processes.Program] = []
         self.store_proxies: list[proxies.Proxy] = []
         self.worker_proxies: list[proxies.Proxy] = []
@@ -80,6 +148,19 @@
         self._version = 1
         self._pending: list[asyncio.Task[None]] = []
 
+    @property
+    def lines(self) -> list[dict[str, Any]]:
+        """Return the log lines of all nodes."""
+        return [line for program in self.programs for line in program.lines]
+
+    def summary(self) -> collections.Counter[str]:
+        """Return how often the owners took each decision that may fail."""
+        return collections.Counter(
+            f'{line["decision"]} {line.get("why", line.get("outcome", ""))}'
+            for line in self.lines
+            if line['decision'] in SUMMARISED
+        )
+
     async def run(self) -> None:
         """Start the programs, inject faults, and check the guarantees."""
         await self.platform.start()
@@ -87,6 +168,7 @@
             await self._start()
             async with aiohttp.ClientSession() as session:
                 self._session = session
+                await self._idle()
                 submissions = asyncio.create_task(self._submit_jobs())
                 await self._inject_faults()
                 await self._clear_faults()
@@ -95,16 +177,16 @@
         finally:
             for program in self.programs:
                 if program.process is not None:
-                    program.process.send_signal(signal.SIGCONT)
+                    await self._resume(program)
                     await program.end()
             for proxy in (*self.store_proxies, *self.worker_proxies):
                 await proxy.close()
             await self.platform.close()
 
     async def _start(self) -> None:
-        for worker in self.platform.workers:
-            self.worker_proxies.append(await proxies.put_before(worker))
-        for number in range(processes.NODES):
+        for address in self.platform.addresses:
+            self.worker_proxies.append(await proxies.put_before(address))
+        for number in range(self._profile.nodes):
             proxy = proxies.Proxy(self.platform.port)
             await proxy.start()
             self.store_proxies.append(proxy)
@@ -114,20 +196,39 @@
             await program.start()
             self.programs.append(program)
         await processes.until(
-            lambda: any(p.owns for p in self.programs), processes.START_S
+            lambda: any(p.owns for p in self.programs),
+            processes.START_S + self._profile.nodes,
+        )
+
+    async def _idle(self) -> None:
+        if not self._profile.idle_s:
+            return
+        await asyncio.sleep(self._profile.idle_s)
+        self._inject('cut' if self.rng.random() < 0.5 else 'cut zone')
+        await asyncio.gather(
+            *(
+                self._submit(10**6 + number, self._long_s())
+                for number in range(BURST_JOBS)
+            )
         )
+        await asyncio.sleep(BURST_S)
+
+    def _long_s(self) -> float:
+        return self.rng.uniform(MIN_LONG_S, MAX_LONG_S)
 
     async def _submit_jobs(self) -> None:
         calls = []
-        for number in range(int(FAULTS_S * JOBS_PER_S)):
-            calls.append(asyncio.create_task(self._submit(number)))
+        for number in range(int(self._profile.faults_s * JOBS_PER_S)):
+            took_s = self.rng.uniform(0.1, 1.5)
+            if self.rng.random() < LONG_SHARE:
+                took_s = self._long_s()
+            calls.append(asyncio.create_task(self._submit(number, took_s)))
             await asyncio.sleep(1 / JOBS_PER_S)
         await asyncio.gather(*calls)
 
-    async def _submit(self, number: int) -> None:
+    async def _submit(self, number: int, took_s: float) -> None:
         job = processes.job_id(number)
-        tasks = self.rng.randint(1, 4)
-        body = processes.job_body(tasks, self.rng.uniform(0.1, 1.5))
+        body = processes.job_body(self.rng.randint(1, 4), took_s)
         for _ in range(MAX_ATTEMPTS):
             program = self.rng.choice(self.programs)
             try:
@@ -144,28 +245,34 @@
 
     async def _inject_faults(self) -> None:
         loop = asyncio.get_running_loop()
-        until = loop.time() + FAULTS_S
+        until = loop.time() + self._profile.faults_s
         while loop.time() < until:
             await asyncio.sleep(self.rng.uniform(0.3, 1.5))
-            await self._inject_fault()
+            self._inject(self.rng.choice(self._profile.kinds))
 
-    async def _inject_fault(self) -> None:
-        kind = self.rng.choice(FAULT_KINDS)
+    def _inject(self, kind: str) -> None:
         duration_s = self.rng.uniform(0.2, 4.0)
+        if kind in ('cut', 'cut zone', 'pause owner'):
+            duration_s = self.rng.uniform(MIN_CUT_S, MAX_CUT_S)
         self.faults.append(f'{kind} {duration_s:.1f}')
+        if kind in OWNER_FAULTS:
+            self._inject_owner_fault(kind, duration_s)
+        elif kind in WORKER_FAULTS:
+            self._inject_worker_fault(kind, duration_s)
+        else:
+            self._inject_program_fault(kind, duration_s)
+
+    def _inject_program_fault(self, kind: str, duration_s: float) -> None:
         program = self.rng.choice(self.programs)
         if kind == 'kill':
-            await self._restart(program, signal.SIGKILL)
+            self._restart(program, signal.SIGKILL)
         elif kind == 'term':
-            await self._restart(program, signal.SIGTERM)
+            self._restart(program, signal.SIGTERM)
         elif kind == 'herd':
             for each in self.programs:
-                await self._restart(each, signal.SIGKILL)
+                self._restart(each, signal.SIGKILL)
         elif kind == 'pause':
-            if program.process is None or program.name in self._restarting:
-                return
-            program.process.send_signal(signal.SIGSTOP)
-            self._schedule(duration_s, self._resume(program))
+            self._pause(program, duration_s)
         elif kind == 'reset':
             self.rng.choice(
                 [*self.store_proxies, *self.worker_proxies]
@@ -173,25 +280,14 @@
         elif kind == 'configure':
             self._version += 1
             self.platform.configure(self._version)
-        elif kind in ('deaf store', 'deaf worker'):
-            chosen = (
-                self.store_proxies
-                if kind == 'deaf store'
-                else self.worker_proxies
-            )
-            proxy = self.rng.choice(chosen)
-            proxy.is_deaf = self.rng.random() < 0.6
-            proxy.is_mute = not proxy.is_deaf or self.rng.random() < 0.5
-            self._schedule(duration_s, self._clear_proxy(proxy))
+        elif kind == 'deaf store':
+            self._cut_partly(self.rng.choice(self.store_proxies), duration_s)
         elif kind == 'delay':
             proxy = self.rng.choice(
                 [*self.store_proxies, *self.worker_proxies]
             )
             proxy.delay_s = self.rng.uniform(0.02, 0.4)
             self._schedule(duration_s, self._clear_proxy(proxy))
-        elif kind == 'sick worker':
-            worker = self.rng.choice(self.platform.workers)
-            self._set_temporarily(worker, 'is_sick', True, duration_s)
         else:
             name, value = STORE_FAULTS[kind]
             component = (
@@ -199,6 +295,85 @@
             )
             self._set_temporarily(component, name, value, duration_s)
 
+    def _inject_worker_fault(self, kind: str, duration_s: float) -> None:
+        worker = self.rng.choice(self.platform.workers)
+        if kind == 'deaf worker':
+            self._cut_partly(self._proxy(worker), duration_s)
+        elif kind == 'sick worker':
+            self._set_temporarily(worker, 'is_sick', True, duration_s)
+        elif kind == 'late orders':
+            self._set_temporarily(worker, 'late_share', LATE_SHARE, duration_s)
+        elif kind == 'restart worker':
+            if self.rng.random() < 0.5:
+                self._proxy(worker).reset()
+            self.platform.restart(worker)
+        elif kind == 'move':
+            self._schedule(0.0, self._move(worker))
+        else:
+            self._schedule(
+                0.0, self._cut_after_start(duration_s, kind == 'cut zone')
+            )
+
+    def _inject_owner_fault(self, kind: str, duration_s: float) -> None:
+        owners = [p for p in self.programs if p.owns]
+        if len(owners) != 1:
+            return
+        if kind == 'pause owner':
+            self._pause(owners[0], duration_s)
+            return
+        for program in self.programs:
+            if program is not owners[0]:
+                self._pause(program, self.rng.uniform(MIN_CUT_S, 5.0))
+        self._restart(owners[0], signal.SIGKILL)
+
+    def _proxy(self, worker: siteworker.FakeWorker) -> proxies.Proxy:
+        assert worker.address is not None
+        port = worker.address.port
+        return next(p for p in self.worker_proxies if p.port == port)
+
+    def _cut_partly(self, proxy: proxies.Proxy, duration_s: float) -> None:
+        is_deaf = self.rng.random() < 0.6
+        proxy.cut(is_deaf, not is_deaf or self.rng.random() < 0.5)
+        self._schedule(duration_s, self._clear_proxy(proxy))
+
+    async def _cut_after_start(self, duration_s: float, is_zone: bool) -> None:
+        workers = self.platform.workers
+        counts = {worker.name: len(worker.records) for worker in workers}
+        started = [self.rng.choice(workers)]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_WAIT_S):
+                while not any(
+                    len(w.records) > counts[w.name] for w in workers
+                ):
+                    await asyncio.sleep(siteworker.TICK_S)
+                started = [
+                    w for w in workers if len(w.records) > counts[w.name]
+                ]
+        # Before or after the poll that extends the lease.
+        await asyncio.sleep(self.rng.uniform(0.0, 0.3))
+        worker = self.rng.choice(started)
+        is_deaf, is_mute = self.rng.choice(
+            [(True, True), (True, True), (True, False), (False, True)]
+        )
+        cut = [
+            self._proxy(each)
+            for each in workers
+            if each is worker or (is_zone and each.zone == worker.zone)
+        ]
+        for proxy in cut:
+            proxy.cut(is_deaf, is_mute)
+        await asyncio.sleep(duration_s)
+        for proxy in cut:
+            proxy.clear()
+
+    async def _move(self, worker: siteworker.FakeWorker) -> None:
+        proxy = self._proxy(worker)
+        proxy.delay_s = MOVE_DELAY_S
+        await asyncio.sleep(self.rng.uniform(0.05, MOVED_S))
+        self.platform.move(worker)
+        await asyncio.sleep(MOVED_S)
+        proxy.clear()
+
     def _set_temporarily(
         self, component: Any, name: str, value: Any, duration_s: float
     ) -> None:
@@ -216,6 +391,13 @@
 
         self._pending.append(asyncio.create_task(wait()))
 
+    def _pause(self, program: processes.Program, duration_s: float) -> None:
+        if program.process is None or program.name in self._restarting:
+            return
+        with contextlib.suppress(ProcessLookupError):
+            program.process.send_signal(signal.SIGSTOP)
+        self._schedule(duration_s, self._resume(program))
+
     async def _resume(self, program: processes.Program) -> None:
         assert program.process is not None
         with contextlib.suppress(ProcessLookupError):
@@ -224,16 +406,17 @@
     async def _clear_proxy(self, proxy: proxies.Proxy) -> None:
         proxy.clear()
 
-    async def _restart(
+    def _restart(
         self, program: processes.Program, signal_number: signal.Signals
     ) -> None:
         process = program.process
         if process is None or program.name in self._restarting:
             return
         self._restarting.add(program.name)
-        # A stopped process would not handle SIGTERM.
-        process.send_signal(signal.SIGCONT)
-        process.send_signal(signal_number)
+        with contextlib.suppress(ProcessLookupError):
+            # A stopped process would not handle SIGTERM.
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(signal_number)
 
         async def restart() -> None:
             await process.wait()
@@ -258,10 +441,11 @@
                 if await self._is_completed(job):
                     unfinished.discard(job)
             await asyncio.sleep(0.2)
+        # Repetitions first: they explain more than an unfinished job.
+        self._check_runs()
         assert not unfinished, (
             f'accepted but not completed: {sorted(unfinished)}'
         )
-        self._check_runs()
 
     async def _is_completed(self, job: str) -> bool:
         program = self.rng.choice(self.programs)
@@ -277,9 +461,7 @@
 
     def _check_runs(self) -> None:
         repetitions = runchecks.find_repetitions(self.platform.workers)
-        if repetitions:
-            lines = [line for p in self.programs for line in p.lines]
-            raise AssertionError(runchecks.report(repetitions, lines))
+        assert not repetitions, runchecks.report(repetitions, self.lines)
         done = [t for w in self.platform.workers for t in w.done]
         for job, statuses in self.statuses.items():
             if ACCEPTED in statuses or IN_DOUBT in statuses:
@@ -288,29 +470,68 @@
             assert not ran, f'{job} was refused but ran'
 
 
-def run_seed(seed: int) -> list[str]:
-    """Run one seed; return the injected faults.
+def run_seed(seed: int, profile: Profile | None = None) -> Soak:
+    """Run one seed; return the run, with its faults and log lines.
 
-    An exception that it raises has a note with the seed and the faults.
+    An exception that it raises has a note with the seed, the faults and the
+    folder that keeps the log lines of the nodes.
     """
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, pathlib.Path(folder))
+        soak = Soak(seed, pathlib.Path(folder), profile or Profile())
         try:
             asyncio.run(soak.run())
         except Exception as error:
-            error.add_note(f'seed {seed}, faults {soak.faults}')
+            kept = _keep_lines(seed, soak)
+            error.add_note(f'seed {seed}, faults {soak.faults}, lines {kept}')
+            error.add_note(str(soak.summary()))
             raise
-        return soak.faults
-
-
-if __name__ == '__main__':
-    first, end = (int(text) for text in sys.argv[1:3])
+        return soak
+
+
+def _keep_lines(seed: int, soak: Soak) -> str:
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+    for program in soak.programs:
+        lines = [json.dumps(line) + '\n' for line in program.lines]
+        (folder / f'{program.name}.jsonl').write_text(''.join(lines))
+    return str(folder)
+
+
+def _parse_arguments() -> argparse.Namespace:
+    default = Profile()
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('first', type=int, help='first seed')
+    parser.add_argument('end', type=int, help='seed after the last one')
+    parser.add_argument('--nodes', type=int, default=default.nodes)
+    parser.add_argument('--workers', type=int, default=default.workers)
+    parser.add_argument('--idle_s', type=float, default=default.idle_s)
+    parser.add_argument('--faults_s', type=float, default=default.faults_s)
+    parser.add_argument(
+        '--kinds',
+        type=lambda text: tuple(text.split(',')),
+        default=default.kinds,
+        help='kinds of faults, separated by commas',
+    )
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Run the seeds that the arguments name, and report the failures."""
+    arguments = vars(_parse_arguments())
+    seeds = range(arguments.pop('first'), arguments.pop('end'))
+    profile = Profile(**arguments)
     failed = 0
-    for number in range(first, end):
+    for seed in seeds:
         try:
-            run_seed(number)
+            soak = run_seed(seed, profile)
+            sys.stdout.write(f'seed {seed}: passed, {soak.summary()}\n')
         except Exception as error:
             failed += 1
             notes = '; '.join(getattr(error, '__notes__', ()))
-            sys.stdout.write(f'seed {number}: {error!r} {notes}\n')
-    sys.stdout.write(f'{end - first} seeds, {failed} failed\n')
+            text = f'{type(error).__name__}: {error}'
+            sys.stdout.write(f'seed {seed}: {text}\n{notes}\n')
+        sys.stdout.flush()
+    sys.stdout.write(f'{len(seeds)} seeds, {failed} failed\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/test_cell_exclusion.py
+++ b/tests/test_cell_exclusion.py
@@ -1,5 +1,6 @@
 """Node processes and workers that are cut off: no task runs twice at once."""
 
+import asyncio
 import time
 
 from tests import test_cell_processes as processes
@@ -8,7 +9,13 @@
 # Longer than any lease, so that a run ends with its lease.
 LONG_S = 7.0
 # How far the clock of a worker falls behind while it is idle.
-LAG_S = 0.2
+LAG_S = 0.24
+# How long an order to the former address of a worker and its answer take; both
+# together stay below the timeout of a start, 0.3 s.
+ORDER_DELAY_S = 0.2
+ANSWER_DELAY_S = 0.05
+# Time for starts that follow from the same decision.
+SETTLE_S = 0.5
 
 
 def test_a_worker_cut_off_after_idling_doubles_nothing(tmp_path):
@@ -19,6 +26,7 @@
         await processes.until(
             lambda: (time.monotonic() - joined_at) * lag > LAG_S, 20.0
         )
+        polls = {worker.name: worker.polls for worker in workers}
         submitted = await cluster.submit(
             cluster.owner, processes.job_id(1), TASKS, LONG_S
         )
@@ -29,9 +37,8 @@
         number = next(n for n, w in enumerate(workers) if w.running)
         worker = workers[number]
         cut_off = {task for task, _ in worker.running}
-        lease_until_ms = worker.lease_until_ms
-        # Until the first poll extends the lease.
-        await processes.until(lambda: worker.lease_until_ms > lease_until_ms)
+        # The first poll extends the lease once more, and waits for an end.
+        await processes.until(lambda: worker.polls > polls[worker.name])
         cluster.proxies[number].cut()
         others = [w for w in workers if w is not worker]
         await processes.until(
@@ -43,3 +50,33 @@
         )
 
     processes.run(work, tmp_path)
+
+
+def test_a_late_421_to_the_incarnation_before_doubles_nothing(tmp_path):
+    async def work(cluster):
+        owner, proxy = cluster.owner, cluster.proxies[0]
+        worker, *others = cluster.site.workers
+        proxy.delay_s = ORDER_DELAY_S
+        assert await cluster.submit(owner, processes.job_id(1), 1) == 200
+        await processes.until(lambda: owner.decisions('tasks_placed'))
+        cluster.site.move(worker)
+        submitted = await cluster.submit(
+            owner, processes.job_id(2), TASKS, LONG_S
+        )
+        assert submitted == 200
+        proxy.delay_s = ANSWER_DELAY_S
+        await processes.until(
+            lambda: sum(len(w.starts) for w in (worker, *others)) >= TASKS
+        )
+        first_task = f'{processes.job_id(1)}.0.0.0'
+        # The order of this task was rejected, so the owner starts it again.
+        await processes.until(
+            lambda: any(
+                task == first_task
+                for each in (worker, *others)
+                for task, _ in each.starts
+            )
+        )
+        await asyncio.sleep(SETTLE_S)
+
+    processes.run(work, tmp_path)
--- a/tests/test_cell_processes.py
+++ b/tests/test_cell_processes.py
@@ -153,7 +153,7 @@
         self.site = site.FakePlatform()
         self._folder = folder
         self.programs: list[Program] = []
-        # One in front of each worker.
+        # One in front of each address of a worker.
         self.proxies: list[proxies.Proxy] = []
 
     async def __aenter__(self) -> 'Cluster':
@@ -167,8 +167,8 @@
 
     async def _start(self) -> None:
         await self.site.start()
-        for worker in self.site.workers:
-            self.proxies.append(await proxies.put_before(worker))
+        for address in self.site.addresses:
+            self.proxies.append(await proxies.put_before(address))
         self.session = aiohttp.ClientSession()
         for number in range(NODES):
             program = Program(f'n{number}', self.site, self._folder)
