Process tests of two faults that the soak found after restarts of workers

Reports name the cause of each repetition and the end of the lease. A restart of a worker ends its connections.

--- a/tests/runchecks.py
+++ b/tests/runchecks.py
@@ -92,18 +92,44 @@
         f'{run.task} run {run.number} on {run.worker} (born {run.born}) under '
         f'{run.fencing_token}, late {run.is_late}, start '
         f'{since(run.started_at)} stop {since(run.ended_at)} end '
-        f'{run.how or "-"} noted {since(run.acknowledged_at)}'
+        f'{run.how or "-"} noted {since(run.acknowledged_at)}, lease until '
+        f'{since(run.lease_end_at or None)}'
     )
 
 
 def report(repetitions: list[Repetition], lines: list[dict[str, Any]]) -> str:
     """Describe repetitions, and the first of them by the nodes' lines."""
     first = repetitions[0]
-    texts = [r.describe(first.first.started_at) for r in repetitions]
+    texts = [
+        f'{r.describe(first.first.started_at)}, cause: {cause(r, lines)}'
+        for r in repetitions
+    ]
     texts += [json.dumps(line) for line in explain(first, lines)]
     return '\n'.join(texts)
 
 
+def cause(repetition: Repetition, lines: list[dict[str, Any]]) -> str:
+    """Return why the owner took one of two runs to have ended."""
+    runs = (repetition.first, repetition.second)
+    gone = [
+        line
+        for line in lines
+        if line['decision'] == 'run_gone'
+        and any(
+            (line['task'], line['run'], line['worker'])
+            == (run.task, run.number, run.worker)
+            for run in runs
+        )
+    ]
+    if not gone:
+        return 'no run_gone'
+    line = min(gone, key=lambda line: line['at'])
+    return (
+        f'{line["why"]}, lease_left_ms {line["lease_left_ms"]}, '
+        f'lease_clock_age_ms {line["lease_clock_age_ms"]}'
+    )
+
+
 def explain(
     repetition: Repetition, lines: list[dict[str, Any]]
 ) -> list[dict[str, Any]]:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -304,8 +304,8 @@
         elif kind == 'late orders':
             self._set_temporarily(worker, 'late_share', LATE_SHARE, duration_s)
         elif kind == 'restart worker':
-            if self.rng.random() < 0.5:
-                self._proxy(worker).reset()
+            # Connections end with the process.
+            self._proxy(worker).reset()
             self.platform.restart(worker)
         elif kind == 'move':
             self._schedule(0.0, self._move(worker))
--- a/tests/test_cell_exclusion.py
+++ b/tests/test_cell_exclusion.py
@@ -16,6 +16,7 @@
 ANSWER_DELAY_S = 0.05
 # Time for starts that follow from the same decision.
 SETTLE_S = 0.5
+SLOW_STORE_S = 0.45
 
 
 def test_a_worker_cut_off_after_idling_doubles_nothing(tmp_path):
@@ -80,3 +81,52 @@
         await asyncio.sleep(SETTLE_S)
 
     processes.run(work, tmp_path)
+
+
+def test_a_start_taken_by_the_next_incarnation_doubles_nothing(tmp_path):
+    async def work(cluster):
+        owner, worker = cluster.owner, cluster.site.workers[0]
+        # Its new entry is not stored yet.
+        worker.restart()
+        cluster.proxies[0].reset()
+        submitted = await cluster.submit(
+            owner, processes.job_id(1), TASKS, LONG_S
+        )
+        assert submitted == 200
+        await processes.until(lambda: _has_joined(owner, worker))
+        await asyncio.sleep(SETTLE_S)
+
+    processes.run(work, tmp_path)
+
+
+def test_ends_after_a_restart_are_not_acknowledged_unread(tmp_path):
+    async def work(cluster):
+        owner, worker = cluster.owner, cluster.site.workers[0]
+        cluster.site.rows.latency_s = SLOW_STORE_S
+        assert await cluster.submit(owner, processes.job_id(1), TASKS) == 200
+        await processes.until(lambda: owner.decisions('run_ended'))
+        cluster.proxies[0].reset()
+        cluster.site.restart(worker)
+        await processes.until(lambda: _has_joined(owner, worker))
+        await asyncio.sleep(2 * SLOW_STORE_S)
+        cluster.site.rows.latency_s = 0.0
+        # Some runs end between two polls.
+        cluster.proxies[0].delay_s = ANSWER_DELAY_S
+        jobs = range(2, 2 + TASKS)
+        await asyncio.gather(
+            *(
+                cluster.submit(owner, processes.job_id(n), 1, 0.5 + n / 20)
+                for n in jobs
+            )
+        )
+        for number in jobs:
+            await cluster.wait_until_completed(owner, processes.job_id(number))
+
+    processes.run(work, tmp_path)
+
+
+def _has_joined(owner, worker):
+    return any(
+        line['life'] == worker.born and line['worker'] == worker.name
+        for line in owner.decisions('worker_joined')
+    )
--- a/tests/test_cell_processes.py
+++ b/tests/test_cell_processes.py
@@ -233,11 +233,11 @@
 
     def check_runs(self) -> None:
         """Check that no task was done twice or ran twice at once."""
-        done = [task for worker in self.site.workers for task in worker.done]
-        assert len(done) == len(set(done))
         repetitions = runchecks.find_repetitions(self.site.workers)
         lines = [line for p in self.programs for line in p.lines]
         assert not repetitions, runchecks.report(repetitions, lines)
+        done = [task for worker in self.site.workers for task in worker.done]
+        assert len(done) == len(set(done))
 
 
 async def until(condition: Any, within_s: float = 10.0) -> None:
