Process test of a takeover after a restart of a worker

The successor waits for the leases that its predecessor reckoned with, and a start that the worker's next incarnation carried out has a longer one.

--- a/tests/test_cell_exclusion.py
+++ b/tests/test_cell_exclusion.py
@@ -1,6 +1,7 @@
 """Node processes and workers that are cut off: no task runs twice at once."""
 
 import asyncio
+import signal
 import time
 
 from tests import test_cell_processes as processes
@@ -116,6 +117,24 @@
     processes.run(work, tmp_path)
 
 
+def test_a_takeover_after_a_restart_of_a_worker_doubles_nothing(tmp_path):
+    async def work(cluster):
+        owner, (worker, *others) = cluster.owner, cluster.site.workers
+        worker.is_unreported = True
+        worker.restart()
+        cluster.proxies[0].reset()
+        submitted = await cluster.submit(
+            owner, processes.job_id(1), TASKS, LONG_S
+        )
+        assert submitted == 200
+        await processes.until(lambda: len(worker.running) == TASKS)
+        cluster.proxies[0].cut()
+        owner.process.send_signal(signal.SIGKILL)
+        await processes.until(lambda: any(other.starts for other in others))
+
+    processes.run(work, tmp_path)
+
+
 def test_ends_after_a_restart_are_not_acknowledged_unread(tmp_path):
     async def work(cluster):
         owner, worker = cluster.owner, cluster.site.workers[0]
