The process test of a restart waits until all ends have been read

The test restarted the worker after the first of twelve ends had been read. Ends that the worker had not reported yet were lost with it, so their tasks rightly ran again, and the check for tasks done twice failed beside the fault that the test is for. It now restarts the worker once all twelve were read, while the save that covers them is in flight.

--- a/tests/test_cell_exclusion.py
+++ b/tests/test_cell_exclusion.py
@@ -140,7 +140,9 @@
         owner, worker = cluster.owner, cluster.site.workers[0]
         cluster.site.rows.latency_s = SLOW_STORE_S
         assert await cluster.submit(owner, processes.job_id(1), TASKS) == 200
-        await processes.until(lambda: owner.decisions('run_ended'))
+        await processes.until(
+            lambda: len(owner.decisions('run_ended')) == TASKS
+        )
         cluster.proxies[0].reset()
         cluster.site.restart(worker)
         await processes.until(lambda: _has_joined(owner, worker))
