A worker is used once the stored list has it

What callers would see: two runs of a task at the same time, if a worker joins or comes back, its entry is then lost, and the owner is replaced before the list of workers is stored, as on a slow store.

Cause: the next owner knows the workers that may run something by the stored list and by the entries. Tasks were started on a new worker while the list that names it was still being written. If its entry was missing at the takeover, its runs were not in doubt and started elsewhere.

Fix: a worker is usable once a stored list has its incarnation and address. It costs a new worker one write. The workers in the list that a new owner restores are usable as before.

Tests in which a worker joins without Bench.join now store the list, as the node does; what they check is unchanged.

--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -107,6 +107,7 @@
     cell.saving_ended = tuple(ended)
     cell.stored_workers_version = cell.workers_version
     workers = _workers_list(cell) if workers_changed else None
+    cell.saving_workers = workers or ()
     cell.emit(effects.SaveRecords(progress, ended, workers))
 
 
@@ -129,9 +130,24 @@
         job.is_recorded = True
         job.recorded_at = cell.now
         cell.log_decision('end_recorded', job=job_id, state=job.state.value)
+    _mark_recorded(cell, cell.saving_workers)
     _workers.handle_completions_saved(cell)
 
 
+def _mark_recorded(
+    cell: _state.Cell, recorded: tuple[tuple[str, int, str], ...]
+) -> None:
+    """Mark the workers that the stored list has, which makes them usable."""
+    for worker_id, incarnation, address in recorded:
+        worker = cell.workers.get(worker_id)
+        if worker is None or worker.is_recorded:
+            continue
+        entry = worker.entry
+        if (entry.incarnation, entry.address) == (incarnation, address):
+            worker.is_recorded = True
+            _workers.unblock_all(cell)
+
+
 def handle_save_failed(cell: _state.Cell) -> None:
     """Schedule the contents of the last save again; it may not be stored."""
     cell.save_in_flight = False
@@ -199,6 +215,7 @@
     for worker in cell.workers.values():
         if not worker.is_fenced:
             cell.unfenced.add(worker.id)
+    _mark_recorded(cell, event.workers)
     cell.restored_version = event.version
     for stored in event.jobs:
         _restore_job(cell, stored.job, event)
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -195,6 +195,8 @@
     is_fenced: bool = False
     # The worker is in the list of workers.
     is_listed: bool = True
+    # The stored list, which tells the next owner of runs, has the worker.
+    is_recorded: bool = False
     # When the entry was last read.
     listed_at: float = 0.0
     # An order or a poll got no response, and another poll is in flight.
@@ -240,6 +242,7 @@
         return (
             self.is_fenced
             and self.is_listed
+            and self.is_recorded
             and not self.is_silent
             and not self.is_suspect
             and not self.unknown_runs
@@ -400,10 +403,12 @@
     # Jobs whose stored progress is out of date.
     dirty_jobs: dict[str, JobRun] = attrs.field(factory=dict)
     save_in_flight: bool = False
-    # The save in flight: last completion of each worker, jobs, ended jobs.
+    # The save in flight: last completion of each worker, jobs, ended jobs,
+    # and the list of workers, empty if it is not saved.
     saving_completions: dict[str, int] = attrs.field(factory=dict)
     saving_jobs: tuple[str, ...] = ()
     saving_ended: tuple[str, ...] = ()
+    saving_workers: tuple[tuple[str, int, str], ...] = ()
     # No save is started before this time.
     save_after: float = 0.0
     # When blocked steps are tried again.
--- a/tests/test_cell_takeovers.py
+++ b/tests/test_cell_takeovers.py
@@ -44,6 +44,8 @@
         )
     )
     bench.version = 1
+    bench.store_records()
+    bench.store_records()
     return bench
 
 
@@ -79,6 +81,7 @@
     for name in 'ab':
         bench.send(events.PollFailed(0.0, name, 1, Outcome.UNKNOWN))
     bench.join(_entry('c', 'y'))
+    bench.store_records()
     starts = _starts_while_cut(bench, 'ab', 3.4)
     assert not [start for start in starts if start.task.startswith(job.id)]
     starts = _starts_while_cut(bench, 'ab', 0.6)
--- a/tests/test_cell_workers.py
+++ b/tests/test_cell_workers.py
@@ -94,6 +94,7 @@
     (order,) = bench.accept(cells.job('j'))
     bench.answer_start(order)
     bench.send(events.WorkersChanged(0.0, (cells.entry('a', incarnation=2),)))
+    bench.store_records()
     assert not bench.effects_of(effects.StartRun)
     bench.answer_poll('a', incarnation=2)
     (again,) = bench.effects_of(effects.StartRun)
@@ -258,6 +259,7 @@
     # stopped, and the new owner allocated their capacity again.
     bench = cells.Bench(epoch=2)
     bench.send(events.WorkersChanged(0.0, (cells.entry('a'),)))
+    bench.store_records()
     unknown = events.RunStatus(f'{"f" * 16}.0.0.0', 1, '', 50)
     bench.answer_poll('a', (unknown,))
     (stop,) = bench.effects_of(effects.StopRun)
@@ -318,6 +320,8 @@
     stored = cells.job('old', cells.step(20))
     bench.restore(stored, silent='s')
     bench.send(events.WorkersChanged(0.0, (cells.entry('a'),)))
+    bench.store_records()
+    bench.store_records()
     running = tuple(
         events.RunStatus(f'{stored.id}.0.0.{index}', 1, '', 10)
         for index in range(6)
@@ -340,6 +344,8 @@
     bench = cells.Bench((), configuration, epoch=2, options=options)
     bench.restore(cells.job('old', cells.step(20)), silent='s')
     bench.send(events.WorkersChanged(0.0, (cells.entry('a'),)))
+    bench.store_records()
+    bench.store_records()
     bench.answer_poll('a')
     bench.version = 10
     # All ten cores may be in use on the silent worker.
@@ -368,6 +374,8 @@
     bench.restore(cells.job('old'), silent='s')
     bench.send(events.WorkersChanged(0.0, (cells.entry('a'),)))
     bench.send(events.WorkersChanged(0.0, (cells.entry('b'),)))
+    bench.store_records()
+    bench.store_records()
     bench.answer_poll('b')
     job = cells.job('new')
     task = f'{job.id}.0.0.0'
