--- a/tests/test_cell_random.py
+++ b/tests/test_cell_random.py
@@ -18,6 +18,10 @@
     87: 'a worker that had been cut off was never listed again here',
     368: 'copies were started before the workers had been heard',
 }
+TAKEOVER_REGRESSIONS = {
+    374: 'adopted runs had no lease until they were polled again',
+    235: 'a worker was used before the stored list had it',
+}
 FAULTS_S = 30.0
 # Time after the last fault by which all leases have expired, no run is in
 # doubt any more, and all jobs have ended.
@@ -208,7 +212,7 @@
     assert len(sim.final_states) == JOBS
 
 
-@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('seed', [*SEEDS, *TAKEOVER_REGRESSIONS])
 def test_promises_hold_under_random_takeovers(seed):
     sim = simulate(seed, _inject_takeover_fault)
     assert len(sim.final_states) == JOBS
