A list from before a start does not show that its run has ended

Callers could see a task run on two workers at once, or a task that never ended. A complete list of a worker's runs was taken as newer than each start that had been confirmed by the time its answer arrived. Answers on different connections may overtake each other:

- A list that was made before a start arrived, but whose answer came after that of the start, lacks the run.
It was taken as ended, and its task was started again.
A worker with a run of a former owner lists all its runs at each sync, and is given work meanwhile.
- A worker that restarts after it accepted a start lists nothing.
If the list overtakes the answer to the start, the run was neither confirmed nor ended; later lists had only changes, so that its task stayed running for good.

Found by reading, not seen in a run of the system.

A complete list now ends only runs that had been confirmed before its sync was sent. If it lacks another run, and the start of that run is confirmed, the next sync asks for a complete list again, which decides.

--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -29,7 +29,10 @@
     `answered` is set once the worker has reported its tasks. `announced` is
     set once the registration of this node covers the VM revision of the
     worker. On probation, after a quarantine, it gets one task at a time.
-    Foreign runs are those that this owner did not start.
+    Foreign runs are those that this owner did not start. `listable_runs` had
+    been confirmed when the latest sync was sent, so that a complete list in
+    its answer has them unless they have ended; `unlisted_runs` were missing
+    from such a list, which may have been made before their start.
     """
 
     name: str
@@ -53,6 +56,8 @@
     used: _size.Size = _size.ZERO
     bookings_by_run: dict[str, Booking] = attrs.field(factory=dict)
     foreign_runs: set[str] = attrs.field(factory=set)
+    listable_runs: frozenset[str] = frozenset()
+    unlisted_runs: set[str] = attrs.field(factory=set)
     to_acknowledge: set[str] = attrs.field(factory=set)
 
     @property
@@ -227,6 +232,7 @@
         booking = worker.bookings_by_run.pop(run_id)
         worker.used -= booking.size
         worker.foreign_runs.discard(run_id)
+        worker.unlisted_runs.discard(run_id)
         self._count_rack(worker, booking, -1)
         self.refresh(worker)
         return booking
--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -32,14 +32,23 @@
 
     A silent worker is only polled: renewing the leases of tasks in doubt
     would postpone the time at which they have certainly ended. A worker with
-    foreign runs is polled without a cursor, so that it lists all its runs:
-    the foreign runs that are missing have ended.
+    foreign runs, or with confirmed ones that its last list did not have, is
+    polled without a cursor, so that it lists all its runs: those that are
+    missing have ended.
     """
     if worker.syncing or not _lease.is_valid(state):
         return
     options = state.options
     silent = worker.silent_since is not None
-    poll_soon = silent or not worker.answered or worker.foreign_runs
+    worker.listable_runs = frozenset(
+        run_id
+        for run_id in worker.bookings_by_run
+        if run_id not in slice_.unconfirmed_starts
+    )
+    needs_list = worker.foreign_runs or (
+        worker.unlisted_runs & worker.listable_runs
+    )
+    poll_soon = silent or not worker.answered or needs_list
     acknowledged = sorted(worker.to_acknowledge)[:MAX_ACKNOWLEDGED_PER_SYNC]
     worker.to_acknowledge.difference_update(acknowledged)
     worker.syncing = True
@@ -49,7 +58,7 @@
             slice_.epoch,
             worker.name,
             worker.address,
-            '' if worker.foreign_runs else worker.cursor,
+            '' if needs_list else worker.cursor,
             tuple(acknowledged),
             options.sync_retry_s if poll_soon else _wait_s(state),
             0.0 if silent else options.task_lease_s,
@@ -318,10 +327,16 @@
     reports: list[events.TaskReport],
     outbox: _state.Outbox,
 ) -> None:
-    """Treat runs missing from a complete list as ended without result."""
+    """Treat runs missing from a complete list as ended without result.
+
+    Answers may overtake each other, so a run that was confirmed after the sync
+    was sent may have started after the list was made.
+    """
     listed = {report.id for report in reports}
-    for run_id in list(worker.bookings_by_run):
-        if run_id not in listed and run_id not in slice_.unconfirmed_starts:
+    unlisted = [run for run in worker.bookings_by_run if run not in listed]
+    worker.unlisted_runs = set(unlisted)
+    for run_id in unlisted:
+        if run_id in worker.listable_runs:
             _lose(state, slice_, worker, run_id, 'worker forgot it', outbox)
 
 
--- /dev/null
+++ b/tests/test_late_answers.py
@@ -0,0 +1,80 @@
+"""Answers that arrive late, or that other answers have overtaken."""
+
+from bench import fleets
+import builders
+
+import celeryshift_core as core
+from celeryshift_core import effects
+from celeryshift_core import events
+
+FOREIGN = events.TaskReport(
+    'r:t01:q~1.1', events.TaskPhase.RUNNING, team='t01', request=True
+)
+
+
+def _starts(outbox):
+    return [e for e in outbox if isinstance(e, effects.StartTask)]
+
+
+def _syncs(outbox):
+    return [e for e in outbox if isinstance(e, effects.SyncWorker)]
+
+
+def _synced(state, slice_, worker, reports, whole=True):
+    return core.reduce(
+        state,
+        events.WorkerSynced(
+            state.now,
+            slice_.number,
+            slice_.epoch,
+            worker,
+            'c',
+            reports,
+            whole,
+        ),
+    )
+
+
+def _start_one(state, slice_):
+    fleets.fill_queue(state, slice_, 1, seed=1)
+    return _starts(core.reduce(state, events.Tick(state.now)))[0]
+
+
+def _confirm(state, start):
+    return core.reduce(
+        state,
+        events.TaskStarted(
+            state.now,
+            start.slice,
+            start.epoch,
+            start.worker,
+            start.task,
+            builders.OK,
+        ),
+    )
+
+
+def test_a_list_from_before_a_start_does_not_start_its_task_twice():
+    state, slice_ = builders.build_slice(2, 0)
+    for worker in list(slice_.ledger.workers_by_name):
+        _synced(state, slice_, worker, [FOREIGN])
+    start = _start_one(state, slice_)
+    _confirm(state, start)
+    # The list was made before the start arrived, but its answer is later.
+    assert not _starts(_synced(state, slice_, start.worker, [FOREIGN]))
+    # The next list is made after the start, and shows that the run has ended.
+    again = _starts(_synced(state, slice_, start.worker, [FOREIGN]))
+    assert len(again) == 1
+
+
+def test_a_task_is_not_lost_if_its_worker_restarts_after_the_start():
+    state, slice_ = builders.build_slice(2, 0)
+    for worker in list(slice_.ledger.workers_by_name):
+        _synced(state, slice_, worker, [], whole=False)
+    start = _start_one(state, slice_)
+    # The worker has restarted, and so lists all its runs.
+    _synced(state, slice_, start.worker, [])
+    _confirm(state, start)
+    sync = _syncs(_synced(state, slice_, start.worker, [], whole=False))[0]
+    assert not sync.cursor
+    assert _starts(_synced(state, slice_, start.worker, []))
