A refused second copy does not show that the first did not run

Callers could be told that a request did not run although it had. If the answer to a repeatable request is late and its worker does not know the request, a second copy is sent. Its worker may also have run the first copy and discarded the answer, or receive it later. When the second copy was refused or could not be sent, that was returned as the outcome of the request: its booking was released, and the refusal said "ran: no".

Found by reading, not seen in a run of the system.

The client now returns UNKNOWN for a second copy without an answer. The core then keeps the booking, and may still repeat the request elsewhere.

The test failed before for both statuses (REFUSED in place of UNKNOWN).

--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -146,6 +146,9 @@
             return Outcome.UNKNOWN, False, None
         if reply is Seen.NOT_FOUND and effect.repeatable:
             retried = await post(self._single_use_channel)
+            if not retried.ok:
+                # The worker may have run the first copy.
+                return Outcome.UNKNOWN, False, None
             return _decode_answer(retried, effect.task)
         # The request has ended, or must not be sent again because the first
         # copy may still arrive. Its outcome is queried instead.
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -4,6 +4,8 @@
 import contextlib
 
 from aiohttp import web
+import attrs
+import pytest
 
 import celeryshift_core as core
 from celeryshift_core import effects
@@ -27,6 +29,18 @@
         await channels.close()
 
 
+@contextlib.asynccontextmanager
+async def _serve(app):
+    runner = web.AppRunner(app, shutdown_timeout=0)
+    await runner.setup()
+    site = web.TCPSite(runner, LOOPBACK, 0)
+    await site.start()
+    try:
+        yield site, f'{LOOPBACK}:{runner.addresses[0][1]}'
+    finally:
+        await runner.cleanup()
+
+
 @contextlib.asynccontextmanager
 async def _worker_that_stops_listening():
     """Run a worker that ends a request, but answers only a status query."""
@@ -44,15 +58,9 @@
     app = web.Application()
     app.router.add_post('/v1/requests', handle_request)
     app.router.add_post('/v1/status', handle_status)
-    runner = web.AppRunner(app, shutdown_timeout=0)
-    await runner.setup()
-    site = web.TCPSite(runner, LOOPBACK, 0)
-    await site.start()
-    try:
-        yield f'{LOOPBACK}:{runner.addresses[0][1]}'
-    finally:
+    async with _serve(app) as (site, address):
+        yield address
         released.set()
-        await runner.cleanup()
 
 
 def _send(address):
@@ -94,3 +102,43 @@
 
     outcome, _, _ = asyncio.run(send())
     assert outcome is events.Outcome.UNKNOWN
+
+
+@contextlib.asynccontextmanager
+async def _worker_that_loses_its_answer(second_status):
+    """Run a worker that runs a request, forgets it, and refuses it then."""
+
+    async def handle_request(request):
+        runs.append((await request.json())['run_id'])
+        if len(runs) > 1:
+            return web.json_response({}, status=second_status)
+        await released.wait()
+        return web.Response()
+
+    async def handle_status(request):
+        return web.json_response({'phase': 'unknown'})
+
+    runs = []
+    released = asyncio.Event()
+    app = web.Application()
+    app.router.add_post('/v1/requests', handle_request)
+    app.router.add_post('/v1/status', handle_status)
+    async with _serve(app) as (_, address):
+        yield address
+        released.set()
+
+
+@pytest.mark.parametrize('status', [409, 503])
+def test_a_refused_second_copy_does_not_show_that_the_first_did_not_run(
+    status,
+):
+    async def send():
+        async with (
+            _worker_that_loses_its_answer(status) as address,
+            _client() as workers,
+        ):
+            request = attrs.evolve(_send(address), repeatable=True)
+            return await workers.request(request, None)
+
+    outcome, _, _ = asyncio.run(send())
+    assert outcome is events.Outcome.UNKNOWN
