The end of an earlier run does not end the run that a new owner finds

Callers could see a running task stopped, its work lost and its attempts used up. A new owner does not know which run of a task is the latest. It took the first that a worker reported: the end of an earlier run, on a worker that had been cut off meanwhile, was applied to the task, which was queued again or counted as failed. The later run, on a worker that reported after that, was stopped as one that nobody needs.

Found by reading, not seen in a run of the system.

While a slice recovers, only the end of a task that is done counts at once. Of the other ends, the latest is kept until every worker has reported or the leases of the former owner have expired. It then ends its task, unless a later run was found.

test_the_end_of_an_earlier_run_does_not_end_the_one_that_runs failed before for both results (a StopTask to the running task).

--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -89,7 +89,9 @@
     slice_.phase = _state.SlicePhase.READY
     for task_id in sorted(slice_.unaccounted):
         task = slice_.tasks_by_id.get(task_id)
-        if task and task.state is _tasks.TaskState.UNACCOUNTED:
+        if task is None or task.state is not _tasks.TaskState.UNACCOUNTED:
+            continue
+        if not _workers.apply_deferred_end(state, slice_, task, outbox):
             task.record_decision(state.now, 'queued', 'no worker runs it')
             _jobs.requeue_task(state, slice_, task, outbox)
     slice_.unaccounted.clear()
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -52,6 +52,8 @@
 
     `unaccounted` has the tasks that may run on behalf of a former owner, and
     `unconfirmed_starts` the runs whose start has not been acknowledged.
+    `ends_by_task` has the worker and report of the latest run of a task that
+    has ended, as far as it is known during recovery.
     `vm_revision` is the revision of the VM list up to which former owners may
     have used workers, and `acquired_version` the version of the write that
     acquired the slice.
@@ -74,6 +76,9 @@
     urgent_by_upstream: dict[str, _peaks.Peak] = attrs.field(factory=dict)
     allotment: _escrow.Allotment = attrs.field(factory=_escrow.Allotment)
     unaccounted: set[str] = attrs.field(factory=set)
+    ends_by_task: dict[str, tuple[str, events.TaskReport]] = attrs.field(
+        factory=dict
+    )
     unconfirmed_starts: set[str] = attrs.field(factory=set)
     quarantined: set[str] = attrs.field(factory=set)
     gangs_by_job: dict[str, _tasks.Gang] = attrs.field(factory=dict)
--- a/packages/core/celeryshift_core/_tasks.py
+++ b/packages/core/celeryshift_core/_tasks.py
@@ -89,9 +89,7 @@
 
     def set_run(self, run_id: str, worker: str) -> None:
         """Set the current attempt, which may be of an earlier owner."""
-        epoch, _, attempt = run_id.rpartition('~')[2].partition('.')
-        self.epoch = int(epoch)
-        self.attempt = int(attempt)
+        self.epoch, self.attempt = run_order(run_id)
         self.worker = worker
 
     def record_decision(self, at: float, what: str, why: str = '') -> None:
@@ -114,6 +112,15 @@
     return run_id.rpartition('~')[0]
 
 
+def run_order(run_id: str) -> tuple[int, int]:
+    """Return the epoch and attempt of a run; those of a later one are higher.
+
+    This holds for the runs of a task in one slice.
+    """
+    epoch, _, attempt = run_id.rpartition('~')[2].partition('.')
+    return int(epoch), int(attempt)
+
+
 @attrs.define(eq=False)
 class Job:
     """A job that is not finished.
--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -1,5 +1,6 @@
 """Workers: task leases, status reports, silent workers and lost tasks."""
 
+from celeryshift_core import _config
 from celeryshift_core import _dispatch
 from celeryshift_core import _jobs
 from celeryshift_core import _lease
@@ -273,6 +274,9 @@
         return
     if task is not None and not task.is_request:
         if task.state is _tasks.TaskState.UNACCOUNTED:
+            if _may_run_elsewhere(state, slice_, report, task):
+                _defer_end(slice_, worker, report, task)
+                return
             task.set_run(report.id, worker.name)
         if task.run_id == report.id and task.state not in _tasks.ENDED:
             if report.used != _size.ZERO:
@@ -287,6 +291,51 @@
         worker.to_acknowledge.add(report.id)
 
 
+def _may_run_elsewhere(
+    state: _state.State,
+    slice_: _state.Slice,
+    report: events.TaskReport,
+    task: _tasks.Task,
+) -> bool:
+    """Return whether a later run may exist of a task with an ended run.
+
+    While a slice recovers, a worker that has not reported yet may have one.
+    A task that is done needs no other run.
+    """
+    kind = state.config.kinds.get(task.kind)
+    service = kind is not None and kind.policy is _config.Policy.SERVICE
+    done = report.phase is events.TaskPhase.DONE and not service
+    return slice_.phase is _state.SlicePhase.RECOVERING and not done
+
+
+def _defer_end(
+    slice_: _state.Slice,
+    worker: _ledger.Worker,
+    report: events.TaskReport,
+    task: _tasks.Task,
+) -> None:
+    """Keep the latest end of a task until every worker has reported."""
+    before = slice_.ends_by_task.get(task.id)
+    if before is None or _tasks.run_order(report.id) >= _tasks.run_order(
+        before[1].id
+    ):
+        slice_.ends_by_task[task.id] = (worker.name, report)
+        _acknowledge(slice_, before)
+    else:
+        worker.to_acknowledge.add(report.id)
+
+
+def _acknowledge(
+    slice_: _state.Slice, end: tuple[str, events.TaskReport] | None
+) -> None:
+    """Acknowledge an end that a later run has superseded."""
+    if end is not None:
+        name, report = end
+        worker = slice_.ledger.workers_by_name.get(name)
+        if worker is not None:
+            worker.to_acknowledge.add(report.id)
+
+
 def _handle_running(
     state: _state.State,
     slice_: _state.Slice,
@@ -296,6 +345,7 @@
     outbox: _state.Outbox,
 ) -> None:
     if task is not None and task.state is _tasks.TaskState.UNACCOUNTED:
+        _acknowledge(slice_, slice_.ends_by_task.pop(task.id, None))
         task.set_run(report.id, worker.name)
         task.state = _tasks.TaskState.RUNNING
         task.record_decision(
@@ -320,6 +370,22 @@
             _dispatch.send_stop(state, slice_, worker, report.id, outbox)
 
 
+def apply_deferred_end(
+    state: _state.State,
+    slice_: _state.Slice,
+    task: _tasks.Task,
+    outbox: _state.Outbox,
+) -> bool:
+    """Apply the end of a task that no worker runs, if one was reported."""
+    name, report = slice_.ends_by_task.pop(task.id, ('', None))
+    worker = slice_.ledger.workers_by_name.get(name)
+    if worker is None or report is None:
+        return False
+    task.set_run(report.id, name)
+    _jobs.handle_task_ended(state, slice_, task, worker, report.phase, outbox)
+    return True
+
+
 def _lose_unlisted(
     state: _state.State,
     slice_: _state.Slice,
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -2,8 +2,11 @@
 
 from bench import fleets
 import builders
+import pytest
 
 import celeryshift_core as core
+from celeryshift_core import _state
+from celeryshift_core import _tasks
 from celeryshift_core import effects
 from celeryshift_core import events
 
@@ -78,3 +81,44 @@
     sync = _syncs(_synced(state, slice_, start.worker, [], whole=False))[0]
     assert not sync.cursor
     assert _starts(_synced(state, slice_, start.worker, []))
+
+
+@pytest.mark.parametrize(
+    'phase', [events.TaskPhase.STOPPED, events.TaskPhase.FAILED]
+)
+def test_the_end_of_an_earlier_run_does_not_end_the_one_that_runs(phase):
+    state, slice_ = builders.build_slice(2, 1)
+    first, second = slice_.ledger.workers_by_name
+    task = next(iter(slice_.tasks_by_id.values()))
+    slice_.queue.discard(task, _tasks.TaskState.UNACCOUNTED)
+    slice_.unaccounted.add(task.id)
+    slice_.phase = _state.SlicePhase.RECOVERING
+    state.vm_revision = 1
+    for worker in slice_.ledger.workers_by_name.values():
+        worker.answered = False
+    ended = events.TaskReport(f'{task.id}~0.1', phase)
+    running = events.TaskReport(f'{task.id}~0.2', events.TaskPhase.RUNNING)
+    _synced(state, slice_, first, [ended])
+    outbox = _synced(state, slice_, second, [running])
+    assert slice_.phase is _state.SlicePhase.READY
+    outbox += core.reduce(state, events.Tick(1.0))
+    assert not _starts(outbox)
+    assert not [e for e in outbox if isinstance(e, effects.StopTask)]
+    assert task.run_id == running.id
+
+
+def test_an_end_that_a_former_owner_did_not_see_counts_after_recovery():
+    state, slice_ = builders.build_slice(2, 1)
+    first, second = slice_.ledger.workers_by_name
+    task = next(iter(slice_.tasks_by_id.values()))
+    slice_.queue.discard(task, _tasks.TaskState.UNACCOUNTED)
+    slice_.unaccounted.add(task.id)
+    slice_.phase = _state.SlicePhase.RECOVERING
+    state.vm_revision = 1
+    for worker in slice_.ledger.workers_by_name.values():
+        worker.answered = False
+    ended = events.TaskReport(f'{task.id}~0.1', events.TaskPhase.FAILED)
+    _synced(state, slice_, first, [ended])
+    _synced(state, slice_, second, [])
+    assert slice_.phase is _state.SlicePhase.READY
+    assert task.failed_on == (first,)
