A late VM list does not undo a newer one

Callers could see work given to a worker that leaves, with which it ends. Two reads of the VM list may be under way, the regular one and that of a slice that is acquired. An older answer that arrived last was applied: a leaving worker counted as live again, and a VM that is gone was listed again, until its next change.

Found by reading, not seen in a run of the system.

An answer with an older revision than the one in force is now ignored. Each read asks for all changes since the revision then in force, so that the newer answer has all that the older one has.

The test failed before (a start on the leaving worker). The stand-in for the platform answers all reads after the same time, so that no scenario could show it.

--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -175,10 +175,14 @@
 def handle_vms_fetched(
     state: _state.State, event: events.VmsFetched, outbox: _state.Outbox
 ) -> None:
-    """Apply the changes of the VM list."""
-    if event.vms is None:
+    """Apply the changes of the VM list.
+
+    An answer that a newer one has overtaken has nothing that the newer one
+    lacks, and would undo changes.
+    """
+    if event.vms is None or event.revision < state.vm_revision:
         return
-    state.vm_revision = max(state.vm_revision, event.revision)
+    state.vm_revision = event.revision
     for vm in event.vms:
         _departures.record_vm(state, vm)
         _update_vm_list(state, vm)
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -1,5 +1,6 @@
 """Answers that arrive late, or that other answers have overtaken."""
 
+import attrs
 from bench import fleets
 import builders
 import pytest
@@ -122,3 +123,21 @@
     _synced(state, slice_, second, [])
     assert slice_.phase is _state.SlicePhase.READY
     assert task.failed_on == (first,)
+
+
+def test_a_leaving_worker_gets_no_work_after_a_late_vm_list():
+    state, slice_ = builders.build_slice(1, 0)
+    name = next(iter(slice_.ledger.workers_by_name))
+    live = events.Vm(
+        name,
+        events.VmRole.WORKER,
+        name,
+        'dc1',
+        upstream=builders.UPSTREAM,
+        capacity=fleets.WORKER_CAPACITY,
+    )
+    leaving = attrs.evolve(live, state=events.VmState.LEAVING)
+    core.reduce(state, events.VmsFetched(0.0, 2, [leaving]))
+    core.reduce(state, events.VmsFetched(0.0, 1, [live]))
+    fleets.fill_queue(state, slice_, 1, seed=1)
+    assert not _starts(core.reduce(state, events.Tick(0.0)))
