A malformed answer of a worker does not stop the node

Callers lost all calls in progress at a node, one node after another, when one worker answered with JSON of an unexpected form: the error ended the node, and the next owner of the slice asked the same worker.

A malformed answer to a request or to the query of its outcome is now UNKNOWN, and a malformed list is no list: the worker counts as silent, and its tasks are started elsewhere once their leases have expired.

--- a/packages/node/celeryshift_node/_wire.py
+++ b/packages/node/celeryshift_node/_wire.py
@@ -29,6 +29,19 @@
     )
 
 
+def decode_sync(
+    document: dict[str, Any],
+) -> tuple[str, bool, list[events.TaskReport]]:
+    """Decode the cursor and the reports of a worker.
+
+    Also returns whether all its tasks are listed.
+    """
+    cursor, whole = document['cursor'], document['whole']
+    if not isinstance(cursor, str) or not isinstance(whole, bool):
+        raise TypeError(f'{cursor!r}, {whole!r} are no cursor and flag')
+    return cursor, whole, [decode_task_report(t) for t in document['tasks']]
+
+
 def encode_size(value: core.Size) -> dict[str, int]:
     """Encode a size."""
     return {
--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -38,6 +38,9 @@
     UNRESPONSIVE = 'silent'
 
 
+SEEN_BY_PHASE = {'running': Seen.RUNNING, 'unknown': Seen.NOT_FOUND}
+
+
 class Workers:
     """Client of the workers.
 
@@ -86,10 +89,10 @@
             )
         if not reply.ok:
             return '', False, None
-        reports = [
-            _wire.decode_task_report(task) for task in reply.body['tasks']
-        ]
-        return reply.body['cursor'], reply.body['whole'], reports
+        try:
+            return _wire.decode_sync(reply.body)
+        except (LookupError, TypeError, ValueError):
+            return '', False, None
 
     async def start(self, effect: effects.StartTask) -> Outcome:
         """Start a task."""
@@ -243,10 +246,10 @@
         )
         if reply.outcome is not Outcome.OK:
             return Seen.UNRESPONSIVE
-        if not reply.ok or reply.body.get('phase') == 'running':
+        if not reply.ok:
             return Seen.RUNNING
-        is_unknown = reply.body.get('phase') == 'unknown'
-        return Seen.NOT_FOUND if is_unknown else Seen.ENDED
+        phase = reply.body.get('phase') if _is_document(reply) else None
+        return SEEN_BY_PHASE.get(str(phase), Seen.ENDED)
 
     async def _query_outcome(
         self, address: str, task: str, timeout_s: float
@@ -293,6 +296,14 @@
     outcome = _decode_outcome(reply)
     if outcome is not Outcome.OK:
         return outcome, False, None
-    if reply.body.get('run_id') != run_id or 'answer' not in reply.body:
+    if (
+        not _is_document(reply)
+        or reply.body.get('run_id') != run_id
+        or not {'answer', 'failed'} <= reply.body.keys()
+    ):
         return Outcome.UNKNOWN, False, None
     return Outcome.OK, bool(reply.body['failed']), reply.body['answer']
+
+
+def _is_document(reply: _calls.Reply) -> bool:
+    return isinstance(reply.body, dict)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -142,3 +142,57 @@
 
     outcome, _, _ = asyncio.run(send())
     assert outcome is events.Outcome.UNKNOWN
+
+
+def _post_answers(document):
+    """Return an application that gives the same answer to every call."""
+
+    async def handle(request):
+        return web.json_response(document)
+
+    app = web.Application()
+    app.router.add_post('/v1/{call}', handle)
+    return app
+
+
+MALFORMED = [{}, [], None, 'ok', {'run_id': 'r1.1', 'answer': 1}]
+
+
+@pytest.mark.parametrize('document', MALFORMED)
+def test_a_malformed_answer_to_a_request_is_none(document):
+    async def send():
+        async with (
+            _serve(_post_answers(document)) as (_, address),
+            _client() as workers,
+        ):
+            sent = await workers.request(_send(address), None)
+            query = effects.QueryOutcome(
+                'r1', 1, 'r1.1', 'w1', address, TIMEOUT_S
+            )
+            return sent, await workers.query_outcome(query)
+
+    for outcome, _, _ in asyncio.run(send()):
+        assert outcome is events.Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    'document',
+    [
+        *MALFORMED,
+        {'cursor': 'c', 'whole': True, 'tasks': None},
+        {'cursor': 'c', 'whole': True, 'tasks': [{'id': 'r1.1'}]},
+        {'cursor': 7, 'whole': True, 'tasks': []},
+        {'cursor': 'c', 'whole': 'no', 'tasks': []},
+    ],
+)
+def test_a_malformed_list_of_a_worker_is_no_list(document):
+    async def sync():
+        async with (
+            _serve(_post_answers(document)) as (_, address),
+            _client() as workers,
+        ):
+            return await workers.sync(
+                effects.SyncWorker(0, 1, 'w1', address, '', (), 0.0, 15.0, 0.0)
+            )
+
+    assert asyncio.run(sync()) == ('', False, None)
