An answer that is no object leaves no order of a cell without an answer

The owner of a cell could wait for good for the outcome of an order. A worker that answered with JSON other than an object caused an AttributeError in the client: the effect failed, and no answer was passed to the reducer. A run whose start got such an answer stayed sent, and a worker whose poll got one was not polled again.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,11 +1,19 @@
 """Decoding of valid and invalid settings, store entries and jobs."""
 
+import asyncio
+import time
+
+from aiohttp import web
 import pytest
 
+from celeryshift_cell import effects
+from celeryshift_cell import events
 from celeryshift_cell import model
 from celeryshift_cellnode import errors
+from celeryshift_net import pools
 from celeryshift_platform import _decode
 from celeryshift_platform import _settings
+from celeryshift_platform import _workers
 
 SETTINGS = {
     'node': 'front-a-1',
@@ -123,3 +131,37 @@
 def test_a_malformed_job_is_told(document):
     with pytest.raises(_decode.DECODE_ERRORS):
         _decode.decode_job(document, 'a' * 16, 'q', 't', 5)
+
+
+@pytest.mark.parametrize('status', [200, 409])
+@pytest.mark.parametrize('body', [b'[]', b'7', b'null', b'"late"'])
+def test_an_answer_that_is_no_object_leaves_no_order_without_an_answer(
+    status, body
+):
+    async def handle(request):
+        return web.Response(body=body, status=status)
+
+    async def order():
+        app = web.Application()
+        app.router.add_post('/-/{call}', handle)
+        runner = web.AppRunner(app, shutdown_timeout=0)
+        await runner.setup()
+        channels = pools.ChannelPool()
+        try:
+            await web.TCPSite(runner, '127.0.0.1', 0).start()
+            address = f'127.0.0.1:{runner.addresses[0][1]}'
+            workers = _workers.Workers(channels)
+            start = effects.StartRun('i-1', 1, address, 't', 1, '', '', '', 0)
+            stop = effects.StopRun('i-1', 1, address, 't', 1)
+            poll = effects.PollWorker('i-1', 1, address, 0, 0, None)
+            return [
+                await workers.start(start, 1, time.monotonic),
+                await workers.stop(stop, 1, time.monotonic),
+                await workers.poll(poll, 1, time.monotonic),
+            ]
+        finally:
+            await channels.close()
+            await runner.cleanup()
+
+    for event in asyncio.run(order()):
+        assert event.outcome is events.Outcome.UNKNOWN
