A second copy of a request does not run past the deadline of the first

Callers could see a worker hold more than its capacity. The second copy of a request whose first copy did not arrive had the time limit of the first, but counted from its own, later arrival: its run could outlast the request and the booking of its capacity, which is kept for a second after the deadline.

Found by reading, not seen in a run of the system.

The second copy, and the query of an outcome, now have only the time that is left until the deadline.

The test failed before (2.0 s for both copies, with 0.25 s between them).

--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -133,31 +133,31 @@
             'team': effect.team,
             'kind': effect.kind,
             'size': _wire.encode_size(effect.size),
-            'timeout_s': effect.timeout_s,
             'payload': payload,
         }
-        post = functools.partial(
-            self._post, effect.address, 'requests', body, effect.timeout_s
-        )
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + effect.timeout_s
+        post = functools.partial(self._post_request, effect.address, body)
         channel = self._single_use_channel
         if effect.repeatable:
             channel = self._channels.get(effect.address)
-        reply = await self._await_reply(effect, post(channel))
+        reply = await self._await_reply(
+            effect, post(effect.timeout_s, channel)
+        )
         if isinstance(reply, _calls.Reply):
             return _decode_answer(reply, effect.task)
-        if reply is Seen.UNRESPONSIVE:
+        left_s = ends_at - loop.time()
+        if reply is Seen.UNRESPONSIVE or left_s <= 0:
             return Outcome.UNKNOWN, False, None
         if reply is Seen.NOT_FOUND and effect.repeatable:
-            retried = await post(self._single_use_channel)
+            retried = await post(left_s, self._single_use_channel)
             if not retried.ok:
                 # The worker may have run the first copy.
                 return Outcome.UNKNOWN, False, None
             return _decode_answer(retried, effect.task)
         # The request has ended, or must not be sent again because the first
         # copy may still arrive. Its outcome is queried instead.
-        return await self._query_outcome(
-            effect.address, effect.task, effect.timeout_s
-        )
+        return await self._query_outcome(effect.address, effect.task, left_s)
 
     async def query_outcome(
         self, effect: effects.QueryOutcome
@@ -171,6 +171,16 @@
         """Close the single-use connections."""
         await self._single_use_channel.close()
 
+    async def _post_request(
+        self,
+        address: str,
+        body: dict[str, Any],
+        timeout_s: float,
+        channel: pools.Channel,
+    ) -> _calls.Reply:
+        body = {**body, 'timeout_s': timeout_s}
+        return await self._post(address, 'requests', body, timeout_s, channel)
+
     async def _await_reply(
         self,
         effect: effects.SendRequest,
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -15,6 +15,7 @@
 
 LOOPBACK = '127.0.0.1'
 SILENT_AFTER_S = 0.05
+STATUS_S = 0.2
 TIMEOUT_S = 2.0
 
 
@@ -196,3 +197,30 @@
             )
 
     assert asyncio.run(sync()) == ('', False, None)
+
+
+def test_a_second_copy_does_not_run_past_the_deadline_of_the_first():
+    async def handle_request(request):
+        timeouts_s.append((await request.json())['timeout_s'])
+        if len(timeouts_s) == 1:
+            await released.wait()
+        return web.json_response({})
+
+    async def handle_status(request):
+        await asyncio.sleep(STATUS_S)
+        return web.json_response({'phase': 'unknown'})
+
+    async def send():
+        async with _serve(app) as (_, address), _client() as workers:
+            request = attrs.evolve(_send(address), repeatable=True)
+            await workers.request(request, None)
+            released.set()
+
+    timeouts_s = []
+    released = asyncio.Event()
+    app = web.Application()
+    app.router.add_post('/v1/requests', handle_request)
+    app.router.add_post('/v1/status', handle_status)
+    asyncio.run(send())
+    first_s, second_s = timeouts_s
+    assert second_s <= first_s - SILENT_AFTER_S - STATUS_S
