The polls of a former owner are waited for before its tasks start again

Callers could see a task run on two workers at once, and a team above its limit. A sync of a worker is a long poll, and renews the leases of the tasks as it arrives and as it ends. An owner sends the last one until the end of its own lease, so that the worker may renew as much as the long poll later. The next owner counted the leases from when it acquired the slice: if it did not reach the worker, it started the tasks elsewhere while they still ran.

The next owner now adds the longest long poll of any node and the time of a call.

--- a/packages/core/celeryshift_core/_allotments.py
+++ b/packages/core/celeryshift_core/_allotments.py
@@ -104,7 +104,7 @@
         allotment.inherited_by_team = dict(allotment.slots_by_team)
     _update_pools(state, rows)
     timeouts = [kind.timeout_s for kind in state.config.kinds.values()]
-    wait_s = max(state.options.tasks_end_s, *timeouts, 0.0)
+    wait_s = max(state.options.inherited_tasks_end_s, *timeouts, 0.0)
     timer = _timers.InheritedEnds(slice_.number, slice_.epoch)
     state.timers.set(timer, state.now + wait_s + INHERITED_MARGIN_S)
     state.timers.set_once(_timers.ReviewAllotments(), state.now)
--- a/packages/core/celeryshift_core/_options.py
+++ b/packages/core/celeryshift_core/_options.py
@@ -2,6 +2,11 @@
 
 import attrs
 
+MAX_SYNC_WAIT_S = 10.0
+MAX_SYNC_WAIT_LEASE_FRACTION = 2 / 3
+# Time for which a call to a worker may be under way, without its long poll.
+CALL_S = 2.0
+
 
 @attrs.frozen(slots=True)
 class Options:
@@ -56,3 +61,20 @@
     def tasks_end_s(self) -> float:
         """Return the wait after which unrenewed task leases have expired."""
         return self.task_lease_s * (1 + self.clock_margin)
+
+    @property
+    def max_sync_wait_s(self) -> float:
+        """Return the longest time for which a sync of any node waits."""
+        longest = min(
+            MAX_SYNC_WAIT_S, self.task_lease_s * MAX_SYNC_WAIT_LEASE_FRACTION
+        )
+        return max(longest, self.sync_wait_s)
+
+    @property
+    def inherited_tasks_end_s(self) -> float:
+        """Return the wait after which the tasks of a former owner have ended.
+
+        A sync that it sent at the end of its own lease renews the leases of
+        the tasks as late as the end of its long poll.
+        """
+        return self.tasks_end_s + self.max_sync_wait_s + CALL_S
--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -58,7 +58,7 @@
     for row in job_rows.values():
         _jobs.restore(state, slice_, row)
     key = _timers.RecoveryEnds(number, epoch)
-    state.timers.set(key, state.now + state.options.tasks_end_s)
+    state.timers.set(key, state.now + state.options.inherited_tasks_end_s)
     for vm in state.vms_by_name.values():
         _apply_vm(state, slice_, vm, outbox)
     outbox.append(effects.FetchVms(state.vm_revision))
--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -17,8 +17,6 @@
 
 MAX_ACKNOWLEDGED_PER_SYNC = 256
 WAIT_PER_WORKER_S = 0.05
-MAX_WAIT_S = 10.0
-MAX_WAIT_LEASE_FRACTION = 2 / 3
 
 WorkerReference = _timers.WorkerTimer | events.WorkerSynced
 
@@ -224,11 +222,8 @@
         len(slice_.ledger.workers_by_name)
         for slice_ in state.slices_by_number.values()
     )
-    longest = min(
-        MAX_WAIT_S, state.options.task_lease_s * MAX_WAIT_LEASE_FRACTION
-    )
     wait_s = max(state.options.sync_wait_s, workers * WAIT_PER_WORKER_S)
-    return min(wait_s, max(longest, state.options.sync_wait_s))
+    return min(wait_s, state.options.max_sync_wait_s)
 
 
 def _find(
