Leases that are renewed as a worker goes silent end no earlier than they do

Callers could see a task run on two workers at once. The leases of a silent worker were counted from its first unanswered sync, although they may be renewed later:

- by a long poll whose connection broke, which the worker renews as it ends;
- by a start that was under way, whose lease counts from its arrival;
- a run whose start was not confirmed was given up one lease after that, although syncs since then may have renewed it.

Found by reading, not seen in a run of the system.

The leases now count from the latest of these. A run that is not confirmed, on a silent worker, ends with the other leases of the worker.

--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -32,7 +32,8 @@
     Foreign runs are those that this owner did not start. `listable_runs` had
     been confirmed when the latest sync was sent, so that a complete list in
     its answer has them unless they have ended; `unlisted_runs` were missing
-    from such a list, which may have been made before their start.
+    from such a list, which may have been made before their start. A sync may
+    renew the leases of its tasks until `renewed_until`.
     """
 
     name: str
@@ -53,6 +54,7 @@
     cursor: str = ''
     syncing: bool = False
     silent_since: float | None = None
+    renewed_until: float = 0.0
     used: _size.Size = _size.ZERO
     bookings_by_run: dict[str, Booking] = attrs.field(factory=dict)
     foreign_runs: set[str] = attrs.field(factory=set)
--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -51,6 +51,9 @@
     acknowledged = sorted(worker.to_acknowledge)[:MAX_ACKNOWLEDGED_PER_SYNC]
     worker.to_acknowledge.difference_update(acknowledged)
     worker.syncing = True
+    wait_s = options.sync_retry_s if poll_soon else _wait_s(state)
+    if not silent:
+        worker.renewed_until = state.now + wait_s
     outbox.append(
         effects.SyncWorker(
             slice_.number,
@@ -59,7 +62,7 @@
             worker.address,
             '' if needs_list else worker.cursor,
             tuple(acknowledged),
-            options.sync_retry_s if poll_soon else _wait_s(state),
+            wait_s,
             0.0 if silent else options.task_lease_s,
             _lease.valid_until(state),
         )
@@ -147,11 +150,14 @@
     task = slice_.tasks_by_id.get(_tasks.task_id_of_run(event.task))
     if task is None or task.run_id != event.task:
         return
+    worker = slice_.ledger.workers_by_name.get(event.worker)
+    may_run = event.outcome in (events.Outcome.OK, events.Outcome.UNKNOWN)
+    if may_run and worker is not None and worker.silent_since is not None:
+        # The lease of the run counts from the arrival of its start.
+        _set_leases_end(state, slice_, worker)
     if event.outcome is events.Outcome.OK:
         slice_.unconfirmed_starts.discard(event.task)
-        _worker_backoff.handle_accepted(
-            slice_.ledger.workers_by_name.get(event.worker)
-        )
+        _worker_backoff.handle_accepted(worker)
         if task.state is _tasks.TaskState.STARTING:
             task.state = _tasks.TaskState.RUNNING
             task.record_decision(state.now, 'started')
@@ -184,10 +190,16 @@
     if found is None:
         return
     slice_, worker = found
+    is_unconfirmed = timer.run in slice_.unconfirmed_starts
+    if is_unconfirmed and worker.silent_since is not None:
+        # A sync may have renewed its lease, so it ends with the others.
+        key = _timers.TaskLeasesEnd(slice_.number, slice_.epoch, worker.name)
+        at = state.timers.at(key)
+        state.timers.set(timer, at or state.now + state.options.tasks_end_s)
+        return
     task = slice_.tasks_by_id.get(_tasks.task_id_of_run(timer.run))
     current = task is not None and task.run_id == timer.run
-    confirmed = timer.run not in slice_.unconfirmed_starts
-    if not (current and confirmed):
+    if is_unconfirmed or not current:
         _lose(state, slice_, worker, timer.run, 'its end was not seen', outbox)
 
 
@@ -226,6 +238,19 @@
     return min(wait_s, state.options.max_sync_wait_s)
 
 
+def _set_leases_end(
+    state: _state.State, slice_: _state.Slice, worker: _ledger.Worker
+) -> None:
+    """Set the time at which the leases of a silent worker have expired.
+
+    They may have been renewed until now, and until the end of a long poll
+    that the worker has not noticed to be broken.
+    """
+    key = _timers.TaskLeasesEnd(slice_.number, slice_.epoch, worker.name)
+    renewed_until = max(state.now, worker.renewed_until)
+    state.timers.set(key, renewed_until + state.options.tasks_end_s)
+
+
 def _find(
     state: _state.State, reference: WorkerReference
 ) -> tuple[_state.Slice, _ledger.Worker] | None:
@@ -250,8 +275,7 @@
     if worker.silent_since is None:
         worker.silent_since = state.now
         slice_.ledger.refresh(worker)
-        key = _timers.TaskLeasesEnd(slice_.number, slice_.epoch, worker.name)
-        state.timers.set(key, state.now + state.options.tasks_end_s)
+        _set_leases_end(state, slice_, worker)
         fields = {'worker': worker.name, 'tasks': len(worker.bookings_by_run)}
         outbox.append(effects.LogChange('worker-silent', fields))
 
