A request whose worker has a slow clock keeps its capacity until it ends

Callers could see a worker above its capacity and a team above its limit. A request has a time limit, which its worker measures on its own clock. The owner kept the capacity of a request without an answer, and the slots that requests of a former owner may use, for the limit and one or two seconds on its own clock: too short for a limit of a minute and a clock that is 5 % slow.

Found by reading, not seen in a run of the system.

Both waits now include the clock margin, as those for leases do.

Both tests failed before (no booking, no inherited slot at 63 s for a limit of 60 s). All clocks of the stand-ins in virtual time run alike, so that no scenario could show it.

--- a/packages/core/celeryshift_core/_allotments.py
+++ b/packages/core/celeryshift_core/_allotments.py
@@ -103,8 +103,12 @@
         allotment.slots_by_team = dict(row.value['slots_by_team'])
         allotment.inherited_by_team = dict(allotment.slots_by_team)
     _update_pools(state, rows)
-    timeouts = [kind.timeout_s for kind in state.config.kinds.values()]
-    wait_s = max(state.options.inherited_tasks_end_s, *timeouts, 0.0)
+    longest_s = max(
+        (kind.timeout_s for kind in state.config.kinds.values()), default=0.0
+    )
+    # The workers measure the timeouts on their own clocks.
+    request_s = longest_s * (1 + state.options.clock_margin)
+    wait_s = max(state.options.inherited_tasks_end_s, request_s)
     timer = _timers.InheritedEnds(slice_.number, slice_.epoch)
     state.timers.set(timer, state.now + wait_s + INHERITED_MARGIN_S)
     state.timers.set_once(_timers.ReviewAllotments(), state.now)
--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -242,8 +242,11 @@
     key = _timers.BookingEnds(
         slice_.number, slice_.epoch, task.worker, task.run_id
     )
-    left_s = max(0.0, request.deadline - state.now)
-    state.timers.set(key, state.now + left_s + BOOKING_MARGIN_S)
+    # The worker measures the time limit on its own clock, from the arrival.
+    limit_s = request.deadline - task.decisions[-1].at
+    slow_s = limit_s * state.options.clock_margin
+    ends_at = max(state.now, request.deadline + slow_s)
+    state.timers.set(key, ends_at + BOOKING_MARGIN_S)
 
 
 def _handle_answer(
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -3,11 +3,15 @@
 import builders
 
 import celeryshift_core as core
+from celeryshift_core import _allotments
 from celeryshift_core import _ledger
+from celeryshift_core import _state
 from celeryshift_core import effects
 from celeryshift_core import events
+from celeryshift_core import schema
 
 SLOTS = 8
+LONG_TIMEOUT_S = 60.0
 
 
 def _fill_worker(slice_, name, booking):
@@ -59,3 +63,48 @@
         third.task
         in slice_.ledger.workers_by_name[third.worker].bookings_by_run
     )
+
+
+def _send_one(state, **kind):
+    state.config.kinds['check'] = core.Kind(
+        builders.UPSTREAM, core.Policy.REQUEST, **kind
+    )
+    arrived = events.RequestArrived(
+        0.0, 'r', 'r', 'check', None, 't00', hops=1
+    )
+    outbox = core.reduce(state, arrived)
+    for effect in outbox:
+        if isinstance(effect, effects.WriteStore):
+            # The claim of a request that must not be repeated.
+            claimed = events.StoreWritten(0.0, effect.op_id, builders.OK, 1)
+            outbox = core.reduce(state, claimed)
+    return _sent_requests(outbox)[0]
+
+
+def test_a_request_on_a_slow_clock_keeps_its_capacity_until_it_ends():
+    state, slice_ = builders.build_slice(1, 0)
+    sent = _send_one(state, timeout_s=LONG_TIMEOUT_S)
+    worker = slice_.ledger.workers_by_name[sent.worker]
+    lost = events.RequestAnswered(
+        LONG_TIMEOUT_S, 'r', sent.attempt, events.Outcome.UNKNOWN
+    )
+    core.reduce(state, lost)
+    ends_at = LONG_TIMEOUT_S * (1 + state.options.clock_margin)
+    core.reduce(state, events.Tick(ends_at))
+    assert sent.task in worker.bookings_by_run
+    core.reduce(state, events.Tick(ends_at + 2.0))
+    assert sent.task not in worker.bookings_by_run
+
+
+def test_an_inherited_request_on_a_slow_clock_counts_for_its_team():
+    state, slice_ = builders.build_slice(1, 0)
+    state.config.kinds['check'] = core.Kind(
+        builders.UPSTREAM, core.Policy.REQUEST, timeout_s=LONG_TIMEOUT_S
+    )
+    slice_.phase = _state.SlicePhase.RECOVERING
+    key = schema.allotment('dc1', 0)
+    rows = {key: schema.Row(1, {'slots_by_team': {'t00': 1}})}
+    _allotments.restore(state, slice_, rows, [])
+    ends_at = LONG_TIMEOUT_S * (1 + state.options.clock_margin)
+    core.reduce(state, events.Tick(ends_at))
+    assert slice_.allotment.inherited_by_team == {'t00': 1}
