A query of an earlier attempt does not count for a later one

A worker could lose capacity for good, and a slice with such a run could not be handed over. After the outcome of an attempt was queried, the note of this stayed with the request. If its kind became repeatable meanwhile and a later attempt got no answer, that answer was taken as the one to the query: no time was set at which the booking of the attempt ends.

No double run follows: without the change of the configuration, a queried request is never repeated. Found by reading, not seen in a run of the system.

A retry now clears the note.

--- a/packages/core/celeryshift_core/_requests.py
+++ b/packages/core/celeryshift_core/_requests.py
@@ -350,6 +350,7 @@
     task.record_decision(state.now, 'retried', f'after {task.worker}')
     task.failed_on += (task.worker,)
     request.sent = False
+    request.outcome_queried = False
     slice_ = state.slices_by_number.get(request.slice)
     if (
         slice_ is None
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -108,3 +108,22 @@
     ends_at = LONG_TIMEOUT_S * (1 + state.options.clock_margin)
     core.reduce(state, events.Tick(ends_at))
     assert slice_.allotment.inherited_by_team == {'t00': 1}
+
+
+def test_a_lost_answer_after_a_query_does_not_book_capacity_for_good():
+    state, slice_ = builders.build_slice(2, 0)
+    first = _send_one(state, repeatable=False, timeout_s=10.0)
+    unknown = events.Outcome.UNKNOWN
+    core.reduce(state, events.RequestAnswered(1.0, 'r', 1, unknown))
+    state.config.kinds['check'] = core.Kind(
+        builders.UPSTREAM, core.Policy.REQUEST, timeout_s=10.0
+    )
+    outbox = core.reduce(state, events.RequestAnswered(1.1, 'r', 1, unknown))
+    second = _sent_requests(outbox)[0]
+    assert second.task != first.task
+    core.reduce(state, events.RequestAnswered(2.0, 'r', 2, unknown))
+    core.reduce(state, events.Tick(30.0))
+    assert not any(
+        second.task in worker.bookings_by_run
+        for worker in slice_.ledger.workers_by_name.values()
+    )
