A late summary does not confirm an old configuration

Callers could use a withdrawn key for longer than the 15 s for which a data centre that is cut off may accept it. The summary of a peer states how long ago its configuration was confirmed, and that age was counted from the arrival of the message. A node that was paused handles the messages of the whole pause when it resumes: a summary from the start of the pause confirmed the configuration as of a moment before its end.

A time of more than 2 s without any event, of which a node has several a second, is a pause; messages in the second after it confirm nothing. Other delays are bounded by the time limit of the call, 2 s.

The test failed before (a configuration that was confirmed 17 s ago was not stale). The scenarios with pauses leave the peers confirmed, so that none of them showed it.

--- a/packages/core/celeryshift_core/_confirmation.py
+++ b/packages/core/celeryshift_core/_confirmation.py
@@ -9,6 +9,9 @@
 from celeryshift_core import _state
 from celeryshift_core import messages
 
+# Time in which the messages that arrived during a pause have been handled.
+BACKLOG_S = 1.0
+
 
 def confirm_by_store(state: _state.State, asked_at: float) -> None:
     """Record that the store had this configuration when it was asked."""
@@ -20,10 +23,15 @@
 def confirm_by_peer(
     state: _state.State, peer: _state.Peer, message: messages.Summary
 ) -> None:
-    """Apply the confirmation of a peer with the same configuration."""
+    """Apply the confirmation of a peer with the same configuration.
+
+    The age that it states counts from the arrival, so a message that may have
+    arrived during a pause of this process confirms nothing.
+    """
     peer.config_version = message.config_version
     is_same = message.config_version == state.config.version
-    if is_same and message.config_age_s >= 0:
+    is_late = state.now - state.resumed_at < BACKLOG_S
+    if is_same and message.config_age_s >= 0 and not is_late:
         confirm_by_store(state, state.now - message.config_age_s)
 
 
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -34,6 +34,10 @@
 from celeryshift_core import effects
 from celeryshift_core import events
 
+# Timers are due several times a second, so a longer time without an event is a
+# pause of the process.
+PAUSE_S = 2.0
+
 Handler = Callable[[_state.State, Any, _state.Outbox], Any]
 WriteHandler = Callable[
     [_state.State, Any, _store.WriteResult, _state.Outbox], None
@@ -46,6 +50,8 @@
     handler = _HANDLERS_BY_EVENT.get(type(event))
     if handler is None:
         raise _errors.UnknownEventError(type(event).__name__)
+    if event.now - state.now > PAUSE_S:
+        state.resumed_at = event.now
     state.now = max(state.now, event.now)
     outbox: _state.Outbox = []
     handler(state, event, outbox)
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -289,10 +289,13 @@
     `unannounced` has the workers that the node's registration does not cover
     yet, `slice_weights` a revision of the VM list and the weights of slices
     at that revision, and `waits_by_kind` histograms by kind and urgency.
+    `resumed_at` is the time of the first event after the latest pause of the
+    process.
     """
 
     options: _options.Options
     now: float = 0.0
+    resumed_at: float = -math.inf
     node: str = ''
     phase: NodePhase = NodePhase.STARTING
     rng: random.Random = attrs.field(factory=lambda: random.Random(0))
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -6,10 +6,12 @@
 import pytest
 
 import celeryshift_core as core
+from celeryshift_core import _confirmation
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import effects
 from celeryshift_core import events
+from celeryshift_standins import world as worlds
 
 FOREIGN = events.TaskReport(
     'r:t01:q~1.1', events.TaskPhase.RUNNING, team='t01', request=True
@@ -141,3 +143,20 @@
     core.reduce(state, events.VmsFetched(0.0, 1, [live]))
     fleets.fill_queue(state, slice_, 1, seed=1)
     assert not _starts(core.reduce(state, events.Tick(0.0)))
+
+
+def test_a_late_summary_does_not_confirm_an_old_configuration():
+    world = worlds.World(seed=1)
+    world.configure(builders.fleet().document())
+    for name, data_centre in (('n0', 'dc1'), ('n1', 'dc1'), ('m0', 'dc2')):
+        world.add_node(name, data_centre)
+    world.run(20.0)
+    node = world.nodes_by_name['n0']
+    stale_s = node.state.options.config_stale_s
+    for endpoint in ('platform', 'dc2'):
+        world.links.cut(world.now, 'dc1', endpoint, True)
+    world.pause('n0')
+    world.run(stale_s + 1.0)
+    world.resume('n0')
+    world.run(1.0)
+    assert _confirmation.is_stale(node.state)
