A stop that overtakes its start is repeated

Callers could see a task run on after its job was cancelled, a task of a service for good, and urgent work wait for a preempted task that nobody stopped. A stop may overtake the start of its run. The worker then has nothing to stop and says so with success, after which it starts the run. That answer was taken for the stop of the run.

Found by reading, not seen in a run of the system.

If a start is confirmed after its task was stopped, the stop is now sent again. Stops may be repeated.

The test failed before (no further stop). The stand-in for workers gives all calls of a link the same delay, so that no scenario could show it.

--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -161,6 +161,9 @@
         if task.state is _tasks.TaskState.STARTING:
             task.state = _tasks.TaskState.RUNNING
             task.record_decision(state.now, 'started')
+        elif task.state is _tasks.TaskState.STOPPING and worker is not None:
+            # The stop may have overtaken the start.
+            _dispatch.send_stop(state, slice_, worker, event.task, outbox)
     elif event.outcome is events.Outcome.UNKNOWN:
         task.record_decision(state.now, 'start unknown', 'the answer was lost')
         key = _timers.BookingEnds(
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -7,6 +7,7 @@
 
 import celeryshift_core as core
 from celeryshift_core import _confirmation
+from celeryshift_core import _jobs
 from celeryshift_core import _state
 from celeryshift_core import _tasks
 from celeryshift_core import effects
@@ -160,3 +161,25 @@
     world.resume('n0')
     world.run(1.0)
     assert _confirmation.is_stale(node.state)
+
+
+def test_a_stop_that_overtakes_its_start_is_repeated():
+    state, slice_ = builders.build_slice(1, 0)
+    for worker in list(slice_.ledger.workers_by_name):
+        _synced(state, slice_, worker, [], whole=False)
+    start = _start_one(state, slice_)
+    job = next(iter(slice_.jobs_by_id.values()))
+    _jobs.cancel(state, slice_, job, [])
+    stopped = events.TaskStopped(
+        state.now,
+        start.slice,
+        start.epoch,
+        start.worker,
+        start.task,
+        builders.OK,
+    )
+    core.reduce(state, stopped)
+    outbox = _confirm(state, start)
+    assert [e.task for e in outbox if isinstance(e, effects.StopTask)] == [
+        start.task
+    ]
