--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -58,7 +58,7 @@
     for row in job_rows.values():
         _jobs.restore(state, slice_, row)
     key = _timers.RecoveryEnds(number, epoch)
-    state.timers.set(key, state.now + state.options.tasks_end_s)
+    state.timers.set(key, state.now + state.options.inherited_tasks_end_s)
     for vm in state.vms_by_name.values():
         _apply_vm(state, slice_, vm, outbox)
     outbox.append(effects.FetchVms(state.vm_revision))
@@ -89,7 +89,9 @@
     slice_.phase = _state.SlicePhase.READY
     for task_id in sorted(slice_.unaccounted):
         task = slice_.tasks_by_id.get(task_id)
-        if task and task.state is _tasks.TaskState.UNACCOUNTED:
+        if task is None or task.state is not _tasks.TaskState.UNACCOUNTED:
+            continue
+        if not _workers.apply_deferred_end(state, slice_, task, outbox):
             task.record_decision(state.now, 'queued', 'no worker runs it')
             _jobs.requeue_task(state, slice_, task, outbox)
     slice_.unaccounted.clear()
@@ -173,10 +175,14 @@
 def handle_vms_fetched(
     state: _state.State, event: events.VmsFetched, outbox: _state.Outbox
 ) -> None:
-    """Apply the changes of the VM list."""
-    if event.vms is None:
+    """Apply the changes of the VM list.
+
+    An answer that a newer one has overtaken has nothing that the newer one
+    lacks, and would undo changes.
+    """
+    if event.vms is None or event.revision < state.vm_revision:
         return
-    state.vm_revision = max(state.vm_revision, event.revision)
+    state.vm_revision = event.revision
     for vm in event.vms:
         _departures.record_vm(state, vm)
         _update_vm_list(state, vm)
--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -1,5 +1,6 @@
 """Workers: task leases, status reports, silent workers and lost tasks."""
 
+from celeryshift_core import _config
 from celeryshift_core import _dispatch
 from celeryshift_core import _jobs
 from celeryshift_core import _lease
@@ -16,8 +17,6 @@
 
 MAX_ACKNOWLEDGED_PER_SYNC = 256
 WAIT_PER_WORKER_S = 0.05
-MAX_WAIT_S = 10.0
-MAX_WAIT_LEASE_FRACTION = 2 / 3
 
 WorkerReference = _timers.WorkerTimer | events.WorkerSynced
 
@@ -32,26 +31,38 @@
 
     A silent worker is only polled: renewing the leases of tasks in doubt
     would postpone the time at which they have certainly ended. A worker with
-    foreign runs is polled without a cursor, so that it lists all its runs:
-    the foreign runs that are missing have ended.
+    foreign runs, or with confirmed ones that its last list did not have, is
+    polled without a cursor, so that it lists all its runs: those that are
+    missing have ended.
     """
     if worker.syncing or not _lease.is_valid(state):
         return
     options = state.options
     silent = worker.silent_since is not None
-    poll_soon = silent or not worker.answered or worker.foreign_runs
+    worker.listable_runs = frozenset(
+        run_id
+        for run_id in worker.bookings_by_run
+        if run_id not in slice_.unconfirmed_starts
+    )
+    needs_list = worker.foreign_runs or (
+        worker.unlisted_runs & worker.listable_runs
+    )
+    poll_soon = silent or not worker.answered or needs_list
     acknowledged = sorted(worker.to_acknowledge)[:MAX_ACKNOWLEDGED_PER_SYNC]
     worker.to_acknowledge.difference_update(acknowledged)
     worker.syncing = True
+    wait_s = options.sync_retry_s if poll_soon else _wait_s(state)
+    if not silent:
+        worker.renewed_until = state.now + wait_s
     outbox.append(
         effects.SyncWorker(
             slice_.number,
             slice_.epoch,
             worker.name,
             worker.address,
-            '' if worker.foreign_runs else worker.cursor,
+            '' if needs_list else worker.cursor,
             tuple(acknowledged),
-            options.sync_retry_s if poll_soon else _wait_s(state),
+            wait_s,
             0.0 if silent else options.task_lease_s,
             _lease.valid_until(state),
         )
@@ -139,14 +150,20 @@
     task = slice_.tasks_by_id.get(_tasks.task_id_of_run(event.task))
     if task is None or task.run_id != event.task:
         return
+    worker = slice_.ledger.workers_by_name.get(event.worker)
+    may_run = event.outcome in (events.Outcome.OK, events.Outcome.UNKNOWN)
+    if may_run and worker is not None and worker.silent_since is not None:
+        # The lease of the run counts from the arrival of its start.
+        _set_leases_end(state, slice_, worker)
     if event.outcome is events.Outcome.OK:
         slice_.unconfirmed_starts.discard(event.task)
-        _worker_backoff.handle_accepted(
-            slice_.ledger.workers_by_name.get(event.worker)
-        )
+        _worker_backoff.handle_accepted(worker)
         if task.state is _tasks.TaskState.STARTING:
             task.state = _tasks.TaskState.RUNNING
             task.record_decision(state.now, 'started')
+        elif task.state is _tasks.TaskState.STOPPING and worker is not None:
+            # The stop may have overtaken the start.
+            _dispatch.send_stop(state, slice_, worker, event.task, outbox)
     elif event.outcome is events.Outcome.UNKNOWN:
         task.record_decision(state.now, 'start unknown', 'the answer was lost')
         key = _timers.BookingEnds(
@@ -176,10 +193,16 @@
     if found is None:
         return
     slice_, worker = found
+    is_unconfirmed = timer.run in slice_.unconfirmed_starts
+    if is_unconfirmed and worker.silent_since is not None:
+        # A sync may have renewed its lease, so it ends with the others.
+        key = _timers.TaskLeasesEnd(slice_.number, slice_.epoch, worker.name)
+        at = state.timers.at(key)
+        state.timers.set(timer, at or state.now + state.options.tasks_end_s)
+        return
     task = slice_.tasks_by_id.get(_tasks.task_id_of_run(timer.run))
     current = task is not None and task.run_id == timer.run
-    confirmed = timer.run not in slice_.unconfirmed_starts
-    if not (current and confirmed):
+    if is_unconfirmed or not current:
         _lose(state, slice_, worker, timer.run, 'its end was not seen', outbox)
 
 
@@ -214,11 +237,21 @@
         len(slice_.ledger.workers_by_name)
         for slice_ in state.slices_by_number.values()
     )
-    longest = min(
-        MAX_WAIT_S, state.options.task_lease_s * MAX_WAIT_LEASE_FRACTION
-    )
     wait_s = max(state.options.sync_wait_s, workers * WAIT_PER_WORKER_S)
-    return min(wait_s, max(longest, state.options.sync_wait_s))
+    return min(wait_s, state.options.max_sync_wait_s)
+
+
+def _set_leases_end(
+    state: _state.State, slice_: _state.Slice, worker: _ledger.Worker
+) -> None:
+    """Set the time at which the leases of a silent worker have expired.
+
+    They may have been renewed until now, and until the end of a long poll
+    that the worker has not noticed to be broken.
+    """
+    key = _timers.TaskLeasesEnd(slice_.number, slice_.epoch, worker.name)
+    renewed_until = max(state.now, worker.renewed_until)
+    state.timers.set(key, renewed_until + state.options.tasks_end_s)
 
 
 def _find(
@@ -245,8 +278,7 @@
     if worker.silent_since is None:
         worker.silent_since = state.now
         slice_.ledger.refresh(worker)
-        key = _timers.TaskLeasesEnd(slice_.number, slice_.epoch, worker.name)
-        state.timers.set(key, state.now + state.options.tasks_end_s)
+        _set_leases_end(state, slice_, worker)
         fields = {'worker': worker.name, 'tasks': len(worker.bookings_by_run)}
         outbox.append(effects.LogChange('worker-silent', fields))
 
@@ -264,6 +296,9 @@
         return
     if task is not None and not task.is_request:
         if task.state is _tasks.TaskState.UNACCOUNTED:
+            if _may_run_elsewhere(state, slice_, report, task):
+                _defer_end(slice_, worker, report, task)
+                return
             task.set_run(report.id, worker.name)
         if task.run_id == report.id and task.state not in _tasks.ENDED:
             if report.used != _size.ZERO:
@@ -278,6 +313,51 @@
         worker.to_acknowledge.add(report.id)
 
 
+def _may_run_elsewhere(
+    state: _state.State,
+    slice_: _state.Slice,
+    report: events.TaskReport,
+    task: _tasks.Task,
+) -> bool:
+    """Return whether a later run may exist of a task with an ended run.
+
+    While a slice recovers, a worker that has not reported yet may have one.
+    A task that is done needs no other run.
+    """
+    kind = state.config.kinds.get(task.kind)
+    service = kind is not None and kind.policy is _config.Policy.SERVICE
+    done = report.phase is events.TaskPhase.DONE and not service
+    return slice_.phase is _state.SlicePhase.RECOVERING and not done
+
+
+def _defer_end(
+    slice_: _state.Slice,
+    worker: _ledger.Worker,
+    report: events.TaskReport,
+    task: _tasks.Task,
+) -> None:
+    """Keep the latest end of a task until every worker has reported."""
+    before = slice_.ends_by_task.get(task.id)
+    if before is None or _tasks.run_order(report.id) >= _tasks.run_order(
+        before[1].id
+    ):
+        slice_.ends_by_task[task.id] = (worker.name, report)
+        _acknowledge(slice_, before)
+    else:
+        worker.to_acknowledge.add(report.id)
+
+
+def _acknowledge(
+    slice_: _state.Slice, end: tuple[str, events.TaskReport] | None
+) -> None:
+    """Acknowledge an end that a later run has superseded."""
+    if end is not None:
+        name, report = end
+        worker = slice_.ledger.workers_by_name.get(name)
+        if worker is not None:
+            worker.to_acknowledge.add(report.id)
+
+
 def _handle_running(
     state: _state.State,
     slice_: _state.Slice,
@@ -287,6 +367,7 @@
     outbox: _state.Outbox,
 ) -> None:
     if task is not None and task.state is _tasks.TaskState.UNACCOUNTED:
+        _acknowledge(slice_, slice_.ends_by_task.pop(task.id, None))
         task.set_run(report.id, worker.name)
         task.state = _tasks.TaskState.RUNNING
         task.record_decision(
@@ -311,6 +392,22 @@
             _dispatch.send_stop(state, slice_, worker, report.id, outbox)
 
 
+def apply_deferred_end(
+    state: _state.State,
+    slice_: _state.Slice,
+    task: _tasks.Task,
+    outbox: _state.Outbox,
+) -> bool:
+    """Apply the end of a task that no worker runs, if one was reported."""
+    name, report = slice_.ends_by_task.pop(task.id, ('', None))
+    worker = slice_.ledger.workers_by_name.get(name)
+    if worker is None or report is None:
+        return False
+    task.set_run(report.id, name)
+    _jobs.handle_task_ended(state, slice_, task, worker, report.phase, outbox)
+    return True
+
+
 def _lose_unlisted(
     state: _state.State,
     slice_: _state.Slice,
@@ -318,10 +415,16 @@
     reports: list[events.TaskReport],
     outbox: _state.Outbox,
 ) -> None:
-    """Treat runs missing from a complete list as ended without result."""
+    """Treat runs missing from a complete list as ended without result.
+
+    Answers may overtake each other, so a run that was confirmed after the sync
+    was sent may have started after the list was made.
+    """
     listed = {report.id for report in reports}
-    for run_id in list(worker.bookings_by_run):
-        if run_id not in listed and run_id not in slice_.unconfirmed_starts:
+    unlisted = [run for run in worker.bookings_by_run if run not in listed]
+    worker.unlisted_runs = set(unlisted)
+    for run_id in unlisted:
+        if run_id in worker.listable_runs:
             _lose(state, slice_, worker, run_id, 'worker forgot it', outbox)
 
 
--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -38,6 +38,9 @@
     UNRESPONSIVE = 'silent'
 
 
+SEEN_BY_PHASE = {'running': Seen.RUNNING, 'unknown': Seen.NOT_FOUND}
+
+
 class Workers:
     """Client of the workers.
 
@@ -86,10 +89,10 @@
             )
         if not reply.ok:
             return '', False, None
-        reports = [
-            _wire.decode_task_report(task) for task in reply.body['tasks']
-        ]
-        return reply.body['cursor'], reply.body['whole'], reports
+        try:
+            return _wire.decode_sync(reply.body)
+        except (LookupError, TypeError, ValueError):
+            return '', False, None
 
     async def start(self, effect: effects.StartTask) -> Outcome:
         """Start a task."""
@@ -130,28 +133,31 @@
             'team': effect.team,
             'kind': effect.kind,
             'size': _wire.encode_size(effect.size),
-            'timeout_s': effect.timeout_s,
             'payload': payload,
         }
-        post = functools.partial(
-            self._post, effect.address, 'requests', body, effect.timeout_s
-        )
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + effect.timeout_s
+        post = functools.partial(self._post_request, effect.address, body)
         channel = self._single_use_channel
         if effect.repeatable:
             channel = self._channels.get(effect.address)
-        reply = await self._await_reply(effect, post(channel))
+        reply = await self._await_reply(
+            effect, post(effect.timeout_s, channel)
+        )
         if isinstance(reply, _calls.Reply):
             return _decode_answer(reply, effect.task)
-        if reply is Seen.UNRESPONSIVE:
+        left_s = ends_at - loop.time()
+        if reply is Seen.UNRESPONSIVE or left_s <= 0:
             return Outcome.UNKNOWN, False, None
         if reply is Seen.NOT_FOUND and effect.repeatable:
-            retried = await post(self._single_use_channel)
+            retried = await post(left_s, self._single_use_channel)
+            if not retried.ok:
+                # The worker may have run the first copy.
+                return Outcome.UNKNOWN, False, None
             return _decode_answer(retried, effect.task)
         # The request has ended, or must not be sent again because the first
         # copy may still arrive. Its outcome is queried instead.
-        return await self._query_outcome(
-            effect.address, effect.task, effect.timeout_s
-        )
+        return await self._query_outcome(effect.address, effect.task, left_s)
 
     async def query_outcome(
         self, effect: effects.QueryOutcome
@@ -165,6 +171,16 @@
         """Close the single-use connections."""
         await self._single_use_channel.close()
 
+    async def _post_request(
+        self,
+        address: str,
+        body: dict[str, Any],
+        timeout_s: float,
+        channel: pools.Channel,
+    ) -> _calls.Reply:
+        body = {**body, 'timeout_s': timeout_s}
+        return await self._post(address, 'requests', body, timeout_s, channel)
+
     async def _await_reply(
         self,
         effect: effects.SendRequest,
@@ -240,10 +256,10 @@
         )
         if reply.outcome is not Outcome.OK:
             return Seen.UNRESPONSIVE
-        if not reply.ok or reply.body.get('phase') == 'running':
+        if not reply.ok:
             return Seen.RUNNING
-        is_unknown = reply.body.get('phase') == 'unknown'
-        return Seen.NOT_FOUND if is_unknown else Seen.ENDED
+        phase = reply.body.get('phase') if _is_document(reply) else None
+        return SEEN_BY_PHASE.get(str(phase), Seen.ENDED)
 
     async def _query_outcome(
         self, address: str, task: str, timeout_s: float
@@ -290,6 +306,14 @@
     outcome = _decode_outcome(reply)
     if outcome is not Outcome.OK:
         return outcome, False, None
-    if reply.body.get('run_id') != run_id or 'answer' not in reply.body:
+    if (
+        not _is_document(reply)
+        or reply.body.get('run_id') != run_id
+        or not {'answer', 'failed'} <= reply.body.keys()
+    ):
         return Outcome.UNKNOWN, False, None
     return Outcome.OK, bool(reply.body['failed']), reply.body['answer']
+
+
+def _is_document(reply: _calls.Reply) -> bool:
+    return isinstance(reply.body, dict)
