A start that a later incarnation carried out may outlast the lease

What callers saw: two runs of a task at once, in a run of real processes. A worker restarted under its id and address and carried out starts that named its former incarnation; then it was cut off. Its tasks started elsewhere after 4.2 s, while its lease went on for up to 6.1 s.

Cause: the deadline of an order is a time on the clock of the incarnation that it names. The clock of a later one starts anew, so the deadline is far away there, and only the longest lease that a worker grants (max_hold) ends it.

An answer to a start whose clock_ms is below what the worker's clock showed when the order was sent comes from a later incarnation: the start is then in doubt, the worker is polled at once, and its lease counts as the longest one. The same holds for every worker that is known to have restarted.

--- a/packages/cell/celeryshift_cell/_leases.py
+++ b/packages/cell/celeryshift_cell/_leases.py
@@ -14,10 +14,25 @@
     counts as expired only after the correspondingly longer time.
     """
     lease_s = cell.options.lease_s
+    _count_lease(cell, worker, lease_s)
+    worker.lease_clock_age_s = cell.now - worker.clock_read_at
+    return int(_min_clock_ms(cell, worker, cell.now) + lease_s * 1000)
+
+
+def extend_to_maximum(cell: _state.Cell, worker: _state.Worker) -> None:
+    """Count the longest lease that a worker may have granted until now.
+
+    A later incarnation may have carried out an order whose deadline is a time
+    on the clock of a former one.
+    """
+    _count_lease(cell, worker, cell.options.max_lease_s)
+
+
+def _count_lease(
+    cell: _state.Cell, worker: _state.Worker, lease_s: float
+) -> None:
     max_local_s = lease_s / (1 - cell.options.clock_drift) + ROUNDING_S
     worker.lease_until = max(worker.lease_until, cell.now + max_local_s)
-    worker.lease_clock_age_s = cell.now - worker.clock_read_at
-    return int(_min_clock_ms(cell, worker) + lease_s * 1000)
 
 
 def record_clock(
@@ -27,13 +42,27 @@
 
     Responses may be delayed, so that an earlier one may tell more.
     """
-    worker.min_clock_ms = max(clock_ms, _min_clock_ms(cell, worker))
+    worker.min_clock_ms = max(clock_ms, _min_clock_ms(cell, worker, cell.now))
     worker.clock_read_at = cell.now
 
 
-def _min_clock_ms(cell: _state.Cell, worker: _state.Worker) -> float:
-    """Return the earliest time that a worker's clock may show now."""
-    elapsed_ms = (cell.now - worker.clock_read_at) * 1000
+def is_other_clock(
+    cell: _state.Cell, worker: _state.Worker, sent_at: float, clock_ms: int
+) -> bool:
+    """Return whether another incarnation answered an order.
+
+    Clocks start anew in each incarnation, so a clock that shows less than this
+    one did when the order was sent is that of a later incarnation.
+    """
+    least_ms = _min_clock_ms(cell, worker, sent_at) - ROUNDING_S * 1000
+    return clock_ms < least_ms
+
+
+def _min_clock_ms(
+    cell: _state.Cell, worker: _state.Worker, at: float
+) -> float:
+    """Return the earliest time that a worker's clock may show at a time."""
+    elapsed_ms = (at - worker.clock_read_at) * 1000
     return worker.min_clock_ms + elapsed_ms * (1 - cell.options.clock_drift)
 
 
--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -11,6 +11,8 @@
     # some two seconds, and is otherwise short, since the runs of a silent
     # worker can be restarted only after it expires. Workers may grant less.
     lease_s: float = 4.0
+    # Longest lease that a worker grants, whatever the deadline of an order.
+    max_lease_s: float = 6.0
     # Leases are measured on the worker's clock, which may be slow by up to
     # this fraction.
     clock_drift: float = 0.02
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -182,7 +182,10 @@
     if worker is None or not run:
         return None
     outcome = event.outcome
-    is_current = cell.worker(event.worker_id, event.incarnation) is not None
+    is_current = worker.entry.incarnation == event.incarnation and not (
+        event.clock_ms is not None
+        and _leases.is_other_clock(cell, worker, run.since, event.clock_ms)
+    )
     if is_current and outcome not in (Outcome.UNKNOWN, Outcome.NOT_SENT):
         cell.mark_data_centre_reachable(worker)
     if is_current and outcome is Outcome.DONE:
@@ -210,8 +213,10 @@
             _pause_starts(cell, run, outcome)
         _revert_start(cell, run)
     else:
-        # After a start that an earlier incarnation confirmed, the run may
-        # have ended with it.
+        if outcome is Outcome.DONE:
+            # An earlier incarnation confirmed it, and the run may have ended
+            # with it; or a later one did, whose lease is not known.
+            _leases.extend_to_maximum(cell, worker)
         if run.phase is Phase.SENT:
             run.phase = Phase.IN_DOUBT
             run.since = cell.now
@@ -489,6 +494,7 @@
         new.runs[key] = run
         new.allocate(run.task.step.spec, 1)
     new.lease_until = old.lease_until
+    _leases.extend_to_maximum(cell, new)
 
 
 def handle_other_incarnation(
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -411,6 +411,7 @@
         is_settled = predecessor_s > _election.SETTLED_OWNER_S
         options = cell.Options(
             lease_s=min(cell_settings.max_lease_s, cell.Options().lease_s),
+            max_lease_s=cell_settings.max_lease_s,
             in_doubt_overage=cell_settings.team_overage if is_settled else 0.0,
         )
         return _runner.Runner(
--- a/tests/test_cell_workers.py
+++ b/tests/test_cell_workers.py
@@ -429,3 +429,20 @@
         if line.decision == 'dropped_run_reported'
     ]
     assert (line['run'], line['why']) == (order.run, 'lease ran out')
+
+
+def test_a_start_that_a_later_incarnation_confirmed_may_outlast_the_lease():
+    bench = cells.Bench((cells.entry('a'),))
+    bench.now = 10.0
+    bench.answer_poll('a')
+    (order,) = bench.accept(cells.job('j'))
+    bench.send(
+        events.StartAnswered(
+            0.0, 'a', 1, order.task, order.run, Outcome.DONE, clock_ms=100
+        )
+    )
+    bench.join(cells.entry('b'))
+    _silence(bench, 'a')
+    assert not _fail_polls(bench, 'a', bench.state.options.max_lease_s)
+    (again,) = _fail_polls(bench, 'a', 0.5)
+    assert again.worker_id == 'b'
