A failed answer or a new address does not leave a worker unused

A worker whose answer could not be applied was never polled again if it had not answered this owner before, and after 30 s otherwise, since its next poll was scheduled last. A worker whose address changed while the list of workers was being written was never on a stored list, and so never used; after the write, the stored list kept the former address.

The next poll is now due before the answer is applied, and a new address is stored like a new worker.

Both tests failed before: test_a_worker_whose_answer_can_not_be_applied_is_polled_again and test_a_worker_whose_address_changes_while_it_is_stored_is_used.

--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -79,6 +79,10 @@
 ) -> None:
     previous = worker.entry
     capacity = entry.capacity
+    if entry.address != previous.address:
+        # The stored list has the former address.
+        worker.is_recorded = False
+        cell.workers_version += 1
     worker.free_cpu += capacity.cpu_milli - previous.capacity.cpu_milli
     worker.free_memory += capacity.memory_mb - previous.capacity.memory_mb
     worker.free_accelerators += (
@@ -188,6 +192,9 @@
         if event.answered_by > worker.entry.incarnation:
             replace_incarnation(cell, worker, event.answered_by)
         return
+    if not worker.polls_in_flight:
+        # Polled again soon even if this answer can't be applied.
+        worker.poll_at = cell.now + cell.options.poll_retry_s
     cell.mark_data_centre_reachable(worker)
     if worker.is_silent:
         cell.log_decision('worker_answers', worker=worker.id)
--- a/tests/test_cell_incarnations.py
+++ b/tests/test_cell_incarnations.py
@@ -271,3 +271,19 @@
     listed = events.RunStatus(f'{job.id}.0.0.0', 1, '', 10)
     bench.answer_poll('a', (listed,), incarnation=2)
     assert not bench.effects_of(effects.StopRun)
+
+
+def test_a_worker_whose_address_changes_while_it_is_stored_is_used():
+    bench = cells.Bench((cells.entry('a'),))
+    bench.tick()
+    bench.answer_poll('a', incarnation=2, sent_to=1)
+    moved = attrs.evolve(cells.entry('a', incarnation=2), address='b:80')
+    bench.send(events.WorkersChanged(0.0, (moved,)))
+    bench.answer_poll('a', incarnation=2)
+    orders = bench.accept(cells.job('j'))
+    for _ in range(3):
+        bench.store_records()
+        orders += bench.effects_of(effects.StartRun)
+        bench.tick()
+        orders += bench.effects_of(effects.StartRun)
+    assert orders
--- a/tests/test_cell_workers.py
+++ b/tests/test_cell_workers.py
@@ -1,5 +1,7 @@
 """Workers of a cell: leases, silence, restarts, and orders in doubt."""
 
+import contextlib
+
 import attrs
 from tests import cells
 
@@ -446,3 +448,14 @@
     assert not _fail_polls(bench, 'a', bench.state.options.max_lease_s)
     (again,) = _fail_polls(bench, 'a', 0.5)
     assert again.worker_id == 'b'
+
+
+def test_a_worker_whose_answer_can_not_be_applied_is_polled_again():
+    bench = cells.Bench()
+    bench.send(events.WorkersChanged(0.0, (cells.entry('a'),)))
+    malformed = events.PollAnswered(0.0, 0.0, 'a', 1, 1, 5, (), (None,))
+    with contextlib.suppress(AttributeError):
+        bench.send(malformed)
+    bench.now += bench.state.options.poll_retry_s
+    bench.tick()
+    assert bench.effects_of(effects.PollWorker)
