--- a/tests/soak.py
+++ b/tests/soak.py
@@ -34,7 +34,9 @@
 
 # Within this time leases expire, in-doubt runs are settled and the remaining
 # work completes.
-SETTLE_S = 40.0
+SETTLE_S = 25.0
+# The same after a burst of long tasks, beside the rest.
+BURST_SETTLE_S = 15.0
 JOBS_PER_S = 6.0
 MAX_ATTEMPTS = 12
 RETRY_S = 0.4
@@ -434,7 +436,8 @@
     async def _check(self) -> None:
         accepted = [j for j, s in self.statuses.items() if ACCEPTED in s]
         loop = asyncio.get_running_loop()
-        until = loop.time() + SETTLE_S
+        burst_s = BURST_SETTLE_S if self._profile.idle_s else 0.0
+        until = loop.time() + SETTLE_S + burst_s
         unfinished = set(accepted)
         while unfinished and loop.time() < until:
             for job in sorted(unfinished):
