An end may be acknowledged until its lease lapses, in the stand-in worker

The check for repeated runs counted the lease under which a run had ended as over at the time known at its end. A worker that was polled on kept its lease, so that a second start and a later acknowledgement of the first end passed. The lease of an end is now extended with that of its worker, until it lapses.

--- a/tests/siteworker.py
+++ b/tests/siteworker.py
@@ -42,7 +42,8 @@
     ended_at: float | None = None
     # As in the protocol, or `restarted`.
     how: str = ''
-    # When the lease under which the run ended expires.
+    # When the lease under which the run ended expires, as extended until its
+    # end was acknowledged.
     lease_end_at: float = 0.0
     acknowledged_at: float | None = None
 
@@ -196,6 +197,11 @@
     def _extend_lease(self, deadline_ms: float) -> None:
         granted_ms = min(deadline_ms, self.clock_ms + MAX_LEASE_MS)
         self.lease_until_ms = max(self.lease_until_ms, granted_ms)
+        # An end may be acknowledged for as long as the lease has not lapsed.
+        now = time.monotonic()
+        for record in self._records_by_completion.values():
+            if now < record.lease_end_at:
+                record.lease_end_at = self._lease_end_at
 
     def _start(self, body: dict[str, Any], is_late: bool) -> web.Response:
         task, run = body['task'], body['run']
