Tests of a node without I/O run in virtual time

Cause: two tests failed on a busy machine, since they timed the code under test by real sleeps. Both failures were reproduced by the delay that a busy machine adds: with 0.15 s in place of 0.05 s before the second submission, the first one is stored by then, and the owner answers "exists" (test_a_job_that_comes_twice_at_once_is_written_once); with 0.12 s for a read, the last read of the owner takes longer than its 0.1 s, and it resigns, as it should for a store that is that slow (test_an_owner_that_hears_the_store_again_does_not_resign).

Ruled out: a fault of the owner; without the delay both pass in each run.

Change: tests/virtualtime.py advances the clock of the event loop, and time.monotonic with it, to the next timer, so that the load of the machine has no effect. Checks and bounds are unchanged.

--- a/tests/test_cell_advisers.py
+++ b/tests/test_cell_advisers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from tests import virtualtime
+
 from celeryshift_cell import effects
 from celeryshift_cell import events
 from celeryshift_cellnode import _advice
@@ -44,4 +46,4 @@
             await scheduler.request_advice(_request())
         assert addresses.count('cut') == 1
 
-    asyncio.run(work())
+    virtualtime.run(work())
--- a/tests/test_cell_desk.py
+++ b/tests/test_cell_desk.py
@@ -4,6 +4,7 @@
 
 import attrs
 from tests import cells
+from tests import virtualtime
 
 import celeryshift_cell as cell
 from celeryshift_cell import events
@@ -62,7 +63,7 @@
         assert await other == 'stored'
         assert store.writes == 2
 
-    asyncio.run(work())
+    virtualtime.run(work())
 
 
 def test_a_job_that_is_known_is_not_written_again():
@@ -72,7 +73,7 @@
         assert await _accept(owner_service, 'j') == 'exists'
         assert store.writes == 1
 
-    asyncio.run(work())
+    virtualtime.run(work())
 
 
 def test_a_job_that_has_ended_under_a_former_owner_is_not_taken_again():
@@ -83,4 +84,4 @@
         assert await _accept(owner_service, 'j') == 'exists'
         assert not owner_service.runner.state.jobs
 
-    asyncio.run(work())
+    virtualtime.run(work())
--- a/tests/test_cell_journal.py
+++ b/tests/test_cell_journal.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from tests import virtualtime
+
 from celeryshift_cellnode import _election
 from celeryshift_cellnode import _groupwriter
 from celeryshift_cellnode import _schema
@@ -50,11 +52,7 @@
 
 
 def run(scenario) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(20):
-            await scenario()
-
-    asyncio.run(bounded())
+    virtualtime.run(scenario(), 20)
 
 
 def test_changes_that_come_together_take_one_transaction():
--- a/tests/test_cell_ownership.py
+++ b/tests/test_cell_ownership.py
@@ -4,6 +4,7 @@
 import time
 
 from tests import cellnodes
+from tests import virtualtime
 
 from celeryshift_cellnode import _election
 from celeryshift_cellnode import _ownership
@@ -17,11 +18,7 @@
 
 
 def run(work) -> None:
-    async def run_bounded() -> None:
-        async with asyncio.timeout(20):
-            await work()
-
-    asyncio.run(run_bounded())
+    virtualtime.run(work(), 20)
 
 
 def test_one_node_owns_the_cell():
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -4,6 +4,7 @@
 import time
 
 from tests import cells
+from tests import virtualtime
 
 import celeryshift_cell as cell
 from celeryshift_cell import events
@@ -69,11 +70,10 @@
             _metrics.Metrics(),
             lambda _: None,
         )
-        async with asyncio.timeout(10):
-            await work(runner, workers)
+        await work(runner, workers)
         runner.close()
 
-    asyncio.run(bounded())
+    virtualtime.run(bounded(), 10)
 
 
 def _restore(runner, job):
--- a/tests/test_cell_service.py
+++ b/tests/test_cell_service.py
@@ -1,9 +1,9 @@
 """Answers to clients while the owner or the store fails."""
 
-import asyncio
 from typing import Any
 
 from tests import cells
+from tests import virtualtime
 
 from celeryshift_cellnode import _metrics
 from celeryshift_cellnode import errors
@@ -62,7 +62,7 @@
         call = service.Call('host', '/field/' + 'a' * 16, None, BUDGET_S)
         return await calls.submit(call, lambda *_: cells.job('a'))
 
-    return asyncio.run(work()), store
+    return virtualtime.run(work()), store
 
 
 def test_a_job_is_stored_past_an_owner_that_is_gone():
--- /dev/null
+++ b/tests/virtualtime.py
@@ -0,0 +1,54 @@
+"""Event loop whose clock advances at once to the next timer.
+
+Tests on it don't depend on the load of the machine. They must do no I/O.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+import selectors
+from typing import Any
+from unittest import mock
+
+
+class _Selector(selectors.SelectSelector):
+    """Selector that advances the clock instead of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        """Return what is ready; advance the clock if nothing is."""
+        ready = super().select(0)
+        if ready:
+            return ready
+        if timeout is None:
+            raise RuntimeError('nothing is scheduled, so time stands still')
+        self.now += max(0.0, timeout)
+        return ready
+
+
+class _Loop(asyncio.SelectorEventLoop):
+    """Event loop on virtual time."""
+
+    def __init__(self) -> None:
+        self._clock = _Selector()
+        super().__init__(self._clock)
+
+    def time(self) -> float:
+        """Return the virtual time."""
+        return self._clock.now
+
+
+def run(work: Coroutine[Any, Any, Any], limit_s: float = 60.0) -> Any:
+    """Run a coroutine in virtual time, for at most ``limit_s`` of it."""
+
+    async def run_bounded() -> Any:
+        loop = asyncio.get_running_loop()
+        # Code under test reads the clock directly.
+        with mock.patch('time.monotonic', loop.time):
+            async with asyncio.timeout(limit_s):
+                return await work
+
+    with asyncio.Runner(loop_factory=_Loop) as runner:
+        return runner.run(run_bounded())
