No stored value outgrows the store, and a rejected one fails alone

Cause of the collapse at 300 machines: one row held all workers, some 48 bytes each. With 1,500 workers it was longer than the 64 KB that the store takes in a row. The store answered 400, which the adapter took for an outage (StoreRefusedError), so that the group was repeated for ever, with every later change behind it, and no job was accepted any more.

Change, for the class and not the row: - Workers have one row each, written when they join, move or leave. The list of earlier releases is replaced by the next owner; it is removed last, so that an interrupted replacement is repeated. - Progress of a job is stored in parts of 40 KB. If even a transaction has no room for it, checkpoints are left out. A change beyond the limits is rejected before it is sent; a group that the store rejects is split until the change is found. Its caller gets the reason, and the log a line change_rejected. The reducer splits rejected saves in the same way. - A job is invalid if its row is too long or if its occurrences have more than 10,000 tasks: one such job would have held up the group, or filled the owner's memory. - The row store of the tests enforces the limits of rows, entries, bytes, pages and names.

The test of takeovers compared the whole stored list; it now compares the rows after the save, which is as strict.

--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -182,9 +182,12 @@
         task = task.step.tasks[0]
     if run in task.failed_runs:
         return
-    task.failed_runs.add(run)
     cell.dirty_jobs[job.spec.id] = job
-    if task.is_done or job.state in FINAL or task.step.spec.is_lasting:
+    if task.step.spec.is_lasting:
+        # Failures of lasting tasks have no limit, so they are not recorded.
+        return
+    task.failed_runs.add(run)
+    if task.is_done or job.state in FINAL:
         return
     if len(task.failed_runs) >= job.queue.max_attempts:
         cell.log_decision(
--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from celeryshift_cell import effects
+
 
 @attrs.frozen(slots=True)
 class Options:
@@ -84,6 +86,8 @@
     # Workers whose run times differ by less than this factor count as equally
     # fast.
     similar_factor: float = 1.12
+    # Size of the rows that store the progress of a job.
+    record_part_bytes: int = effects.RECORD_PART_BYTES
     # How long an ended job is kept in memory; later requests for it are
     # answered from the store.
     keep_ended_s: float = 10.0
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -6,6 +6,8 @@
 
 import json
 
+import attrs
+
 from celeryshift_cell import _jobs
 from celeryshift_cell import _runs
 from celeryshift_cell import _state
@@ -17,8 +19,42 @@
 EMPTY_RECORD = '{}'
 
 
+@attrs.define(slots=True)
+class _Budget:
+    """What still fits into a save; the first item always does."""
+
+    items: int
+    entries: int = effects.MAX_SAVE_ENTRIES
+    size: int = effects.MAX_SAVE_BYTES
+    is_unused: bool = True
+
+    def take(self, entries: int, size: int = 0) -> bool:
+        """Use a part of the budget, and return whether there was enough."""
+        fits = self.items and entries <= self.entries and size <= self.size
+        if not (fits or self.is_unused):
+            return False
+        self.is_unused = False
+        self.items -= 1
+        self.entries -= entries
+        self.size -= size
+        return True
+
+
 def encode(job: _state.JobRun) -> str:
-    """Return the record of a job that has not ended."""
+    """Return the record of a job that has not ended.
+
+    Checkpoints, whose length only the workers bound, are left out if the
+    record would not fit into a transaction with them.
+    """
+    record = _encode(job)
+    if len(record) > effects.MAX_SAVE_BYTES:
+        job.is_record_reduced = True
+        record = _encode(job)
+    return record
+
+
+def _encode(job: _state.JobRun) -> str:
+    has_checkpoints = not job.is_record_reduced
     done: dict[str, str] = {}
     tasks_by_key: dict[str, list[object]] = {}
     for (occurrence, number), step in job.steps.items():
@@ -30,7 +66,8 @@
                 continue
             key = f'{occurrence}.{number}.{task.index}'
             failed = sorted(task.failed_runs)
-            tasks_by_key[key] = [task.last_run, failed, task.checkpoint]
+            checkpoint = task.checkpoint if has_checkpoints else ''
+            tasks_by_key[key] = [task.last_run, failed, checkpoint]
     return json.dumps(
         {'done': done, 'tasks': tasks_by_key}, separators=(',', ':')
     )
@@ -60,41 +97,22 @@
         job.state = model.JobState.RUNNING
 
 
-def save_dirty_jobs(cell: _state.Cell) -> None:
+def save_changes(cell: _state.Cell) -> None:
     """Save the changed jobs and workers, one transaction at a time."""
     if not cell.is_restored:
-        # The list of workers still lacks those that only the stored one names.
+        # The stored records have workers that are not known yet.
         return
-    workers_changed = cell.workers_version != cell.stored_workers_version
-    if cell.save_in_flight or not (cell.dirty_jobs or workers_changed):
+    if cell.save_in_flight or not (cell.dirty_jobs or cell.dirty_workers):
         return
     if cell.now < cell.save_after:
         return
-    progress: dict[str, str] = {}
-    ended: dict[str, effects.FinishedJob] = {}
-    # One entry is reserved for the list of workers.
-    free_entries = effects.MAX_SAVE_ENTRIES - 1
+    budget = _Budget(cell.max_saved)
     # Final states come first: callers wait for them, but not for progress.
-    ordered_jobs = sorted(
-        cell.dirty_jobs.items(),
-        key=lambda item: item[1].state not in _jobs.FINAL,
-    )
-    for job_id, job in ordered_jobs:
-        if free_entries < effects.ENTRIES_PER_FINISHED_JOB:
-            break
-        del cell.dirty_jobs[job_id]
-        if job.state in _jobs.FINAL:
-            is_cancelled = job.state is model.JobState.CANCELLED
-            ended[job_id] = effects.FinishedJob(
-                job.state.value, job.has_progress_record, is_cancelled
-            )
-            free_entries -= effects.ENTRIES_PER_FINISHED_JOB
-        else:
-            progress[job_id] = encode(job)
-            job.has_progress_record = True
-            free_entries -= 1
+    ended = _take_ended(cell, budget)
+    workers = _take_workers(cell, budget)
+    progress = _take_progress(cell, budget)
     cell.save_in_flight = True
-    if not cell.dirty_jobs:
+    if not (cell.dirty_jobs or cell.rejected_jobs):
         # Only a save that leaves no job dirty covers all completions so far.
         cell.saving_completions = {
             (worker.id, worker.entry.incarnation): worker.last_completion
@@ -105,24 +123,75 @@
         cell.saving_completions = {}
     cell.saving_jobs = (*progress, *ended)
     cell.saving_ended = tuple(ended)
-    cell.stored_workers_version = cell.workers_version
-    workers = _workers_list(cell) if workers_changed else None
-    cell.saving_workers = workers or ()
-    cell.emit(effects.SaveRecords(progress, ended, workers))
-
-
-def _workers_list(
-    cell: _state.Cell,
-) -> tuple[tuple[str, int, str], ...]:
-    return tuple(
-        (worker.id, worker.entry.incarnation, worker.entry.address)
-        for worker in cell.workers.values()
+    cell.saving_workers = workers
+    cell.saving_records = {
+        worker_id: cell.workers[worker_id].record
+        for worker_id in workers
+        if worker_id in cell.workers
+    }
+    removed = tuple(w for w in workers if w not in cell.saving_records)
+    cell.emit(
+        effects.SaveRecords(
+            progress,
+            ended,
+            cell.saving_records,
+            removed,
+            cell.options.record_part_bytes,
+        )
     )
 
 
+def _take_ended(
+    cell: _state.Cell, budget: _Budget
+) -> dict[str, effects.FinishedJob]:
+    ended: dict[str, effects.FinishedJob] = {}
+    for job_id, job in list(cell.dirty_jobs.items()):
+        if job.state not in _jobs.FINAL:
+            continue
+        is_cancelled = job.state is model.JobState.CANCELLED
+        finished = effects.FinishedJob(
+            job.state.value, job.progress_parts, is_cancelled
+        )
+        if not budget.take(finished.entries):
+            break
+        del cell.dirty_jobs[job_id]
+        ended[job_id] = finished
+    return ended
+
+
+def _take_workers(cell: _state.Cell, budget: _Budget) -> tuple[str, ...]:
+    taken = []
+    for worker_id in cell.dirty_workers:
+        if not budget.take(1):
+            break
+        taken.append(worker_id)
+    for worker_id in taken:
+        del cell.dirty_workers[worker_id]
+    return tuple(taken)
+
+
+def _take_progress(cell: _state.Cell, budget: _Budget) -> dict[str, str]:
+    progress: dict[str, str] = {}
+    for job_id, job in list(cell.dirty_jobs.items()):
+        if job.state in _jobs.FINAL:
+            continue
+        if not (budget.items and budget.entries):
+            break
+        record = encode(job)
+        parts = effects.count_parts(record, cell.options.record_part_bytes)
+        if not budget.take(parts, len(record)):
+            break
+        del cell.dirty_jobs[job_id]
+        progress[job_id] = record
+        job.progress_parts = max(job.progress_parts, parts)
+    return progress
+
+
 def handle_saved(cell: _state.Cell) -> None:
     """Mark the jobs and completions of the last save as stored."""
     cell.save_in_flight = False
+    cell.max_saved = min(2 * cell.max_saved, effects.MAX_SAVE_ENTRIES)
+    cell.rejected_jobs.difference_update(cell.saving_jobs)
     for job_id in cell.saving_ended:
         job = cell.jobs.get(job_id)
         if job is None:
@@ -130,34 +199,64 @@
         job.is_recorded = True
         job.recorded_at = cell.now
         cell.log_decision('end_recorded', job=job_id, state=job.state.value)
-    _mark_recorded(cell, cell.saving_workers)
+    _mark_recorded(cell, cell.saving_records)
     _workers.handle_completions_saved(cell)
 
 
 def _mark_recorded(
-    cell: _state.Cell, recorded: tuple[tuple[str, int, str], ...]
+    cell: _state.Cell, records_by_id: dict[str, tuple[int, str]]
 ) -> None:
-    """Mark the workers that the stored list has, which makes them usable."""
-    for worker_id, incarnation, address in recorded:
+    """Mark the workers that have a stored record, which makes them usable."""
+    for worker_id, record in records_by_id.items():
         worker = cell.workers.get(worker_id)
         if worker is None or worker.is_recorded:
             continue
-        entry = worker.entry
-        if (entry.incarnation, entry.address) == (incarnation, address):
+        if worker.record == record:
             worker.is_recorded = True
             _workers.unblock_all(cell)
 
 
-def handle_save_failed(cell: _state.Cell) -> None:
+def handle_save_failed(cell: _state.Cell, event: events.RecordsFailed) -> None:
     """Schedule the contents of the last save again; it may not be stored."""
     cell.save_in_flight = False
     cell.save_after = cell.now + cell.options.save_retry_s
+    cell.saving_completions = {}
+    count = len(cell.saving_jobs) + len(cell.saving_workers)
+    if event.is_rejected and count == 1:
+        _handle_rejected(cell)
+        return
+    if event.is_rejected:
+        # Smaller saves find what the store rejects.
+        cell.max_saved = count // 2
+        cell.save_after = cell.now
     for job_id in cell.saving_jobs:
         job = cell.jobs.get(job_id)
         if job is not None:
             cell.dirty_jobs[job_id] = job
-    cell.stored_workers_version = 0
-    cell.saving_completions = {}
+    for worker_id in cell.saving_workers:
+        cell.dirty_workers[worker_id] = None
+
+
+def _handle_rejected(cell: _state.Cell) -> None:
+    """Handle a single record that the store never takes.
+
+    A worker without a stored record is not used. The progress of a job is
+    stored without checkpoints. If the store rejects that too, no worker may
+    discard its completions, since the next owner needs them.
+    """
+    for worker_id in cell.saving_workers:
+        cell.log_decision('record_rejected', worker=worker_id)
+    for job_id in cell.saving_jobs:
+        job = cell.jobs.get(job_id)
+        if job is None:
+            continue
+        if not (job.is_record_reduced or job_id in cell.saving_ended):
+            job.is_record_reduced = True
+            cell.dirty_jobs[job_id] = job
+            cell.log_decision('record_reduced', job=job_id)
+            continue
+        cell.rejected_jobs.add(job_id)
+        cell.log_decision('record_rejected', job=job_id, state=job.state.value)
 
 
 def evict_ended(cell: _state.Cell) -> None:
@@ -213,7 +312,14 @@
     for worker in cell.workers.values():
         if not worker.is_fenced:
             cell.unfenced.add(worker.id)
-    _mark_recorded(cell, event.workers)
+    records_by_id = {
+        worker_id: (incarnation, address)
+        for worker_id, incarnation, address in event.workers
+    }
+    _mark_recorded(cell, records_by_id)
+    for worker_id, record in records_by_id.items():
+        if cell.workers[worker_id].record == record:
+            cell.dirty_workers.pop(worker_id, None)
     cell.restored_version = event.version
     for stored in event.jobs:
         _restore_job(cell, stored.job, event)
@@ -230,7 +336,8 @@
 ) -> None:
     job = _jobs.add_job(cell, spec)
     record = event.records_by_job.get(spec.id)
-    job.has_progress_record = record is not None
+    if record is not None:
+        job.progress_parts = event.parts_by_job.get(spec.id, 1)
     restore(job, record or EMPTY_RECORD)
     for step in job.steps.values():
         step.in_doubt = True
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -38,7 +38,7 @@
     HANDLERS[type(event)](cell, event)
     if may_start:
         _placement.place_waiting(cell)
-    _records.save_dirty_jobs(cell)
+    _records.save_changes(cell)
     emitted, cell.outbox = cell.outbox, []
     return emitted
 
@@ -114,9 +114,7 @@
     events.AdviceAnswered: _advice.handle_advice_answered,
     events.AdviceFailed: _advice.handle_advice_failed,
     events.RecordsSaved: lambda cell, event: _records.handle_saved(cell),
-    events.RecordsFailed: lambda cell, event: _records.handle_save_failed(
-        cell
-    ),
+    events.RecordsFailed: _records.handle_save_failed,
     events.Restored: _handle_restored,
     events.Ticked: _handle_ticked,
 }
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -164,8 +164,10 @@
     # The final state of the job is stored.
     is_recorded: bool = False
     recorded_at: float = 0.0
-    # A progress record is stored, or may be.
-    has_progress_record: bool = False
+    # Highest number of rows that the stored progress record has or had.
+    progress_parts: int = 0
+    # The store rejected the full record, so a reduced one is stored.
+    is_record_reduced: bool = False
     # Expected duration of the longest chain of dependent steps.
     critical_path_ms: float = 0.0
 
@@ -199,7 +201,7 @@
     is_fenced: bool = False
     # The worker is in the list of workers.
     is_listed: bool = True
-    # The stored list, which tells the next owner of runs, has the worker.
+    # The store has a record of the worker, which tells the next owner of it.
     is_recorded: bool = False
     # When the entry was last read.
     listed_at: float = 0.0
@@ -242,6 +244,11 @@
         """Return the id of the worker."""
         return self.entry.id
 
+    @property
+    def record(self) -> tuple[int, str]:
+        """Return what the store keeps of the worker."""
+        return self.entry.incarnation, self.entry.address
+
     def is_usable(self, now: float) -> bool:
         """Return whether tasks may be started on the worker."""
         return (
@@ -409,20 +416,22 @@
     dirty_jobs: dict[str, JobRun] = attrs.field(factory=dict)
     save_in_flight: bool = False
     # The save in flight: last completion of each worker, by its id and
-    # incarnation; jobs; ended jobs; and the list of workers, empty if it is
-    # not saved.
+    # incarnation; jobs; ended jobs; ids of workers; and their records.
     saving_completions: dict[tuple[str, int], int] = attrs.field(factory=dict)
     saving_jobs: tuple[str, ...] = ()
     saving_ended: tuple[str, ...] = ()
-    saving_workers: tuple[tuple[str, int, str], ...] = ()
+    saving_workers: tuple[str, ...] = ()
+    saving_records: dict[str, tuple[int, str]] = attrs.field(factory=dict)
     # No save is started before this time.
     save_after: float = 0.0
+    # Number of jobs and workers in one save; lowered while saves are rejected.
+    max_saved: int = effects.MAX_SAVE_ENTRIES
+    # Ids of jobs whose records the store rejects even alone.
+    rejected_jobs: set[str] = attrs.field(factory=set)
     # When blocked steps are tried again.
     recheck_at: float = 0.0
-    # Incremented when a worker is added or removed; and the value at the last
-    # save, 0 if that save failed.
-    workers_version: int = 1
-    stored_workers_version: int = 0
+    # Ids of workers whose stored record is out of date, in that order.
+    dirty_workers: dict[str, None] = attrs.field(factory=dict)
     # Workers that a former owner may have used and that are not yet fenced.
     unfenced: set[str] = attrs.field(factory=set)
     # No order of a former owner has any effect after this time.
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -70,7 +70,7 @@
         listed_at=cell.now,
     )
     cell.workers[entry.id] = worker
-    cell.workers_version += 1
+    cell.dirty_workers[entry.id] = None
     return worker
 
 
@@ -80,9 +80,9 @@
     previous = worker.entry
     capacity = entry.capacity
     if entry.address != previous.address:
-        # The stored list has the former address.
+        # The stored record has the former address.
         worker.is_recorded = False
-        cell.workers_version += 1
+        cell.dirty_workers[worker.id] = None
     worker.free_cpu += capacity.cpu_milli - previous.capacity.cpu_milli
     worker.free_memory += capacity.memory_mb - previous.capacity.memory_mb
     worker.free_accelerators += (
@@ -357,7 +357,7 @@
             continue
         if is_expired or is_idle:
             del cell.workers[worker.id]
-            cell.workers_version += 1
+            cell.dirty_workers[worker.id] = None
             cell.log_decision('worker_forgotten', worker=worker.id)
 
 
--- a/packages/cell/celeryshift_cell/effects.py
+++ b/packages/cell/celeryshift_cell/effects.py
@@ -1,5 +1,6 @@
 """Effects that the reducer of a cell asks its caller to carry out."""
 
+import math
 from typing import Any
 
 import attrs
@@ -77,11 +78,20 @@
     expected_ms: float
 
 
-# A transaction of the platform's store holds at most 100 entries; about
-# half of them are left for jobs that are submitted.
+# A transaction of the platform's store holds at most 100 entries and 1 MB;
+# about half of them are left for jobs that are submitted.
 MAX_SAVE_ENTRIES = 48
-# One entry writes the final state, and up to three remove rows of the job.
-ENTRIES_PER_FINISHED_JOB = 4
+MAX_SAVE_BYTES = 400_000
+# Two entries write the final state and remove the row of the job; others
+# remove its cancellation and the parts of its progress.
+ENTRIES_PER_FINISHED_JOB = 3
+# A record is stored in parts of at most this size, one row each.
+RECORD_PART_BYTES = 40_000
+
+
+def count_parts(record: str, part_bytes: int) -> int:
+    """Return the number of rows that store a record, which is ASCII."""
+    return max(1, math.ceil(len(record) / part_bytes))
 
 
 @attrs.frozen(slots=True)
@@ -89,25 +99,41 @@
     """Final state of a job, and the rows of it that exist in the store."""
 
     state: str
-    has_progress: bool = True
+    # Number of rows that its progress has or had.
+    progress_parts: int = 0
     has_cancel: bool = True
 
+    @property
+    def entries(self) -> int:
+        """Return the number of transaction entries that this needs."""
+        return ENTRIES_PER_FINISHED_JOB + self.progress_parts
+
 
 @attrs.frozen(slots=True)
 class SaveRecords:
-    """Store the progress and final states of jobs in one transaction."""
+    """Store changed records of jobs and workers in one transaction."""
 
     progress_by_job: dict[str, str]
     ended_by_job: dict[str, FinishedJob]
-    # Workers that may have runs, as (id, incarnation, address); None if
-    # unchanged.
-    workers: tuple[tuple[str, int, str], ...] | None = None
+    # Incarnations and addresses of workers that may have runs, by worker id.
+    workers_by_id: dict[str, tuple[int, str]] = attrs.field(factory=dict)
+    # Ids of workers that have no runs any more.
+    removed_workers: tuple[str, ...] = ()
+    # Maximum size of a part of a record.
+    part_bytes: int = RECORD_PART_BYTES
 
     @property
     def entries(self) -> int:
         """Return the number of transaction entries that this needs."""
-        ends = ENTRIES_PER_FINISHED_JOB * len(self.ended_by_job)
-        return len(self.progress_by_job) + ends + (self.workers is not None)
+        return (
+            sum(
+                count_parts(record, self.part_bytes)
+                for record in self.progress_by_job.values()
+            )
+            + sum(job.entries for job in self.ended_by_job.values())
+            + len(self.workers_by_id)
+            + len(self.removed_workers)
+        )
 
 
 @attrs.frozen(slots=True)
--- a/packages/cell/celeryshift_cell/events.py
+++ b/packages/cell/celeryshift_cell/events.py
@@ -203,6 +203,8 @@
     """The last ``SaveRecords`` failed; it may or may not be stored."""
 
     now: float
+    # The store never takes this transaction; nothing of it is stored.
+    is_rejected: bool = False
 
 
 @attrs.frozen(slots=True)
@@ -224,6 +226,8 @@
     version: int
     # The former owner sent no orders after this time.
     former_owner_until: float = float('-inf')
+    # Number of rows of the stored records, by job id; 1 for others.
+    parts_by_job: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen(slots=True)
--- a/packages/cellnode/celeryshift_cellnode/_groupwriter.py
+++ b/packages/cellnode/celeryshift_cellnode/_groupwriter.py
@@ -25,9 +25,9 @@
 OWNER = ports.Key(_schema.CELLS, _schema.OWNER_KEY)
 HEARTBEAT = ports.Key(_schema.CELLS, _schema.HEARTBEAT_KEY)
 
-# A transaction of the platform's store holds at most 100 entries; two are the
-# conditions on the owner row and the heartbeat, and one is the new heartbeat.
-MAX_ENTRIES = 97
+# Entries of each transaction: conditions on the owner row and the heartbeat,
+# and the new heartbeat.
+OWN_ENTRIES = 3
 # Delay before queued changes are written, in which further ones join them.
 GROUP_DELAY_S = 0.01
 # Timeout of an attempt; the store answers in about 12 ms, and takes sixty
@@ -55,6 +55,8 @@
     EXISTS = 'exists'
     # The store has certainly not applied the change.
     REFUSED = 'refused'
+    # The store never takes the change, for example because of its size.
+    REJECTED = 'rejected'
     # The change may be stored, or may be later.
     UNKNOWN = 'unknown'
     NOT_OWNER = 'not owner'
@@ -77,6 +79,25 @@
         """Return the number of transaction entries that the change needs."""
         return len(self.absent) + len(self.puts) + len(self.removes)
 
+    @property
+    def size(self) -> int:
+        """Return the size of the values in bytes."""
+        return sum(map(len, self.puts.values()))
+
+    def rejection_reason(self, limits: ports.StoreLimits) -> str | None:
+        """Return which limit of the store the change exceeds, or None."""
+        if self.entries > limits.entries - OWN_ENTRIES:
+            return f'{self.entries} entries'
+        if self.size > limits.transaction_bytes:
+            return f'{self.size} bytes in one transaction'
+        for key, value in self.puts.items():
+            if len(value) > limits.row_bytes:
+                return f'{len(value)} bytes in row {key.key!r}'
+        for key in (*self.absent, *self.puts, *self.removes):
+            if not 0 < len(key.key.encode()) <= limits.name_bytes:
+                return f'a key of {len(key.key.encode())} bytes'
+        return None
+
 
 @attrs.frozen(slots=True)
 class Result:
@@ -84,6 +105,7 @@
 
     outcome: WriteOutcome
     version: int = 0
+    reason: str = ''
 
 
 @attrs.define(slots=True, eq=False)
@@ -104,8 +126,10 @@
         lease: _election.OwnerLease,
         log_decision: Callable[..., None],
         on_lost: Callable[[str], None],
+        limits: ports.StoreLimits,
     ) -> None:
         self._store = store
+        self._limits = limits
         self._owner_version = owner_version
         self.heartbeat_version = heartbeat_version
         self._lease = lease
@@ -128,6 +152,10 @@
         """Store a change in a group with others, and return its outcome."""
         if self._is_closed:
             return Result(WriteOutcome.NOT_OWNER)
+        reason = change.rejection_reason(self._limits)
+        if reason is not None:
+            self._log_rejected(change, reason)
+            return Result(WriteOutcome.REJECTED, reason=reason)
         if self._is_store_unavailable and change.fails_fast:
             return Result(WriteOutcome.REFUSED)
         loop = asyncio.get_running_loop()
@@ -195,10 +223,14 @@
                 not pending.change.fails_fast,
             )
         )
-        entries, count = 0, 0
+        entries, size, count = OWN_ENTRIES, 0, 0
         for pending in self._queue:
             entries += pending.change.entries
-            if count and entries > MAX_ENTRIES:
+            size += pending.change.size
+            if count and (
+                entries > self._limits.entries
+                or size > self._limits.transaction_bytes
+            ):
                 break
             count += 1
         group, self._queue = self._queue[:count], self._queue[count:]
@@ -210,6 +242,14 @@
         while True:
             try:
                 version, rows = await self._try_write(group)
+            except errors.StoreRejectedError as error:
+                if group:
+                    group = self._group = self._handle_rejection(group, error)
+                    continue
+                # Without its heartbeat the owner is as good as cut off.
+                group = self._group = self._handle_failure(group, error)
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
             except errors.StoreError as error:
                 group = self._group = self._handle_failure(group, error)
                 await asyncio.sleep(RETRY_DELAY_S)
@@ -240,6 +280,36 @@
                 usual_ms=round(self._average_latency_s * 1000),
             )
 
+    def _handle_rejection(
+        self, group: list[_PendingChange], error: errors.StoreError
+    ) -> list[_PendingChange]:
+        """Split a group that the store never takes, until one is left.
+
+        Returns the changes to write next; the others are queued again.
+        """
+        if len(group) > 1:
+            half = len(group) // 2
+            self._queue[:0] = group[half:]
+            return group[:half]
+        (pending,) = group
+        reason = str(error)
+        if pending.in_doubt:
+            # An earlier attempt had no answer.
+            self._settle(pending, WriteOutcome.UNKNOWN)
+        else:
+            self._settle(pending, WriteOutcome.REJECTED, reason=reason)
+        self._log_rejected(pending.change, reason)
+        return []
+
+    def _log_rejected(self, change: Change, reason: str) -> None:
+        self._log_decision(
+            'change_rejected',
+            reason=reason,
+            entries=change.entries,
+            bytes=change.size,
+            key=next(iter(change.puts), ports.Key('', '')).key[:80],
+        )
+
     def _handle_failure(
         self, group: list[_PendingChange], error: errors.StoreError
     ) -> list[_PendingChange]:
@@ -270,10 +340,14 @@
         return retried
 
     def _settle(
-        self, pending: _PendingChange, outcome: WriteOutcome, version: int = 0
+        self,
+        pending: _PendingChange,
+        outcome: WriteOutcome,
+        version: int = 0,
+        reason: str = '',
     ) -> None:
         if not pending.future.done():
-            pending.future.set_result(Result(outcome, version))
+            pending.future.set_result(Result(outcome, version, reason))
 
     def _is_deposed(self, rows: dict[ports.Key, ports.Row]) -> bool:
         owner = rows.get(OWNER)
--- a/packages/cellnode/celeryshift_cellnode/_jobspec.py
+++ b/packages/cellnode/celeryshift_cellnode/_jobspec.py
@@ -4,19 +4,28 @@
 import re
 
 from celeryshift_cell import model
+from celeryshift_cellnode import _schema
 from celeryshift_cellnode import errors
 
 JOB_ID = re.compile(r'[0-9a-f]{16}')
 MAX_SPEC_BYTES = 4000
 MAX_STEPS = 64
-# The progress of this many tasks fits into a row of 64 KB.
 MAX_TASKS = 1000
 MAX_OCCURRENCES = 10_000
+# Tasks of all occurrences together. The owner keeps all of them in memory, and
+# a transaction has room for their progress.
+MAX_TASK_RUNS = 10_000
 
 
-def validate(job: model.Job) -> None:
-    """Raise ``JobError`` with every problem of a job."""
+def validate(job: model.Job, row_bytes: int) -> None:
+    """Raise ``JobError`` with every problem of a job.
+
+    ``row_bytes`` is the size of the largest row that the store takes.
+    """
     problems = list(_find_problems(job))
+    size = len(_schema.dump(job))
+    if size > row_bytes:
+        problems.append(f'it takes {size} bytes of at most {row_bytes}')
     if problems:
         raise errors.JobError(f'job {job.id!r}: ' + '; '.join(problems))
 
@@ -28,10 +37,13 @@
         yield f'the spec has more than {MAX_SPEC_BYTES} bytes'
     if not 0 < len(job.steps) <= MAX_STEPS:
         yield f'there are {len(job.steps)} steps'
-    if sum(step.count for step in job.steps) > MAX_TASKS:
+    tasks = sum(step.count for step in job.steps)
+    if tasks > MAX_TASKS:
         yield f'there are more than {MAX_TASKS} tasks'
     if not 0 <= job.times <= MAX_OCCURRENCES:
         yield f'it is to run {job.times} times'
+    elif job.occurrences * tasks > MAX_TASK_RUNS:
+        yield f'there are more than {MAX_TASK_RUNS} tasks in all occurrences'
     for number, step in enumerate(job.steps):
         if step.count < 1:
             yield f'step {number} has {step.count} tasks'
--- a/packages/cellnode/celeryshift_cellnode/_ownerservice.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownerservice.py
@@ -15,6 +15,7 @@
 
 REFUSED = _groupwriter.WriteOutcome.REFUSED.value
 EXISTS = _groupwriter.WriteOutcome.EXISTS.value
+REJECTED = _groupwriter.WriteOutcome.REJECTED.value
 # The owner rejects the job, which cannot run on any current worker or within
 # the current limits.
 IMPOSSIBLE = 'impossible'
@@ -70,7 +71,11 @@
             )
         # A caller that disconnects must not cancel a write that others await.
         result = await asyncio.shield(pending)
-        return {'is_owner': True, 'written': result.outcome.value}
+        return {
+            'is_owner': True,
+            'written': result.outcome.value,
+            'reason': result.reason,
+        }
 
     async def _store_job(
         self, runner: _runner.Runner, job: model.Job
--- a/packages/cellnode/celeryshift_cellnode/_pruning.py
+++ b/packages/cellnode/celeryshift_cellnode/_pruning.py
@@ -15,7 +15,7 @@
 # States are kept for this multiple of the time promised to clients.
 RETENTION_FACTOR = 3.0
 # Maximum number of rows that one change removes. A change is written in one
-# transaction, so it must not exceed ``_groupwriter.MAX_ENTRIES``.
+# transaction, so it must not exceed the limit of the store.
 MAX_REMOVES = 80
 MS_PER_S = 1000
 
--- a/packages/cellnode/celeryshift_cellnode/_records.py
+++ b/packages/cellnode/celeryshift_cellnode/_records.py
@@ -1,5 +1,7 @@
 """Reads and writes the rows of a cell."""
 
+import asyncio
+from collections.abc import Mapping
 import time
 
 import attrs
@@ -9,6 +11,7 @@
 from celeryshift_cell import model
 from celeryshift_cellnode import _groupwriter
 from celeryshift_cellnode import _schema
+from celeryshift_cellnode import errors
 from celeryshift_cellnode import ports
 
 READ_TIMEOUT_S = 2.0
@@ -22,29 +25,118 @@
 async def save(
     writer: _groupwriter.GroupWriter, effect: effects.SaveRecords
 ) -> _groupwriter.WriteOutcome:
-    """Store the progress and the final states of jobs."""
+    """Store the changed records of jobs and workers."""
     puts: dict[ports.Key, bytes] = {}
     removes: list[ports.Key] = []
     at_ms = int(time.time() * 1000)
     for job_id, record in effect.progress_by_job.items():
-        puts[ports.Key(_schema.PROGRESS, job_id)] = record.encode()
+        puts |= _encode_record(job_id, record, effect.part_bytes)
     for job_id, end in effect.ended_by_job.items():
         ended = _schema.Ended(end.state, at_ms)
         puts[ports.Key(_schema.ENDED, job_id)] = _schema.dump(ended)
         removes.append(ports.Key(_schema.JOBS, job_id))
         if end.has_cancel:
             removes.append(cancel_key(job_id))
-        if end.has_progress:
-            removes.append(ports.Key(_schema.PROGRESS, job_id))
-    if effect.workers is not None:
-        key = ports.Key(_schema.CELLS, _schema.WORKERS_KEY)
-        puts[key] = _schema.dump([list(entry) for entry in effect.workers])
+        removes += (
+            _part_key(job_id, number) for number in range(end.progress_parts)
+        )
+    puts |= _encode_workers(effect.workers_by_id)
+    removes += (
+        ports.Key(_schema.WORKERS, name) for name in effect.removed_workers
+    )
     result = await writer.write(
         _groupwriter.Change(puts=puts, removes=tuple(removes))
     )
     return result.outcome
 
 
+def _part_key(job_id: str, number: int) -> ports.Key:
+    suffix = f'{_schema.PART_SEPARATOR}{number}' if number else ''
+    return ports.Key(_schema.PROGRESS, job_id + suffix)
+
+
+def _encode_record(
+    job_id: str, record: str, part_bytes: int
+) -> dict[ports.Key, bytes]:
+    """Return the rows of a record.
+
+    The first of several parts begins with their number and a colon. Parts
+    beyond that number are left from a longer record.
+    """
+    count = effects.count_parts(record, part_bytes)
+    values = [
+        record[part_bytes * n : part_bytes * (n + 1)] for n in range(count)
+    ]
+    if count > 1:
+        values[0] = f'{count}:{values[0]}'
+    return {
+        _part_key(job_id, number): value.encode()
+        for number, value in enumerate(values)
+    }
+
+
+def _decode_records(
+    rows: list[ports.Row],
+) -> tuple[dict[str, str], dict[str, int]]:
+    """Return the records and the numbers of their rows, by job id."""
+    values_by_job: dict[str, dict[int, str]] = {}
+    for row in rows:
+        job_id, _, number = row.key.partition(_schema.PART_SEPARATOR)
+        values = values_by_job.setdefault(job_id, {})
+        values[int(number or 0)] = row.value.decode()
+    records, parts_by_job = {}, {}
+    for job_id, values in values_by_job.items():
+        parts_by_job[job_id] = max(values) + 1
+        first = values.get(0, '')
+        if first.startswith('{'):
+            records[job_id] = first
+            continue
+        count, _, values[0] = first.partition(':')
+        records[job_id] = ''.join(values[n] for n in range(int(count)))
+    return records, parts_by_job
+
+
+def _encode_workers(
+    workers_by_id: Mapping[str, tuple[int, str]],
+) -> dict[ports.Key, bytes]:
+    return {
+        ports.Key(_schema.WORKERS, name): _schema.dump(list(record))
+        for name, record in workers_by_id.items()
+    }
+
+
+async def _replace_former_list(
+    writer: _groupwriter.GroupWriter,
+    former_list: bytes,
+    records_by_id: dict[str, tuple[int, str]],
+) -> None:
+    """Replace the list of workers of earlier releases by a row for each.
+
+    The list is removed last, so that a next owner finds it if this one fails.
+    """
+    for name, incarnation, address in _schema.load(
+        list[tuple[str, int, str]], former_list
+    ):
+        if name not in records_by_id or incarnation > records_by_id[name][0]:
+            records_by_id[name] = incarnation, address
+    puts = list(_encode_workers(records_by_id).items())
+    for first in range(0, len(puts), effects.MAX_SAVE_ENTRIES):
+        batch = dict(puts[first : first + effects.MAX_SAVE_ENTRIES])
+        await _write(writer, _groupwriter.Change(puts=batch))
+    key = ports.Key(_schema.CELLS, _schema.FORMER_WORKERS_KEY)
+    await _write(writer, _groupwriter.Change(removes=(key,)))
+
+
+async def _write(
+    writer: _groupwriter.GroupWriter, change: _groupwriter.Change
+) -> None:
+    result = await writer.write(change)
+    if result.outcome is not _groupwriter.WriteOutcome.STORED:
+        raise errors.StoreRefusedError(
+            f'list of workers: {result.outcome.value} {result.reason}'
+        )
+
+
 @attrs.frozen(slots=True)
 class Restored:
     """Rows of a cell, and the version from which to follow changes."""
@@ -55,6 +147,8 @@
     # Workers that may have runs, as (id, incarnation, address).
     workers: tuple[tuple[str, int, str], ...]
     version: int
+    # Number of rows of each record, by job id.
+    parts_by_job: dict[str, int]
 
     def to_event(
         self, in_doubt_until: float, former_owner_until: float
@@ -70,26 +164,40 @@
             in_doubt_until,
             self.version,
             former_owner_until,
+            self.parts_by_job,
         )
 
 
-async def restore(store: ports.Store) -> Restored:
-    """Read all rows of a cell."""
-    jobs_rows, version = await read_all(store, _schema.JOBS)
-    progress, _ = await read_all(store, _schema.PROGRESS)
-    cells, _ = await read_all(store, _schema.CELLS)
+async def restore(
+    store: ports.Store, writer: _groupwriter.GroupWriter
+) -> Restored:
+    """Read all rows of a cell, whose owner this node already is.
+
+    Only the owner writes the rows of progress and workers, so the tables need
+    not be read at one moment.
+    """
+    (jobs_rows, version), *others = await asyncio.gather(
+        read_all(store, _schema.JOBS),
+        read_all(store, _schema.PROGRESS),
+        read_all(store, _schema.WORKERS),
+        read_all(store, _schema.CELLS),
+    )
+    progress, workers, cells = (rows for rows, _ in others)
     jobs, cancelled = decode_jobs(jobs_rows)
-    workers: tuple[tuple[str, int, str], ...] = ()
+    records, parts_by_job = _decode_records(progress)
+    records_by_id: dict[str, tuple[int, str]] = {
+        row.key: _schema.load(tuple[int, str], row.value) for row in workers
+    }
     for row in cells:
-        if row.key == _schema.WORKERS_KEY:
-            entries = _schema.load(list[tuple[str, int, str]], row.value)
-            workers = tuple(entries)
+        if row.key == _schema.FORMER_WORKERS_KEY:
+            await _replace_former_list(writer, row.value, records_by_id)
     return Restored(
         jobs,
-        {row.key: row.value.decode() for row in progress},
+        records,
         cancelled,
-        workers,
+        tuple((name, *record) for name, record in records_by_id.items()),
         version,
+        parts_by_job,
     )
 
 
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -173,7 +173,8 @@
         if outcome is _groupwriter.WriteOutcome.STORED:
             self.enqueue(events.RecordsSaved(now))
         else:
-            self.enqueue(events.RecordsFailed(now))
+            is_rejected = outcome is _groupwriter.WriteOutcome.REJECTED
+            self.enqueue(events.RecordsFailed(now, is_rejected))
 
     async def _tick(self) -> None:
         while True:
--- a/packages/cellnode/celeryshift_cellnode/_schema.py
+++ b/packages/cellnode/celeryshift_cellnode/_schema.py
@@ -18,6 +18,8 @@
 PROGRESS = 'progress'
 # Final states of jobs, kept after the other rows of the jobs are removed.
 ENDED = 'ended'
+# Workers that may have runs, one row each, as (incarnation, address).
+WORKERS = 'workers'
 CELLS = 'cells'
 NODES = 'nodes'
 
@@ -26,10 +28,13 @@
 # of both rows are adjacent, so that one read returns them.
 HEARTBEAT_KEY = 'beat'
 OWNER_KEY = 'owner'
-# Workers that may have runs, as a list of (id, incarnation, address).
-WORKERS_KEY = 'workers'
+# Workers that may have runs, as a list of (id, incarnation, address): one row
+# of earlier releases, which the first later owner replaces by ``WORKERS``.
+FORMER_WORKERS_KEY = 'workers'
 # Follows the job ID in the key of the row that cancels the job.
 CANCEL_SUFFIX = '/cancel'
+# Precedes the number of a further part of a record in the key of its row.
+PART_SEPARATOR = '/'
 
 
 @attrs.frozen(slots=True)
--- a/packages/cellnode/celeryshift_cellnode/_watchedstore.py
+++ b/packages/cellnode/celeryshift_cellnode/_watchedstore.py
@@ -94,8 +94,8 @@
             self._sent_at[number] = time.monotonic()
         try:
             answer = await call
-        except errors.HistoryLostError:
-            # This error is an answer of the store.
+        except (errors.HistoryLostError, errors.StoreRejectedError):
+            # These errors are answers of the store.
             self._record_answer()
             raise
         except errors.StoreError as error:
--- a/packages/cellnode/celeryshift_cellnode/errors.py
+++ b/packages/cellnode/celeryshift_cellnode/errors.py
@@ -17,6 +17,10 @@
     """Raised when the store has certainly not carried out a call."""
 
 
+class StoreRejectedError(StoreRefusedError):
+    """Raised when the store never carries out a call, since it is invalid."""
+
+
 class StoreOutcomeUnknownError(StoreError):
     """Raised when the store may have carried out a call, or may later."""
 
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -45,6 +45,8 @@
 KEEPALIVE_S = 75.0
 # Delay before the rows of the cell are read again after a failure.
 RESTORE_RETRY_DELAY_S = 0.2
+# Room for the number of parts in the first part of a record.
+PART_HEADER_BYTES = 8
 # Margin added to the time until which workers may obey a former owner.
 CLOCK_MARGIN_S = 0.1
 # Delay before failed background work is restarted.
@@ -118,7 +120,11 @@
             self._peers, self._ownership, self._log_decision
         )
         self.service = service.Service(
-            self._store, owner_client, self._log_decision, self._metrics
+            self._store,
+            owner_client,
+            self._log_decision,
+            self._metrics,
+            settings.store_limits.row_bytes,
         )
         self._runner: _runner.Runner | None = None
         self._followers: list[asyncio.Task[None]] = []
@@ -316,7 +322,7 @@
         self._stop_owning('cell acquired again')
         # The writer renews the lease while the rows are read.
         writer = self._make_writer(version)
-        restored = await self._restore(version)
+        restored = await self._restore(version, writer)
         if restored is None:
             writer.close()
             return
@@ -363,7 +369,9 @@
             ),
         ]
 
-    async def _restore(self, version: int) -> Any:
+    async def _restore(
+        self, version: int, writer: _groupwriter.GroupWriter
+    ) -> Any:
         """Read the rows of the cell and the entries of all workers.
 
         Returns the results of ``_records.restore`` and
@@ -373,7 +381,7 @@
         while self._owns_version(version):
             try:
                 result = await asyncio.gather(
-                    _records.restore(self._store),
+                    _records.restore(self._store, writer),
                     _followers.read_workers(
                         self._store, self._tables, self._decoder
                     ),
@@ -399,6 +407,7 @@
             ownership.lease,
             self._log_decision,
             ownership.step_down,
+            self._settings.store_limits,
         )
 
     def _make_runner(
@@ -413,6 +422,11 @@
             lease_s=min(cell_settings.max_lease_s, cell.Options().lease_s),
             max_lease_s=cell_settings.max_lease_s,
             in_doubt_overage=cell_settings.team_overage if is_settled else 0.0,
+            record_part_bytes=min(
+                cell.Options().record_part_bytes,
+                # The first part begins with the number of parts.
+                self._settings.store_limits.row_bytes - PART_HEADER_BYTES,
+            ),
         )
         return _runner.Runner(
             owner.epoch,
--- a/packages/cellnode/celeryshift_cellnode/ports.py
+++ b/packages/cellnode/celeryshift_cellnode/ports.py
@@ -44,6 +44,19 @@
     removes: Sequence[Key] = ()
 
 
+@attrs.frozen(slots=True)
+class StoreLimits:
+    """Largest transaction and row that the store takes."""
+
+    entries: int = 100
+    # Size of all values of a transaction; encoded they take a third more, and
+    # the store takes calls of 1 MB.
+    transaction_bytes: int = 600_000
+    row_bytes: int = 65_536
+    # Size of the name of a table, a part or a key.
+    name_bytes: int = 200
+
+
 @attrs.frozen(slots=True)
 class Committed:
     """Result of a transaction that is stored, with its version."""
@@ -73,7 +86,9 @@
     """Store of versioned rows in tables, with atomic transactions.
 
     Every call raises ``StoreRefusedError`` if the store has not carried it
-    out, and ``StoreOutcomeUnknownError`` if it may have.
+    out, and ``StoreOutcomeUnknownError`` if it may have. The first one is a
+    ``StoreRejectedError`` if the store will not carry out the call later
+    either.
     """
 
     async def transact(
@@ -212,6 +227,7 @@
     host: str
     peer_port: int
     cell: 'CellSettings'
+    store_limits: StoreLimits = StoreLimits()
     # Number of cores available to the VM, and the bandwidth of its link; 0 if
     # unknown.
     cores: float = 1.0
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -123,11 +123,13 @@
         owner_client: _connectivity.OwnerClient,
         log_decision: Callable[..., None],
         metrics: _metrics.Metrics,
+        row_bytes: int,
     ) -> None:
         self._store = store
         self._owner_client = owner_client
         self._log_decision = log_decision
         self._metrics = metrics
+        self._row_bytes = row_bytes
         self.configuration: ports.Configuration | None = None
         self._router = _routing.Router(())
         # Handles requests to the owner while this node is the owner.
@@ -166,8 +168,8 @@
         job_id = call.path[len(route.path_prefix) :]
         try:
             job = build_job(job_id, route.queue, team)
-            _jobspec.validate(job)
             job = attrs.evolve(job, policy=self._queue_policy(route.queue))
+            _jobspec.validate(job, self._row_bytes)
         except errors.JobError as error:
             answer = Answer(Verdict.MALFORMED, reason=str(error))
             return self._record_answer('submit', call, started_at, answer)
@@ -237,6 +239,8 @@
                 reason=reply['reason'],
             )
             return answer, False
+        if written == _ownerservice.REJECTED:
+            return Answer(Verdict.MALFORMED, reason=reply['reason']), False
         return None, written == UNKNOWN
 
     async def _store_job(
@@ -260,6 +264,10 @@
                 stored = await self._store.transact(
                     change, min(STORE_ATTEMPT_TIMEOUT_S, remaining_s)
                 )
+            except errors.StoreRejectedError as error:
+                if not in_doubt:
+                    return Answer(Verdict.MALFORMED, reason=str(error)), 0
+                break
             except errors.StoreRefusedError as error:
                 if not in_doubt:
                     return _unavailable(str(error)), 0
--- a/packages/standins/celeryshift_standins/rowstore.py
+++ b/packages/standins/celeryshift_standins/rowstore.py
@@ -7,6 +7,12 @@
 from celeryshift_cellnode import ports
 
 POLL_S = 0.005
+# Rows and bytes of one page of a read.
+PAGE_ROWS = 500
+PAGE_BYTES = 750_000
+# Size of a call: the values are encoded in base64, and names are added.
+CALL_BYTES = 1_000_000
+BASE64_FACTOR = 4 / 3
 
 
 class Fault(enum.Enum):
@@ -24,9 +30,15 @@
 
 
 class RowStore:
-    """Versioned rows that are changed by atomic transactions."""
+    """Versioned rows that are changed by atomic transactions.
+
+    It rejects transactions beyond the limits of the platform's store.
+    """
 
     def __init__(self) -> None:
+        self.limits = ports.StoreLimits()
+        # Reasons of rejected transactions.
+        self.rejections: list[str] = []
         self.rows: dict[tuple[str, str, str], ports.Row] = {}
         self.version = 0
         self.faults: list[Fault] = []
@@ -50,6 +62,10 @@
         A latency above the timeout has the effect of APPLY_LATE.
         """
         self.writes += 1
+        reason = self._rejection_reason(transaction)
+        if reason is not None:
+            self.rejections.append(reason)
+            raise errors.StoreRejectedError(reason)
         fault = self.faults.pop(0) if self.faults else None
         if self.latency_s > timeout_s:
             fault = Fault.APPLY_LATE
@@ -68,6 +84,30 @@
             raise errors.StoreOutcomeUnknownError('no answer')
         return self._apply(transaction)
 
+    def _rejection_reason(self, transaction: ports.Transaction) -> str | None:
+        limits = self.limits
+        keys = [
+            *transaction.expected,
+            *transaction.puts,
+            *transaction.removes,
+        ]
+        names = [transaction.part]
+        names += [name for key in keys for name in (key.table, key.key)]
+        size = sum(len(name) for name in names) + sum(
+            len(value) * BASE64_FACTOR for value in transaction.puts.values()
+        )
+        if len(keys) > limits.entries:
+            return f'{len(keys)} entries'
+        if size > CALL_BYTES:
+            return 'the call is too long'
+        if any(len(name.encode()) > limits.name_bytes for name in names):
+            return 'a name is too long'
+        if not all(key.table and key.key for key in keys):
+            return 'a name is missing'
+        if any(len(v) > limits.row_bytes for v in transaction.puts.values()):
+            return 'a value is too long'
+        return None
+
     async def _apply_later(self, transaction: ports.Transaction) -> None:
         await asyncio.sleep(self.late_write_delay_s)
         self._apply(transaction)
@@ -108,7 +148,7 @@
         last: str | None = None,
         timeout_s: float = 1.0,
     ) -> ports.ReadResult:
-        """Read a range of rows."""
+        """Read the first page of a range of rows."""
         await asyncio.sleep(self.latency_s)
         rows = [
             row
@@ -118,7 +158,14 @@
             and key >= first
             and (last is None or key < last)
         ]
-        return ports.ReadResult(rows, self.version)
+        page: list[ports.Row] = []
+        size = 0
+        for row in rows:
+            size += len(row.value)
+            if len(page) == PAGE_ROWS or (page and size > PAGE_BYTES):
+                return ports.ReadResult(page, self.version, True)
+            page.append(row)
+        return ports.ReadResult(page, self.version)
 
     async def read_changes(
         self, table: str, after: int, wait_ms: int
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -116,8 +116,9 @@
         self.send(events.WorkersChanged(0.0, entries))
         for joined in entries:
             self.answer_poll(joined.id, incarnation=joined.incarnation)
-        # The save stores the list of workers.
-        self.store_records()
+        # The saves store the records of the workers.
+        while self.state.save_in_flight:
+            self.store_records()
 
     def answer_poll(
         self,
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -383,7 +383,8 @@
         self.records: dict[str, str] = {}
         self.final_states: dict[str, str] = {}
         self.final_at: dict[str, float] = {}
-        self.stored_workers: tuple = ()
+        # Incarnations and addresses, by worker id.
+        self.stored_workers: dict[str, tuple[int, str]] = {}
         self.version = 0
         self.specs: dict[str, model.Job] = {}
         self.owner: Owner
@@ -443,7 +444,7 @@
                 tuple(self.jobs.values()),
                 dict(self.records),
                 (),
-                self.stored_workers,
+                tuple((w, *r) for w, r in self.stored_workers.items()),
                 previous_until + lease_s + 0.1,
                 self.version,
                 previous_until,
@@ -464,8 +465,9 @@
                 self.final_at[job_id] = self.now
                 self.jobs.pop(job_id, None)
                 self.records.pop(job_id, None)
-            if order.workers is not None:
-                self.stored_workers = order.workers
+            self.stored_workers |= order.workers_by_id
+            for worker_id in order.removed_workers:
+                self.stored_workers.pop(worker_id, None)
             owner.feed(events.RecordsSaved(0.0))
 
         self.schedule(self.store_write_s, store)
--- a/tests/site.py
+++ b/tests/site.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from tests import siteworker
 
+from celeryshift_cellnode import errors
 from celeryshift_cellnode import ports
 from celeryshift_standins import rowstore
 
@@ -166,7 +167,10 @@
             {_key(e): base64.b64decode(e['value']) for e in body['set_keys']},
             [_key(entry) for entry in body['remove']],
         )
-        answer = await self.rows.transact(change, STORE_TIMEOUT_S)
+        try:
+            answer = await self.rows.transact(change, STORE_TIMEOUT_S)
+        except errors.StoreRejectedError as error:
+            return web.json_response({'error': str(error)}, status=400)
         if self._random.random() < self.lost_share:
             await asyncio.sleep(LOST_ANSWER_DELAY_S)
         if isinstance(answer, ports.Conflict):
@@ -187,7 +191,13 @@
                 query.get('to'),
             )
         rows = [_encode(row) for row in read.rows]
-        return web.json_response({'rows': rows, 'row_version': read.version})
+        return web.json_response(
+            {
+                'rows': rows,
+                'row_version': read.version,
+                'more_pages': read.has_more,
+            }
+        )
 
 
 def _key(entry: dict[str, Any]) -> ports.Key:
--- a/tests/test_cell_desk.py
+++ b/tests/test_cell_desk.py
@@ -12,6 +12,7 @@
 from celeryshift_cellnode import _groupwriter
 from celeryshift_cellnode import _ownerservice
 from celeryshift_cellnode import _schema
+from celeryshift_cellnode import ports
 from celeryshift_standins import rowstore
 
 
@@ -37,6 +38,7 @@
         _election.OwnerLease(),
         lambda *_, **__: None,
         lambda _: None,
+        ports.StoreLimits(),
     )
     owner_service = _ownerservice.OwnerService()
     owner_service.runner = Runner(cell.Cell(1), writer)  # type: ignore[assignment]
--- a/tests/test_cell_journal.py
+++ b/tests/test_cell_journal.py
@@ -30,6 +30,7 @@
             self.lease,
             lambda decision, **_: self.decisions.append(decision),
             self.lost_reasons.append,
+            ports.StoreLimits(),
         )
 
     def value(self, name: str) -> bytes | None:
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -14,6 +14,7 @@
 from celeryshift_cellnode import _metrics
 from celeryshift_cellnode import _runner
 from celeryshift_cellnode import _schema
+from celeryshift_cellnode import ports
 from celeryshift_standins import rowstore
 
 LEASE_S = 60.0
@@ -58,6 +59,7 @@
             lease,
             lambda *_, **__: None,
             lambda _: None,
+            ports.StoreLimits(),
         )
         runner = _runner.Runner(
             2,
--- a/tests/test_cell_service.py
+++ b/tests/test_cell_service.py
@@ -57,6 +57,7 @@
             OwnerClient(error, failures),  # type: ignore[arg-type]
             lambda *_, **__: None,
             _metrics.Metrics(),
+            ports.StoreLimits().row_bytes,
         )
         calls.configure(ports.Configuration(cells.config(), (ROUTE,)))
         call = service.Call('host', '/field/' + 'a' * 16, None, BUDGET_S)
--- a/tests/test_cell_takeovers.py
+++ b/tests/test_cell_takeovers.py
@@ -112,7 +112,10 @@
     ):
         emitted += cell.reduce(state, event)
     (save,) = (e for e in emitted if isinstance(e, effects.SaveRecords))
-    assert {worker_id for worker_id, *_ in save.workers} == {'a', 'b'}
+    stored = {'b': (1, 'b:80')} | save.workers_by_id
+    for worker_id in save.removed_workers:
+        del stored[worker_id]
+    assert stored == {'a': (1, 'a:80'), 'b': (1, 'b:80')}
 
 
 def test_no_task_starts_on_a_worker_that_the_stored_list_lacks():
