Log changes of the membership in one line for each read

Cause: every node logged every other one that joined or left, so that 291 nodes wrote 84,000 lines in their first seven seconds.

Change: nodes_changed tells how many joined and left since the last read, with eight names at most, in place of node_joined and node_left. The test starts 30 and 120 nodes in virtual time and bounds lines and bytes for each node; it failed before.

--- a/packages/cellnode/celeryshift_cellnode/_membership.py
+++ b/packages/cellnode/celeryshift_cellnode/_membership.py
@@ -16,6 +16,9 @@
 REMOVE_STALE_AFTER_S = 60.0
 # First interval between reads, which doubles up to the regular one.
 INITIAL_INTERVAL_S = 0.3
+# Names in a log line; every node logs each change, so that the volume of the
+# logs of a large fleet would otherwise grow with the square of its size.
+MAX_LOGGED_NAMES = 8
 
 
 class Membership:
@@ -138,12 +141,16 @@
         return {}
 
     def _log_changes(self, nodes: dict[str, _schema.Node]) -> None:
-        for name in nodes.keys() - self.nodes.keys():
-            self._log_decision(
-                'node_joined', peer=name, address=nodes[name].address
-            )
-        for name in self.nodes.keys() - nodes.keys():
-            self._log_decision('node_left', peer=name)
+        joined = nodes.keys() - self.nodes.keys()
+        left = self.nodes.keys() - nodes.keys()
+        self._log_decision(
+            'nodes_changed',
+            nodes=len(nodes),
+            joined=len(joined),
+            left=len(left),
+            joined_names=sorted(joined)[:MAX_LOGGED_NAMES],
+            left_names=sorted(left)[:MAX_LOGGED_NAMES],
+        )
 
     async def _remove(self, rows: list[ports.Row]) -> None:
         keys = [ports.Key(_schema.NODES, row.key) for row in rows]
--- a/tests/test_cell_logs.py
+++ b/tests/test_cell_logs.py
@@ -1,11 +1,18 @@
 """Decision log: bounded, and never blocking."""
 
+import asyncio
 import json
 import os
 import time
 import types
 
+import pytest
+from tests import virtualtime
+
 from celeryshift_cellnode import _logs
+from celeryshift_cellnode import _membership
+from celeryshift_cellnode import _schema
+from celeryshift_standins import rowstore
 
 
 def _read(descriptor):
@@ -57,3 +64,30 @@
     lines = _read(reading)
     (report,) = [x for x in lines if x['decision'] == 'lines_dropped']
     assert report['lines'] == dropped
+
+
+@pytest.mark.parametrize('nodes', [30, 120])
+def test_the_volume_at_start_grows_with_the_fleet_not_its_square(nodes):
+    # 291 nodes wrote 84,000 lines in seven seconds, one for each pair.
+    lines: list[str] = []
+
+    def write(decision, **fields):
+        lines.append(json.dumps({'decision': decision, **fields}))
+
+    async def work():
+        store = rowstore.RowStore()
+        tasks = []
+        for number in range(nodes):
+            name = f'front-{number}'
+            node = _schema.Node(name, f'10.0.0.{number}:1', name, 'dc')
+            membership = _membership.Membership(store, node, write)
+            tasks.append(asyncio.create_task(membership.run()))
+            # Nodes start within some hundred milliseconds of each other.
+            await asyncio.sleep(0.3 / nodes)
+        await asyncio.sleep(20.0)
+        for task in tasks:
+            task.cancel()
+
+    virtualtime.run(work())
+    assert len(lines) <= 4 * nodes
+    assert sum(map(len, lines)) <= 4 * nodes * 500
