A new owner waits for the longest lease that a worker may have granted

Cause: a worker that restarts under its id reads the deadline of an order on a clock that started anew, so that the deadline lies far ahead and the worker grants its longest lease, 6 s. The owner that sends the order counts it so once it sees the restart.

Ruled out: telling boots apart by the order.

Change: the doubt of a new owner over silent workers lasts for the longest lease (6.2 s with the drift of the clock, 4.2 s before); the time after which an owner counts as settled follows it. The simulation uses the same bound. Workers that answer are not concerned.

--- a/packages/cellnode/celeryshift_cellnode/_election.py
+++ b/packages/cellnode/celeryshift_cellnode/_election.py
@@ -39,7 +39,7 @@
 OTHER_POLL_S = 2.0
 # After this time the leases of an owner's predecessors, and the leases that
 # they granted to workers, have expired. The owner then knows all runs.
-SETTLED_OWNER_S = 8.0
+SETTLED_OWNER_S = 10.0
 # A node with less than this fraction of the most cores or the highest
 # bandwidth of any node is weak: it owns the cell only while there is no other
 # node.
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -330,8 +330,9 @@
         runner = self._make_runner(owner, writer)
         options = runner.state.options
         # The last lease that the former owner granted to a worker may last
-        # this long, because the worker's clock may be slow.
-        lease_s = options.lease_s / (1 - options.clock_drift)
+        # this long: the worker's clock may be slow, and if the worker has
+        # restarted, it has read the deadline on a clock that started anew.
+        lease_s = options.max_lease_s / (1 - options.clock_drift)
         in_doubt_until = former_owner_until + lease_s + CLOCK_MARGIN_S
         now = time.monotonic()
         configuration = self.service.configuration
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -27,9 +27,8 @@
 STORE_WRITE_S = 0.015
 TICK_S = 0.1
 OWNER_LEASE_S = 0.8
-# Lease and clock drift of workers, equal to the defaults of ``Options``.
-LEASE_S = 4.0
-# Maximum lease that a worker grants.
+# Maximum lease that a worker grants and clock drift of workers, equal to the
+# defaults of ``Options``.
 MAX_HOLD_S = 6.0
 DRIFT = 0.02
 NEVER = float('inf')
@@ -436,7 +435,7 @@
         self.version += 1
         owner = Owner(self, epoch)
         owner.feed(self.listing())
-        lease_s = LEASE_S / (1 - DRIFT)
+        lease_s = MAX_HOLD_S / (1 - DRIFT)
         owner.feed(
             events.Restored(
                 0.0,
