Malformed rows, answers and calls have no effect beyond a log line

Entries without born, or with born, clock or labels of another type, named a worker; an invalid one was logged each time it was sent, which is now once. - Lists of runs with values of another type reached the reducer. - An error while a new owner read its rows left it renewing its lease without giving orders, so that nobody replaced it. It steps down now, and one row that cannot be read no longer keeps the others from being read.

--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -322,7 +322,15 @@
             cell.dirty_workers.pop(worker_id, None)
     cell.restored_version = event.version
     for stored in event.jobs:
-        _restore_job(cell, stored.job, event)
+        try:
+            _restore_job(cell, stored.job, event)
+        except (ValueError, LookupError, TypeError, AttributeError) as error:
+            # Without its progress the job would run again. Its rows remain.
+            cell.jobs.pop(stored.job.id, None)
+            cell.evicted_at[stored.job.id] = cell.now
+            cell.log_decision(
+                'job_not_restored', job=stored.job.id, error=repr(error)
+            )
     cell.log_decision(
         'cell_restored',
         epoch=cell.epoch,
@@ -338,7 +346,7 @@
     record = event.records_by_job.get(spec.id)
     if record is not None:
         job.progress_parts = event.parts_by_job.get(spec.id, 1)
-    restore(job, record or EMPTY_RECORD)
+    restore(job, EMPTY_RECORD if record is None else record)
     for step in job.steps.values():
         step.in_doubt = True
     if spec.id in event.cancelled:
--- a/packages/cellnode/celeryshift_cellnode/_followers.py
+++ b/packages/cellnode/celeryshift_cellnode/_followers.py
@@ -136,6 +136,7 @@
         self._feed = _ChangeFeed(
             store, _schema.JOBS, _schema.CELL, FEED_WAIT_MS, log_decision
         )
+        self._log_decision = log_decision
         self._runner = runner
 
     async def run(self, version: int) -> None:
@@ -147,7 +148,7 @@
             await asyncio.sleep(JOBS_BATCH_DELAY_S)
 
     def _enqueue_events(self, rows: list[ports.Row]) -> None:
-        jobs, cancelled = _records.decode_jobs(rows)
+        jobs, cancelled = _records.decode_jobs(rows, self._log_decision)
         now = time.monotonic()
         for job in jobs.values():
             self._runner.enqueue(events.JobAccepted(now, job))
--- a/packages/cellnode/celeryshift_cellnode/_membership.py
+++ b/packages/cellnode/celeryshift_cellnode/_membership.py
@@ -41,6 +41,8 @@
         # Decoded rows of the last read, reused because most rows do not
         # change.
         self._decoded: dict[bytes, _schema.Node] = {}
+        # Invalid rows that have been logged, by key.
+        self._unreadable: dict[str, bytes] = {}
         # Replaced if the contents change, and never modified, so that users
         # can detect a change by identity.
         self.nodes: dict[str, _schema.Node] = {local_node.name: local_node}
@@ -105,9 +107,9 @@
                 self._changed_at[row.key] = now
             unchanged_s = now - self._changed_at[row.key]
             if unchanged_s < stale_s:
-                node = self._decoded.get(row.value) or _schema.load(
-                    _schema.Node, row.value
-                )
+                node = self._decoded.get(row.value) or self._decode(row)
+                if node is None:
+                    continue
                 decoded[row.value] = node
                 if node.incarnation not in self._departed:
                     nodes[row.key] = node
@@ -121,6 +123,19 @@
         if expired:
             await self._remove(expired)
 
+    def _decode(self, row: ports.Row) -> _schema.Node | None:
+        """Return the node of a row, or None if the row is invalid."""
+        try:
+            return _schema.load(_schema.Node, row.value)
+        except Exception as error:
+            # A later release or a fault may have written it.
+            if self._unreadable.get(row.key) != row.value:
+                self._log_decision(
+                    'node_unreadable', peer=row.key, error=repr(error)[:200]
+                )
+            self._unreadable[row.key] = row.value
+            return None
+
     async def leave(self) -> None:
         """Remove this node's row, and stop writing it."""
         self._is_leaving = True
--- a/packages/cellnode/celeryshift_cellnode/_ownership.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownership.py
@@ -308,7 +308,14 @@
         self.lease.expires_at = 0.0
         if sent_at is not None:
             self.lease.renew(sent_at)
-        await self._on_acquired(owner, version, former_owner_until)
+        try:
+            await self._on_acquired(owner, version, former_owner_until)
+        except Exception as error:
+            # An owner that renews its lease but does not act would keep the
+            # others from taking over.
+            self._log_decision('ownership_not_started', error=repr(error))
+            self.step_down('the ownership could not be started')
+            return
         for node in self._membership.others:
             self._spawn(self._announce_owner(node.address, owner, version))
 
--- a/packages/cellnode/celeryshift_cellnode/_peers.py
+++ b/packages/cellnode/celeryshift_cellnode/_peers.py
@@ -91,7 +91,9 @@
             return web.Response(status=404)
         try:
             result = await handler(orjson.loads(await request.read()))
-        except (errors.CellNodeError, ValueError, LookupError) as error:
+        except Exception as error:
+            # Another release or a fault may send anything; the caller treats
+            # the status as no answer.
             self._log_decision(
                 'peer_call_failed', call=request.path, error=repr(error)
             )
--- a/packages/cellnode/celeryshift_cellnode/_records.py
+++ b/packages/cellnode/celeryshift_cellnode/_records.py
@@ -1,8 +1,10 @@
 """Reads and writes the rows of a cell."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
 import time
+from typing import Any
 
 import attrs
 
@@ -15,6 +17,8 @@
 from celeryshift_cellnode import ports
 
 READ_TIMEOUT_S = 2.0
+# Size of an error in the log.
+MAX_ERROR_CHARS = 200
 
 
 def cancel_key(job_id: str) -> ports.Key:
@@ -78,21 +82,27 @@
 def _decode_records(
     rows: list[ports.Row],
 ) -> tuple[dict[str, str], dict[str, int]]:
-    """Return the records and the numbers of their rows, by job id."""
-    values_by_job: dict[str, dict[int, str]] = {}
+    """Return the records and the numbers of their rows, by job id.
+
+    A record whose parts are not complete is returned as an empty string.
+    """
+    values_by_job: dict[str, dict[str, str]] = {}
     for row in rows:
         job_id, _, number = row.key.partition(_schema.PART_SEPARATOR)
         values = values_by_job.setdefault(job_id, {})
-        values[int(number or 0)] = row.value.decode()
+        values[number] = row.value.decode(errors='replace')
     records, parts_by_job = {}, {}
     for job_id, values in values_by_job.items():
-        parts_by_job[job_id] = max(values) + 1
-        first = values.get(0, '')
+        numbers = [int(text) for text in values if text.isdigit()]
+        parts_by_job[job_id] = max(numbers, default=0) + 1
+        first = values.get('', '')
         if first.startswith('{'):
             records[job_id] = first
             continue
-        count, _, values[0] = first.partition(':')
-        records[job_id] = ''.join(values[n] for n in range(int(count)))
+        count, _, first = first.partition(':')
+        others = range(1, int(count) if count.isdigit() else 0)
+        parts = [first, *(values.get(str(n), '') for n in others)]
+        records[job_id] = ''.join(parts) if all(parts) else ''
     return records, parts_by_job
 
 
@@ -169,7 +179,9 @@
 
 
 async def restore(
-    store: ports.Store, writer: _groupwriter.GroupWriter
+    store: ports.Store,
+    writer: _groupwriter.GroupWriter,
+    log_decision: Callable[..., None],
 ) -> Restored:
     """Read all rows of a cell, whose owner this node already is.
 
@@ -183,11 +195,13 @@
         read_all(store, _schema.CELLS),
     )
     progress, workers, cells = (rows for rows, _ in others)
-    jobs, cancelled = decode_jobs(jobs_rows)
+    jobs, cancelled = decode_jobs(jobs_rows, log_decision)
     records, parts_by_job = _decode_records(progress)
-    records_by_id: dict[str, tuple[int, str]] = {
-        row.key: _schema.load(tuple[int, str], row.value) for row in workers
-    }
+    records_by_id: dict[str, tuple[int, str]] = {}
+    for row in workers:
+        record = _load(tuple[int, str], row, log_decision)
+        if record is not None:
+            records_by_id[row.key] = record
     for row in cells:
         if row.key == _schema.FORMER_WORKERS_KEY:
             await _replace_former_list(writer, row.value, records_by_id)
@@ -201,8 +215,25 @@
     )
 
 
+def _load(kind: Any, row: ports.Row, log_decision: Callable[..., None]) -> Any:
+    """Decode a row; log one that is invalid, and return None.
+
+    A later release or a fault may have written it. The others are used.
+    """
+    try:
+        return _schema.load(kind, row.value)
+    except Exception as error:
+        log_decision(
+            'row_unreadable',
+            table=row.table,
+            key=row.key,
+            error=repr(error)[:MAX_ERROR_CHARS],
+        )
+        return None
+
+
 def decode_jobs(
-    rows: list[ports.Row],
+    rows: list[ports.Row], log_decision: Callable[..., None]
 ) -> tuple[dict[str, events.StoredJob], tuple[str, ...]]:
     """Return the jobs in the rows, and the IDs of cancelled jobs."""
     jobs: dict[str, events.StoredJob] = {}
@@ -213,8 +244,9 @@
         elif row.key.endswith(_schema.CANCEL_SUFFIX):
             cancelled.append(row.key.removesuffix(_schema.CANCEL_SUFFIX))
         else:
-            job = _schema.load(model.Job, row.value)
-            jobs[row.key] = events.StoredJob(job, row.version)
+            job = _load(model.Job, row, log_decision)
+            if job is not None:
+                jobs[row.key] = events.StoredJob(job, row.version)
     return jobs, tuple(cancelled)
 
 
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -104,6 +104,14 @@
             error = task.exception()
             self._log_decision('effect_failed', error=repr(error))
 
+    def _log_failed_effect(
+        self, effect: effects.Effect, error: Exception
+    ) -> None:
+        """Log an unexpected error; the cell then treats it as no answer."""
+        self._log_decision(
+            'effect_failed', effect=type(effect).__name__, error=repr(error)
+        )
+
     def _execute(self, effect: effects.Effect) -> None:
         match effect:
             case effects.LogDecision():
@@ -141,7 +149,20 @@
             )
             return
         started_at = time.monotonic()
-        answer = await self._workers.start(order, self.epoch, time.monotonic)
+        try:
+            answer = await self._workers.start(
+                order, self.epoch, time.monotonic
+            )
+        except Exception as error:
+            self._log_failed_effect(order, error)
+            answer = events.StartAnswered(
+                time.monotonic(),
+                order.worker_id,
+                order.incarnation,
+                order.task,
+                order.run,
+                events.Outcome.UNKNOWN,
+            )
         self._metrics.observe_order('start', answer.outcome.value, started_at)
         self.enqueue(answer)
 
@@ -156,19 +177,40 @@
             # The deadline in the order is already fixed, so the wait does not
             # extend the worker's lease.
             await asyncio.sleep(LEASE_POLL_INTERVAL_S)
-        self.enqueue(
-            await self._workers.poll(order, self.epoch, time.monotonic)
-        )
+        try:
+            answer = await self._workers.poll(
+                order, self.epoch, time.monotonic
+            )
+        except Exception as error:
+            self._log_failed_effect(order, error)
+            answer = events.PollFailed(
+                time.monotonic(),
+                order.worker_id,
+                order.incarnation,
+                events.Outcome.UNKNOWN,
+            )
+        self.enqueue(answer)
 
     async def _set_pace(self, order: effects.SetPace) -> None:
         if self._may_act():
             await self._workers.set_pace(order, self.epoch)
 
     async def _request_advice(self, request: effects.RequestAdvice) -> None:
-        self.enqueue(await self._advice.request_advice(request))
+        try:
+            answer = await self._advice.request_advice(request)
+        except Exception as error:
+            self._log_failed_effect(request, error)
+            answer = events.AdviceFailed(
+                time.monotonic(), request.step, request.workers, repr(error)
+            )
+        self.enqueue(answer)
 
     async def _save_records(self, order: effects.SaveRecords) -> None:
-        outcome = await _records.save(self.writer, order)
+        try:
+            outcome = await _records.save(self.writer, order)
+        except Exception as error:
+            self._log_failed_effect(order, error)
+            outcome = _groupwriter.WriteOutcome.UNKNOWN
         now = time.monotonic()
         if outcome is _groupwriter.WriteOutcome.STORED:
             self.enqueue(events.RecordsSaved(now))
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -322,7 +322,11 @@
         self._stop_owning('cell acquired again')
         # The writer renews the lease while the rows are read.
         writer = self._make_writer(version)
-        restored = await self._restore(version, writer)
+        try:
+            restored = await self._restore(version, writer)
+        except Exception:
+            writer.close()
+            raise
         if restored is None:
             writer.close()
             return
@@ -361,13 +365,14 @@
             self._log_decision,
         )
         self._followers = [
-            loop.create_task(jobs_follower.run(restored[0].version)),
-            loop.create_task(pruner.run()),
-            loop.create_task(
-                workers_follower.run(
+            loop.create_task(self._restart_on_failure(work))
+            for work in (
+                lambda: jobs_follower.run(restored[0].version),
+                pruner.run,
+                lambda: workers_follower.run(
                     {entry.id for entry in workers}, workers_version
-                )
-            ),
+                ),
+            )
         ]
 
     async def _restore(
@@ -382,7 +387,7 @@
         while self._owns_version(version):
             try:
                 result = await asyncio.gather(
-                    _records.restore(self._store, writer),
+                    _records.restore(self._store, writer, self._log_decision),
                     _followers.read_workers(
                         self._store, self._tables, self._decoder
                     ),
--- a/tests/test_cell_sizes.py
+++ b/tests/test_cell_sizes.py
@@ -53,6 +53,12 @@
     return outcomes
 
 
+async def _restore(harness: journal.WriterHarness) -> _records.Restored:
+    return await _records.restore(
+        harness.store, harness.writer, lambda *_, **__: None
+    )
+
+
 def test_a_fleet_of_any_size_is_stored():
     async def scenario():
         harness = journal.WriterHarness()
@@ -64,7 +70,7 @@
         assert set(outcomes) == {WriteOutcome.STORED}
         assert not harness.store.rejections
         assert all(w.is_recorded for w in bench.state.workers.values())
-        restored = await _records.restore(harness.store, harness.writer)
+        restored = await _restore(harness)
         assert {name for name, *_ in restored.workers} == set(names)
 
     journal.run(scenario)
@@ -107,7 +113,7 @@
         expected = {(name, born, at) for name, born, at in former}
         expected ^= {('w2', 5, 'w2:80'), ('w2', 7, 'w2:80')}
         for _ in range(2):
-            restored = await _records.restore(harness.store, harness.writer)
+            restored = await _restore(harness)
             assert set(restored.workers) == expected
         keys = {key for _, _, key in harness.store.rows}
         assert _schema.FORMER_WORKERS_KEY not in keys
@@ -138,7 +144,7 @@
         outcomes = await _save_all(harness, bench)
         assert set(outcomes) == {WriteOutcome.STORED}
         assert not harness.store.rejections
-        restored = await _records.restore(harness.store, harness.writer)
+        restored = await _restore(harness)
         successor = cells.Bench(epoch=2)
         successor.send(
             attrs.evolve(
@@ -169,7 +175,7 @@
             save = effects.SaveRecords({'j': record}, {})
             outcome = await _records.save(harness.writer, save)
             assert outcome is WriteOutcome.STORED
-            restored = await _records.restore(harness.store, harness.writer)
+            restored = await _restore(harness)
             assert restored.records == {'j': record}
             assert restored.parts_by_job == {'j': 3}
 
