An owner that resigns chooses the first node in takeover order

Cause: the owner gave the cell to the first node that refused a promise, in the order of names.

Change: the nodes that refused are asked in takeover order, strong ones first; a node that refuses connections is passed over. The test has strong and weak nodes; before, the weak one acquired the cell.

--- a/packages/cellnode/celeryshift_cellnode/_ownership.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownership.py
@@ -389,23 +389,42 @@
         # A node that can reach the store refuses. The store may have just
         # recovered, and the node may have noticed it before this one.
         if not await self._can_reach_store(_election.LAST_PROBE_S):
-            await self._resign(others[answers.index(Promise.REFUSED)])
+            await self._resign(
+                [
+                    node
+                    for node, answer in zip(others, answers, strict=True)
+                    if answer is Promise.REFUSED
+                ]
+            )
+
+    async def _resign(self, nodes: list[_schema.Node]) -> None:
+        """Give the cell up to one of the nodes that can reach the store.
 
-    async def _resign(self, node: _schema.Node) -> None:
-        """Give the cell up to a node that can reach the store."""
+        The first in takeover order is asked, since a weak node would hand the
+        cell over once more.
+        """
         if not self.is_owner:
             return
+        order = self._takeover_order
         version = self.view.owner_version
         self.step_down('only other nodes reach the store')
-        try:
-            await self._peers.call(
-                node.address, 'resigned', {'version': version}
-            )
-        except errors.PeerError as error:
-            # The other nodes notice that the heartbeats have stopped.
-            self._log_decision(
-                'no_successor', peer=node.name, error=str(error)
-            )
+        for node in sorted(nodes, key=lambda node: order.rank(node.name)):
+            try:
+                await self._peers.call(
+                    node.address, 'resigned', {'version': version}
+                )
+            except errors.PeerRefusedError as error:
+                self._log_decision(
+                    'no_successor', peer=node.name, error=str(error)
+                )
+                continue
+            except errors.PeerError as error:
+                # The node may have been told. If not, the other nodes notice
+                # that the heartbeats have stopped.
+                self._log_decision(
+                    'no_successor', peer=node.name, error=str(error)
+                )
+            return
 
     async def handle_resignation(self, body: Any) -> dict[str, Any]:
         """Acquire the cell from an owner that resigns."""
--- a/tests/cellnodes.py
+++ b/tests/cellnodes.py
@@ -108,7 +108,7 @@
             self._on_lost,
         )
         self._watched = watched
-        self._network = network
+        self.network = network
         self.tasks: list[asyncio.Task] = []
 
     def log_decision(self, decision: str, **fields: Any) -> None:
@@ -147,7 +147,7 @@
     async def start(self) -> None:
         """Register the handlers, and start the node."""
         ownership = self.ownership
-        self._network.handlers[self.node.address] = {
+        self.network.handlers[self.node.address] = {
             'ping': ownership.handle_ping,
             'owner': ownership.handle_announcement,
             'promise': ownership.handle_promise_request,
@@ -160,7 +160,7 @@
 
     def kill(self) -> None:
         """Stop the node as if its process had been killed."""
-        self._network.handlers.pop(self.node.address, None)
+        self.network.handlers.pop(self.node.address, None)
         for task in self.tasks:
             task.cancel()
 
@@ -169,15 +169,25 @@
     *names: str, cores: float = 1.0
 ) -> tuple[list[Member], Network]:
     """Start nodes; wait until one owns the cell and all know each other."""
+    members = await start_mixed_members(dict.fromkeys(names, cores))
+    network = members[0].network
+    return members, network
+
+
+async def start_mixed_members(cores_by_name: dict[str, float]) -> list[Member]:
+    """Start nodes with different numbers of cores, as above."""
     store, network = rowstore.RowStore(), Network()
-    members = [Member(name, store, network, cores) for name in names]
+    members = [
+        Member(name, store, network, cores)
+        for name, cores in cores_by_name.items()
+    ]
     for member in members:
         await member.start()
     await wait_until(lambda: any(member.acquired_at for member in members))
     for member in members:
         await member.membership.read()
     await asyncio.sleep(0.5)
-    return members, network
+    return members
 
 
 async def wait_until(
--- a/tests/test_cell_ownership.py
+++ b/tests/test_cell_ownership.py
@@ -81,6 +81,22 @@
     run(work)
 
 
+def test_an_owner_that_resigns_chooses_a_strong_node():
+    # A weak node acquired the cell, and handed it over two seconds later.
+    async def work():
+        members = await cellnodes.start_mixed_members(
+            {'a': 1.0, 'b': 0.2, 'c': 0.2, 'd': 0.2, 'e': 1.0}
+        )
+        owner, others = cellnodes.split_owner(members)
+        owner.access.is_reachable = False
+        await cellnodes.wait_until(lambda: any(m.acquired_at for m in others))
+        await asyncio.sleep(4.0)
+        (successor,) = [m for m in others if m.acquired_at]
+        assert successor.node.cores == 1.0
+
+    run(work)
+
+
 def test_an_owner_that_hears_the_store_again_does_not_resign():
     # When the store recovered, the other nodes noticed first, and the owner
     # resigned just as it reached the store again.
