Ask the policy service in time, and keep reservations while tasks run

A query named the one or two workers with room; when room came elsewhere, another query followed.

Ruled out: renewing the tickets of many steps ahead.

Change: a query names 4 workers for each task and at least 30, and further ones while they add little to the time of a decision; the decision on a second step is requested during the first one; the tickets of the steps that are next are renewed, for a seventh of the workers and 12 steps at most; a step reserves approved workers, also with an expired ticket, for as long as its tasks run.

A worker's clock no longer makes its entry count as changed, and the followers of tables read on at once after a long answer: with 3,000 workers, 2,000 entries change each second.

--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -4,9 +4,18 @@
 may reject a start order without a valid ticket. The decision on a worker never
 changes for a step, but its ticket expires. The first query for a step names
 the workers most likely to have free capacity. Later ones renew expired
-tickets, or name further workers once all approved ones are full.
+tickets, or name further workers once all approved ones are full. Further
+workers that add little to the duration of a query are named in any case.
+
+Two kinds of query are sent ahead of need, since a decision may take longer
+than the tasks themselves: for a step whose predecessor is about to complete,
+and to renew the tickets of the steps that are next to get free capacity.
 """
 
+import heapq
+
+from celeryshift_cell import _jobs
+from celeryshift_cell import _ordering
 from celeryshift_cell import _state
 from celeryshift_cell import effects
 from celeryshift_cell import events
@@ -15,6 +24,17 @@
 # A query that would take longer names only the workers with the most free
 # capacity.
 LONG_QUERY_MS = 200.0
+# Share of the time of a decision that further workers may add to a query.
+BREADTH_SHARE = 0.25
+# Tickets are renewed ahead of need if a decision takes at least this long.
+SLOW_DECISION_MS = 100.0
+# Maximum number of steps whose tickets are renewed ahead, for each upstream
+# and as a share of its workers: the service answers each node one call at a
+# time.
+MAX_RENEWED_STEPS = 12
+RENEWED_STEPS_SHARE = 0.15
+# Margin beyond the expected duration of a query that is sent ahead.
+AHEAD_MARGIN_S = 0.1
 
 
 def policy_service(step: _state.StepRun) -> model.PolicyService | None:
@@ -39,7 +59,15 @@
     service = policy_service(step)
     if service is None or step.pending_query or cell.now < step.query_after:
         return
-    workers = _query_candidates(cell, step, service)
+    _send(cell, step, service, _query_candidates(cell, step, service))
+
+
+def _send(
+    cell: _state.Cell,
+    step: _state.StepRun,
+    service: model.PolicyService,
+    workers: list[_state.Worker],
+) -> None:
     if not workers:
         return
     step.pending_query = {
@@ -60,6 +88,26 @@
 def _query_candidates(
     cell: _state.Cell, step: _state.StepRun, service: model.PolicyService
 ) -> list[_state.Worker]:
+    spec = step.spec
+    approved, new = _known_and_new(cell, step)
+    stale = [w for w in approved if valid_ticket(cell, step, w) is None]
+    stale_with_capacity = [w for w in stale if w.has_capacity(spec)]
+    new_with_capacity = [w for w in new if w.has_capacity(spec)]
+    if not approved:
+        # First query: if no worker has free capacity, name all of them, since
+        # capacity may become free before the response.
+        chosen = new_with_capacity or new
+    elif stale_with_capacity or new_with_capacity:
+        chosen = new_with_capacity + stale
+    else:
+        return []
+    return _limit(cell, step, service, chosen, [*stale, *new])
+
+
+def _known_and_new(
+    cell: _state.Cell, step: _state.StepRun
+) -> tuple[list[_state.Worker], list[_state.Worker]]:
+    """Return the usable workers that are approved, and those not asked for."""
     spec = step.spec
     approved, new = [], []
     for worker in cell.workers.values():
@@ -77,22 +125,132 @@
             approved.append(worker)
         else:
             new.append(worker)
-    stale = [w for w in approved if valid_ticket(cell, step, w) is None]
-    stale_with_capacity = [w for w in stale if w.has_capacity(spec)]
-    new_with_capacity = [w for w in new if w.has_capacity(spec)]
-    if not approved:
-        # First query: if no worker has free capacity, name all of them, since
-        # capacity may become free before the response.
-        chosen = new_with_capacity or new
-    elif stale_with_capacity or new_with_capacity:
-        chosen = new_with_capacity + stale
-    else:
-        return []
-    chosen.sort(key=lambda w: (not w.has_capacity(spec), -w.free_cpu))
-    limit = cell.options.max_queried_workers
+    return approved, new
+
+
+def _limit(
+    cell: _state.Cell,
+    step: _state.StepRun,
+    service: model.PolicyService,
+    chosen: list[_state.Worker],
+    others: list[_state.Worker],
+) -> list[_state.Worker]:
+    """Return the workers to name: the chosen ones, and others if cheap."""
+    spec = step.spec
+
+    def rank(worker: _state.Worker) -> tuple[bool, int]:
+        return (not worker.has_capacity(spec), -worker.free_cpu)
+
+    enough = max(
+        cell.options.min_queried_workers,
+        cell.options.queried_workers_per_task * len(step.pending),
+    )
+    limit = min(cell.options.max_queried_workers, enough)
     if service.decision_ms + service.each_ms * len(chosen) > LONG_QUERY_MS:
         limit = min(limit, cell.options.long_query_workers)
-    return chosen[:limit]
+    named = sorted(chosen, key=rank)[:limit]
+    breadth = limit
+    if service.each_ms:
+        cheap = int(BREADTH_SHARE * service.decision_ms / service.each_ms)
+        breadth = min(limit, cheap)
+    if len(named) < breadth:
+        known = {worker.id for worker in named}
+        further = [worker for worker in others if worker.id not in known]
+        further.sort(key=rank)
+        named += further[: breadth - len(named)]
+    return named
+
+
+def query_successors(cell: _state.Cell, step: _state.StepRun) -> None:
+    """Query for the steps that become ready once a step has completed."""
+    job = step.job
+    if step.job.state in _jobs.FINAL or not step.remaining_tasks:
+        return
+    service = policy_service(step)
+    for number, spec in enumerate(job.spec.steps):
+        if step.number not in spec.after or service is None:
+            continue
+        successor = job.steps[step.occurrence, number]
+        if successor.approvals or not _awaits_only(successor, step):
+            continue
+        query(cell, successor)
+
+
+def _awaits_only(successor: _state.StepRun, step: _state.StepRun) -> bool:
+    steps = successor.job.steps
+    return all(
+        number == step.number
+        or not steps[successor.occurrence, number].remaining_tasks
+        for number in successor.spec.after
+    )
+
+
+def plan_ahead(cell: _state.Cell, step: _state.StepRun) -> None:
+    """Schedule the queries for the successors of a step that has started."""
+    service = policy_service(step)
+    if service is None or step.spec.is_lasting:
+        return
+    if not any(step.number in spec.after for spec in step.job.spec.steps):
+        return
+    lead_s = service.decision_ms / 1000 + AHEAD_MARGIN_S
+    run_s = _jobs.expected_ms(cell, step.spec) / 1000
+    due_at = cell.now + max(0.0, run_s - lead_s)
+    heapq.heappush(cell.planned_queries, (due_at, step.name))
+
+
+def query_ahead(cell: _state.Cell) -> None:
+    """Send the planned queries that are due."""
+    while cell.planned_queries and cell.planned_queries[0][0] <= cell.now:
+        _, name = heapq.heappop(cell.planned_queries)
+        step = cell.step(name)
+        if step is not None:
+            query_successors(cell, step)
+
+
+def renew_ahead(cell: _state.Cell) -> None:
+    """Renew the tickets of the steps that are next to get free capacity.
+
+    Otherwise capacity that becomes free waits for the service, or goes to
+    less urgent work meanwhile.
+    """
+    steps_by_upstream: dict[str, list[_state.StepRun]] = {}
+    for step in cell.waiting.values():
+        service = policy_service(step)
+        if (
+            service is not None
+            and service.decision_ms >= SLOW_DECISION_MS
+            and step.approvals
+            and not (step.blocked_by_limit or step.blocked_by_headroom)
+        ):
+            upstream = step.job.queue.upstream
+            steps_by_upstream.setdefault(upstream, []).append(step)
+    for upstream, steps in steps_by_upstream.items():
+        workers = sum(
+            worker.entry.upstream == upstream
+            for worker in cell.workers.values()
+        )
+        count = min(MAX_RENEWED_STEPS, int(RENEWED_STEPS_SHARE * workers))
+        first = heapq.nsmallest(
+            count, steps, key=lambda step: _ordering.sort_key(cell, step)
+        )
+        for step in first:
+            _renew(cell, step)
+
+
+def _renew(cell: _state.Cell, step: _state.StepRun) -> None:
+    service = policy_service(step)
+    if service is None or step.pending_query or cell.now < step.query_after:
+        return
+    approved, new = _known_and_new(cell, step)
+    lead_s = service.decision_ms / 1000 + AHEAD_MARGIN_S
+    expiring = [
+        worker
+        for worker in approved
+        if step.approvals[worker.id].valid_until < cell.now + lead_s
+    ]
+    if expiring:
+        workers = _limit(cell, step, service, expiring, new)
+        _send(cell, step, service, workers)
 
 
 def meets_constraints(step: _state.StepRun, worker: _state.Worker) -> bool:
--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -55,8 +55,11 @@
     # A ticket is not used this close to its expiry, since the order needs time
     # to arrive.
     ticket_margin_s: float = 0.15
-    # Maximum number of workers in a query to the policy service.
+    # Maximum number of workers in a query to the policy service, and how many
+    # are enough: each one makes the answer later.
     max_queried_workers: int = 100
+    min_queried_workers: int = 30
+    queried_workers_per_task: int = 4
     # Pause before a failed query is repeated through another node.
     query_retry_s: float = 0.05
     # Maximum number of workers in a query that is expected to take long; it
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -76,6 +76,7 @@
         _record_wait(cell, step)
     else:
         step.wait_reason = ''
+        _advice.plan_ahead(cell, step)
     return placed
 
 
@@ -96,7 +97,7 @@
         if not step.approvals:
             _advice.query(cell, step)
     else:
-        candidates = [worker for worker, _ in _candidates(cell, step)]
+        candidates = list(_approved_workers(cell, step))
         _reservations.reserve_workers(cell, step, candidates)
         _advice.query(cell, step)
         reason = 'policy service' if step.pending_query else 'room'
@@ -175,13 +176,24 @@
             ):
                 yield worker, ''
         return
-    for worker_id in step.approvals:
-        approved = cell.workers.get(worker_id)
-        if approved is None or not _is_eligible(cell, step, approved):
-            continue
-        ticket = _advice.valid_ticket(cell, step, approved)
+    for worker in _approved_workers(cell, step):
+        ticket = _advice.valid_ticket(cell, step, worker)
         if ticket is not None:
-            yield approved, ticket
+            yield worker, ticket
+
+
+def _approved_workers(
+    cell: _state.Cell, step: _state.StepRun
+) -> Iterator[_state.Worker]:
+    """Yield the workers that may run a step, also with an expired ticket."""
+    if _advice.policy_service(step) is None:
+        for worker, _ in _candidates(cell, step):
+            yield worker
+        return
+    for worker_id, approval in step.approvals.items():
+        approved = cell.worker(worker_id, approval.incarnation)
+        if approved is not None and _is_eligible(cell, step, approved):
+            yield approved
 
 
 def _is_eligible(
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -91,8 +91,10 @@
     _headroom.update(cell)
     _preemption.preempt(cell)
     _records.evict_ended(cell)
+    _advice.query_ahead(cell)
     if event.now >= cell.recheck_at:
         cell.recheck_at = event.now + cell.options.recheck_s
+        _advice.renew_ahead(cell)
         _placement.recheck_waiting(cell)
 
 
--- a/packages/cell/celeryshift_cell/_reservations.py
+++ b/packages/cell/celeryshift_cell/_reservations.py
@@ -6,11 +6,13 @@
 its team, no task of lower priority starts on that worker or within that limit.
 """
 
+from celeryshift_cell import _jobs
 from celeryshift_cell import _state
 from celeryshift_cell import model
 
-# A step that has waited for longer than this reserves no workers: the capacity
-# may not become free soon, and other tasks could use it meanwhile.
+# A step that has waited for longer than this, or than its tasks run, reserves
+# no workers: the capacity may not become free soon, and other tasks could use
+# it meanwhile. Tasks of one upstream take about as long as each other.
 RESERVATION_S = 2.0
 
 
@@ -29,7 +31,9 @@
     candidates: list[_state.Worker],
 ) -> None:
     """Reserve for a step the workers with the smallest shortfall."""
-    if step.spec.is_filler or cell.now > step.ready_at + RESERVATION_S:
+    run_s = _jobs.expected_ms(cell, step.spec) / 1000
+    reserved_s = max(RESERVATION_S, run_s)
+    if step.spec.is_filler or cell.now > step.ready_at + reserved_s:
         return
     candidates.sort(key=lambda worker: _shortfall(step.spec.size, worker))
     chosen = candidates[: len(step.pending)]
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -408,6 +408,9 @@
     waiting: dict[str, StepRun] = attrs.field(factory=dict)
     # Heap of the steps that start at a set time, as (due Unix ms, name).
     scheduled_steps: list[tuple[int, str]] = attrs.field(factory=list)
+    # Heap of the steps whose successors the policy service is asked about, as
+    # (time, name of the step).
+    planned_queries: list[tuple[float, str]] = attrs.field(factory=list)
     # When ended jobs were removed from memory, by job id.
     evicted_at: dict[str, float] = attrs.field(factory=dict)
     # Version of the store that this owner restored its state from.
--- a/packages/cell/celeryshift_cell/model.py
+++ b/packages/cell/celeryshift_cell/model.py
@@ -190,7 +190,7 @@
     # Hardware kind; workers of one kind are about equally fast.
     kind: str = ''
     is_draining: bool = False
-    # The worker's own clock.
-    clock_ms: int = 0
+    # The worker's own clock, which differs in every report.
+    clock_ms: int = attrs.field(default=0, eq=False)
     # Time until a draining worker leaves, if known.
     remaining_ms: int | None = None
--- a/packages/cellnode/celeryshift_cellnode/_followers.py
+++ b/packages/cellnode/celeryshift_cellnode/_followers.py
@@ -22,6 +22,9 @@
 # Delays after an answer, so that the next one contains several changes.
 JOBS_BATCH_DELAY_S = 0.5
 WORKERS_BATCH_DELAY_S = 0.4
+# An answer with this many rows or more may not be all that has changed, so the
+# next one is requested at once.
+FULL_ANSWER_ROWS = 100
 
 
 class _ChangeFeed:
@@ -145,7 +148,8 @@
         while True:
             rows, _ = await self._feed.next_rows()
             self._enqueue_events(rows)
-            await asyncio.sleep(JOBS_BATCH_DELAY_S)
+            if len(rows) < FULL_ANSWER_ROWS:
+                await asyncio.sleep(JOBS_BATCH_DELAY_S)
 
     def _enqueue_events(self, rows: list[ports.Row]) -> None:
         jobs, cancelled = _records.decode_jobs(rows, self._log_decision)
@@ -193,7 +197,8 @@
             if is_complete:
                 removed |= self._known_ids - {entry.id for entry in entries}
             self._enqueue_events(entries, removed)
-            await asyncio.sleep(WORKERS_BATCH_DELAY_S)
+            if len(rows) < FULL_ANSWER_ROWS:
+                await asyncio.sleep(WORKERS_BATCH_DELAY_S)
 
     def _classify(
         self, rows: list[ports.Row]
--- a/tests/test_cell_load.py
+++ b/tests/test_cell_load.py
@@ -68,6 +68,73 @@
     return load
 
 
+# Estimate of a simulation, whose run takes up to 1.2 times as long, and time
+# that the policy service takes for a decision.
+SIMULATION_S = 3.0
+MAX_SIMULATION_S = 3.6
+DECISION_S = 0.9
+
+
+def _run_simulations(steps: int) -> LoadScenario:
+    """Submit simulations for 70 % of seven workers, with slow decisions."""
+    scenario = LoadScenario(workers=7)
+    sim = scenario.sim
+    sim.policy_nodes = [0.0] * 7
+    sim.duration_range = (0.8, 1.2)
+    sim.fail_share = 0.0
+    step = attrs.evolve(cells.step(3, cores=8), estimate_ms=3000)
+    later = attrs.evolve(step, after=(0,))
+    pause_s = 3 * SIMULATION_S * steps / 14 / 0.7
+    scenario.repeat(
+        pause_s,
+        120.0,
+        lambda: scenario.submit('simulations', step, *[later] * (steps - 1)),
+    )
+    sim.run(200.0)
+    return scenario
+
+
+def test_slow_decisions_are_made_before_capacity_is_free():
+    # On a site with few large workers, simulations waited 3 to 6 s for the
+    # policy service: each query named only the workers with room, and tickets
+    # had expired when room came.
+    durations = _run_simulations(1).durations('simulations')
+    # Nine of ten wait for one decision, and hardly for anything else.
+    limit_s = DECISION_S + MAX_SIMULATION_S + 0.4
+    assert durations[int(0.9 * len(durations))] <= limit_s
+
+
+def test_the_decision_on_a_second_step_is_made_during_the_first():
+    durations = _run_simulations(2).durations('simulations')
+    # Half wait for no more than one decision and as long for capacity.
+    limit_s = 2 * DECISION_S + 2 * MAX_SIMULATION_S
+    assert durations[len(durations) // 2] <= limit_s
+
+
+def test_large_tasks_are_not_starved_by_small_less_urgent_ones():
+    # Where a task needs most of a worker, a step gave up its reservation after
+    # 2 s, or once its tickets had expired, and small tasks took all capacity
+    # that became free: some simulations waited for over a minute.
+    scenario = LoadScenario(workers=7)
+    sim = scenario.sim
+    sim.policy_nodes = [0.0] * 7
+    sim.duration_range = (0.8, 1.2)
+    sim.fail_share = 0.0
+    large = attrs.evolve(cells.step(2, cores=12), estimate_ms=5600)
+    small = attrs.evolve(cells.step(8, cores=2), estimate_ms=2400)
+    # Together they need 95 % of the capacity.
+    scenario.repeat(2.0, 120.0, lambda: scenario.submit('simulations', large))
+    scenario.repeat(1.0, 120.0, lambda: scenario.submit('weekly', small))
+    sim.run(220.0)
+    objective_s = 2 * (5.6 + DECISION_S) + 1.0
+    durations = scenario.durations('simulations')
+    assert durations[int(0.9 * len(durations))] <= objective_s
+    assert durations[-1] <= 3 * objective_s
+    # The others still end within half their run time more.
+    weekly = scenario.durations('weekly')
+    assert weekly[int(0.9 * len(weekly))] <= 2 * 1.2 * 2.4
+
+
 def test_checks_start_at_once_beside_a_backlog_of_longer_work():
     # Checks waited for 0.5 to 2.5 s until tasks of 3.8 s ended.
     durations = _run_load().durations('field', since=5.0)
