A new owner polls a bounded number of workers at a time

Cause, from a trial with 291 nodes and 3,000 workers whose owner is killed: the next owner polled all workers at once. Most of the 3,000 new connections took longer than the timeout of a poll, 0.3 s, so that 2,300 workers counted as silent within two seconds and were polled again together; 13 s later 400 had been fenced. Jobs were accepted and waited, and the owner was replaced twice more, as its heartbeats took up to 1.2 s.

Ruled out: the store (its groups were slow since the node was busy) and the feed of workers, which kept up.

Change: polls that are answered at once are limited to 200 in flight. Their deadlines are fixed before they wait, so leases do not get longer. Silent workers are polled at most 250 times a second together, so that a data centre that is cut off does not hold up the others; up to 100 silent workers nothing changes.

--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -43,6 +43,9 @@
     drain_margin_s: float = 1.2
     # Pause before a worker that did not answer is polled again.
     poll_retry_s: float = 0.4
+    # The pause is longer while so many workers are silent that their polls
+    # would exceed this rate and delay those of the others.
+    silent_polls_per_s: float = 250.0
     # Interval of polls while completions could not be stored yet.
     unsaved_poll_s: float = 0.4
     # Pause before a stop order that got no response is repeated.
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -435,6 +435,8 @@
     recheck_at: float = 0.0
     # Ids of workers whose stored record is out of date, in that order.
     dirty_workers: dict[str, None] = attrs.field(factory=dict)
+    # Number of silent workers, counted on every tick.
+    silent_workers: int = 0
     # Workers that a former owner may have used and that are not yet fenced.
     unfenced: set[str] = attrs.field(factory=set)
     # No order of a former owner has any effect after this time.
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -305,10 +305,17 @@
             'worker_silent', worker=worker.id, outcome=event.outcome.value
         )
     worker.is_silent = True
-    worker.poll_at = cell.now + cell.options.poll_retry_s
+    worker.poll_at = cell.now + _silent_poll_pause_s(cell)
     _health.copy_runs(cell, worker)
 
 
+def _silent_poll_pause_s(cell: _state.Cell) -> float:
+    options = cell.options
+    return max(
+        options.poll_retry_s, cell.silent_workers / options.silent_polls_per_s
+    )
+
+
 def handle_start_answered(
     cell: _state.Cell, event: events.StartAnswered
 ) -> None:
@@ -346,7 +353,9 @@
         )
         cell.unfenced.clear()
         unblock_all(cell)
+    cell.silent_workers = 0
     for worker in list(cell.workers.values()):
+        cell.silent_workers += worker.is_silent
         is_expired = worker.is_silent and cell.now > worker.lease_until
         if is_expired and worker.runs:
             _runs.drop_all_runs(cell, worker)
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -19,6 +19,10 @@
 TICK_INTERVAL_S = 0.1
 # Interval at which an owner without a valid lease checks it again.
 LEASE_POLL_INTERVAL_S = 0.05
+# Polls that are answered at once and in flight at a time. A new owner polls
+# all workers; more polls than the node can handle within their timeout would
+# all fail, and be repeated together.
+MAX_IMMEDIATE_POLLS = 200
 
 
 class Runner:
@@ -48,6 +52,7 @@
         self._is_scheduled = False
         self._is_closed = False
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._poll_slots = asyncio.Semaphore(MAX_IMMEDIATE_POLLS)
         self._spawn(self._tick())
 
     @property
@@ -173,6 +178,13 @@
         self.enqueue(answer)
 
     async def _poll_worker(self, order: effects.PollWorker) -> None:
+        if order.wait_ms:
+            await self._send_poll(order)
+            return
+        async with self._poll_slots:
+            await self._send_poll(order)
+
+    async def _send_poll(self, order: effects.PollWorker) -> None:
         while not self._may_act():
             # The deadline in the order is already fixed, so the wait does not
             # extend the worker's lease.
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import pytest
 from tests import cells
 from tests import virtualtime
 
@@ -153,3 +154,63 @@
         assert not workers.started
 
     _run(work)
+
+
+class BusyWorkers(Workers):
+    """Workers whose answers one process handles one after the other."""
+
+    ANSWER_S = 0.0006
+    TIMEOUT_S = 0.3
+
+    def __init__(self, dead: int = 0) -> None:
+        super().__init__()
+        self._lock = asyncio.Lock()
+        self._dead = {f'w{number}' for number in range(dead)}
+        self.failed = 0
+
+    async def poll(self, order, fence, now):
+        """Answer a poll, unless that takes longer than the timeout."""
+        sent_at = now()
+        try:
+            async with asyncio.timeout(self.TIMEOUT_S):
+                if order.worker_id in self._dead:
+                    await asyncio.Event().wait()
+                async with self._lock:
+                    await asyncio.sleep(self.ANSWER_S)
+        except TimeoutError:
+            self.failed += order.worker_id not in self._dead
+            return events.PollFailed(
+                now(),
+                order.worker_id,
+                order.incarnation,
+                events.Outcome.UNKNOWN,
+            )
+        return events.PollAnswered(
+            now(),
+            sent_at,
+            order.worker_id,
+            order.incarnation,
+            order.incarnation,
+            5000,
+            (),
+            (),
+        )
+
+
+@pytest.mark.parametrize('dead', [0, 500])
+def test_a_new_owner_of_many_workers_fences_them_one_after_the_other(dead):
+    # A new owner of 3,000 workers polled all of them at once. Most polls took
+    # longer than their timeout and were repeated together, so that nearly all
+    # workers stayed silent and no task started.
+    async def work(runner, _):
+        workers = runner._workers = BusyWorkers(dead)
+        now = time.monotonic()
+        entries = tuple(cells.entry(f'w{n}') for n in range(3000))
+        runner.enqueue(events.WorkersChanged(now, entries))
+        runner.enqueue(events.Restored(now, 0, (), {}, (), (), 7.0, 0))
+        await asyncio.sleep(4.0)
+        fenced = [w for w in runner.state.workers.values() if w.is_fenced]
+        assert len(fenced) == 3000 - dead
+        assert not workers.failed
+
+    _run(work)
