A query to the policy service claims the capacity that it is sent for

Change: a query claims free capacity of the workers that it names, for as many tasks as wait; another step that is no more urgent queries only for what is left.

--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -7,6 +7,11 @@
 tickets, or name further workers once all approved ones are full. Further
 workers that add little to the duration of a query are named in any case.
 
+A query claims the free capacity that it is sent for until it is answered.
+Otherwise each waiting step would query for the same capacity, which only the
+first can use, and the service, which answers each node one call at a time,
+would have no time for the others.
+
 Two kinds of query are sent ahead of need, since a decision may take longer
 than the tasks themselves: for a step whose predecessor is about to complete,
 and to renew the tickets of the steps that are next to get free capacity.
@@ -73,6 +78,7 @@
     step.pending_query = {
         worker.id: worker.entry.incarnation for worker in workers
     }
+    _claim(cell, step, workers)
     job = step.job
     expected_ms = service.decision_ms + service.each_ms * len(workers)
     cell.emit(
@@ -91,8 +97,11 @@
     spec = step.spec
     approved, new = _known_and_new(cell, step)
     stale = [w for w in approved if valid_ticket(cell, step, w) is None]
-    stale_with_capacity = [w for w in stale if w.has_capacity(spec)]
-    new_with_capacity = [w for w in new if w.has_capacity(spec)]
+    if approved:
+        stale_with_capacity = _with_unclaimed_capacity(cell, step, stale)
+        new_with_capacity = _with_unclaimed_capacity(cell, step, new)
+    else:
+        new_with_capacity = [w for w in new if w.has_capacity(spec)]
     if not approved:
         # First query: if no worker has free capacity, name all of them, since
         # capacity may become free before the response.
@@ -104,6 +113,66 @@
     return _limit(cell, step, service, chosen, [*stale, *new])
 
 
+def _claim(
+    cell: _state.Cell, step: _state.StepRun, workers: list[_state.Worker]
+) -> None:
+    """Claim free capacity of the named workers for the tasks of a step."""
+    if step.spec.is_filler or not step.is_ready:
+        return
+    size = step.spec.size
+    priority = step.job.queue.priority
+    remaining = len(step.pending)
+    for worker in workers:
+        free = _unclaimed(cell, worker, priority)
+        while remaining and step.spec.size.fits(free):
+            remaining -= 1
+            free = free.minus(size)
+            claims = cell.claims_by_worker.setdefault(worker.id, {})
+            claimed = claims.get(step.name)
+            total = size if claimed is None else claimed[1].plus(size)
+            claims[step.name] = (priority, total)
+
+
+def _release_claims(
+    cell: _state.Cell, step_name: str, worker_ids: tuple[str, ...]
+) -> None:
+    for worker_id in worker_ids:
+        claims = cell.claims_by_worker.get(worker_id, {})
+        claims.pop(step_name, None)
+        if not claims:
+            cell.claims_by_worker.pop(worker_id, None)
+
+
+def _unclaimed(
+    cell: _state.Cell, worker: _state.Worker, priority: int
+) -> model.Size:
+    """Return the free capacity that no step as urgent has claimed."""
+    free = model.Size(
+        worker.free_cpu, worker.free_memory, worker.free_accelerators
+    )
+    for claimant, size in cell.claims_by_worker.get(worker.id, {}).values():
+        if claimant <= priority:
+            free = free.minus(size)
+    return free
+
+
+def _with_unclaimed_capacity(
+    cell: _state.Cell, step: _state.StepRun, workers: list[_state.Worker]
+) -> list[_state.Worker]:
+    spec = step.spec
+    priority = step.job.queue.priority
+    return [
+        worker
+        for worker in workers
+        if worker.has_capacity(spec)
+        and (
+            spec.is_filler
+            or worker.id not in cell.claims_by_worker
+            or spec.size.fits(_unclaimed(cell, worker, priority))
+        )
+    ]
+
+
 def _known_and_new(
     cell: _state.Cell, step: _state.StepRun
 ) -> tuple[list[_state.Worker], list[_state.Worker]]:
@@ -268,6 +337,7 @@
     cell: _state.Cell, event: events.AdviceAnswered
 ) -> None:
     """Store the approvals and tickets of a response."""
+    _release_claims(cell, event.step, event.workers)
     step = cell.step(event.step)
     if step is None:
         return
@@ -299,6 +369,7 @@
     cell: _state.Cell, event: events.AdviceFailed
 ) -> None:
     """Allow the next query after a pause."""
+    _release_claims(cell, event.step, event.workers)
     step = cell.step(event.step)
     if step is None:
         return
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -408,6 +408,11 @@
     waiting: dict[str, StepRun] = attrs.field(factory=dict)
     # Heap of the steps that start at a set time, as (due Unix ms, name).
     scheduled_steps: list[tuple[int, str]] = attrs.field(factory=list)
+    # Free capacity that queries to the policy service are sent for, by worker
+    # id and step name, as (priority, size).
+    claims_by_worker: dict[str, dict[str, tuple[int, model.Size]]] = (
+        attrs.field(factory=dict)
+    )
     # Heap of the steps whose successors the policy service is asked about, as
     # (time, name of the step).
     planned_queries: list[tuple[float, str]] = attrs.field(factory=list)
--- a/packages/cell/celeryshift_cell/model.py
+++ b/packages/cell/celeryshift_cell/model.py
@@ -47,6 +47,22 @@
             and self.accelerators <= free.accelerators
         )
 
+    def plus(self, other: 'Size') -> 'Size':
+        """Return the sum of two amounts."""
+        return Size(
+            self.cpu_milli + other.cpu_milli,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: 'Size') -> 'Size':
+        """Return the difference of two amounts, which may be negative."""
+        return Size(
+            self.cpu_milli - other.cpu_milli,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
 
 @attrs.frozen(slots=True)
 class Step:
