--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -73,6 +73,7 @@
     service: model.PolicyService,
     workers: list[_state.Worker],
 ) -> None:
+    """Send a query about some workers, unless there are none."""
     if not workers:
         return
     step.pending_query = {
@@ -100,16 +101,13 @@
     if approved:
         stale_with_capacity = _with_unclaimed_capacity(cell, step, stale)
         new_with_capacity = _with_unclaimed_capacity(cell, step, new)
+        if not (stale_with_capacity or new_with_capacity):
+            return []
+        chosen = new_with_capacity + stale
     else:
-        new_with_capacity = [w for w in new if w.has_capacity(spec)]
-    if not approved:
         # First query: if no worker has free capacity, name all of them, since
         # capacity may become free before the response.
-        chosen = new_with_capacity or new
-    elif stale_with_capacity or new_with_capacity:
-        chosen = new_with_capacity + stale
-    else:
-        return []
+        chosen = [w for w in new if w.has_capacity(spec)] or new
     return _limit(cell, step, service, chosen, [*stale, *new])
 
 
@@ -124,7 +122,7 @@
     remaining = len(step.pending)
     for worker in workers:
         free = _unclaimed(cell, worker, priority)
-        while remaining and step.spec.size.fits(free):
+        while remaining and size.fits(free):
             remaining -= 1
             free = free.minus(size)
             claims = cell.claims_by_worker.setdefault(worker.id, {})
@@ -233,9 +231,9 @@
 def query_successors(cell: _state.Cell, step: _state.StepRun) -> None:
     """Query for the steps that become ready once a step has completed."""
     job = step.job
-    if step.job.state in _jobs.FINAL or not step.remaining_tasks:
-        return
     service = policy_service(step)
+    if job.state in _jobs.FINAL or not step.remaining_tasks:
+        return
     for number, spec in enumerate(job.spec.steps):
         if step.number not in spec.after or service is None:
             continue
