--- a/packages/cell/celeryshift_cell/_dropped_runs.py
+++ b/packages/cell/celeryshift_cell/_dropped_runs.py
@@ -6,6 +6,12 @@
 
 from celeryshift_cell import _state
 
+LEASE_EXPIRED = 'lease ran out'
+INCARNATION_ENDED = 'worker restarted'
+ADDRESS_TAKEN_OVER = 'another worker answers'
+# Reasons that mean that the worker was lost together with the run.
+WORKER_LOST = frozenset({LEASE_EXPIRED, INCARNATION_ENDED, ADDRESS_TAKEN_OVER})
+
 
 def record(cell: _state.Cell, run: _state.Run, reason: str) -> None:
     """Log why a run is dropped, and remember it for later reports."""
@@ -21,6 +27,8 @@
         why=reason,
         phase=run.phase.value,
         life=worker.entry.incarnation,
+        workers_lost=_count_workers_lost(task),
+        survived_ms=_survived_ms(run),
         confirmed_ms=_age_ms(cell, run.confirmed_at),
         answered_ms=_age_ms(cell, worker.clock_read_at),
         lease_left_ms=round((worker.lease_until - cell.now) * 1000),
@@ -53,6 +61,24 @@
     )
 
 
+def _count_workers_lost(task: _state.Task) -> int:
+    """Return how many workers were lost under a task, for this owner."""
+    return len(
+        {
+            worker_id
+            for (worker_id, _), (why, _) in task.dropped_runs.items()
+            if why in WORKER_LOST
+        }
+    )
+
+
+def _survived_ms(run: _state.Run) -> int | None:
+    """Return how long the worker answered after it had confirmed a run."""
+    if not run.confirmed_at:
+        return None
+    return round((run.worker.clock_read_at - run.confirmed_at) * 1000)
+
+
 def _age_ms(cell: _state.Cell, at: float) -> int | None:
     """Return how long ago a time was, or None if it is not set."""
     return round((cell.now - at) * 1000) if at else None
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -473,13 +473,13 @@
     """
     for run in list(worker.runs.values()):
         if run.is_listed:
-            _drop_run(cell, run, 'worker restarted')
+            _drop_run(cell, run, _dropped_runs.INCARNATION_ENDED)
 
 
 def drop_all_runs(cell: _state.Cell, worker: _state.Worker) -> None:
     """Drop all runs of a worker whose lease has expired."""
     for run in list(worker.runs.values()):
-        _drop_run(cell, run, 'lease ran out')
+        _drop_run(cell, run, _dropped_runs.LEASE_EXPIRED)
 
 
 def transfer_runs(
@@ -514,7 +514,7 @@
     )
     for run in list(worker.runs.values()):
         # Start orders that arrive later are rejected as well.
-        _drop_run(cell, run, 'another worker answers')
+        _drop_run(cell, run, _dropped_runs.ADDRESS_TAKEN_OVER)
     cell.unfenced.discard(worker.id)
     worker.poll_at = None
     worker.is_silent = True
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -88,6 +88,17 @@
     worker.free_accelerators += (
         capacity.accelerators - previous.capacity.accelerators
     )
+    if capacity != previous.capacity:
+        cell.log_decision(
+            'worker_resized',
+            worker=entry.id,
+            cpu_milli=capacity.cpu_milli,
+            memory_mb=capacity.memory_mb,
+            accelerators=capacity.accelerators,
+            free_cpu=worker.free_cpu,
+            free_memory=worker.free_memory,
+            runs=len(worker.runs),
+        )
     if entry.is_draining and not previous.is_draining:
         cell.log_decision(
             'worker_draining',
--- a/packages/cellnode/celeryshift_cellnode/_metrics.py
+++ b/packages/cellnode/celeryshift_cellnode/_metrics.py
@@ -9,6 +9,7 @@
 MS_PER_S = 1000
 # Upper bounds of the histogram buckets; latency objectives start at 0.25 s.
 BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+BUCKETS_WORKERS_LOST = (1, 2, 3, 5, 10)
 
 
 class Metrics:
@@ -34,6 +35,18 @@
             ['how'],
             registry=registry,
         )
+        self._dropped_runs = prometheus_client.Counter(
+            'celeryshift_runs_dropped',
+            'Runs that were dropped without a result',
+            ['why'],
+            registry=registry,
+        )
+        self._workers_lost = prometheus_client.Histogram(
+            'celeryshift_workers_lost',
+            'Workers lost under a task so far, at each dropped run',
+            buckets=BUCKETS_WORKERS_LOST,
+            registry=registry,
+        )
         self._order_latencies = self._histogram(
             'celeryshift_order_seconds',
             'Orders to workers until answered',
@@ -68,6 +81,9 @@
                 waits.observe(fields['waited_ms'] / MS_PER_S)
         elif decision.decision == 'run_ended':
             self._run_results.labels(decision.fields['how']).inc()
+        elif decision.decision == 'run_gone':
+            self._dropped_runs.labels(decision.fields['why']).inc()
+            self._workers_lost.observe(decision.fields['workers_lost'])
 
     def count_decision(self, decision: str) -> None:
         """Count a decision by its name."""
