--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -31,6 +31,18 @@
 # defaults of ``Options``.
 MAX_HOLD_S = 6.0
 DRIFT = 0.02
+# Time from the start of a task to the crash that it causes.
+CRASH_DELAY_S = 0.01
+CRASHED_RANGE_S = (0.2, 5.0)
+# The entry of a worker that left expires after this.
+ENTRY_EXPIRY_S = 4.5
+# Workers that crash under a task, and starts of it after that many crashes
+# that break the promise.
+CRASHES = 3
+STARTS_AFTER_CRASHES = 3
+# A capacity that has shrunk binds the owner after this time: its contact with
+# the platform, and one report of the worker.
+RESIZE_NOTICE_S = 4.5
 NEVER = float('inf')
 # Default resource limit of the team.
 MAXIMUM = model.Size(cpu_milli=60_000)
@@ -48,6 +60,8 @@
         self.entry = entry
         self.clock_rate = 1 - sim.random.random() * DRIFT
         self.is_reachable = True
+        # Capacities and when each was replaced by the next one.
+        self.former_cpu: list[tuple[float, int]] = []
         # The worker's entry is missing before this time. Once the worker is
         # cut off, it remains until the second one.
         self.entry_from = 0.0
@@ -76,6 +90,55 @@
         is_alive = self.is_reachable or now < self.entry_until
         return is_alive and now >= self.entry_from
 
+    def crash(self, down_s: float, is_renamed: bool) -> None:
+        """End all runs; a new incarnation follows, perhaps by another id."""
+        self.reset(self.entry.incarnation + 1)
+        self.is_reachable = False
+        if is_renamed:
+            self.entry_from = NEVER
+            self.sim.schedule(down_s, self._hand_over_address)
+        else:
+            self.sim.schedule(down_s, self._come_back)
+
+    def _come_back(self) -> None:
+        self.is_reachable = True
+        self.publish()
+
+    def _hand_over_address(self) -> None:
+        """Let a worker with another id answer at this address."""
+        successor = self.sim.add_worker(self.entry)
+        # Orders to the former id are refused.
+        self.entry = attrs.evolve(self.entry, address='')
+        self.is_reachable = True
+        successor.publish()
+        self.sim.schedule(
+            ENTRY_EXPIRY_S,
+            lambda: self.sim.owner.feed(
+                events.WorkersChanged(0.0, (), (self.entry.id,))
+            ),
+        )
+
+    def publish(self) -> None:
+        """Send the entry to the owner, if it has not expired."""
+        if self.has_entry:
+            self.sim.owner.feed(events.WorkersChanged(0.0, (self.entry,)))
+
+    def resize(self, cpu_milli: int) -> None:
+        """Change the capacity; the entry follows within a report interval."""
+        capacity = self.entry.capacity
+        self.former_cpu.append((self.sim.now, capacity.cpu_milli))
+        self.entry = attrs.evolve(
+            self.entry, capacity=attrs.evolve(capacity, cpu_milli=cpu_milli)
+        )
+        self.sim.schedule(self.sim.random.uniform(0, 1.5), self.publish)
+
+    @property
+    def counted_cpu(self) -> int:
+        """Return the largest capacity that a start may still rely on."""
+        noticed_at = self.sim.now - RESIZE_NOTICE_S
+        former = [cpu for until, cpu in self.former_cpu if until > noticed_at]
+        return max(self.entry.capacity.cpu_milli, *former, 0)
+
     @property
     def clock_ms(self) -> float:
         """Return the worker's clock."""
@@ -113,8 +176,20 @@
         self.run_times[key] = (self.sim.now, self.sim.now + run_s)
         incarnation = self.entry.incarnation
         self.sim.schedule(run_s, lambda: self._finish(key, incarnation))
+        if order.task in self.sim.crashing_tasks:
+            self.sim.schedule(
+                CRASH_DELAY_S, lambda: self._crash_by(key, incarnation)
+            )
         return Outcome.DONE
 
+    def _crash_by(self, key: tuple[str, int], incarnation: int) -> None:
+        if incarnation == self.entry.incarnation and key in self.running:
+            self.sim.crashes[key[0]] += 1
+            self.crash(
+                self.sim.random.uniform(*CRASHED_RANGE_S),
+                self.sim.random.random() < 0.5,
+            )
+
     def run_status(self, task: str, run: int) -> events.RunStatus:
         """Return the status of a run; half-way through, progress is 50 %."""
         started, due = self.run_times[task, run]
@@ -373,6 +448,13 @@
             f'w{number}': Worker(self, cells.entry(f'w{number}', cores=16))
             for number in range(workers)
         }
+        # Tasks that crash each worker that starts them; their crashes, and
+        # their starts after too many of these.
+        self.crashing_tasks: set[str] = set()
+        self.crashes: collections.Counter[str] = collections.Counter()
+        self.starts_after_crashes: collections.Counter[str] = (
+            collections.Counter()
+        )
         # Number of completions by task.
         self.done: collections.Counter[str] = collections.Counter()
         # Tasks whose completion was acknowledged as stored.
@@ -392,6 +474,12 @@
         self.owner: Owner
         self._start_owner(1, self.now)
 
+    def add_worker(self, former: model.WorkerEntry) -> Worker:
+        """Add a worker at the address of a former one, by another id."""
+        entry = attrs.evolve(former, id=f'w{len(self.workers)}', incarnation=1)
+        worker = self.workers[entry.id] = Worker(self, entry)
+        return worker
+
     def schedule(self, delay_s: float, work: Any) -> None:
         """Schedule a callback after a delay."""
         entry = (self.now + delay_s, next(self._numbers), work)
@@ -540,7 +628,8 @@
             raise InvariantError(
                 f'{context}: its completion was already stored'
             )
-        if worker_cpu > worker.entry.capacity.cpu_milli:
+        self._check_crashes(order.task, context)
+        if worker_cpu > worker.counted_cpu:
             raise InvariantError(
                 f'{context}: {worker.entry.id} exceeds its capacity'
             )
@@ -556,3 +645,13 @@
                     raise InvariantError(
                         f'{context}: step {number} has not completed'
                     )
+
+    def _check_crashes(self, task: str, context: str) -> None:
+        """Check that a task does not crash one worker after the other."""
+        if self.crashes[task] < CRASHES:
+            return
+        self.starts_after_crashes[task] += 1
+        if self.starts_after_crashes[task] >= STARTS_AFTER_CRASHES:
+            raise InvariantError(
+                f'{context}: {self.crashes[task]} workers crashed under it'
+            )
--- a/tests/test_cell_random.py
+++ b/tests/test_cell_random.py
@@ -52,9 +52,16 @@
 # Range of the write times of a slow store.
 SLOW_STORE_WRITE_S = (0.2, 1.5)
 # The entry of a worker that doesn't reach the store is removed after this.
-ENTRY_EXPIRY_S = 4.5
+ENTRY_EXPIRY_S = cellsim.ENTRY_EXPIRY_S
 # Time within which the entries that a store lost are back.
 ENTRIES_BACK_S = 2.0
+# Share of the jobs with a task that crashes its workers.
+CRASHING_SHARE = 0.15
+CRASHING_SEEDS = range(24)
+# Seeds 41, 77 and 90 started tasks on a worker that shrank while cut off.
+RESIZED_SEEDS = (*range(24), 41, 77, 90)
+RESIZES = 40
+RESIZED_CORES = (2, 4, 8, 16)
 DATA_CENTRES = ('x', 'x', 'y', 'y', 'z')
 # Interval at which a worker publishes its entry. The platform documents that
 # the entry is back within two seconds.
@@ -338,6 +345,68 @@
     return simulate(seed, restarts=RESTARTS, late_orders_outlive=True)
 
 
+def simulate_crashing_tasks(seed: int) -> cellsim.Sim:
+    """Run the simulation with tasks that crash each worker they start on.
+
+    The owner changes meanwhile. Only the jobs of these tasks may be given up.
+    """
+    sim = cellsim.Sim(seed, workers=8)
+    sim.fail_share = 0.0
+    for number in range(JOBS):
+        job = _random_job(sim, number)
+        if sim.random.random() < CRASHING_SHARE:
+            step = sim.random.randrange(len(job.steps))
+            index = sim.random.randrange(job.steps[step].count)
+            sim.crashing_tasks.add(f'{job.id}.0.{step}.{index}')
+        sim.schedule(
+            sim.random.uniform(0, FAULTS_S), lambda j=job: sim.submit(j)
+        )
+    for _ in range(3):
+        sim.schedule(
+            sim.random.uniform(1, FAULTS_S),
+            lambda: sim.take_over(is_dead=True),
+        )
+    sim.run(FAULTS_S + SETTLE_S)
+    _check_all_ended(sim)
+    crashing = {task.split('.')[0] for task in sim.crashing_tasks}
+    given_up = {
+        job for job, state in sim.final_states.items() if state == 'failed'
+    }
+    if given_up != crashing:
+        raise cellsim.InvariantError(
+            f'gave up {sorted(given_up - crashing)}, '
+            f'but not {sorted(crashing - given_up)}'
+        )
+    return sim
+
+
+def simulate_resizes(seed: int) -> cellsim.Sim:
+    """Run the simulation with workers that shrink and grow as they run."""
+    sim = cellsim.Sim(seed)
+
+    def resize() -> None:
+        worker = sim.random.choice(list(sim.workers.values()))
+        worker.resize(sim.random.choice(RESIZED_CORES) * cells.CORE)
+
+    for number in range(JOBS):
+        job = _random_job(sim, number)
+        sim.schedule(
+            sim.random.uniform(0, FAULTS_S), lambda j=job: sim.submit(j)
+        )
+    for _ in range(RESIZES):
+        sim.schedule(sim.random.uniform(1, FAULTS_S), resize)
+    for grown in sim.workers.values():
+        cpu_milli = grown.entry.capacity.cpu_milli
+        sim.schedule(FAULTS_S, lambda w=grown, c=cpu_milli: w.resize(c))
+    for _ in range(FAULTS):
+        sim.schedule(
+            sim.random.uniform(1, FAULTS_S), lambda: _inject_fault(sim)
+        )
+    sim.run(FAULTS_S + SETTLE_S)
+    _check_all_ended(sim)
+    return sim
+
+
 def _spread_workers(sim):
     for worker, data_centre in zip(
         sim.workers.values(), DATA_CENTRES, strict=True
@@ -346,6 +415,16 @@
     sim.owner.feed(sim.listing())
 
 
+def _errors_by_seed(run, seeds):
+    errors = {}
+    for seed in seeds:
+        try:
+            run(seed)
+        except cellsim.InvariantError as error:
+            errors[seed] = str(error)
+    return errors
+
+
 @pytest.mark.parametrize('seed', [*SEEDS, *REGRESSIONS])
 def test_promises_hold_under_random_faults(seed):
     sim = simulate(seed)
@@ -366,13 +445,7 @@
 
 @pytest.mark.parametrize('run', [simulate_restarts, simulate_late_restarts])
 def test_promises_hold_under_quick_restarts_of_workers(run):
-    errors = {}
-    for seed in RESTART_SEEDS:
-        try:
-            run(seed)
-        except cellsim.InvariantError as error:
-            errors[seed] = str(error)
-    assert not errors
+    assert not _errors_by_seed(run, RESTART_SEEDS)
 
 
 @pytest.mark.parametrize('seed', RESTART_REGRESSIONS)
@@ -380,8 +453,18 @@
     simulate_restarts(seed)
 
 
+def test_a_task_that_crashes_its_workers_is_given_up_and_no_other():
+    assert not _errors_by_seed(simulate_crashing_tasks, CRASHING_SEEDS)
+
+
+def test_no_start_exceeds_a_capacity_that_has_shrunk():
+    assert not _errors_by_seed(simulate_resizes, RESIZED_SEEDS)
+
+
 SIMULATIONS = (
     simulate,
+    simulate_crashing_tasks,
+    simulate_resizes,
     simulate_takeovers,
     simulate_restarts,
     simulate_idle_phases,
--- a/tests/test_cell_workers.py
+++ b/tests/test_cell_workers.py
@@ -459,3 +459,10 @@
     bench.now += bench.state.options.poll_retry_s
     bench.tick()
     assert bench.effects_of(effects.PollWorker)
+
+
+def test_a_job_is_accepted_while_the_workers_large_enough_have_shrunk():
+    bench = cells.Bench((cells.entry('a', cores=16),))
+    bench.send(events.WorkersChanged(0.0, (cells.entry('a', cores=2),)))
+    job = cells.job('j', cells.step(1, 8))
+    assert cell.rejection_reason(bench.state, job) is None
