--- /dev/null
+++ b/packages/cell/celeryshift_cell/_crashes.py
@@ -0,0 +1,294 @@
+"""Finds the tasks that crash the workers that start them.
+
+A crash ends all runs of a worker, and nobody reports which of them caused it.
+The suspects are the runs that had only just begun. A suspect starts again on
+trial: on a worker that has just answered, with the least work, and with no
+other start there until the run has lasted longer than those before it. A task
+that crashes more workers, on trial, is given up, and its job fails.
+
+A worker that does not answer may be alive. Its runs count as lost meanwhile,
+so that its tasks start elsewhere on trial, but the loss is revoked if the same
+incarnation answers again, and only certain crashes count against a job.
+"""
+
+from celeryshift_cell import _jobs
+from celeryshift_cell import _state
+
+# A run that its worker has outlived for this time is no suspect.
+SETTLED_S = 0.25
+# A trial lasts for a multiple of the longest time that a worker survived.
+TRIAL_FACTOR = 2.0
+MAX_TRIAL_S = 5.0
+# A task with so many losses is a suspect however long its runs lasted.
+UNEXPLAINED_LOSSES = 3
+# A task is given up at this evidence, which includes a trial. Two crashes on
+# trial are enough after any other, and one after two that it is suspected of.
+GUILTY = 4
+TRIAL_EVIDENCE = 2
+SUSPECT_EVIDENCE = 1
+# A trial starts on a worker that has answered within this time.
+HEARD_S = 0.1
+# A run that lasts for this time clears its task.
+CLEARED_S = 10.0
+# A worker that has left the list and is not heard of for this time has
+# crashed; any other is alive, though it does not answer.
+UNHEARD_S = 30.0
+MAX_LOSSES = 8
+# How long a worker is kept from other starts until a suspect may start there.
+RESERVED_S = SETTLED_S + 0.35
+
+
+def is_suspect(task: _state.Task) -> bool:
+    """Return whether a task may start only on trial."""
+    losses = task.losses_by_worker.values()
+    return len(losses) >= UNEXPLAINED_LOSSES or any(
+        loss.is_suspect for loss in losses
+    )
+
+
+def may_start(task: _state.Task) -> bool:
+    """Return whether a task may start before its trials are settled."""
+    if any(is_on_trial(run) for run in task.runs.values()):
+        return False
+    return not _is_guilty(list(task.losses_by_worker.values()))
+
+
+def is_on_trial(run: _state.Run) -> bool:
+    """Return whether a run is active and has not outlasted its trial."""
+    key = run.worker.id, run.worker.entry.incarnation
+    if key in run.task.losses_by_worker:
+        return False
+    return _survived_s(run) < run.trial_s
+
+
+def _survived_s(run: _state.Run) -> float:
+    """Return how long the worker certainly lived with a run."""
+    if not run.confirmed_at:
+        return 0.0
+    return max(0.0, run.worker.clock_read_at - run.confirmed_at)
+
+
+def _is_guilty(losses: list[_state.Loss]) -> bool:
+    """Return whether losses, if certain, show that their task causes them."""
+    trials = sum(loss.is_trial for loss in losses)
+    suspicions = sum(loss.is_suspect for loss in losses) - trials
+    evidence = TRIAL_EVIDENCE * trials + SUSPECT_EVIDENCE * suspicions
+    return trials > 0 and evidence >= GUILTY
+
+
+def _trial_s(task: _state.Task) -> float:
+    survived_s = max(
+        (loss.survived_s for loss in task.losses_by_worker.values()),
+        default=0.0,
+    )
+    return min(MAX_TRIAL_S, max(SETTLED_S, TRIAL_FACTOR * survived_s))
+
+
+def begin_trial(cell: _state.Cell, run: _state.Run) -> None:
+    """Keep the worker of a suspect from other starts, and store the trial."""
+    job = run.task.step.job
+    run.trial_s = _trial_s(run.task)
+    reserve(cell, run.worker, job, run.trial_s)
+    # The next owner must learn of the trial even if the worker crashes.
+    cell.dirty_jobs[job.spec.id] = job
+
+
+def reserve(
+    cell: _state.Cell,
+    worker: _state.Worker,
+    job: _state.JobRun,
+    duration_s: float = RESERVED_S,
+) -> None:
+    """Let only tasks of one job start on a worker for a while."""
+    if worker.reserved_until <= cell.now:
+        worker.reserved_since = cell.now
+    worker.reserved_for = job.spec.id
+    worker.reserved_until = max(worker.reserved_until, cell.now + duration_s)
+
+
+def end_trial(run: _state.Run) -> None:
+    """End the trial of a run, if any, and release its worker."""
+    if not run.trial_s:
+        return
+    run.trial_s = 0.0
+    worker = run.worker
+    if not any(other.trial_s for other in worker.runs.values()):
+        worker.reserved_until = 0.0
+
+
+def is_reserved(
+    cell: _state.Cell, worker: _state.Worker, step: _state.StepRun
+) -> bool:
+    """Return whether a worker is kept from the starts of a step."""
+    return (
+        worker.reserved_until > cell.now
+        and worker.reserved_for != step.job.spec.id
+    )
+
+
+def is_clean(
+    cell: _state.Cell, worker: _state.Worker, job: _state.JobRun
+) -> bool:
+    """Return whether a crash would leave no other job under suspicion."""
+    heard_since = cell.now - HEARD_S
+    if worker.reserved_until > cell.now:
+        heard_since = min(heard_since, worker.reserved_since)
+    return worker.clock_read_at >= heard_since and all(
+        run.task.step.job is job or _is_settled(cell, run)
+        for run in worker.runs.values()
+    )
+
+
+def _is_settled(cell: _state.Cell, run: _state.Run) -> bool:
+    lasted_s = cell.now - run.confirmed_at
+    return bool(run.confirmed_at) and lasted_s >= SETTLED_S
+
+
+def record_losses(cell: _state.Cell, worker: _state.Worker) -> None:
+    """Record the losses of all tasks that run on a lost worker.
+
+    A worker that was draining has left as announced.
+    """
+    if worker.entry.is_draining:
+        return
+    key = worker.id, worker.entry.incarnation
+    for run in worker.runs.values():
+        task = run.task
+        job = task.step.job
+        if task.is_done or job.state in _jobs.FINAL:
+            continue
+        known = task.losses_by_worker
+        if any(loss.run == run.number for loss in known.values()):
+            # The loss on a former incarnation, which the run outlived.
+            continue
+        survived_s = _survived_s(run)
+        loss = _state.Loss(
+            run.number,
+            worker.entry.address,
+            cell.now,
+            survived_s,
+            is_suspect=survived_s < max(SETTLED_S, run.trial_s),
+            is_trial=survived_s < run.trial_s,
+        )
+        add_loss(cell, task, key, loss)
+        cell.dirty_jobs[job.spec.id] = job
+        if loss.is_trial or is_suspect(task):
+            cell.log_decision(
+                'task_suspected',
+                job=job.spec.id,
+                task=task.name,
+                run=run.number,
+                worker=worker.id,
+                life=worker.entry.incarnation,
+                survived_ms=round(survived_s * 1000),
+                is_trial=loss.is_trial,
+                losses=len(task.losses_by_worker),
+            )
+
+
+def add_loss(
+    cell: _state.Cell,
+    task: _state.Task,
+    key: tuple[str, int],
+    loss: _state.Loss,
+) -> None:
+    """Add a loss to a task, in place of the least telling if it has many."""
+    losses = task.losses_by_worker
+    if len(losses) >= MAX_LOSSES:
+        oldest = min(losses, key=lambda k: (losses[k].is_trial, losses[k].at))
+        del losses[oldest]
+    losses[key] = loss
+    if not loss.is_certain:
+        lost = cell.lost_workers.setdefault(
+            key, _state.LostWorker(loss.address, loss.at)
+        )
+        lost.tasks.append(task)
+
+
+def confirm(cell: _state.Cell, key: tuple[str, int]) -> list[_state.Task]:
+    """Mark the losses of a crashed worker as certain.
+
+    Return the tasks that are to be given up.
+    """
+    lost = cell.lost_workers.pop(key, None)
+    guilty = []
+    for task in lost.tasks if lost else ():
+        loss = task.losses_by_worker.get(key)
+        job = task.step.job
+        if loss is None or job.state in _jobs.FINAL or task.is_done:
+            continue
+        loss.is_certain = True
+        cell.dirty_jobs[job.spec.id] = job
+        _jobs.unblock(cell, task.step)
+        losses = task.losses_by_worker.values()
+        if _is_guilty([other for other in losses if other.is_certain]):
+            guilty.append(task)
+    return guilty
+
+
+def confirm_replaced(
+    cell: _state.Cell, worker: _state.Worker
+) -> list[_state.Task]:
+    """Confirm the crash of the workers whose address a new one has.
+
+    Return the tasks that are to be given up.
+    """
+    replaced = [
+        key
+        for key, lost in cell.lost_workers.items()
+        if lost.address == worker.entry.address and key[0] != worker.id
+    ]
+    return [task for key in replaced for task in confirm(cell, key)]
+
+
+def revoke(cell: _state.Cell, key: tuple[str, int]) -> None:
+    """Revoke the losses on a worker that has not crashed."""
+    lost = cell.lost_workers.pop(key, None)
+    for task in lost.tasks if lost else ():
+        if task.losses_by_worker.pop(key, None) is not None:
+            _mark_changed(cell, task)
+
+
+def settle_unheard(cell: _state.Cell) -> list[_state.Task]:
+    """Settle the losses on workers that were not heard of for long.
+
+    Return the tasks that are to be given up.
+    """
+    guilty = []
+    for key, lost in list(cell.lost_workers.items()):
+        if cell.now - lost.at < UNHEARD_S:
+            continue
+        worker = cell.worker(*key)
+        if worker is not None and worker.is_listed:
+            revoke(cell, key)
+        else:
+            guilty += confirm(cell, key)
+    return guilty
+
+
+def handle_reported(cell: _state.Cell, task: _state.Task, run: int) -> None:
+    """Remove the loss of a run that a worker reports, so that it goes on.
+
+    A run may be carried out by a later incarnation than it was ordered from.
+    """
+    for key, loss in list(task.losses_by_worker.items()):
+        if loss.run == run:
+            del task.losses_by_worker[key]
+            _mark_changed(cell, task)
+
+
+def handle_progress(cell: _state.Cell, run: _state.Run) -> None:
+    """End a trial that has passed, and clear a task that runs for long."""
+    task = run.task
+    if run.trial_s and not is_on_trial(run):
+        end_trial(run)
+        _mark_changed(cell, task)
+    if task.losses_by_worker and _survived_s(run) >= CLEARED_S:
+        task.losses_by_worker.clear()
+        _mark_changed(cell, task)
+
+
+def _mark_changed(cell: _state.Cell, task: _state.Task) -> None:
+    job = task.step.job
+    cell.dirty_jobs[job.spec.id] = job
+    _jobs.unblock(cell, task.step)
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -4,6 +4,7 @@
 import math
 
 from celeryshift_cell import _advice
+from celeryshift_cell import _crashes
 from celeryshift_cell import _headroom
 from celeryshift_cell import _in_doubt
 from celeryshift_cell import _jobs
@@ -101,6 +102,8 @@
         _reservations.reserve_workers(cell, step, candidates)
         _advice.query(cell, step)
         reason = 'policy service' if step.pending_query else 'room'
+        if any(step.tasks[i].losses_by_worker for i in step.pending):
+            reason = 'workers lost under its tasks'
     if reason == step.wait_reason:
         return
     step.wait_reason = reason
@@ -125,9 +128,12 @@
             step.blocked_by_limit = True
             break
         task = step.tasks[index]
+        if not _crashes.may_start(task):
+            continue
         found = _best_worker(cell, step, task)
         if found is None:
-            if task.failed_on:
+            # Other tasks may find a worker where these do not.
+            if task.failed_on or task.losses_by_worker:
                 continue
             break
         worker, ticket = found
@@ -146,6 +152,8 @@
     priority = step.job.queue.priority
     required = _headroom.required_slots(cell, step)
     is_headroom_short = False
+    is_suspect = _crashes.is_suspect(task)
+    unclean: list[tuple[tuple[float, ...], _state.Worker]] = []
     for worker, ticket in _candidates(cell, step):
         if not worker.has_capacity(step.spec):
             continue
@@ -159,12 +167,31 @@
         if any(run.worker is worker for run in task.runs.values()):
             continue
         cost = _cost(cell, step, task, worker)
+        if is_suspect:
+            # The worker may crash, so the least work is put at risk.
+            busy_cpu = worker.entry.capacity.cpu_milli - worker.free_cpu
+            cost = (cost[0], busy_cpu, *cost[1:])
+            if not _crashes.is_clean(cell, worker, step.job):
+                unclean.append((cost, worker))
+                continue
         if best is None or cost < lowest_cost:
             best, lowest_cost = (worker, ticket), cost
+    if best is None and unclean:
+        _, chosen = min(unclean, key=lambda pair: pair[0])
+        _reserve(cell, step, chosen)
     step.blocked_by_headroom = is_headroom_short and best is None
     return best
 
 
+def _reserve(
+    cell: _state.Cell, step: _state.StepRun, worker: _state.Worker
+) -> None:
+    """Keep a worker from other starts, and poll it before a trial."""
+    if not worker.reserved_until > cell.now:
+        _workers.poll_reserved(cell, worker)
+    _crashes.reserve(cell, worker, step.job)
+
+
 def _candidates(
     cell: _state.Cell, step: _state.StepRun
 ) -> Iterator[tuple[_state.Worker, str]]:
@@ -199,8 +226,10 @@
 def _is_eligible(
     cell: _state.Cell, step: _state.StepRun, worker: _state.Worker
 ) -> bool:
-    return worker.is_usable(cell.now) and _advice.meets_constraints(
-        step, worker
+    return (
+        worker.is_usable(cell.now)
+        and not _crashes.is_reserved(cell, worker, step)
+        and _advice.meets_constraints(step, worker)
     )
 
 
@@ -246,8 +275,12 @@
     if not _limits.allows(cell, step, _gang_size(step.spec)):
         step.blocked_by_limit = True
         return 0
+    if not all(_crashes.may_start(task) for task in step.tasks):
+        return 0
     workers = list(_candidates(cell, step))
     plan = _plan_gang(step, workers)
+    if plan is not None and any(map(_crashes.is_suspect, step.tasks)):
+        plan = _plan_gang_trial(cell, step, workers, plan)
     if plan is None:
         return 0
     number = _runs.next_number(cell, step.tasks)
@@ -277,6 +310,28 @@
     return _pack(step, workers)
 
 
+def _plan_gang_trial(
+    cell: _state.Cell,
+    step: _state.StepRun,
+    workers: list[tuple[_state.Worker, str]],
+    plan: list[tuple[_state.Worker, str]],
+) -> list[tuple[_state.Worker, str]] | None:
+    """Plan a gang on workers where nothing else has just started.
+
+    If there are too few, those of the given plan are kept from other starts.
+    """
+    clean = [
+        (worker, ticket)
+        for worker, ticket in workers
+        if _crashes.is_clean(cell, worker, step.job)
+    ]
+    trial = _plan_gang(step, clean)
+    if trial is None:
+        for worker, _ in plan:
+            _reserve(cell, step, worker)
+    return trial
+
+
 def _pack(
     step: _state.StepRun, workers: list[tuple[_state.Worker, str]]
 ) -> list[tuple[_state.Worker, str]] | None:
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from celeryshift_cell import _crashes
 from celeryshift_cell import _jobs
 from celeryshift_cell import _runs
 from celeryshift_cell import _state
@@ -57,23 +58,59 @@
     has_checkpoints = not job.is_record_reduced
     done: dict[str, str] = {}
     tasks_by_key: dict[str, list[object]] = {}
+    losses_by_key: dict[str, list[list[object]]] = {}
     for (occurrence, number), step in job.steps.items():
         done_mask = sum(1 << task.index for task in step.tasks if task.is_done)
         if done_mask:
             done[f'{occurrence}.{number}'] = f'{done_mask:x}'
         for task in step.tasks:
-            if task.is_done or not (task.failed_runs or task.checkpoint):
+            if task.is_done:
                 continue
             key = f'{occurrence}.{number}.{task.index}'
+            losses = _encode_losses(task)
+            if losses:
+                losses_by_key[key] = losses
+            if not (task.failed_runs or task.checkpoint):
+                continue
             failed = sorted(task.failed_runs)
             checkpoint = task.checkpoint if has_checkpoints else ''
             tasks_by_key[key] = [task.last_run, failed, checkpoint]
-    return json.dumps(
-        {'done': done, 'tasks': tasks_by_key}, separators=(',', ':')
-    )
-
-
-def restore(job: _state.JobRun, record: str) -> None:
+    record: dict[str, object] = {'done': done, 'tasks': tasks_by_key}
+    if losses_by_key:
+        record['losses'] = losses_by_key
+    return json.dumps(record, separators=(',', ':'))
+
+
+def _encode_losses(task: _state.Task) -> list[list[object]]:
+    """Return the losses of a task, and its trials as losses in doubt."""
+    losses = dict(task.losses_by_worker)
+    for run in task.runs.values():
+        entry = run.worker.entry
+        key = entry.id, entry.incarnation
+        if _crashes.is_on_trial(run) and key not in losses:
+            losses[key] = _state.Loss(
+                run.number,
+                entry.address,
+                run.since,
+                0.0,
+                is_suspect=True,
+                is_trial=True,
+            )
+    return [
+        [
+            *key,
+            loss.run,
+            loss.address,
+            round(loss.survived_s, 3),
+            loss.is_suspect,
+            loss.is_trial,
+            loss.is_certain,
+        ]
+        for key, loss in losses.items()
+    ]
+
+
+def restore(cell: _state.Cell, job: _state.JobRun, record: str) -> None:
     """Restore the progress of a newly added job from its record."""
     decoded = json.loads(record)
     for key, hex_mask in decoded.get('done', {}).items():
@@ -95,6 +132,12 @@
         task.failed_runs.update(failed)
         task.checkpoint = checkpoint
         job.state = model.JobState.RUNNING
+    for key, losses in decoded.get('losses', {}).items():
+        occurrence, number, index = (int(part) for part in key.split('.'))
+        task = job.steps[occurrence, number].tasks[index]
+        for worker, incarnation, run, address, survived_s, *flags in losses:
+            loss = _state.Loss(run, address, cell.now, survived_s, *flags)
+            _crashes.add_loss(cell, task, (worker, incarnation), loss)
 
 
 def save_changes(cell: _state.Cell) -> None:
@@ -346,7 +389,7 @@
     record = event.records_by_job.get(spec.id)
     if record is not None:
         job.progress_parts = event.parts_by_job.get(spec.id, 1)
-    restore(job, EMPTY_RECORD if record is None else record)
+    restore(cell, job, EMPTY_RECORD if record is None else record)
     for step in job.steps.values():
         step.in_doubt = True
     if spec.id in event.cancelled:
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -1,5 +1,6 @@
 """Life cycle of runs: orders to workers, their responses, and results."""
 
+from celeryshift_cell import _crashes
 from celeryshift_cell import _dropped_runs
 from celeryshift_cell import _headroom
 from celeryshift_cell import _health
@@ -52,6 +53,8 @@
     task.last_run = max(task.last_run, number)
     run = _state.Run(task, number, worker, Phase.SENT, cell.now)
     _attach(cell, run)
+    if _crashes.is_suspect(task):
+        _crashes.begin_trial(cell, run)
     cell.placements[task.index] = worker.id
     data_centre = cell.data_centre(worker)
     if data_centre.unanswered_since is None:
@@ -99,6 +102,7 @@
     worker.runs.pop((task.name, run.number), None)
     _update_usage(cell, run, -1)
     step.runs_by_worker[worker.id] -= 1
+    _crashes.end_trial(run)
     team = step.job.spec.team
     _unblock_waiting(cell, worker, team)
 
@@ -169,6 +173,22 @@
                     stop(cell, run, reason)
 
 
+def give_up(cell: _state.Cell, tasks: list[_state.Task]) -> None:
+    """Fail the jobs of tasks that crash their workers."""
+    for task in tasks:
+        job = task.step.job
+        if job.state in _jobs.FINAL:
+            continue
+        cell.log_decision(
+            'task_given_up',
+            job=job.spec.id,
+            task=task.name,
+            workers=[worker for worker, _ in task.losses_by_worker],
+        )
+        _jobs.finish(cell, job, model.JobState.FAILED)
+        stop_job(cell, job, 'its task crashes workers')
+
+
 def handle_start_answered(
     cell: _state.Cell, event: events.StartAnswered
 ) -> _state.Worker | None:
@@ -389,6 +409,9 @@
     cell: _state.Cell, run: _state.Run, status: events.RunStatus
 ) -> None:
     run.is_listed = True
+    if run.task.losses_by_worker or run.trial_s:
+        _crashes.handle_reported(cell, run.task, run.number)
+        _crashes.handle_progress(cell, run)
     if run.phase in (Phase.SENT, Phase.IN_DOUBT):
         _confirm(cell, run)
     if status.checkpoint:
@@ -432,6 +455,7 @@
             cell, worker, task, completion.run, completion.result.value
         )
     task.last_run = max(task.last_run, completion.run)
+    _crashes.handle_reported(cell, task, completion.run)
     if completion.checkpoint:
         task.checkpoint = completion.checkpoint
     step = task.step
@@ -478,6 +502,7 @@
 
 def drop_all_runs(cell: _state.Cell, worker: _state.Worker) -> None:
     """Drop all runs of a worker whose lease has expired."""
+    _crashes.record_losses(cell, worker)
     for run in list(worker.runs.values()):
         _drop_run(cell, run, _dropped_runs.LEASE_EXPIRED)
 
@@ -512,9 +537,12 @@
         address=worker.entry.address,
         runs=len(worker.runs),
     )
+    _crashes.record_losses(cell, worker)
     for run in list(worker.runs.values()):
         # Start orders that arrive later are rejected as well.
         _drop_run(cell, run, _dropped_runs.ADDRESS_TAKEN_OVER)
+    key = worker.id, worker.entry.incarnation
+    give_up(cell, _crashes.confirm(cell, key))
     cell.unfenced.discard(worker.id)
     worker.poll_at = None
     worker.is_silent = True
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -64,6 +64,36 @@
     # Percentage of full speed that the run is throttled to, and since when.
     pace: int = 100
     pace_changed_at: float = 0.0
+    # How long nothing else starts beside the run, which is on trial; 0 if it
+    # is not.
+    trial_s: float = 0.0
+
+
+@attrs.define(slots=True, eq=False)
+class Loss:
+    """Run that was active when its worker was lost."""
+
+    # Number of the run, and address of the worker.
+    run: int
+    address: str
+    at: float
+    # How long the worker certainly lived with the run.
+    survived_s: float
+    # The run had only just begun.
+    is_suspect: bool = False
+    # The run was on trial.
+    is_trial: bool = False
+    # The worker has crashed, rather than being silent only.
+    is_certain: bool = False
+
+
+@attrs.define(slots=True, eq=False)
+class LostWorker:
+    """Worker that is silent, and the tasks that have a loss on it."""
+
+    address: str
+    at: float
+    tasks: list['Task'] = attrs.field(factory=list)
 
 
 @attrs.define(slots=True, eq=False)
@@ -87,6 +117,8 @@
     failed_on: set[str] = attrs.field(factory=set)
     # Workers that the task was moved away from.
     avoided_workers: set[str] = attrs.field(factory=set)
+    # Workers that were lost under the task, by their id and incarnation.
+    losses_by_worker: dict[tuple[str, int], Loss] = attrs.field(factory=dict)
     # Why and when runs were dropped without a result, by (worker id, number).
     dropped_runs: dict[tuple[str, int], tuple[str, float]] = attrs.field(
         factory=dict
@@ -228,6 +260,10 @@
     poll_at: float | None = 0.0
     # Runs that may be active on the worker, by (task name, run number).
     runs: dict[tuple[str, int], Run] = attrs.field(factory=dict)
+    # Only tasks of this job are started on the worker before a time.
+    reserved_for: str = ''
+    reserved_since: float = 0.0
+    reserved_until: float = 0.0
     # No task is started on the worker before this time.
     quarantined_until: float = 0.0
     # Ids of the jobs with failures on the worker since its last success.
@@ -440,6 +476,8 @@
     recheck_at: float = 0.0
     # Ids of workers whose stored record is out of date, in that order.
     dirty_workers: dict[str, None] = attrs.field(factory=dict)
+    # Workers that may have crashed, by their id and incarnation.
+    lost_workers: dict[tuple[str, int], LostWorker] = attrs.field(factory=dict)
     # Number of silent workers, counted on every tick.
     silent_workers: int = 0
     # Workers that a former owner may have used and that are not yet fenced.
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -4,8 +4,10 @@
 
 import attrs
 
+from celeryshift_cell import _crashes
 from celeryshift_cell import _fillers
 from celeryshift_cell import _health
+from celeryshift_cell import _jobs
 from celeryshift_cell import _leases
 from celeryshift_cell import _runs
 from celeryshift_cell import _stalls
@@ -45,10 +47,15 @@
     previous: _state.Worker | None,
 ) -> None:
     if previous is not None:
+        _crashes.record_losses(cell, previous)
         _runs.drop_listed_runs(cell, previous)
     worker = add_worker(cell, entry)
+    guilty = _crashes.confirm_replaced(cell, worker)
     if previous is not None:
         _runs.transfer_runs(cell, previous, worker)
+        key = previous.id, previous.entry.incarnation
+        guilty += _crashes.confirm(cell, key)
+    _runs.give_up(cell, guilty)
     cell.log_decision(
         'worker_joined',
         worker=entry.id,
@@ -123,6 +130,13 @@
         step.is_blocked = False
 
 
+def _unblock_reserving(cell: _state.Cell, worker: _state.Worker) -> None:
+    """Try to place the steps of the job that a worker is reserved for."""
+    job = cell.jobs.get(worker.reserved_for)
+    for step in job.steps.values() if job else ():
+        _jobs.unblock(cell, step)
+
+
 def _poll(cell: _state.Cell, worker: _state.Worker, wait_ms: int) -> None:
     worker.poll_at = None
     worker.polls_in_flight += 1
@@ -213,6 +227,7 @@
         worker.is_silent or worker.is_suspect or bool(worker.unknown_runs)
     )
     worker.is_silent = worker.is_suspect = False
+    _crashes.revoke(cell, (worker.id, worker.entry.incarnation))
     _leases.record_clock(cell, worker, event.clock_ms)
     was_fenced = worker.is_fenced
     if not was_fenced:
@@ -239,6 +254,8 @@
     _stalls.check_worker(cell, worker)
     if was_unusable or not was_fenced:
         unblock_all(cell)
+    elif worker.reserved_until > cell.now:
+        _unblock_reserving(cell, worker)
     _schedule_poll(cell, worker)
 
 
@@ -317,6 +334,7 @@
         )
     worker.is_silent = True
     worker.poll_at = cell.now + _silent_poll_pause_s(cell)
+    _crashes.record_losses(cell, worker)
     _health.copy_runs(cell, worker)
 
 
@@ -347,6 +365,12 @@
         _poll(cell, worker, 0)
 
 
+def poll_reserved(cell: _state.Cell, worker: _state.Worker) -> None:
+    """Poll a worker at once that a suspect is about to start on."""
+    if worker.polls_in_flight <= 1:
+        _poll(cell, worker, 0)
+
+
 def probe(cell: _state.Cell, worker: _state.Worker) -> None:
     """Poll a suspect worker at once and start no tasks on it meanwhile."""
     worker.is_suspect = True
@@ -364,6 +388,7 @@
         )
         cell.unfenced.clear()
         unblock_all(cell)
+    _runs.give_up(cell, _crashes.settle_unheard(cell))
     cell.silent_workers = 0
     for worker in list(cell.workers.values()):
         cell.silent_workers += worker.is_silent
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -106,8 +106,26 @@
     def send(self, event: events.Event) -> list[effects.Effect]:
         """Apply an event at the current time and return its effects."""
         event = attrs.evolve(event, now=self.now)
-        self.last_effects = cell.reduce(self.state, event)
-        return self.last_effects
+        emitted = cell.reduce(self.state, event)
+        for effect in list(emitted):
+            if isinstance(effect, effects.PollWorker) and not effect.wait_ms:
+                emitted += self._answer_reserved(effect)
+        self.last_effects = emitted
+        return emitted
+
+    def _answer_reserved(
+        self, poll: effects.PollWorker
+    ) -> list[effects.Effect]:
+        """Answer a poll as a healthy worker does that is kept for a trial."""
+        worker = self.state.workers.get(poll.worker_id)
+        if worker is None or worker.reserved_until <= self.now:
+            return []
+        running = tuple(
+            events.RunStatus(task, run, '', 0) for task, run in worker.runs
+        )
+        return self.answer_poll(
+            poll.worker_id, running, (), worker.entry.incarnation
+        )
 
     def effects_of(self, kind: type) -> list:
         """Return the last event's effects of one type."""
--- a/tests/test_cell_crashes.py
+++ b/tests/test_cell_crashes.py
@@ -3,53 +3,78 @@
 import pytest
 from tests import cells
 
+import celeryshift_cell as cell
+from celeryshift_cell import _records
 from celeryshift_cell import effects
 from celeryshift_cell import events
 from celeryshift_cell import model
 
+Outcome = events.Outcome
 # Starts of a task that may follow once three workers have crashed under it.
 MAX_STARTS = 5
 WORKERS = tuple(f'w{number}' for number in range(8))
 
 
+def _bench():
+    options = cell.Options(keep_ended_s=1000.0)
+    entries = tuple(cells.entry(name) for name in WORKERS)
+    bench = cells.Bench(entries, options=options)
+    bench.tick()
+    return bench
+
+
 def _crash(bench, name):
     """Let a worker crash; another incarnation answers seconds later."""
-    bench.send(events.PollFailed(0.0, name, 1, events.Outcome.UNKNOWN))
-    bench.send(events.PollFailed(0.0, name, 1, events.Outcome.NOT_SENT))
+    first = bench.send(events.PollFailed(0.0, name, 1, Outcome.UNKNOWN))
+    return [
+        *first,
+        *bench.send(events.PollFailed(0.0, name, 1, Outcome.NOT_SENT)),
+    ]
 
 
 def _come_back(bench, name):
-    outcome = events.Outcome.OTHER_INCARNATION
-    bench.send(events.PollFailed(0.0, name, 1, outcome))
-
-
-def _starts(bench):
-    return bench.effects_of(effects.StartRun)
-
-
-def _crash_all(bench, orders, victim, rounds=10):
-    """Crash each worker that starts a task, and return its starts."""
-    starts, pending, crashed = [], list(orders), []
-    for _ in range(rounds * 40):
-        for order in pending:
-            bench.answer_start(order)
-            pending = []
-            if order.task == victim:
-                starts.append(order)
-                crashed.append((bench.now + 3.3, order.worker_id))
-                _crash(bench, order.worker_id)
-                pending += _starts(bench)
-        bench.tick()
-        pending += _starts(bench)
-        for at, name in list(crashed):
-            if at <= bench.now:
-                crashed.remove((at, name))
-                _come_back(bench, name)
-                pending += _starts(bench)
-        while bench.state.save_in_flight:
-            bench.store_records()
-            pending += _starts(bench)
-    return starts
+    outcome = Outcome.OTHER_INCARNATION
+    return bench.send(events.PollFailed(0.0, name, 1, outcome))
+
+
+class Crashes:
+    """Workers that crash under one task, and are back some seconds later."""
+
+    def __init__(self, bench, victim, down_s=3.3):
+        self.starts = []
+        self._bench = bench
+        self._victim = victim
+        self._down_s = down_s
+        # When each crashed worker is back.
+        self._back_at = {}
+
+    def run(self, orders, seconds):
+        """Carry out the orders that follow for a while."""
+        bench = self._bench
+        until = bench.now + seconds
+        self._handle(orders)
+        while bench.now < until:
+            self._handle(bench.tick())
+            for name, at in list(self._back_at.items()):
+                if at <= bench.now:
+                    # The address is known to have another worker from now on.
+                    self._back_at[name] = float('inf')
+                    self._handle(_come_back(bench, name))
+
+    def _handle(self, emitted):
+        for effect in emitted:
+            match effect:
+                case effects.StartRun():
+                    self._start(effect)
+                case effects.SaveRecords():
+                    self._handle(self._bench.store_records())
+
+    def _start(self, order):
+        self._handle(self._bench.answer_start(order))
+        if order.task == self._victim:
+            self.starts.append(order)
+            self._back_at[order.worker_id] = self._bench.now + self._down_s
+            self._handle(_crash(self._bench, order.worker_id))
 
 
 @pytest.mark.parametrize(
@@ -58,10 +83,123 @@
     ids=['plain', 'copies', 'lasting', 'gang'],
 )
 def test_a_task_that_crashes_one_worker_after_the_other_is_given_up(fields):
-    bench = cells.Bench(tuple(cells.entry(name) for name in WORKERS))
-    bench.tick()
+    bench = _bench()
     job = cells.job('j', cells.step(2, **fields))
     orders = bench.accept(job)
-    starts = _crash_all(bench, orders, orders[0].task)
-    assert len(starts) <= MAX_STARTS
+    crashes = Crashes(bench, orders[0].task)
+    crashes.run(orders, 40.0)
+    assert len(crashes.starts) <= MAX_STARTS
     assert bench.state.jobs[job.id].state is model.JobState.FAILED
+
+
+def _lose(bench, order):
+    """Let the worker of a start crash, and another one answer for it."""
+    bench.answer_start(order)
+    _crash(bench, order.worker_id)
+    return [
+        effect
+        for effect in _come_back(bench, order.worker_id)
+        if isinstance(effect, effects.StartRun)
+    ]
+
+
+def test_sound_tasks_beside_one_that_crashes_their_worker_are_not_given_up():
+    bench = _bench()
+    orders = bench.accept(
+        cells.job('j', cells.step(2)), cells.job('sound', cells.step(4))
+    )
+    crashes = Crashes(bench, orders[0].task)
+    crashes.run(orders, 40.0)
+    assert bench.state.jobs['j'.ljust(16, '0')].state is (
+        model.JobState.FAILED
+    )
+    sound = bench.state.jobs['sound'.ljust(16, '0')]
+    assert sound.state is model.JobState.RUNNING
+    assert all(task.runs for task in sound.steps[0, 0].tasks)
+
+
+def test_nothing_starts_beside_a_task_on_trial():
+    bench = cells.Bench((cells.entry('a'), cells.entry('b')))
+    bench.tick()
+    (order,) = bench.accept(cells.job('j'))
+    (trial,) = _lose(bench, order)
+    other = cells.job('other')
+    assert not bench.accept(other)
+    bench.answer_start(trial)
+    starts = [
+        effect
+        for _ in range(8)
+        for effect in bench.tick()
+        if isinstance(effect, effects.StartRun)
+    ]
+    assert [start.task for start in starts] == [f'{other.id}.0.0.0']
+
+
+def test_a_worker_that_was_only_silent_leaves_no_suspicion():
+    bench = cells.Bench((cells.entry('a'), cells.entry('b')))
+    bench.tick()
+    (order,) = bench.accept(cells.job('j'))
+    bench.answer_start(order)
+    _crash(bench, order.worker_id)
+    task = bench.state.task(order.task)
+    assert task.losses_by_worker
+    running = (events.RunStatus(order.task, order.run, '', 50),)
+    bench.answer_poll(order.worker_id, running)
+    assert not task.losses_by_worker
+    assert not bench.state.lost_workers
+
+
+def test_silence_without_a_crash_gives_no_task_up():
+    # All workers stay in the list, so that none of them has crashed.
+    bench = _bench()
+    job = cells.job('j', cells.step(1, allows_copies=True))
+    orders = bench.accept(job)
+    crashes = Crashes(bench, orders[0].task, down_s=float('inf'))
+    crashes.run(orders, 120.0)
+    assert len(crashes.starts) > 1
+    assert bench.state.jobs[job.id].state is model.JobState.RUNNING
+
+
+def test_crashes_under_a_task_survive_a_change_of_owner():
+    bench = _bench()
+    job = cells.job('j')
+    (order,) = bench.accept(job)
+    bench.store_records()
+    (trial,) = _lose(bench, order)
+    bench.answer_start(trial)
+    record = _records.encode(bench.state.jobs[job.id])
+    successor = _bench()
+    successor.send(
+        events.Restored(
+            0.0,
+            0,
+            (events.StoredJob(job, 1),),
+            {job.id: record},
+            (),
+            (),
+            0.0,
+            2,
+        )
+    )
+    task = successor.state.task(order.task)
+    losses = task.losses_by_worker
+    assert losses.keys() == {(order.worker_id, 1), (trial.worker_id, 1)}
+    assert losses[order.worker_id, 1].is_certain
+    assert losses[trial.worker_id, 1].is_trial
+    # The worker of the trial answers the new owner, so it has not crashed.
+    successor.answer_poll(trial.worker_id)
+    assert losses.keys() == {(order.worker_id, 1)}
+
+
+def test_a_run_that_lasts_clears_its_task():
+    bench = cells.Bench((cells.entry('a'), cells.entry('b')))
+    bench.tick()
+    (order,) = bench.accept(cells.job('j', cells.step(is_lasting=True)))
+    (trial,) = _lose(bench, order)
+    bench.answer_start(trial)
+    task = bench.state.task(order.task)
+    for _ in range(12):
+        bench.tick(1.0)
+        running = (events.RunStatus(trial.task, trial.run, '', 100),)
+        bench.answer_poll(trial.worker_id, running)
+    assert not task.losses_by_worker
