--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -23,6 +23,8 @@
     clock_refresh_s: float = 30.0
     # Share of the workers that are polled for this reason at a time.
     clock_refresh_share: float = 0.01
+    # Interval at which workers publish their entries.
+    report_interval_s: float = 1.5
     # How long a poll waits for a completion. If its response is lost, all
     # completions of that period are reported late. If the owner dies, the
     # workers' leases may have been extended that long ago, and so expire that
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -264,6 +264,9 @@
     reserved_for: str = ''
     reserved_since: float = 0.0
     reserved_until: float = 0.0
+    # The entry may be out of date, since the worker was silent; no task is
+    # started before this time, unless the next entry is read before.
+    entry_awaited_until: float = 0.0
     # No task is started on the worker before this time.
     quarantined_until: float = 0.0
     # Ids of the jobs with failures on the worker since its last success.
@@ -296,6 +299,7 @@
             and not self.unknown_runs
             and not self.entry.is_draining
             and self.quarantined_until <= now
+            and self.entry_awaited_until <= now
         )
 
     def has_capacity(self, step: model.Step) -> bool:
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -18,6 +18,10 @@
 
 # Delay of the poll that tells an idle worker that its completions are stored.
 IDLE_POLL_DELAY_S = 1.0
+# Age of an entry, as a multiple of the interval of reports, at which one must
+# have been missed; and how long the next one is awaited.
+MAX_ENTRY_AGE = 1.5
+MAX_ENTRY_WAIT = 2.0
 
 
 def handle_workers_changed(
@@ -120,7 +124,9 @@
     worker.is_listed = True
     worker.listed_at = cell.now
     worker.entry = entry
-    if not previous.capacity.fits(capacity) or previous != entry:
+    was_awaited = worker.entry_awaited_until > cell.now
+    worker.entry_awaited_until = 0.0
+    if previous != entry or was_awaited:
         unblock_all(cell)
 
 
@@ -223,6 +229,7 @@
     cell.mark_data_centre_reachable(worker)
     if worker.is_silent:
         cell.log_decision('worker_answers', worker=worker.id)
+        _await_entry(cell, worker)
     was_unusable = (
         worker.is_silent or worker.is_suspect or bool(worker.unknown_runs)
     )
@@ -259,6 +266,17 @@
     _schedule_poll(cell, worker)
 
 
+def _await_entry(cell: _state.Cell, worker: _state.Worker) -> None:
+    """Await the next entry of a worker that was silent, if one was missed.
+
+    Its capacity may have shrunk meanwhile. The wait has a limit, since the
+    store may be away.
+    """
+    interval_s = cell.options.report_interval_s
+    if cell.now - worker.listed_at > MAX_ENTRY_AGE * interval_s:
+        worker.entry_awaited_until = cell.now + MAX_ENTRY_WAIT * interval_s
+
+
 def replace_incarnation(
     cell: _state.Cell,
     replaced: _state.Worker,
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -427,6 +427,7 @@
         options = cell.Options(
             lease_s=min(cell_settings.max_lease_s, cell.Options().lease_s),
             max_lease_s=cell_settings.max_lease_s,
+            report_interval_s=cell_settings.report_interval_s,
             in_doubt_overage=cell_settings.team_overage if is_settled else 0.0,
             record_part_bytes=min(
                 cell.Options().record_part_bytes,
--- a/packages/cellnode/celeryshift_cellnode/ports.py
+++ b/packages/cellnode/celeryshift_cellnode/ports.py
@@ -247,3 +247,5 @@
     # Fraction by which a team may exceed its limits. Used only after a change
     # of owner.
     team_overage: float = 0.0
+    # Interval at which workers publish their entries.
+    report_interval_s: float = 1.5
--- a/tests/test_cell_workers.py
+++ b/tests/test_cell_workers.py
@@ -466,3 +466,31 @@
     bench.send(events.WorkersChanged(0.0, (cells.entry('a', cores=2),)))
     job = cells.job('j', cells.step(1, 8))
     assert cell.rejection_reason(bench.state, job) is None
+
+
+def test_a_worker_that_missed_a_report_while_silent_is_used_after_the_next():
+    bench = cells.Bench((cells.entry('a', cores=4),))
+    bench.tick(5.0)
+    bench.send(events.PollFailed(0.0, 'a', 1, Outcome.NOT_SENT))
+    bench.answer_poll('a')
+    assert not bench.accept(cells.job('j', cells.step(1, 4)))
+    bench.send(events.WorkersChanged(0.0, (cells.entry('a', cores=2),)))
+    assert not bench.effects_of(effects.StartRun)
+    bench.send(events.WorkersChanged(0.0, (cells.entry('a', cores=4),)))
+    assert bench.effects_of(effects.StartRun)
+
+
+def test_a_worker_without_a_report_is_used_again_after_a_while():
+    # The store may be away, and nothing else would be used then.
+    bench = cells.Bench((cells.entry('a'),))
+    bench.tick(5.0)
+    bench.send(events.PollFailed(0.0, 'a', 1, Outcome.NOT_SENT))
+    bench.answer_poll('a')
+    assert not bench.accept(cells.job('j'))
+    starts = [
+        effect
+        for _ in range(35)
+        for effect in bench.tick()
+        if isinstance(effect, effects.StartRun)
+    ]
+    assert len(starts) == 1
