--- a/packages/cell/celeryshift_cell/_feasibility.py
+++ b/packages/cell/celeryshift_cell/_feasibility.py
@@ -9,7 +9,8 @@
     """Return why a job can't run under the current configuration, or None.
 
     If no workers of the upstream are known, the job is not rejected for lack
-    of a large enough worker; it waits for workers to join.
+    of a large enough worker; it waits for workers to join, or for those that
+    have shrunk to grow again.
     """
     team = cell.config.teams_by_name.get(job.team)
     queue = _jobs.queue_of(cell, job)
@@ -35,4 +36,4 @@
     size = step.size
     if step.is_filler:
         size = model.Size(0, size.memory_mb, size.accelerators)
-    return size.fits(worker.entry.capacity)
+    return size.fits(worker.largest_capacity)
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -229,6 +229,8 @@
     free_cpu: int
     free_memory: int
     free_accelerators: int
+    # Largest amount of each resource that this owner has known it to have.
+    largest_capacity: model.Size
     # Has accepted this owner's epoch and so rejects former owners' orders.
     is_fenced: bool = False
     # The worker is in the list of workers.
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -78,6 +78,7 @@
         capacity.cpu_milli,
         capacity.memory_mb,
         capacity.accelerators,
+        capacity,
         listed_at=cell.now,
     )
     cell.workers[entry.id] = worker
@@ -99,6 +100,7 @@
     worker.free_accelerators += (
         capacity.accelerators - previous.capacity.accelerators
     )
+    worker.largest_capacity = worker.largest_capacity.maximum(capacity)
     if capacity != previous.capacity:
         cell.log_decision(
             'worker_resized',
--- a/packages/cell/celeryshift_cell/model.py
+++ b/packages/cell/celeryshift_cell/model.py
@@ -55,6 +55,14 @@
             self.accelerators + other.accelerators,
         )
 
+    def maximum(self, other: 'Size') -> 'Size':
+        """Return the larger amount of each resource."""
+        return Size(
+            max(self.cpu_milli, other.cpu_milli),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
     def minus(self, other: 'Size') -> 'Size':
         """Return the difference of two amounts, which may be negative."""
         return Size(
