--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,9 +8,12 @@
 from celeryshift_core import _quarantine
 from celeryshift_core import _timers
 from celeryshift_core import events
+from celeryshift_standins import _tasktable
 
 MAX_EXAMINED_PER_TASK = 3
 SLOTS = 8
+# Workers that a task may crash before it is given up.
+MAX_CRASHES = 5
 
 
 def _world(workers=6):
@@ -209,3 +212,16 @@
     world.run(15.0)
     used = sum(run.used.get('memory_mb', 0) for run in worker.tasks.running())
     assert used <= worker.vm.capacity.memory_mb
+
+
+def test_a_task_that_crashes_worker_after_worker_is_given_up():
+    world = _world()
+    _submit(world, 'deadly', run_s=60.0)
+    crashes = 0
+    for _ in range(40):
+        world.run(1.0)
+        for name, worker in world.workers_by_name.items():
+            if worker.tasks.running():
+                crashes += 1
+                worker.tasks = _tasktable.TaskTable(f'{name}-{crashes}')
+    assert crashes <= MAX_CRASHES
