--- a/packages/cell/celeryshift_cell/_crashes.py
+++ b/packages/cell/celeryshift_cell/_crashes.py
@@ -3,7 +3,7 @@
 A crash ends all runs of a worker, and nobody reports which of them caused it.
 The suspects are the runs that had only just begun. A suspect starts again on
 trial: on a worker that has just answered, with the least work, and with no
-other start there until the run has lasted longer than those before it. A task
+other start there until the run has outlasted one that was lost before. A task
 that crashes more workers, on trial, is given up, and its job fails.
 
 A worker that does not answer may be alive. Its runs count as lost meanwhile,
@@ -16,16 +16,22 @@
 
 # A run that its worker has outlived for this time is no suspect.
 SETTLED_S = 0.25
-# A trial lasts for a multiple of the longest time that a worker survived.
+# A trial lasts for a multiple of the shortest time that a worker survived: one
+# that lived for longer may have crashed for another reason.
 TRIAL_FACTOR = 2.0
-MAX_TRIAL_S = 5.0
-# A task with so many losses is a suspect however long its runs lasted.
-UNEXPLAINED_LOSSES = 3
-# A task is given up at this evidence, which includes a trial. Two crashes on
-# trial are enough after any other, and one after two that it is suspected of.
-GUILTY = 4
-TRIAL_EVIDENCE = 2
-SUSPECT_EVIDENCE = 1
+MAX_TRIAL_S = 1.0
+# A task with so many losses in less than the longest trial is a suspect too.
+EARLY_LOSSES = 3
+# A task is given up at this evidence, which includes a trial. It counts most
+# if the worker was lost as soon as it had been heard of: otherwise it may have
+# crashed at any time of its silence. Two prompt crashes on trial are enough
+# after any other, and one after two that the task is suspected of.
+GUILTY = 8
+PROMPT_TRIAL = 4
+CONFIRMED_TRIAL = 3
+OTHER_TRIAL = 1
+PROMPT_SUSPICION = 2
+CONFIRMED_SUSPICION = 1
 # A trial starts on a worker that has answered within this time.
 HEARD_S = 0.1
 # A run that lasts for this time clears its task.
@@ -41,9 +47,8 @@
 def is_suspect(task: _state.Task) -> bool:
     """Return whether a task may start only on trial."""
     losses = task.losses_by_worker.values()
-    return len(losses) >= UNEXPLAINED_LOSSES or any(
-        loss.is_suspect for loss in losses
-    )
+    early = sum(loss.survived_s < MAX_TRIAL_S for loss in losses)
+    return early >= EARLY_LOSSES or any(loss.is_suspect for loss in losses)
 
 
 def may_start(task: _state.Task) -> bool:
@@ -68,16 +73,33 @@
     return max(0.0, run.worker.clock_read_at - run.confirmed_at)
 
 
+def _was_heard_of(cell: _state.Cell, run: _state.Run) -> bool:
+    """Return whether a run's worker was heard of, or ordered, just now."""
+    last = max(run.worker.clock_read_at, run.ordered_at)
+    return cell.now - last < SETTLED_S
+
+
 def _is_guilty(losses: list[_state.Loss]) -> bool:
     """Return whether losses, if certain, show that their task causes them."""
-    trials = sum(loss.is_trial for loss in losses)
-    suspicions = sum(loss.is_suspect for loss in losses) - trials
-    evidence = TRIAL_EVIDENCE * trials + SUSPECT_EVIDENCE * suspicions
-    return trials > 0 and evidence >= GUILTY
+    has_trial = any(loss.is_trial for loss in losses)
+    return has_trial and sum(map(_evidence, losses)) >= GUILTY
+
+
+def _evidence(loss: _state.Loss) -> int:
+    """Return how much a loss tells against its task."""
+    if loss.is_trial:
+        if loss.is_prompt:
+            return PROMPT_TRIAL
+        return CONFIRMED_TRIAL if loss.is_confirmed else OTHER_TRIAL
+    if not loss.is_suspect:
+        return 0
+    if loss.is_prompt:
+        return PROMPT_SUSPICION
+    return CONFIRMED_SUSPICION if loss.is_confirmed else 0
 
 
 def _trial_s(task: _state.Task) -> float:
-    survived_s = max(
+    survived_s = min(
         (loss.survived_s for loss in task.losses_by_worker.values()),
         default=0.0,
     )
@@ -167,6 +189,8 @@
             worker.entry.address,
             cell.now,
             survived_s,
+            is_confirmed=bool(run.confirmed_at),
+            is_prompt=_was_heard_of(cell, run),
             is_suspect=survived_s < max(SETTLED_S, run.trial_s),
             is_trial=survived_s < run.trial_s,
         )
@@ -182,6 +206,7 @@
                 life=worker.entry.incarnation,
                 survived_ms=round(survived_s * 1000),
                 is_trial=loss.is_trial,
+                is_prompt=loss.is_prompt,
                 losses=len(task.losses_by_worker),
             )
 
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -93,6 +93,7 @@
                 entry.address,
                 run.since,
                 0.0,
+                is_confirmed=bool(run.confirmed_at),
                 is_suspect=True,
                 is_trial=True,
             )
@@ -102,6 +103,8 @@
             loss.run,
             loss.address,
             round(loss.survived_s, 3),
+            loss.is_confirmed,
+            loss.is_prompt,
             loss.is_suspect,
             loss.is_trial,
             loss.is_certain,
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -51,7 +51,9 @@
     step = task.step
     job = step.job
     task.last_run = max(task.last_run, number)
-    run = _state.Run(task, number, worker, Phase.SENT, cell.now)
+    run = _state.Run(
+        task, number, worker, Phase.SENT, cell.now, ordered_at=cell.now
+    )
     _attach(cell, run)
     if _crashes.is_suspect(task):
         _crashes.begin_trial(cell, run)
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -46,6 +46,8 @@
     # When the last order was sent or its outcome became unknown. If this owner
     # has sent no order for the run, when it registered the run.
     since: float
+    # When this owner ordered the run; 0 if it has not.
+    ordered_at: float = 0.0
     # When the worker confirmed the run; 0 if it has not.
     confirmed_at: float = 0.0
     # The current incarnation of the worker has listed the run. The answer to
@@ -79,6 +81,10 @@
     at: float
     # How long the worker certainly lived with the run.
     survived_s: float
+    # The worker had confirmed the start of the run.
+    is_confirmed: bool = False
+    # The worker had been heard of, or ordered, shortly before.
+    is_prompt: bool = False
     # The run had only just begun.
     is_suspect: bool = False
     # The run was on trial.
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -94,6 +94,8 @@
         self.now = 0.0
         # Rates of the workers' clocks, by worker id.
         self.clock_rates: dict[str, float] = {}
+        # Workers that answer nothing.
+        self.unreachable: set[str] = set()
         self.version = 0
         self.last_effects: list[effects.Effect] = []
         self.send(events.ConfigChanged(0.0, configuration or config()))
@@ -118,6 +120,8 @@
     ) -> list[effects.Effect]:
         """Answer a poll as a healthy worker does that is kept for a trial."""
         worker = self.state.workers.get(poll.worker_id)
+        if poll.worker_id in self.unreachable:
+            return []
         if worker is None or worker.reserved_until <= self.now:
             return []
         running = tuple(
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -34,6 +34,8 @@
 # Time from the start of a task to the crash that it causes.
 CRASH_DELAY_S = 0.01
 CRASHED_RANGE_S = (0.2, 5.0)
+# Share of the crashes that end the process only.
+REFUSING_SHARE = 0.7
 # The entry of a worker that left expires after this.
 ENTRY_EXPIRY_S = 4.5
 # Workers that crash under a task, and starts of it after that many crashes
@@ -60,6 +62,10 @@
         self.entry = entry
         self.clock_rate = 1 - sim.random.random() * DRIFT
         self.is_reachable = True
+        # The machine is up without the process, so that connections break.
+        self.is_refusing = False
+        # Callbacks that fail the polls in progress.
+        self.breaking: list[Any] = []
         # Capacities and when each was replaced by the next one.
         self.former_cpu: list[tuple[float, int]] = []
         # The worker's entry is missing before this time. Once the worker is
@@ -91,9 +97,16 @@
         return is_alive and now >= self.entry_from
 
     def crash(self, down_s: float, is_renamed: bool) -> None:
-        """End all runs; a new incarnation follows, perhaps by another id."""
+        """End all runs; a new incarnation follows, perhaps by another id.
+
+        Some crashes take the machine along, so that nothing answers.
+        """
         self.reset(self.entry.incarnation + 1)
         self.is_reachable = False
+        self.is_refusing = self.sim.random.random() < REFUSING_SHARE
+        breaking, self.breaking = self.breaking, []
+        for fail in breaking if self.is_refusing else ():
+            fail()
         if is_renamed:
             self.entry_from = NEVER
             self.sim.schedule(down_s, self._hand_over_address)
@@ -101,7 +114,7 @@
             self.sim.schedule(down_s, self._come_back)
 
     def _come_back(self) -> None:
-        self.is_reachable = True
+        self.is_reachable, self.is_refusing = True, False
         self.publish()
 
     def _hand_over_address(self) -> None:
@@ -109,7 +122,7 @@
         successor = self.sim.add_worker(self.entry)
         # Orders to the former id are refused.
         self.entry = attrs.evolve(self.entry, address='')
-        self.is_reachable = True
+        self.is_reachable, self.is_refusing = True, False
         successor.publish()
         self.sim.schedule(
             ENTRY_EXPIRY_S,
@@ -342,6 +355,8 @@
                 and not self.sim.late_orders_outlive_restarts
                 and order.incarnation != worker.entry.incarnation
             )
+            if worker.is_refusing:
+                answer(Outcome.NOT_SENT)
             if is_lost or not worker.is_reachable:
                 return
             outcome = carry_out(worker, order, epoch)
@@ -393,8 +408,11 @@
                 )
 
         def arrive() -> None:
+            if worker.is_refusing:
+                fail(Outcome.NOT_SENT)
             if not worker.is_reachable:
                 return
+            worker.breaking.append(lambda: fail(Outcome.UNKNOWN))
             outcome = worker.poll(order, epoch)
             if outcome is not Outcome.DONE:
                 self.sim.schedule(
--- a/tests/test_cell_crashes.py
+++ b/tests/test_cell_crashes.py
@@ -25,6 +25,7 @@
 
 def _crash(bench, name):
     """Let a worker crash; another incarnation answers seconds later."""
+    bench.unreachable.add(name)
     first = bench.send(events.PollFailed(0.0, name, 1, Outcome.UNKNOWN))
     return [
         *first,
@@ -141,6 +142,7 @@
     (order,) = bench.accept(cells.job('j'))
     bench.answer_start(order)
     _crash(bench, order.worker_id)
+    bench.unreachable.clear()
     task = bench.state.task(order.task)
     assert task.losses_by_worker
     running = (events.RunStatus(order.task, order.run, '', 50),)
@@ -203,3 +205,45 @@
         running = (events.RunStatus(trial.task, trial.run, '', 100),)
         bench.answer_poll(trial.worker_id, running)
     assert not task.losses_by_worker
+
+
+def _replace(bench, name):
+    """Let a worker come back, and return the start order that follows."""
+    emitted = _come_back(bench, name)
+    for _ in range(10):
+        for effect in emitted:
+            if isinstance(effect, effects.StartRun):
+                return effect
+        emitted = bench.tick()
+    raise AssertionError('the task does not start again')
+
+
+def test_late_crashes_of_workers_that_lose_answers_give_no_task_up():
+    # Such workers are silent first, and crash for another reason later.
+    bench = _bench()
+    job = cells.job('j')
+    (order,) = bench.accept(job)
+    for _ in range(4):
+        bench.now += 0.31
+        bench.unreachable.add(order.worker_id)
+        bench.answer_start(order, Outcome.UNKNOWN)
+        bench.now += 0.31
+        _crash(bench, order.worker_id)
+        bench.now += 2.0
+        order = _replace(bench, order.worker_id)
+    assert bench.state.jobs[job.id].state is model.JobState.RUNNING
+
+
+def test_crashes_long_after_the_start_of_a_task_give_no_task_up():
+    bench = _bench()
+    job = cells.job('j', cells.step(is_lasting=True))
+    (order,) = bench.accept(job)
+    for _ in range(6):
+        bench.answer_start(order)
+        running = (events.RunStatus(order.task, order.run, '', 100),)
+        for _ in range(3):
+            bench.now += 1.0
+            bench.answer_poll(order.worker_id, running)
+        _crash(bench, order.worker_id)
+        order = _replace(bench, order.worker_id)
+    assert bench.state.jobs[job.id].state is model.JobState.RUNNING
