--- a/tests/siteworker.py
+++ b/tests/siteworker.py
@@ -1,6 +1,7 @@
 """Worker of the simulated platform, whose tasks only wait."""
 
 import asyncio
+from collections.abc import Callable
 import json
 import random
 import time
@@ -19,6 +20,8 @@
 MIN_LATE_S = 1.0
 MAX_LATE_S = 8.0
 MAX_LISTED_ENDS = 500
+# Time from the start of a task to the crash that it causes.
+CRASH_DELAY_S = 0.01
 # Clock rate of a worker whose clock is as slow as the protocol allows.
 SLOWEST_CLOCK = 0.98
 
@@ -46,6 +49,7 @@
     # end was acknowledged.
     lease_end_at: float = 0.0
     acknowledged_at: float | None = None
+    has_crashed_worker: bool = False
 
 
 @attrs.define(eq=False)
@@ -73,6 +77,8 @@
         # All runs of all incarnations, in the order of their starts.
         self.records: list[RunRecord] = []
         self.polls = 0
+        # Called when a task crashes the worker.
+        self.on_crash: Callable[[FakeWorker], None] | None = None
         # Whether the store does not accept the worker's reports.
         self.is_unreported = False
         self.is_silent = False
@@ -214,20 +220,30 @@
         if body['deadline_ms'] < self.clock_ms:
             return self._refuse('late')
         self._extend_lease(body['deadline_ms'])
+        spec = json.loads(body['spec'])
         record = RunRecord(
             task,
             run,
             self.name,
             self.born,
             self.fence,
-            json.loads(body['spec'])['took_s'],
+            spec['took_s'],
             is_late,
             time.monotonic(),
         )
         self.running[task, run] = record
         self.records.append(record)
+        if spec.get('crashes'):
+            asyncio.get_running_loop().call_later(
+                CRASH_DELAY_S, self._crash_by, record
+            )
         return self._respond()
 
+    def _crash_by(self, record: RunRecord) -> None:
+        if self.on_crash and (record.task, record.number) in self.running:
+            record.has_crashed_worker = True
+            self.on_crash(self)
+
     def _stop(self, body: dict[str, Any]) -> web.Response:
         task, run = body['task'], body['run']
         self.stopped[task] = max(self.stopped.get(task, 0), run)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -45,6 +45,13 @@
 IN_DOUBT = 504
 # Tasks of a burst run longer than a lease; so does this share of the others.
 LONG_SHARE = 0.3
+# Share of the jobs whose tasks crash the workers that start them, starts of a
+# task that may follow once three workers have crashed under it, and how long a
+# crashed worker is down.
+CRASHING_SHARE = 0.03
+CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 2
+CRASHED_RANGE_S = (0.2, 3.0)
 MIN_LONG_S = 4.0
 MAX_LONG_S = 6.0
 BURST_JOBS = 8
@@ -125,6 +132,7 @@
     # Time without any jobs, followed by a burst of long ones.
     idle_s: float = 0.0
     faults_s: float = 12.0
+    crashing_share: float = CRASHING_SHARE
     kinds: tuple[str, ...] = FAULT_KINDS
 
 
@@ -141,10 +149,12 @@
         for worker in self.platform.workers:
             worker.cores = WORKER_CORES
             worker.clock_rate = self.rng.choice(CLOCK_RATES)
+            worker.on_crash = self._crash
         self.programs: list[processes.Program] = []
         self.store_proxies: list[proxies.Proxy] = []
         self.worker_proxies: list[proxies.Proxy] = []
         self.statuses: dict[str, list[int]] = collections.defaultdict(list)
+        self.crashing_jobs: set[str] = set()
         self.faults: list[str] = []
         self._restarting: set[str] = set()
         self._version = 1
@@ -230,7 +240,10 @@
 
     async def _submit(self, number: int, took_s: float) -> None:
         job = processes.job_id(number)
-        body = processes.job_body(self.rng.randint(1, 4), took_s)
+        crashes = self.rng.random() < self._profile.crashing_share
+        if crashes:
+            self.crashing_jobs.add(job)
+        body = processes.job_body(self.rng.randint(1, 4), took_s, crashes)
         for _ in range(MAX_ATTEMPTS):
             program = self.rng.choice(self.programs)
             try:
@@ -316,6 +329,21 @@
                 0.0, self._cut_after_start(duration_s, kind == 'cut zone')
             )
 
+    def _crash(self, worker: siteworker.FakeWorker) -> None:
+        """Let a worker be away for a while, with all that it runs."""
+        proxy = self._proxy(worker)
+        proxy.reset()
+        proxy.cut(True, True)
+        worker.restart()
+        worker.is_unreported = True
+
+        async def come_back() -> None:
+            worker.is_unreported = False
+            proxy.clear()
+            self.platform.write_workers()
+
+        self._schedule(self.rng.uniform(*CRASHED_RANGE_S), come_back())
+
     def _inject_owner_fault(self, kind: str, duration_s: float) -> None:
         owners = [p for p in self.programs if p.owns]
         if len(owners) != 1:
@@ -460,11 +488,13 @@
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
         assert status != 410, f'{job} was accepted but is unknown'
-        return status == 200 and answer['state'] == 'completed'
+        expected = 'failed' if job in self.crashing_jobs else 'completed'
+        return status == 200 and answer['state'] == expected
 
     def _check_runs(self) -> None:
         repetitions = runchecks.find_repetitions(self.platform.workers)
         assert not repetitions, runchecks.report(repetitions, self.lines)
+        self._check_crashes()
         done = [t for w in self.platform.workers for t in w.done]
         for job, statuses in self.statuses.items():
             if ACCEPTED in statuses or IN_DOUBT in statuses:
@@ -472,6 +502,23 @@
             ran = [task for task in done if task.startswith(job)]
             assert not ran, f'{job} was refused but ran'
 
+    def _check_crashes(self) -> None:
+        """Check that no task crashed one worker after the other."""
+        runs = [r for w in self.platform.workers for r in w.records]
+        runs.sort(key=lambda run: run.started_at)
+        crashes: collections.Counter[str] = collections.Counter()
+        starts: collections.Counter[str] = collections.Counter()
+        for run in runs:
+            if crashes[run.task] >= CRASHES:
+                starts[run.task] += 1
+            crashes[run.task] += run.has_crashed_worker
+        repeated = {
+            task: count
+            for task, count in starts.items()
+            if count > MAX_STARTS_AFTER_CRASHES
+        }
+        assert not repeated, f'starts after {CRASHES} crashes: {repeated}'
+
 
 def run_seed(seed: int, profile: Profile | None = None) -> Soak:
     """Run one seed; return the run, with its faults and log lines.
@@ -508,6 +555,9 @@
     parser.add_argument('--workers', type=int, default=default.workers)
     parser.add_argument('--idle_s', type=float, default=default.idle_s)
     parser.add_argument('--faults_s', type=float, default=default.faults_s)
+    parser.add_argument(
+        '--crashing_share', type=float, default=default.crashing_share
+    )
     parser.add_argument(
         '--kinds',
         type=lambda text: tuple(text.split(',')),
--- a/tests/test_cell_processes.py
+++ b/tests/test_cell_processes.py
@@ -135,10 +135,15 @@
         return answer.status, json.loads(await answer.read())
 
 
-def job_body(tasks: int, took_s: float) -> dict[str, Any]:
-    """Return a job of two steps, the second with one task."""
+def job_body(
+    tasks: int, took_s: float, crashes: bool = False
+) -> dict[str, Any]:
+    """Return a job of two steps, the second with one task.
+
+    The tasks may crash each worker that starts them.
+    """
     return {
-        'spec': json.dumps({'took_s': took_s}),
+        'spec': json.dumps({'took_s': took_s, 'crashes': crashes}),
         'steps': [
             {'count': tasks, 'cpu': 500, 'mem_mb': 64},
             {'count': 1, 'cpu': 500, 'mem_mb': 64, 'after': [0]},
