--- a/packages/cell/celeryshift_cell/_crashes.py
+++ b/packages/cell/celeryshift_cell/_crashes.py
@@ -254,14 +254,16 @@
 def confirm_replaced(
     cell: _state.Cell, worker: _state.Worker
 ) -> list[_state.Task]:
-    """Confirm the crash of the workers whose address a new one has.
+    """Confirm the crashes of the incarnations before a worker.
 
-    Return the tasks that are to be given up.
+    These had its id or its address. Return the tasks that are to be given up.
     """
+    entry = worker.entry
     replaced = [
         key
         for key, lost in cell.lost_workers.items()
-        if lost.address == worker.entry.address and key[0] != worker.id
+        if key[1] < entry.incarnation
+        and (key[0] == entry.id or lost.address == entry.address)
     ]
     return [task for key in replaced for task in confirm(cell, key)]
 
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -377,6 +377,9 @@
             cell.log_decision(
                 'job_not_restored', job=stored.job.id, error=repr(error)
             )
+    for worker in cell.workers.values():
+        # The trials of the former owner are settled as far as workers tell.
+        _runs.give_up(cell, _crashes.confirm_replaced(cell, worker))
     cell.log_decision(
         'cell_restored',
         epoch=cell.epoch,
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -57,8 +57,6 @@
     guilty = _crashes.confirm_replaced(cell, worker)
     if previous is not None:
         _runs.transfer_runs(cell, previous, worker)
-        key = previous.id, previous.entry.incarnation
-        guilty += _crashes.confirm(cell, key)
     _runs.give_up(cell, guilty)
     cell.log_decision(
         'worker_joined',
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -494,7 +494,7 @@
 
     def add_worker(self, former: model.WorkerEntry) -> Worker:
         """Add a worker at the address of a former one, by another id."""
-        entry = attrs.evolve(former, id=f'w{len(self.workers)}', incarnation=1)
+        entry = attrs.evolve(former, id=f'w{len(self.workers)}')
         worker = self.workers[entry.id] = Worker(self, entry)
         return worker
 
--- a/tests/test_cell_crashes.py
+++ b/tests/test_cell_crashes.py
@@ -247,3 +247,28 @@
         _crash(bench, order.worker_id)
         order = _replace(bench, order.worker_id)
     assert bench.state.jobs[job.id].state is model.JobState.RUNNING
+
+
+def test_a_trial_on_a_worker_replaced_before_a_takeover_is_settled_at_once():
+    bench = _bench()
+    job = cells.job('j')
+    (order,) = bench.accept(job)
+    bench.store_records()
+    (trial,) = _lose(bench, order)
+    bench.answer_start(trial)
+    record = _records.encode(bench.state.jobs[job.id])
+    successor = cells.Bench((cells.entry(trial.worker_id, incarnation=2),))
+    successor.send(
+        events.Restored(
+            0.0,
+            0,
+            (events.StoredJob(job, 1),),
+            {job.id: record},
+            (),
+            (),
+            0.0,
+            2,
+        )
+    )
+    losses = successor.state.task(order.task).losses_by_worker
+    assert losses[trial.worker_id, 1].is_certain
