--- a/packages/cell/celeryshift_cell/_crashes.py
+++ b/packages/cell/celeryshift_cell/_crashes.py
@@ -11,6 +11,7 @@
 incarnation answers again, and only certain crashes count against a job.
 """
 
+from celeryshift_cell import _in_doubt
 from celeryshift_cell import _jobs
 from celeryshift_cell import _state
 
@@ -40,6 +41,9 @@
 # crashed; any other is alive, though it does not answer.
 UNHEARD_S = 30.0
 MAX_LOSSES = 8
+# Id, in the place of a worker's, of a loss that may have been under a former
+# owner.
+UNKNOWN_WORKER = ''
 # How long a worker is kept from other starts until a suspect may start there.
 RESERVED_S = SETTLED_S + 0.35
 
@@ -52,7 +56,15 @@
 
 
 def may_start(task: _state.Task) -> bool:
-    """Return whether a task may start before its trials are settled."""
+    """Return whether a task may start before its trials are settled.
+
+    The losses of a suspect must be stored first, so that an owner that dies
+    takes at most one crash along.
+    """
+    job = task.step.job
+    is_stored = job.stored_loss_version >= job.required_loss_version
+    if is_suspect(task) and not is_stored:
+        return False
     if any(is_on_trial(run) for run in task.runs.values()):
         return False
     return not _is_guilty(list(task.losses_by_worker.values()))
@@ -110,11 +122,17 @@
     """Keep the worker of a suspect from other starts, and store the trial."""
     job = run.task.step.job
     run.trial_s = _trial_s(run.task)
-    reserve(cell, run.worker, job, run.trial_s)
-    # The next owner must learn of the trial even if the worker crashes.
+    reserve(cell, run.worker, job)
+    job.loss_version += 1
+    run.trial_version = job.loss_version
     cell.dirty_jobs[job.spec.id] = job
 
 
+def is_trial_stored(run: _state.Run) -> bool:
+    """Return whether the next owner would learn of a trial."""
+    return run.task.step.job.stored_loss_version >= run.trial_version
+
+
 def reserve(
     cell: _state.Cell,
     worker: _state.Worker,
@@ -179,6 +197,8 @@
         job = task.step.job
         if task.is_done or job.state in _jobs.FINAL:
             continue
+        if not (run.ordered_at or run.confirmed_at):
+            continue
         known = task.losses_by_worker
         if any(loss.run == run.number for loss in known.values()):
             # The loss on a former incarnation, which the run outlived.
@@ -195,7 +215,7 @@
             is_trial=survived_s < run.trial_s,
         )
         add_loss(cell, task, key, loss)
-        cell.dirty_jobs[job.spec.id] = job
+        require_stored(cell, job)
         if loss.is_trial or is_suspect(task):
             cell.log_decision(
                 'task_suspected',
@@ -211,6 +231,53 @@
             )
 
 
+def suspect_in_doubt(cell: _state.Cell) -> None:
+    """Suspect what a former owner may have started on a crashed worker.
+
+    It may have died before it stored what ran there.
+    """
+    for job in cell.jobs.values():
+        if job.state in _jobs.FINAL:
+            continue
+        for step in job.steps.values():
+            if _in_doubt.may_have_started(step):
+                suspect_step(cell, step)
+
+
+def suspect_step(cell: _state.Cell, step: _state.StepRun) -> None:
+    """Let the tasks of a step in doubt start only on trial.
+
+    It is not known that they have started, so this tells nothing against them.
+    """
+    key = UNKNOWN_WORKER, cell.epoch
+    tasks = [
+        task
+        for task in step.tasks
+        if not (task.is_done or task.runs or key in task.losses_by_worker)
+    ]
+    if not tasks:
+        return
+    for task in tasks:
+        loss = _state.Loss(
+            0, '', cell.now, 0.0, is_suspect=True, is_certain=True
+        )
+        add_loss(cell, task, key, loss)
+    require_stored(cell, step.job)
+    cell.log_decision(
+        'step_suspected',
+        job=step.job.spec.id,
+        step=step.name,
+        tasks=len(tasks),
+    )
+
+
+def require_stored(cell: _state.Cell, job: _state.JobRun) -> None:
+    """Require that the losses of a job are stored before its next trial."""
+    job.loss_version += 1
+    job.required_loss_version = job.loss_version
+    cell.dirty_jobs[job.spec.id] = job
+
+
 def add_loss(
     cell: _state.Cell,
     task: _state.Task,
--- a/packages/cell/celeryshift_cell/_in_doubt.py
+++ b/packages/cell/celeryshift_cell/_in_doubt.py
@@ -37,11 +37,7 @@
         if job.state in _jobs.FINAL:
             continue
         for step in job.steps.values():
-            if (
-                step.in_doubt
-                and step.remaining_tasks
-                and _may_have_started(step)
-            ):
+            if may_have_started(step):
                 usage = found.setdefault(job.spec.team, _state.Usage())
                 usage.add(step.spec.size, _count_possible_runs(step))
     total = _unfenced_capacity(cell)
@@ -73,12 +69,14 @@
     )
 
 
-def _may_have_started(step: _state.StepRun) -> bool:
-    """Return whether all steps before a step may already have completed.
+def may_have_started(step: _state.StepRun) -> bool:
+    """Return whether a former owner may have started tasks of a step.
 
-    A former owner may have received completions that this one has not, except
-    for a task of which this owner still knows the only run.
+    It may have received completions of earlier steps that this one has not,
+    except for a task of which this owner still knows the only run.
     """
+    if not (step.in_doubt and step.remaining_tasks):
+        return False
     steps = step.job.steps
     return not any(
         task.runs and not task.step.spec.allows_copies
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -37,6 +37,9 @@
     for step in steps:
         if starts >= MAX_STARTS:
             return
+        if step.in_doubt and cell.unfenced:
+            # A copy of what a silent worker may run, or have crashed under.
+            _crashes.suspect_step(cell, step)
         starts += _place_step(cell, step)
 
 
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -93,7 +93,9 @@
                 entry.address,
                 run.since,
                 0.0,
-                is_confirmed=bool(run.confirmed_at),
+                # Stored before the start, whose answer may be lost with the
+                # owner.
+                is_confirmed=True,
                 is_suspect=True,
                 is_trial=True,
             )
@@ -229,6 +231,7 @@
             break
         del cell.dirty_jobs[job_id]
         progress[job_id] = record
+        job.saving_loss_version = job.loss_version
         job.progress_parts = max(job.progress_parts, parts)
     return progress
 
@@ -238,6 +241,10 @@
     cell.save_in_flight = False
     cell.max_saved = min(2 * cell.max_saved, effects.MAX_SAVE_ENTRIES)
     cell.rejected_jobs.difference_update(cell.saving_jobs)
+    for job_id in cell.saving_jobs:
+        job = cell.jobs.get(job_id)
+        if job is not None and job.loss_version:
+            _mark_losses_stored(cell, job)
     for job_id in cell.saving_ended:
         job = cell.jobs.get(job_id)
         if job is None:
@@ -249,6 +256,13 @@
     _workers.handle_completions_saved(cell)
 
 
+def _mark_losses_stored(cell: _state.Cell, job: _state.JobRun) -> None:
+    """Let the tasks of a job start that wait until its losses are stored."""
+    job.stored_loss_version = job.saving_loss_version
+    for step in job.steps.values():
+        _jobs.unblock(cell, step)
+
+
 def _mark_recorded(
     cell: _state.Cell, records_by_id: dict[str, tuple[int, str]]
 ) -> None:
@@ -302,6 +316,8 @@
             cell.log_decision('record_reduced', job=job_id)
             continue
         cell.rejected_jobs.add(job_id)
+        # Its tasks would wait for ever.
+        _mark_losses_stored(cell, job)
         cell.log_decision('record_rejected', job=job_id, state=job.state.value)
 
 
@@ -380,6 +396,11 @@
     for worker in cell.workers.values():
         # The trials of the former owner are settled as far as workers tell.
         _runs.give_up(cell, _crashes.confirm_replaced(cell, worker))
+    if any(
+        cell.workers[worker_id].entry.incarnation > incarnation
+        for worker_id, incarnation, _ in event.workers
+    ):
+        _crashes.suspect_in_doubt(cell)
     cell.log_decision(
         'cell_restored',
         epoch=cell.epoch,
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -37,6 +37,7 @@
     cell.now = max(cell.now, event.now)
     HANDLERS[type(event)](cell, event)
     if may_start:
+        _runs.send_trials(cell)
         _placement.place_waiting(cell)
     _records.save_changes(cell)
     emitted, cell.outbox = cell.outbox, []
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -30,6 +30,8 @@
 )
 # How long completions of unknown jobs are kept, in case the job arrives late.
 EARLY_COMPLETION_S = 10.0
+# A trial is not ordered if it could not be stored for this time.
+STORE_TRIAL_S = 1.0
 # Pause before a worker is used again that did not carry out a start.
 NOT_STARTED_PAUSE_S = 0.5
 
@@ -47,17 +49,40 @@
     number: int,
     ticket: str,
 ) -> None:
-    """Order a worker to start a task."""
-    step = task.step
-    job = step.job
+    """Order a worker to start a task, or prepare its trial."""
     task.last_run = max(task.last_run, number)
-    run = _state.Run(
-        task, number, worker, Phase.SENT, cell.now, ordered_at=cell.now
-    )
+    run = _state.Run(task, number, worker, Phase.SENT, cell.now, ticket=ticket)
     _attach(cell, run)
+    cell.placements[task.index] = worker.id
     if _crashes.is_suspect(task):
         _crashes.begin_trial(cell, run)
-    cell.placements[task.index] = worker.id
+        cell.unsent_runs.append(run)
+    else:
+        _send_start(cell, run)
+
+
+def send_trials(cell: _state.Cell) -> None:
+    """Order the trials that are stored, and cancel those that never are."""
+    unsent, cell.unsent_runs = cell.unsent_runs, []
+    for run in unsent:
+        task, worker = run.task, run.worker
+        if task.runs.get(run.number) is not run or run.phase is not Phase.SENT:
+            continue
+        is_late = cell.now - run.since > STORE_TRIAL_S
+        if is_late or not worker.is_usable(cell.now):
+            _crashes.require_stored(cell, task.step.job)
+            _revert_start(cell, run)
+        elif _crashes.is_trial_stored(run):
+            _crashes.reserve(cell, worker, task.step.job, run.trial_s)
+            _send_start(cell, run)
+        else:
+            _crashes.reserve(cell, worker, task.step.job)
+            cell.unsent_runs.append(run)
+
+
+def _send_start(cell: _state.Cell, run: _state.Run) -> None:
+    task, worker = run.task, run.worker
+    run.since = run.ordered_at = cell.now
     data_centre = cell.data_centre(worker)
     if data_centre.unanswered_since is None:
         data_centre.unanswered_since = cell.now
@@ -68,10 +93,10 @@
             entry.incarnation,
             entry.address,
             task.name,
-            number,
-            job.spec.spec,
+            run.number,
+            task.step.job.spec.spec,
             task.checkpoint,
-            ticket,
+            run.ticket,
             _leases.extend(cell, worker),
         )
     )
@@ -545,6 +570,8 @@
         _drop_run(cell, run, _dropped_runs.ADDRESS_TAKEN_OVER)
     key = worker.id, worker.entry.incarnation
     give_up(cell, _crashes.confirm(cell, key))
+    if worker.id in cell.unfenced:
+        _crashes.suspect_in_doubt(cell)
     cell.unfenced.discard(worker.id)
     worker.poll_at = None
     worker.is_silent = True
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -69,6 +69,10 @@
     # How long nothing else starts beside the run, which is on trial; 0 if it
     # is not.
     trial_s: float = 0.0
+    # Version of the losses of its job that has the trial, which is ordered
+    # only once that is stored, and the ticket for the order.
+    trial_version: int = 0
+    ticket: str = ''
 
 
 @attrs.define(slots=True, eq=False)
@@ -206,6 +210,13 @@
     progress_parts: int = 0
     # The store rejected the full record, so a reduced one is stored.
     is_record_reduced: bool = False
+    # Versions of the losses and trials of its tasks: the newest one, the ones
+    # in the save in flight and in the store, and the one that must be stored
+    # before the next trial.
+    loss_version: int = 0
+    saving_loss_version: int = 0
+    stored_loss_version: int = 0
+    required_loss_version: int = 0
     # Expected duration of the longest chain of dependent steps.
     critical_path_ms: float = 0.0
 
@@ -490,6 +501,8 @@
     dirty_workers: dict[str, None] = attrs.field(factory=dict)
     # Workers that may have crashed, by their id and incarnation.
     lost_workers: dict[tuple[str, int], LostWorker] = attrs.field(factory=dict)
+    # Runs on trial that are ordered once their trial is stored.
+    unsent_runs: list[Run] = attrs.field(factory=list)
     # Number of silent workers, counted on every tick.
     silent_workers: int = 0
     # Workers that a former owner may have used and that are not yet fenced.
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -58,6 +58,8 @@
     if previous is not None:
         _runs.transfer_runs(cell, previous, worker)
     _runs.give_up(cell, guilty)
+    if previous is not None and previous.id in cell.unfenced:
+        _crashes.suspect_in_doubt(cell)
     cell.log_decision(
         'worker_joined',
         worker=entry.id,
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -96,6 +96,8 @@
         self.clock_rates: dict[str, float] = {}
         # Workers that answer nothing.
         self.unreachable: set[str] = set()
+        # Whether trials are stored only by ``store_records``.
+        self.is_store_slow = False
         self.version = 0
         self.last_effects: list[effects.Effect] = []
         self.send(events.ConfigChanged(0.0, configuration or config()))
@@ -112,9 +114,18 @@
         for effect in list(emitted):
             if isinstance(effect, effects.PollWorker) and not effect.wait_ms:
                 emitted += self._answer_reserved(effect)
+        while self._has_unstored_losses() and not self.is_store_slow:
+            emitted += self.store_records()
         self.last_effects = emitted
         return emitted
 
+    def _has_unstored_losses(self) -> bool:
+        """Return whether a save is in flight that a trial waits for."""
+        return self.state.save_in_flight and any(
+            job.stored_loss_version < job.loss_version
+            for job in self.state.jobs.values()
+        )
+
     def _answer_reserved(
         self, poll: effects.PollWorker
     ) -> list[effects.Effect]:
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -34,6 +34,8 @@
 # Time from the start of a task to the crash that it causes.
 CRASH_DELAY_S = 0.01
 CRASHED_RANGE_S = (0.2, 5.0)
+# Time after a crash in which the owner dies too.
+OWNER_LOST_S = 0.02
 # Share of the crashes that end the process only.
 REFUSING_SHARE = 0.7
 # The entry of a worker that left expires after this.
@@ -198,6 +200,11 @@
     def _crash_by(self, key: tuple[str, int], incarnation: int) -> None:
         if incarnation == self.entry.incarnation and key in self.running:
             self.sim.crashes[key[0]] += 1
+            if self.sim.random.random() < self.sim.owner_lost_share:
+                self.sim.schedule(
+                    self.sim.random.uniform(0, OWNER_LOST_S),
+                    lambda: self.sim.take_over(is_dead=True),
+                )
             self.crash(
                 self.sim.random.uniform(*CRASHED_RANGE_S),
                 self.sim.random.random() < 0.5,
@@ -473,6 +480,8 @@
         self.starts_after_crashes: collections.Counter[str] = (
             collections.Counter()
         )
+        # Share of the crashes by tasks right after which the owner dies.
+        self.owner_lost_share = 0.0
         # Number of completions by task.
         self.done: collections.Counter[str] = collections.Counter()
         # Tasks whose completion was acknowledged as stored.
--- a/tests/test_cell_crashes.py
+++ b/tests/test_cell_crashes.py
@@ -272,3 +272,62 @@
     )
     losses = successor.state.task(order.task).losses_by_worker
     assert losses[trial.worker_id, 1].is_certain
+
+
+def test_a_task_on_trial_starts_only_once_its_trial_is_stored():
+    # The next owner did not know of the crash if the owner died meanwhile.
+    bench = _bench()
+    (order,) = bench.accept(cells.job('j'))
+    bench.store_records()
+    bench.is_store_slow = True
+    bench.answer_start(order)
+    _crash(bench, order.worker_id)
+    _come_back(bench, order.worker_id)
+    for _ in range(3):
+        bench.tick()
+        assert not bench.effects_of(effects.StartRun)
+    while not bench.effects_of(effects.StartRun):
+        (save,) = bench.effects_of(effects.SaveRecords) or (None,)
+        bench.store_records()
+    assert '"losses"' in save.progress_by_job[order.task[:16]]
+
+
+def test_a_trial_that_is_not_stored_frees_its_worker_after_a_while():
+    bench = cells.Bench((cells.entry('a'), cells.entry('b', cores=4)))
+    bench.tick()
+    (order,) = bench.accept(cells.job('j', cells.step(1, 4)))
+    bench.answer_start(order)
+    _crash(bench, order.worker_id)
+    _come_back(bench, order.worker_id)
+    bench.is_store_slow = True
+    starts = []
+    for _ in range(30):
+        starts += bench.accept(cells.job(f'o{len(starts)}', cells.step(1, 4)))
+        bench.tick()
+        starts += bench.effects_of(effects.StartRun)
+    assert starts
+
+
+def test_what_a_dead_owner_may_have_started_on_a_crashed_worker_is_suspect():
+    bench = cells.Bench((cells.entry('a', incarnation=2), cells.entry('b')))
+    bench.tick()
+    job = cells.job('j')
+    bench.send(
+        events.Restored(
+            0.0,
+            0,
+            (events.StoredJob(job, 1),),
+            {},
+            (),
+            # The store knows of the incarnation that has crashed.
+            (('a', 1, 'a:80'),),
+            0.0,
+            2,
+        )
+    )
+    task = bench.state.task(f'{job.id}.0.0.0')
+    assert any(loss.is_suspect for loss in task.losses_by_worker.values())
+    while not task.runs:
+        bench.tick()
+    (run,) = task.runs.values()
+    assert run.trial_s
--- a/tests/test_cell_random.py
+++ b/tests/test_cell_random.py
@@ -345,12 +345,20 @@
     return simulate(seed, restarts=RESTARTS, late_orders_outlive=True)
 
 
-def simulate_crashing_tasks(seed: int) -> cellsim.Sim:
+def simulate_crashes_with_owners(seed: int) -> cellsim.Sim:
+    """Run ``simulate_crashing_tasks`` with owners that die after crashes."""
+    return simulate_crashing_tasks(seed, owner_lost_share=0.3)
+
+
+def simulate_crashing_tasks(
+    seed: int, owner_lost_share: float = 0.0
+) -> cellsim.Sim:
     """Run the simulation with tasks that crash each worker they start on.
 
     The owner changes meanwhile. Only the jobs of these tasks may be given up.
     """
     sim = cellsim.Sim(seed, workers=8)
+    sim.owner_lost_share = owner_lost_share
     sim.fail_share = 0.0
     for number in range(JOBS):
         job = _random_job(sim, number)
@@ -457,6 +465,10 @@
     assert not _errors_by_seed(simulate_crashing_tasks, CRASHING_SEEDS)
 
 
+def test_crashes_count_though_each_time_the_owner_may_die_too():
+    assert not _errors_by_seed(simulate_crashes_with_owners, CRASHING_SEEDS)
+
+
 def test_no_start_exceeds_a_capacity_that_has_shrunk():
     assert not _errors_by_seed(simulate_resizes, RESIZED_SEEDS)
 
@@ -464,6 +476,7 @@
 SIMULATIONS = (
     simulate,
     simulate_crashing_tasks,
+    simulate_crashes_with_owners,
     simulate_resizes,
     simulate_takeovers,
     simulate_restarts,
