--- a/tests/site.py
+++ b/tests/site.py
@@ -23,6 +23,9 @@
 LOOPBACK = siteworker.LOOPBACK
 # Data centres of the workers, in turn.
 ZONES = ('a', 'b', 'c')
+# Orders to a worker that has restarted are never answered, and would keep the
+# platform open for much longer.
+CLOSE_S = 0.5
 UPDATE_S = 0.05
 # A transaction that takes longer than this is applied late.
 STORE_TIMEOUT_S = 1.0
@@ -140,7 +143,9 @@
         self.rows.put('op', '', 'config', json.dumps(document).encode())
 
     async def _listen(self, handler: Any) -> int:
-        runner = web.ServerRunner(web.Server(handler, access_log=None))
+        runner = web.ServerRunner(
+            web.Server(handler, access_log=None), shutdown_timeout=CLOSE_S
+        )
         await runner.setup()
         await web.TCPSite(runner, LOOPBACK, 0).start()
         self.runners.append(runner)
