--- a/packages/cell/celeryshift_cell/_draining.py
+++ b/packages/cell/celeryshift_cell/_draining.py
@@ -6,8 +6,8 @@
 """
 
 from celeryshift_cell import _jobs
-from celeryshift_cell import _runs
 from celeryshift_cell import _state
+from celeryshift_cell import _stops
 
 Phase = _state.Phase
 
@@ -22,7 +22,7 @@
             if run.phase is Phase.RUNNING and _must_move(
                 cell, run, remaining_s
             ):
-                _runs.stop(cell, run, 'worker leaves')
+                _stops.stop(cell, run, 'worker leaves')
 
 
 def _remaining_s(cell: _state.Cell, worker: _state.Worker) -> float:
--- a/packages/cell/celeryshift_cell/_feasibility.py
+++ b/packages/cell/celeryshift_cell/_feasibility.py
@@ -2,6 +2,7 @@
 
 from celeryshift_cell import _jobs
 from celeryshift_cell import _state
+from celeryshift_cell import _usage
 from celeryshift_cell import model
 
 
@@ -20,7 +21,7 @@
         if worker.entry.upstream == queue.upstream and worker.is_listed
     ]
     for number, step in enumerate(job.steps):
-        if team is not None and not _state.Usage().allows(
+        if team is not None and not _usage.Usage().allows(
             step.size, team.maximum
         ):
             return f'a task of step {number} is over the limit of {team.name}'
--- a/packages/cell/celeryshift_cell/_fillers.py
+++ b/packages/cell/celeryshift_cell/_fillers.py
@@ -9,8 +9,8 @@
 """
 
 from celeryshift_cell import _jobs
-from celeryshift_cell import _runs
 from celeryshift_cell import _state
+from celeryshift_cell import _stops
 from celeryshift_cell import effects
 
 Phase = _state.Phase
@@ -93,7 +93,7 @@
                 continue
             if may_interrupt(run.task.step):
                 run.task.avoided_workers.add(worker.id)
-                _runs.stop(cell, run, 'no room beside serving tasks')
+                _stops.stop(cell, run, 'no room beside serving tasks')
 
 
 def may_interrupt(step: _state.StepRun, run: _state.Run | None = None) -> bool:
--- a/packages/cell/celeryshift_cell/_headroom.py
+++ b/packages/cell/celeryshift_cell/_headroom.py
@@ -10,6 +10,7 @@
 """
 
 from celeryshift_cell import _state
+from celeryshift_cell import _usage
 
 # The priority that headroom is kept for; 0 is the most urgent.
 URGENT = 0
@@ -60,12 +61,12 @@
     return step.spec.is_lasting or step.spec.is_filler
 
 
-def free_slots(pool: _state.Pool, worker: _state.Worker) -> int:
+def free_slots(pool: _usage.Pool, worker: _state.Worker) -> int:
     """Return the number of free slots on a worker."""
     return _count_slots(pool, worker.free_cpu, worker.free_memory)
 
 
-def _count_slots(pool: _state.Pool, cpu_milli: int, memory_mb: int) -> int:
+def _count_slots(pool: _usage.Pool, cpu_milli: int, memory_mb: int) -> int:
     if not pool.slot_cpu_milli:
         return 0
     by_cpu = cpu_milli // pool.slot_cpu_milli
--- a/packages/cell/celeryshift_cell/_health.py
+++ b/packages/cell/celeryshift_cell/_health.py
@@ -6,6 +6,7 @@
 
 from celeryshift_cell import _jobs
 from celeryshift_cell import _state
+from celeryshift_cell import _usage
 from celeryshift_cell import model
 
 # Weight of the newest run time in the average of an image.
@@ -57,7 +58,7 @@
     ratio = min(max(run_ms / spec.estimate_ms, MIN_RATIO), MAX_RATIO)
     kind = worker.entry.kind
     cell.run_time_ratio.add(ratio)
-    cell.run_time_ratio_by_kind.setdefault(kind, _state.RunningMean()).add(
+    cell.run_time_ratio_by_kind.setdefault(kind, _usage.RunningMean()).add(
         ratio
     )
     worker.run_time_ratio.add(ratio)
--- a/packages/cell/celeryshift_cell/_in_doubt.py
+++ b/packages/cell/celeryshift_cell/_in_doubt.py
@@ -7,12 +7,13 @@
 
 from celeryshift_cell import _jobs
 from celeryshift_cell import _state
+from celeryshift_cell import _usage
 from celeryshift_cell import model
 
 # Minimum interval between recounts, each of which visits every task in doubt.
 # Tasks started since the last recount count twice, an error on the safe side.
 RECOUNT_S = 0.05
-NO_USAGE = _state.Usage()
+NO_USAGE = _usage.Usage()
 
 
 def update(cell: _state.Cell) -> None:
@@ -24,7 +25,7 @@
         cell.in_doubt_by_team = possible_usage_by_team(cell)
 
 
-def possible_usage_by_team(cell: _state.Cell) -> dict[str, _state.Usage]:
+def possible_usage_by_team(cell: _state.Cell) -> dict[str, _usage.Usage]:
     """Return what each team may be running on unfenced workers.
 
     Counts every task that may have been started and is not known to run. The
@@ -32,13 +33,13 @@
     by the team's limit minus the usage that was found on other workers at the
     change of owner.
     """
-    found: dict[str, _state.Usage] = {}
+    found: dict[str, _usage.Usage] = {}
     for job in cell.jobs.values():
         if job.state in _jobs.FINAL:
             continue
         for step in job.steps.values():
             if may_have_started(step):
-                usage = found.setdefault(job.spec.team, _state.Usage())
+                usage = found.setdefault(job.spec.team, _usage.Usage())
                 usage.add(step.spec.size, _count_possible_runs(step))
     total = _unfenced_capacity(cell)
     for name, usage in found.items():
@@ -52,7 +53,7 @@
 
 def _unfenced_capacity(cell: _state.Cell) -> model.Size | None:
     """Return the capacity of the unfenced workers, or None if unknown."""
-    total = _state.Usage()
+    total = _usage.Usage()
     for worker_id in cell.unfenced:
         worker = cell.workers.get(worker_id)
         if worker is None or not worker.entry.capacity.cpu_milli:
--- a/packages/cell/celeryshift_cell/_limits.py
+++ b/packages/cell/celeryshift_cell/_limits.py
@@ -10,6 +10,7 @@
 
 from celeryshift_cell import _headroom
 from celeryshift_cell import _state
+from celeryshift_cell import _usage
 from celeryshift_cell import model
 
 # Maximum share of a limit that is kept free for urgent work.
@@ -46,7 +47,7 @@
     )
 
 
-def _is_half_used(used: _state.Usage, maximum: model.Size) -> bool:
+def _is_half_used(used: _usage.Usage, maximum: model.Size) -> bool:
     """Return whether a team uses at least half of its maximum.
 
     Below that it keeps no headroom for urgent work.
@@ -57,7 +58,7 @@
     )
 
 
-def _minus_headroom(usage: _state.Usage, maximum: model.Size) -> model.Size:
+def _minus_headroom(usage: _usage.Usage, maximum: model.Size) -> model.Size:
     """Return a maximum minus the headroom for the team's urgent work."""
     cpu = min(
         usage.urgent_cpu.headroom, MAX_HEADROOM_SHARE * maximum.cpu_milli
--- a/packages/cell/celeryshift_cell/_preemption.py
+++ b/packages/cell/celeryshift_cell/_preemption.py
@@ -7,8 +7,9 @@
 
 from celeryshift_cell import _headroom
 from celeryshift_cell import _ordering
-from celeryshift_cell import _runs
 from celeryshift_cell import _state
+from celeryshift_cell import _stops
+from celeryshift_cell import _usage
 
 # How long urgent work waits for other tasks to complete before it preempts.
 GRACE_S = 0.1
@@ -18,7 +19,7 @@
 
 def preempt(cell: _state.Cell) -> None:
     """Stop other tasks of teams whose urgent work waits for their limit."""
-    shortfall_by_team: dict[str, _state.Usage] = {}
+    shortfall_by_team: dict[str, _usage.Usage] = {}
     for step in cell.waiting.values():
         if not (step.blocked_by_limit and _headroom.is_urgent(step)):
             continue
@@ -26,7 +27,7 @@
         if waited_s < GRACE_S or not _ordering.can_meet_objective(cell, step):
             continue
         shortfall = shortfall_by_team.setdefault(
-            step.job.spec.team, _state.Usage()
+            step.job.spec.team, _usage.Usage()
         )
         shortfall.add(step.spec.size, len(step.pending))
     for name, shortfall in shortfall_by_team.items():
@@ -34,7 +35,7 @@
 
 
 def _preempt_team(
-    cell: _state.Cell, name: str, shortfall: _state.Usage
+    cell: _state.Cell, name: str, shortfall: _usage.Usage
 ) -> None:
     """Stop the tasks with the least progress to cover a shortfall."""
     team = cell.config.teams_by_name.get(name)
@@ -60,7 +61,7 @@
         if shortfall.cpu_milli <= 0 and shortfall.memory_mb <= 0:
             return
         shortfall.add(run.task.step.spec.size, -1)
-        _runs.stop(cell, run, 'urgent work of its team waits')
+        _stops.stop(cell, run, 'urgent work of its team waits')
 
 
 def _unused(maximum: int, used: int) -> int:
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -10,8 +10,8 @@
 
 from celeryshift_cell import _crashes
 from celeryshift_cell import _jobs
-from celeryshift_cell import _runs
 from celeryshift_cell import _state
+from celeryshift_cell import _stops
 from celeryshift_cell import _workers
 from celeryshift_cell import effects
 from celeryshift_cell import events
@@ -395,7 +395,7 @@
             )
     for worker in cell.workers.values():
         # The trials of the former owner are settled as far as workers tell.
-        _runs.give_up(cell, _crashes.confirm_replaced(cell, worker))
+        _stops.give_up(cell, _crashes.confirm_replaced(cell, worker))
     if any(
         cell.workers[worker_id].entry.incarnation > incarnation
         for worker_id, incarnation, _ in event.workers
@@ -440,4 +440,4 @@
     if job is None or job.state in _jobs.FINAL:
         return
     _jobs.finish(cell, job, model.JobState.CANCELLED)
-    _runs.stop_job(cell, job, 'job cancelled')
+    _stops.stop_job(cell, job, 'job cancelled')
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -7,6 +7,7 @@
 from celeryshift_cell import _jobs
 from celeryshift_cell import _leases
 from celeryshift_cell import _state
+from celeryshift_cell import _stops
 from celeryshift_cell import effects
 from celeryshift_cell import events
 from celeryshift_cell import model
@@ -167,55 +168,6 @@
             step.is_blocked = False
 
 
-def stop(cell: _state.Cell, run: _state.Run, reason: str) -> None:
-    """Order a worker to stop a run."""
-    run.phase = Phase.STOPPING
-    run.since = cell.now
-    entry = run.worker.entry
-    cell.log_decision(
-        'run_stopped',
-        job=run.task.step.job.spec.id,
-        task=run.task.name,
-        run=run.number,
-        worker=entry.id,
-        why=reason,
-    )
-    cell.emit(
-        effects.StopRun(
-            entry.id,
-            entry.incarnation,
-            entry.address,
-            run.task.name,
-            run.number,
-        )
-    )
-
-
-def stop_job(cell: _state.Cell, job: _state.JobRun, reason: str) -> None:
-    """Stop all runs of a job."""
-    for step in job.steps.values():
-        for task in step.tasks:
-            for run in task.runs.values():
-                if run.phase is not Phase.STOPPING:
-                    stop(cell, run, reason)
-
-
-def give_up(cell: _state.Cell, tasks: list[_state.Task]) -> None:
-    """Fail the jobs of tasks that crash their workers."""
-    for task in tasks:
-        job = task.step.job
-        if job.state in _jobs.FINAL:
-            continue
-        cell.log_decision(
-            'task_given_up',
-            job=job.spec.id,
-            task=task.name,
-            workers=[worker for worker, _ in task.losses_by_worker],
-        )
-        _jobs.finish(cell, job, model.JobState.FAILED)
-        stop_job(cell, job, 'its task crashes workers')
-
-
 def handle_start_answered(
     cell: _state.Cell, event: events.StartAnswered
 ) -> _state.Worker | None:
@@ -293,42 +245,10 @@
     step = run.task.step
     detach(cell, run)
     if step.spec.is_gang:
-        stop_gang(cell, step, run.number)
+        _stops.stop_gang(cell, step, run.number)
     _jobs.requeue(cell, run.task)
 
 
-def stop_gang(cell: _state.Cell, step: _state.StepRun, number: int) -> None:
-    """Stop all runs of a gang that can't be complete any more."""
-    for task in step.tasks:
-        run = task.runs.get(number)
-        if run is not None and run.phase is not Phase.STOPPING:
-            stop(cell, run, 'gang incomplete')
-
-
-def handle_stop_answered(
-    cell: _state.Cell, event: events.StopAnswered
-) -> _state.Worker | None:
-    """Apply the outcome of a stop order.
-
-    Return the worker if it must be polled at once: if the run was never
-    confirmed, only its absence from a later poll shows that it is over.
-    """
-    worker = cell.workers.get(event.worker_id)
-    run = worker and worker.runs.get((event.task, event.run))
-    if worker is None or not run:
-        return None
-    if event.outcome is Outcome.FENCED:
-        cell.emit(effects.StepDown(event.worker_id))
-    elif (
-        event.outcome is Outcome.DONE
-        and worker.entry.incarnation == event.incarnation
-    ):
-        run.stopped_at = cell.now
-        return None if run.confirmed_at else worker
-    # Without a response, ``_workers.retry_stops`` repeats the order.
-    return None
-
-
 def reconcile(
     cell: _state.Cell,
     worker: _state.Worker,
@@ -388,7 +308,7 @@
     job = task.step.job
     is_surplus = other_runs and not task.step.spec.allows_copies
     if task.is_done or job.state in _jobs.FINAL or is_surplus:
-        stop(cell, run, 'not wanted')
+        _stops.stop(cell, run, 'not wanted')
     return run
 
 
@@ -418,7 +338,7 @@
             if task is not None:
                 worker.unknown_runs.discard((name, number))
                 run = _register_run(cell, task, number, worker)
-                stop(cell, run, 'started before its job was known')
+                _stops.stop(cell, run, 'started before its job was known')
 
 
 def _apply_early_completions(cell: _state.Cell, prefix: str) -> None:
@@ -455,7 +375,7 @@
     if run.phase is Phase.RUNNING and polled_at > run.confirmed_at:
         _drop_run(cell, run, 'no longer listed')
     elif run.phase is Phase.IN_DOUBT and polled_at > run.since:
-        stop(cell, run, 'start in doubt')
+        _stops.stop(cell, run, 'start in doubt')
     elif run.stopped_at is not None and polled_at > run.stopped_at:
         _drop_run(cell, run, 'never ran')
 
@@ -464,7 +384,7 @@
     _dropped_runs.record(cell, run, reason)
     detach(cell, run)
     if run.task.step.spec.is_gang:
-        stop_gang(cell, run.task.step, run.number)
+        _stops.stop_gang(cell, run.task.step, run.number)
     _jobs.requeue(cell, run.task)
 
 
@@ -505,12 +425,12 @@
             _jobs.complete_task(cell, member, run is not None)
         for copy in list(task.runs.values()):
             if copy.phase is not Phase.STOPPING:
-                stop(cell, copy, 'another copy ended')
+                _stops.stop(cell, copy, 'another copy ended')
         return
     if completion.result is model.RunResult.FAILED:
         _jobs.record_failure(cell, task, completion.run, worker.id)
         if job.state is model.JobState.FAILED:
-            stop_job(cell, job, 'job failed')
+            _stops.stop_job(cell, job, 'job failed')
     cell.dirty_jobs[job.spec.id] = job
     _jobs.requeue(cell, task)
 
@@ -569,7 +489,7 @@
         # Start orders that arrive later are rejected as well.
         _drop_run(cell, run, _dropped_runs.ADDRESS_TAKEN_OVER)
     key = worker.id, worker.entry.incarnation
-    give_up(cell, _crashes.confirm(cell, key))
+    _stops.give_up(cell, _crashes.confirm(cell, key))
     if worker.id in cell.unfenced:
         _crashes.suspect_in_doubt(cell)
     cell.unfenced.discard(worker.id)
--- a/packages/cell/celeryshift_cell/_stalls.py
+++ b/packages/cell/celeryshift_cell/_stalls.py
@@ -9,8 +9,8 @@
 from celeryshift_cell import _fillers
 from celeryshift_cell import _health
 from celeryshift_cell import _jobs
-from celeryshift_cell import _runs
 from celeryshift_cell import _state
+from celeryshift_cell import _stops
 
 Phase = _state.Phase
 
@@ -73,4 +73,4 @@
     if step.spec.allows_copies and not step.spec.is_lasting:
         _jobs.queue_copy(cell, task, 'stands still')
     else:
-        _runs.stop(cell, run, 'stands still')
+        _stops.stop(cell, run, 'stands still')
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -7,11 +7,11 @@
 import enum
 import heapq
 from typing import Any
-from typing import ClassVar
 
 import attrs
 
 from celeryshift_cell import _options
+from celeryshift_cell import _usage
 from celeryshift_cell import effects
 from celeryshift_cell import events
 from celeryshift_cell import model
@@ -221,22 +221,6 @@
     critical_path_ms: float = 0.0
 
 
-@attrs.define(slots=True, eq=False)
-class RunningMean:
-    """Mean of all samples that turns into an exponential moving average."""
-
-    # From this number of samples on, old samples fade.
-    WINDOW: ClassVar[int] = 40
-
-    value: float = 1.0
-    count: int = 0
-
-    def add(self, sample: float) -> None:
-        """Update the mean with a sample."""
-        self.count = min(self.count + 1, self.WINDOW)
-        self.value += (sample - self.value) / self.count
-
-
 @attrs.define(slots=True, eq=False)
 class Worker:
     """State of one incarnation of a worker."""
@@ -295,7 +279,9 @@
     # Run time of tasks on this worker relative to the average worker.
     slowness: float = 1.0
     # Mean ratio of run time to estimate on this worker.
-    run_time_ratio: RunningMean = attrs.field(factory=RunningMean)
+    run_time_ratio: _usage.RunningMean = attrs.field(
+        factory=_usage.RunningMean
+    )
 
     @property
     def id(self) -> str:
@@ -340,90 +326,6 @@
         self.free_accelerators -= sign * step.size.accelerators
 
 
-@attrs.define(slots=True, eq=False)
-class DecayingPeak:
-    """Current usage and the recent peak of demand, which decays linearly."""
-
-    used: int = 0
-    peak: float = 0.0
-    # Peak when it was last raised; it decays by fractions of this value.
-    decay_base: float = 0.0
-
-    def update(self, demand: int, fraction: float) -> None:
-        """Raise the peak to the demand, or let it decay by a fraction."""
-        if demand >= self.peak:
-            self.peak = self.decay_base = demand
-        else:
-            self.peak = max(demand, self.peak - fraction * self.decay_base)
-
-    @property
-    def headroom(self) -> float:
-        """Return how far the recent peak exceeds the current usage."""
-        return max(0.0, self.peak - self.used)
-
-
-@attrs.define(slots=True, eq=False)
-class Usage:
-    """Resources used by the runs of a team."""
-
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-    # The part used by urgent tasks.
-    urgent_cpu: DecayingPeak = attrs.field(factory=DecayingPeak)
-    urgent_memory: DecayingPeak = attrs.field(factory=DecayingPeak)
-
-    def add(self, size: model.Size, count: int) -> None:
-        """Add a size ``count`` times: 1 for one more task, -1 for one less."""
-        self.cpu_milli += count * size.cpu_milli
-        self.memory_mb += count * size.memory_mb
-        self.accelerators += count * size.accelerators
-
-    def plus(self, other: 'Usage') -> 'Usage':
-        """Return the sum of two usages."""
-        return Usage(
-            self.cpu_milli + other.cpu_milli,
-            self.memory_mb + other.memory_mb,
-            self.accelerators + other.accelerators,
-        )
-
-    def cap(self, maximum: model.Size, other: 'Usage') -> None:
-        """Cap the usage at a maximum minus another usage.
-
-        A resource is not capped if the other usage alone exceeds its maximum,
-        since the maximum was lowered after that usage began.
-        """
-        self.cpu_milli = _capped(
-            self.cpu_milli, maximum.cpu_milli, other.cpu_milli
-        )
-        self.memory_mb = _capped(
-            self.memory_mb, maximum.memory_mb, other.memory_mb
-        )
-        self.accelerators = _capped(
-            self.accelerators, maximum.accelerators, other.accelerators
-        )
-
-    def allows(self, size: model.Size, maximum: model.Size) -> bool:
-        """Return whether one more task stays within the maximum."""
-        return (
-            _within(self.cpu_milli + size.cpu_milli, maximum.cpu_milli)
-            and _within(self.memory_mb + size.memory_mb, maximum.memory_mb)
-            and _within(
-                self.accelerators + size.accelerators, maximum.accelerators
-            )
-        )
-
-
-def _within(amount: int, maximum: int) -> bool:
-    return maximum == 0 or amount <= maximum
-
-
-def _capped(amount: int, maximum: int, taken: int) -> int:
-    if maximum == 0 or taken > maximum:
-        return amount
-    return min(amount, maximum - taken)
-
-
 @attrs.define(slots=True, eq=False)
 class DataCentre:
     """Reachability of a data centre."""
@@ -432,23 +334,6 @@
     unanswered_since: float | None = None
 
 
-@attrs.define(slots=True, eq=False)
-class Pool:
-    """Totals over the usable workers of an upstream and its urgent tasks.
-
-    A slot is capacity for one urgent task; see ``_headroom``.
-    """
-
-    slot_cpu_milli: int = 0
-    slot_memory_mb: int = 0
-    slots: int = 0
-    free_slots: int = 0
-    # Urgent runs, and the recent peak of running plus waiting urgent tasks.
-    urgent: DecayingPeak = attrs.field(factory=DecayingPeak)
-    # Number of waiting urgent tasks that no team limit blocks.
-    waiting: int = 0
-
-
 @attrs.define(slots=True, eq=False)
 class Cell:
     """State of a cell under one owner."""
@@ -462,7 +347,7 @@
     config: model.Config = attrs.field(factory=model.Config)
     jobs: dict[str, JobRun] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
-    usage_by_team: dict[str, Usage] = attrs.field(factory=dict)
+    usage_by_team: dict[str, _usage.Usage] = attrs.field(factory=dict)
     # Steps with waiting tasks, by name.
     waiting: dict[str, StepRun] = attrs.field(factory=dict)
     # Heap of the steps that start at a set time, as (due Unix ms, name).
@@ -520,18 +405,22 @@
     is_restored: bool = False
     restored_at: float = 0.0
     # What teams may be running on unfenced workers, and when to recount it.
-    in_doubt_by_team: dict[str, Usage] = attrs.field(factory=dict)
+    in_doubt_by_team: dict[str, _usage.Usage] = attrs.field(factory=dict)
     in_doubt_recount_at: float = 0.0
     # What teams were found running when this owner took over.
-    adopted_by_team: dict[str, Usage] = attrs.field(factory=dict)
+    adopted_by_team: dict[str, _usage.Usage] = attrs.field(factory=dict)
     # Mean ratio of run time to estimate, overall and by kind of worker.
-    run_time_ratio: RunningMean = attrs.field(factory=RunningMean)
-    run_time_ratio_by_kind: dict[str, RunningMean] = attrs.field(factory=dict)
+    run_time_ratio: _usage.RunningMean = attrs.field(
+        factory=_usage.RunningMean
+    )
+    run_time_ratio_by_kind: dict[str, _usage.RunningMean] = attrs.field(
+        factory=dict
+    )
     # Average run time by image.
     ms_by_image: dict[str, float] = attrs.field(factory=dict)
     # Totals by upstream. Slots and waiting tasks are counted on every tick.
     # Free slots and urgent runs are also updated with every run.
-    pools: dict[str, Pool] = attrs.field(factory=dict)
+    pools: dict[str, _usage.Pool] = attrs.field(factory=dict)
     headroom_updated_at: float = 0.0
     data_centres: dict[str, DataCentre] = attrs.field(factory=dict)
     # Most urgent priority of the steps that reserve a worker, by worker id,
@@ -557,17 +446,17 @@
         """Return the current Unix time in milliseconds."""
         return self.now * 1000 + self.wall_offset_ms
 
-    def usage(self, team: str) -> Usage:
+    def usage(self, team: str) -> _usage.Usage:
         """Return the usage of a team."""
-        return self.usage_by_team.setdefault(team, Usage())
+        return self.usage_by_team.setdefault(team, _usage.Usage())
 
-    def adopted_usage(self, team: str) -> Usage:
+    def adopted_usage(self, team: str) -> _usage.Usage:
         """Return what a team was found running when this owner took over."""
-        return self.adopted_by_team.setdefault(team, Usage())
+        return self.adopted_by_team.setdefault(team, _usage.Usage())
 
-    def pool(self, upstream: str) -> Pool:
+    def pool(self, upstream: str) -> _usage.Pool:
         """Return the pool of an upstream."""
-        return self.pools.setdefault(upstream, Pool())
+        return self.pools.setdefault(upstream, _usage.Pool())
 
     def mark_data_centre_reachable(self, worker: Worker) -> None:
         """Record a response from the data centre of a worker."""
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -12,6 +12,7 @@
 from celeryshift_cell import _runs
 from celeryshift_cell import _stalls
 from celeryshift_cell import _state
+from celeryshift_cell import _stops
 from celeryshift_cell import effects
 from celeryshift_cell import events
 from celeryshift_cell import model
@@ -57,7 +58,7 @@
     guilty = _crashes.confirm_replaced(cell, worker)
     if previous is not None:
         _runs.transfer_runs(cell, previous, worker)
-    _runs.give_up(cell, guilty)
+    _stops.give_up(cell, guilty)
     if previous is not None and previous.id in cell.unfenced:
         _crashes.suspect_in_doubt(cell)
     cell.log_decision(
@@ -380,7 +381,7 @@
 ) -> None:
     """Handle the outcome of a stop order; poll the worker if needed."""
     _record_clock(cell, event)
-    worker = _runs.handle_stop_answered(cell, event)
+    worker = _stops.handle_stop_answered(cell, event)
     if worker is not None and not worker.is_silent:
         _poll(cell, worker, 0)
 
@@ -408,7 +409,7 @@
         )
         cell.unfenced.clear()
         unblock_all(cell)
-    _runs.give_up(cell, _crashes.settle_unheard(cell))
+    _stops.give_up(cell, _crashes.settle_unheard(cell))
     cell.silent_workers = 0
     for worker in list(cell.workers.values()):
         cell.silent_workers += worker.is_silent
@@ -441,6 +442,6 @@
             if run.phase is not _state.Phase.STOPPING or not is_due:
                 continue
             if run.stopped_at is None:
-                _runs.stop(cell, run, 'no answer to the stop')
+                _stops.stop(cell, run, 'no answer to the stop')
             elif not worker.polls_in_flight or worker.poll_at is None:
                 worker.poll_at = cell.now
