--- a/packages/cell/celeryshift_cell/_explain.py
+++ b/packages/cell/celeryshift_cell/_explain.py
@@ -80,6 +80,8 @@
         return 'the limit of its team'
     if step.blocked_by_headroom:
         return 'the room that is left is kept for urgent work'
+    if any(step.tasks[index].losses_by_worker for index in step.pending):
+        return 'workers were lost under its tasks, which start on trial'
     if step.pending_query:
         return 'the answer of the policy service'
     if _advice.policy_service(step) is not None and not any(
--- a/tests/test_cell_crashes.py
+++ b/tests/test_cell_crashes.py
@@ -93,6 +93,16 @@
     assert bench.state.jobs[job.id].state is model.JobState.FAILED
 
 
+def test_a_scheduled_job_with_a_task_that_crashes_workers_is_given_up():
+    bench = _bench()
+    job = cells.job('j', cells.step(2), times=3, every_ms=60_000)
+    orders = bench.accept(job)
+    crashes = Crashes(bench, orders[0].task)
+    crashes.run(orders, 40.0)
+    assert len(crashes.starts) <= MAX_STARTS
+    assert bench.state.jobs[job.id].state is model.JobState.FAILED
+
+
 def _lose(bench, order):
     """Let the worker of a start crash, and another one answer for it."""
     bench.answer_start(order)
@@ -136,6 +146,16 @@
     assert [start.task for start in starts] == [f'{other.id}.0.0.0']
 
 
+def test_a_job_that_waits_for_a_trial_is_explained():
+    bench = cells.Bench((cells.entry('a'),))
+    bench.tick()
+    job = cells.job('j')
+    (order,) = bench.accept(job)
+    assert not _lose(bench, order)
+    (step,) = cell.explain(bench.state, job.id)['steps'].values()
+    assert 'start on trial' in step['why']
+
+
 def test_a_worker_that_was_only_silent_leaves_no_suspicion():
     bench = cells.Bench((cells.entry('a'), cells.entry('b')))
     bench.tick()
