Limit the starts in flight to what the owner can follow

Cause: on small machines an owner ordered some 60 starts within 0.25 s and could not read the answers within their timeout. It took the starts for unknown and sound workers for silent, and spent its time on doubts. Change: a window for starts in flight that adapts to the time answers take; the lag of the owner's loop is measured, extends timeouts, spaces polls and excuses two failed polls. An end whose task was started again after a false silence is not acknowledged, since two runs would count.

--- a/packages/cell/celeryshift_cell/_data_centres.py
+++ b/packages/cell/celeryshift_cell/_data_centres.py
@@ -19,7 +19,7 @@
     """Poll the workers of data centres that answer no start orders."""
     for name, data_centre in cell.data_centres.items():
         since = data_centre.unanswered_since
-        if since is None or cell.now - since < SILENCE_S:
+        if since is None or cell.now - since < SILENCE_S + 2 * cell.lag_s:
             continue
         data_centre.unanswered_since = None
         usable = [
--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -94,6 +94,21 @@
     # Workers whose run times differ by less than this factor count as equally
     # fast.
     similar_factor: float = 1.12
+    # Cores of the owner, which bound the orders that it can follow.
+    cores: float = 4.0
+    # Maximum number of starts that have been ordered and not answered.
+    max_starts_in_flight: int = 256
+    # Lag of the owner's event loop from which on a silence is its own.
+    blamed_lag_s: float = 0.1
+    # Number of polls in a row that may fail because of the owner's own lag.
+    excused_polls: int = 2
+    # Orders time out later by a multiple of the lag, and by this at most.
+    lag_slack_factor: float = 3.0
+    max_slack_s: float = 0.5
+    # The next poll of a worker is delayed by a multiple of the lag, so that
+    # one answer reports several completions, and by this at most.
+    poll_delay_factor: float = 3.0
+    max_poll_delay_s: float = 0.3
     # Size of the rows that store the progress of a job.
     record_part_bytes: int = effects.RECORD_PART_BYTES
     # How long an ended job is kept in memory; later requests for it are
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -33,14 +33,15 @@
     _in_doubt.update(cell)
     _reservations.collect(cell)
     steps.sort(key=lambda step: _ordering.sort_key(cell, step))
+    most_starts = min(MAX_STARTS, cell.window.room)
     starts = 0
     for step in steps:
-        if starts >= MAX_STARTS:
+        if starts >= most_starts:
             return
         if step.in_doubt and cell.unfenced:
             # A copy of what a silent worker may run, or have crashed under.
             _crashes.suspect_step(cell, step)
-        starts += _place_step(cell, step)
+        starts += _place_step(cell, step, most_starts - starts)
 
 
 def is_blocked_in_doubt(cell: _state.Cell, step: _state.StepRun) -> bool:
@@ -55,13 +56,16 @@
     return is_early or not step.spec.allows_copies
 
 
-def _place_step(cell: _state.Cell, step: _state.StepRun) -> int:
+def _place_step(
+    cell: _state.Cell, step: _state.StepRun, most_starts: int
+) -> int:
+    """Start tasks of a step; a gang may exceed the given number."""
     step.reserved_workers = frozenset()
     step.blocked_by_limit = step.blocked_by_headroom = False
     if step.spec.is_gang:
         placed = _place_gang(cell, step)
     else:
-        placed = _place_tasks(cell, step)
+        placed = _place_tasks(cell, step, most_starts)
     if placed:
         cell.log_decision(
             'tasks_placed',
@@ -75,6 +79,9 @@
             config=cell.config.version,
         )
         cell.placements.clear()
+    if step.pending and placed >= most_starts:
+        # The step is tried again once starts have been answered.
+        return placed
     if step.pending:
         step.is_blocked = True
         _record_wait(cell, step)
@@ -124,9 +131,13 @@
     )
 
 
-def _place_tasks(cell: _state.Cell, step: _state.StepRun) -> int:
+def _place_tasks(
+    cell: _state.Cell, step: _state.StepRun, most_starts: int
+) -> int:
     placed = 0
     for index in sorted(step.pending):
+        if placed >= most_starts:
+            break
         if not _limits.allows(cell, step, step.spec.size):
             step.blocked_by_limit = True
             break
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -163,9 +163,9 @@
     if not (cell.dirty_jobs or cell.rejected_jobs):
         # Only a save that leaves no job dirty covers all completions so far.
         cell.saving_completions = {
-            (worker.id, worker.entry.incarnation): worker.last_completion
+            (worker.id, worker.entry.incarnation): worker.storable_completion
             for worker in cell.workers.values()
-            if worker.last_completion > worker.last_stored_completion
+            if worker.has_unstored
         }
     else:
         cell.saving_completions = {}
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -23,6 +23,8 @@
 # have reached that owner too: the table of jobs is polled with a pause of half
 # a second.
 LATE_JOB_S = 2.0
+# Decay of the recent lag of the owner at each tick.
+LAG_DECAY = 0.8
 
 
 def reduce(
@@ -81,6 +83,9 @@
 
 def _handle_ticked(cell: _state.Cell, event: events.Ticked) -> None:
     cell.wall_offset_ms = event.wall_ms - event.now * 1000
+    # A lag explains the answers that arrive late within a second after it.
+    cell.lag_s = max(event.lag_s, LAG_DECAY * cell.lag_s)
+    cell.window.expire(cell.now)
     _jobs.release_due(cell)
     _workers.expire_leases(cell)
     _workers.retry_stops(cell)
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -84,6 +84,7 @@
 def _send_start(cell: _state.Cell, run: _state.Run) -> None:
     task, worker = run.task, run.worker
     run.since = run.ordered_at = cell.now
+    cell.window.add(task.name, run.number, cell.now)
     data_centre = cell.data_centre(worker)
     if data_centre.unanswered_since is None:
         data_centre.unanswered_since = cell.now
@@ -99,6 +100,7 @@
             task.checkpoint,
             run.ticket,
             _leases.extend(cell, worker),
+            cell.timeout_slack_s,
         )
     )
     if worker.poll_at is None and not worker.polls_in_flight:
@@ -126,6 +128,7 @@
     step = task.step
     if task.runs.pop(run.number, None) is None:
         return
+    cell.window.discard(task.name, run.number)
     worker = run.worker
     worker.runs.pop((task.name, run.number), None)
     _update_usage(cell, run, -1)
@@ -176,6 +179,7 @@
     Return the worker if it must be polled at once, since the outcome is
     unknown.
     """
+    _update_window(cell, event)
     worker = cell.workers.get(event.worker_id)
     run = worker and worker.runs.get((event.task, event.run))
     if worker is None or not run:
@@ -223,6 +227,18 @@
     return None
 
 
+def _update_window(cell: _state.Cell, event: events.StartAnswered) -> None:
+    window = cell.window
+    is_unknown = event.outcome is Outcome.UNKNOWN
+    if window.remove(event.task, event.run, cell.now, is_unknown):
+        cell.log_decision(
+            'orders_limited',
+            in_flight=len(window.sent_at_by_run),
+            at_most=int(window.size),
+            lag_ms=round(cell.lag_s * 1000),
+        )
+
+
 def _confirm(cell: _state.Cell, run: _state.Run) -> None:
     run.phase = Phase.RUNNING
     run.confirmed_at = run.progressed_at = cell.now
@@ -360,6 +376,7 @@
         _crashes.handle_reported(cell, run.task, run.number)
         _crashes.handle_progress(cell, run)
     if run.phase in (Phase.SENT, Phase.IN_DOUBT):
+        cell.window.discard(run.task.name, run.number)
         _confirm(cell, run)
     if status.checkpoint:
         run.task.checkpoint = status.checkpoint
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -11,6 +11,7 @@
 import attrs
 
 from celeryshift_cell import _options
+from celeryshift_cell import _order_window
 from celeryshift_cell import _usage
 from celeryshift_cell import effects
 from celeryshift_cell import events
@@ -21,6 +22,11 @@
 RUNS_PER_EPOCH = 1000
 
 
+# A worker lists 500 completions at a time. One that keeps more than these gets
+# no further tasks, since the newest ones would not be listed.
+MAX_WITHHELD = 300
+
+
 class Phase(enum.Enum):
     """Known state of a run that may exist on a worker."""
 
@@ -244,6 +250,8 @@
     is_suspect: bool = False
     # That poll got no response either.
     is_silent: bool = False
+    # Number of failed polls in a row that the owner's own lag explains.
+    excused_polls: int = 0
     # Reported runs of unknown jobs, as (task name, run number). The jobs were
     # evicted or have not arrived yet, so the runs' size is unknown too.
     unknown_runs: set[tuple[str, int]] = attrs.field(factory=set)
@@ -256,6 +264,8 @@
     # Numbers of the last completion processed and of the last one stored.
     last_completion: int = 0
     last_stored_completion: int = 0
+    # The worker may not discard this completion, nor any after it; 0 if none.
+    withheld_completion: int = 0
     # Latest time at which the last lease granted to the worker expires.
     lease_until: float = 0.0
     polls_in_flight: int = 0
@@ -293,6 +303,18 @@
         """Return what the store keeps of the worker."""
         return self.entry.incarnation, self.entry.address
 
+    @property
+    def storable_completion(self) -> int:
+        """Return the last completion that the worker may discard."""
+        if not self.withheld_completion:
+            return self.last_completion
+        return min(self.last_completion, self.withheld_completion - 1)
+
+    @property
+    def has_unstored(self) -> bool:
+        """Return whether completions must be stored for the worker."""
+        return self.storable_completion > self.last_stored_completion
+
     def is_usable(self, now: float) -> bool:
         """Return whether tasks may be started on the worker."""
         return (
@@ -305,6 +327,7 @@
             and not self.entry.is_draining
             and self.quarantined_until <= now
             and self.entry_awaited_until <= now
+            and self.last_completion - self.storable_completion < MAX_WITHHELD
         )
 
     def has_capacity(self, step: model.Step) -> bool:
@@ -334,6 +357,13 @@
     unanswered_since: float | None = None
 
 
+def _make_window(cell: 'Cell') -> _order_window.OrderWindow:
+    options = cell.options
+    return _order_window.make_window(
+        options.cores, options.max_starts_in_flight
+    )
+
+
 @attrs.define(slots=True, eq=False)
 class Cell:
     """State of a cell under one owner."""
@@ -430,6 +460,11 @@
     limit_reservations: dict[str, int] = attrs.field(factory=dict)
     # Workers on which the current step just started tasks, by task index.
     placements: dict[int, str] = attrs.field(factory=dict)
+    window: _order_window.OrderWindow = attrs.field(
+        default=attrs.Factory(_make_window, takes_self=True)
+    )
+    # Recent lag of the owner's event loop.
+    lag_s: float = 0.0
     # Effects of the event being handled.
     outbox: list[effects.Effect] = attrs.field(factory=list)
 
@@ -446,6 +481,12 @@
         """Return the current Unix time in milliseconds."""
         return self.now * 1000 + self.wall_offset_ms
 
+    @property
+    def timeout_slack_s(self) -> float:
+        """Return how much later than usual the owner may read an answer."""
+        options = self.options
+        return min(options.lag_slack_factor * self.lag_s, options.max_slack_s)
+
     def usage(self, team: str) -> _usage.Usage:
         """Return the usage of a team."""
         return self.usage_by_team.setdefault(team, _usage.Usage())
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -13,12 +13,15 @@
 from celeryshift_cell import _stalls
 from celeryshift_cell import _state
 from celeryshift_cell import _stops
+from celeryshift_cell import _withheld
 from celeryshift_cell import effects
 from celeryshift_cell import events
 from celeryshift_cell import model
 
 # Delay of the poll that tells an idle worker that its completions are stored.
 IDLE_POLL_DELAY_S = 1.0
+# Shorter delays than the interval of ticks are none.
+MIN_POLL_DELAY_S = 0.1
 # Age of an entry, as a multiple of the interval of reports, at which one must
 # have been missed; and how long the next one is awaited.
 MAX_ENTRY_AGE = 1.5
@@ -163,6 +166,7 @@
             worker.last_stored_completion,
             wait_ms,
             deadline_ms,
+            cell.timeout_slack_s,
         )
     )
 
@@ -182,7 +186,8 @@
             continue
         is_immediate = (
             worker.is_silent
-            or worker.last_completion > worker.last_stored_completion
+            or worker.has_unstored
+            or bool(worker.withheld_completion)
         )
         _poll(cell, worker, 0 if is_immediate else cell.options.poll_wait_ms)
 
@@ -237,6 +242,7 @@
         worker.is_silent or worker.is_suspect or bool(worker.unknown_runs)
     )
     worker.is_silent = worker.is_suspect = False
+    worker.excused_polls = 0
     _crashes.revoke(cell, (worker.id, worker.entry.incarnation))
     _leases.record_clock(cell, worker, event.clock_ms)
     was_fenced = worker.is_fenced
@@ -255,6 +261,7 @@
     for completion in event.ended:
         if completion.number > worker.last_completion:
             worker.last_completion = completion.number
+            _withheld.check(cell, worker, completion)
             _runs.handle_run_completed(cell, worker, completion)
     _runs.reconcile(cell, worker, event, is_first=not was_fenced)
     # Only now are the runs of former owners known.
@@ -300,16 +307,28 @@
 def _schedule_poll(cell: _state.Cell, worker: _state.Worker) -> None:
     if worker.polls_in_flight:
         return
-    if worker.last_completion > worker.last_stored_completion:
+    if worker.has_unstored or worker.withheld_completion:
         # Completions are stored first; the next poll then allows the worker
         # to discard them.
         worker.poll_at = cell.now + cell.options.unsaved_poll_s
     elif worker.runs or worker.unknown_runs:
-        _poll(cell, worker, _wait_ms(cell, worker))
+        _poll_again(cell, worker)
     else:
         worker.poll_at = None
 
 
+def _poll_again(cell: _state.Cell, worker: _state.Worker) -> None:
+    """Poll a worker with runs: at once, or later if the owner lags."""
+    options = cell.options
+    delay_s = min(
+        options.poll_delay_factor * cell.lag_s, options.max_poll_delay_s
+    )
+    if delay_s < MIN_POLL_DELAY_S:
+        _poll(cell, worker, _wait_ms(cell, worker))
+    else:
+        worker.poll_at = cell.now + delay_s
+
+
 def _wait_ms(cell: _state.Cell, worker: _state.Worker) -> int:
     if any(run.task.step.spec.is_filler for run in worker.runs.values()):
         # The interference of fillers changes within seconds.
@@ -324,10 +343,10 @@
         if worker is None or worker.last_stored_completion >= number:
             continue
         worker.last_stored_completion = number
-        if worker.polls_in_flight or worker.last_completion > number:
+        if worker.polls_in_flight or worker.storable_completion > number:
             continue
         if worker.runs:
-            _poll(cell, worker, cell.options.poll_wait_ms)
+            _poll_again(cell, worker)
         else:
             worker.poll_at = cell.now + IDLE_POLL_DELAY_S
 
@@ -349,6 +368,10 @@
     if is_unknown and not (worker.is_suspect or worker.is_silent):
         probe(cell, worker)
         return
+    if is_unknown and not worker.is_silent and _is_own_lag(cell, worker):
+        worker.excused_polls += 1
+        _poll(cell, worker, 0)
+        return
     if not worker.is_silent:
         cell.log_decision(
             'worker_silent', worker=worker.id, outcome=event.outcome.value
@@ -359,6 +382,18 @@
     _health.copy_runs(cell, worker)
 
 
+def _is_own_lag(cell: _state.Cell, worker: _state.Worker) -> bool:
+    """Return whether the owner may have read the answer too late.
+
+    A worker is silent all the same after a few failed polls, since the lag
+    may last.
+    """
+    return (
+        cell.lag_s >= cell.options.blamed_lag_s
+        and worker.excused_polls < cell.options.excused_polls
+    )
+
+
 def _silent_poll_pause_s(cell: _state.Cell) -> float:
     options = cell.options
     return max(
--- a/packages/cell/celeryshift_cell/effects.py
+++ b/packages/cell/celeryshift_cell/effects.py
@@ -21,6 +21,8 @@
     # Time on the worker's clock. The worker rejects the order after it;
     # otherwise the order extends the worker's lease to it.
     deadline_ms: int
+    # Added to the timeout, since the owner may read the answer late.
+    slack_s: float = 0.0
 
 
 @attrs.frozen(slots=True)
@@ -52,6 +54,8 @@
     # End of the lease on the worker's clock. None if the poll must not extend
     # the lease, for example because that clock is not known yet.
     deadline_ms: int | None
+    # Added to the timeout, since the owner may read the answer late.
+    slack_s: float = 0.0
 
 
 @attrs.frozen(slots=True)
--- a/packages/cell/celeryshift_cell/events.py
+++ b/packages/cell/celeryshift_cell/events.py
@@ -237,6 +237,8 @@
     now: float
     # Unix time in milliseconds.
     wall_ms: int
+    # How late the timer fired.
+    lag_s: float = 0.0
 
 
 Event = (
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -231,8 +231,11 @@
             self.enqueue(events.RecordsFailed(now, is_rejected))
 
     async def _tick(self) -> None:
+        due_at = time.monotonic()
         while True:
-            self.enqueue(
-                events.Ticked(time.monotonic(), int(time.time() * 1000))
-            )
+            now = time.monotonic()
+            lag_s = max(0.0, now - due_at)
+            self._metrics.set_gauge('loop_lag_ms', round(lag_s * 1000))
+            self.enqueue(events.Ticked(now, int(time.time() * 1000), lag_s))
+            due_at = now + TICK_INTERVAL_S
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -260,6 +260,9 @@
             self._metrics.set_gauge('jobs', len(state.jobs))
             self._metrics.set_gauge('steps_waiting', len(state.waiting))
             self._metrics.set_gauge('workers', len(state.workers))
+            window = state.window
+            self._metrics.set_gauge('starts_in_flight', window.in_flight)
+            self._metrics.set_gauge('starts_at_most', int(window.size))
         return self._metrics.render()
 
     async def _handle_show(self, body: Any) -> dict[str, Any]:
@@ -428,6 +431,7 @@
             lease_s=min(cell_settings.max_lease_s, cell.Options().lease_s),
             max_lease_s=cell_settings.max_lease_s,
             report_interval_s=cell_settings.report_interval_s,
+            cores=self._settings.cores,
             in_doubt_overage=cell_settings.team_overage if is_settled else 0.0,
             record_part_bytes=min(
                 cell.Options().record_part_bytes,
--- a/tests/test_cell_sizes.py
+++ b/tests/test_cell_sizes.py
@@ -138,7 +138,8 @@
 def test_a_job_of_many_tasks_with_checkpoints_is_stored(length):
     async def scenario():
         harness = journal.WriterHarness()
-        bench = cells.Bench(MANY_WORKERS)
+        options = cell.Options(cores=16, max_starts_in_flight=1000)
+        bench = cells.Bench(MANY_WORKERS, options=options)
         job = _run_job_with_checkpoints(bench, 'c' * length)
         bench.tick(2.0)
         outcomes = await _save_all(harness, bench)
@@ -183,7 +184,9 @@
 
 
 def test_small_rows_are_respected():
-    options = cell.Options(record_part_bytes=1000)
+    options = cell.Options(
+        record_part_bytes=1000, cores=16, max_starts_in_flight=1000
+    )
     bench = cells.Bench(MANY_WORKERS, options=options)
     _run_job_with_checkpoints(bench, 'c')
     bench.tick(2.0)
