celeryshiftd gives up tasks that crash their workers

Change: a run that its worker did not outlive for 1.5 s makes its task a suspect. Suspects start on trial, on a worker where nothing else has just started and nothing else starts meanwhile. Only losses on trial count: the task fails after two certain ones, or four on workers that may have been cut off. Gangs have no trials and fail after six losses. The losses are stored in the row of the job; rows without them are read as before. Trials wait in groups of their own in the queue, and use earmarks where no worker is quiet.

--- a/packages/core/celeryshift_core/_dispatch.py
+++ b/packages/core/celeryshift_core/_dispatch.py
@@ -22,6 +22,7 @@
     task.epoch = slice_.epoch
     task.attempt += 1
     task.worker = worker.name
+    task.started_at = state.now
     booking = _ledger.Booking(task.team, size, task.job, task.urgent)
     slice_.ledger.book(worker.name, task.run_id, booking)
     if task.urgent:
@@ -59,6 +60,7 @@
         return
     job = slice_.jobs_by_id[task.job]
     job.running.add(task.id)
+    task.started_at = state.now
     outbox.append(
         effects.StartTask(
             slice_.number,
--- a/packages/core/celeryshift_core/_earmarks.py
+++ b/packages/core/celeryshift_core/_earmarks.py
@@ -6,6 +6,7 @@
 at once is bounded too. Urgent tasks may use the free capacity nevertheless.
 """
 
+from celeryshift_core import _crashes
 from celeryshift_core import _explain
 from celeryshift_core import _ledger
 from celeryshift_core import _size
@@ -75,6 +76,8 @@
         return None
     if not _size_estimates.booked_size(state, task).fits(worker.free):
         return None
+    if not _crashes.may_start(slice_, task, worker):
+        return None
     _end(state, slice_, worker)
     return task
 
--- a/packages/core/celeryshift_core/_jobs.py
+++ b/packages/core/celeryshift_core/_jobs.py
@@ -3,6 +3,7 @@
 import attrs
 
 from celeryshift_core import _config
+from celeryshift_core import _crashes
 from celeryshift_core import _dispatch
 from celeryshift_core import _explain
 from celeryshift_core import _gangs
@@ -16,6 +17,7 @@
 from celeryshift_core import _store
 from celeryshift_core import _tasks
 from celeryshift_core import _timers
+from celeryshift_core import effects
 from celeryshift_core import events
 from celeryshift_core import schema
 
@@ -37,6 +39,7 @@
     epoch: int
     jobs: tuple[str, ...]
     ended_runs_by_job: dict[str, dict[str, str]]
+    losses_version_by_job: dict[str, int]
 
 
 def to_row(job: _tasks.Job) -> dict:
@@ -53,6 +56,7 @@
         'unknown': job.unknown.to_ranges(),
         'cancelled': job.cancelled,
         'moves': job.moves,
+        'lost_runs': _crashes.to_value(job),
     }
 
 
@@ -73,6 +77,7 @@
         value['cancelled'],
         cancelled_up_to=value['tasks'] if value['cancelled'] else 0,
         moves=value.get('moves', 0),
+        lost_runs_by_index=_crashes.from_value(value.get('lost_runs', {})),
     )
 
 
@@ -124,6 +129,7 @@
         if gang:
             _gangs.gather(state, slice_, job, task, [])
         else:
+            task.on_trial = _crashes.is_suspect(job, task)
             slice_.queue.push(task)
     state.slices_to_place[slice_.number] = None
 
@@ -143,6 +149,7 @@
     if _gangs.is_gang(state, slice_, job):
         _gangs.gather(state, slice_, job, task, outbox)
     else:
+        task.on_trial = _crashes.is_suspect(job, task)
         slice_.queue.push(task, front=True)
     state.slices_to_place[slice_.number] = None
 
@@ -155,6 +162,7 @@
 ) -> None:
     """Record that a task started by an earlier owner is running."""
     slice_.jobs_by_id[task.job].running.add(task.id)
+    task.started_at = state.now
     _preemption.record_started(state, slice_, task)
 
 
@@ -200,8 +208,12 @@
     task: _tasks.Task,
     why: str,
     outbox: _state.Outbox,
+    loss: _crashes.Loss | None = None,
 ) -> None:
-    """Requeue a task that ended without a result, if permitted."""
+    """Requeue a task that ended without a result, if permitted.
+
+    A task that crashes its workers is given up.
+    """
     job = slice_.jobs_by_id[task.job]
     kind = state.config.kinds.get(task.kind)
     state.counters['tasks.lost'] += 1
@@ -210,10 +222,24 @@
     elif kind is not None and not kind.repeatable:
         mark_unknown(state, slice_, task, why)
     else:
+        if loss is not None:
+            _record_loss(state, slice_, job, task, loss)
+        if _crashes.is_guilty(job, task):
+            _give_up(state, slice_, job, task, outbox)
+            return
         task.record_decision(state.now, 'queued again', why)
         requeue_task(state, slice_, task, outbox)
 
 
+def revoke_loss(
+    state: _state.State, slice_: _state.Slice, task: _tasks.Task, run_id: str
+) -> None:
+    """Revoke the loss of a run that its worker reports, if there is one."""
+    job = slice_.jobs_by_id.get(task.job)
+    if job is not None and _crashes.revoke(job, task, run_id):
+        _mark_dirty(state, slice_, job)
+
+
 def mark_unknown(
     state: _state.State, slice_: _state.Slice, task: _tasks.Task, why: str
 ) -> None:
@@ -349,6 +375,7 @@
             slice_.dirty_jobs[job_id] = None
             continue
         job.row_version = result.version
+        job.stored_losses_version = purpose.losses_version_by_job[job_id]
         runs = purpose.ended_runs_by_job[job_id]
         for run_id, worker_name in runs.items():
             job.ended_runs.pop(run_id, None)
@@ -389,12 +416,14 @@
     deletes = []
     job_ids = tuple(slice_.dirty_jobs)[: state.options.rows_per_write]
     ended = {}
+    losses_version_by_job = {}
     for job_id in job_ids:
         del slice_.dirty_jobs[job_id]
         job = slice_.jobs_by_id[job_id]
         key = schema.job(data_centre, slice_.number, job_id)
         checks[key] = job.row_version
         ended[job_id] = dict(job.ended_runs)
+        losses_version_by_job[job_id] = job.losses_version
         if job.is_finished:
             deletes.append(key)
             place = {'data_centre': data_centre, 'slice': slice_.number}
@@ -403,7 +432,9 @@
         else:
             puts[key] = to_row(job)
     slice_.writing_jobs = True
-    purpose = RecordPurpose(slice_.number, slice_.epoch, job_ids, ended)
+    purpose = RecordPurpose(
+        slice_.number, slice_.epoch, job_ids, ended, losses_version_by_job
+    )
     _store.write(state, outbox, purpose, checks, puts, tuple(deletes))
 
 
@@ -435,6 +466,39 @@
         _complete_task(state, slice_, job, task, TaskState.FAILED, why)
 
 
+def _record_loss(
+    state: _state.State,
+    slice_: _state.Slice,
+    job: _tasks.Job,
+    task: _tasks.Task,
+    loss: _crashes.Loss,
+) -> None:
+    before = job.losses_version
+    if _crashes.record_loss(job, task, loss):
+        state.counters['tasks.suspected'] += 1
+        why = f'{task.worker} was lost with it shortly after its start'
+        task.record_decision(state.now, 'suspected', why)
+    if job.losses_version != before:
+        _mark_dirty(state, slice_, job)
+
+
+def _give_up(
+    state: _state.State,
+    slice_: _state.Slice,
+    job: _tasks.Job,
+    task: _tasks.Task,
+    outbox: _state.Outbox,
+) -> None:
+    losses = len(job.lost_runs_by_index[task.index])
+    state.counters['tasks.given_up'] += 1
+    fields = {'task': task.id, 'losses': losses}
+    outbox.append(effects.LogChange('task-given-up', fields))
+    job.failed.add(task.index)
+    why = f'{losses} workers were lost shortly after its start'
+    _explain.record_decision(state, slice_, task, 'given up', why)
+    _complete_task(state, slice_, job, task, TaskState.FAILED, why)
+
+
 def _complete_task(
     state: _state.State,
     slice_: _state.Slice,
@@ -444,6 +508,7 @@
     why: str,
 ) -> None:
     task.state = task_state
+    _crashes.forget(job, task.index)
     task.record_decision(state.now, task_state.value, why)
     slice_.tasks_by_id.pop(task.id, None)
     _explain.remember_completed(state, task)
--- a/packages/core/celeryshift_core/_ledger.py
+++ b/packages/core/celeryshift_core/_ledger.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
+import math
 
 import attrs
 
@@ -33,7 +34,10 @@
     been confirmed when the latest sync was sent, so that a complete list in
     its answer has them unless they have ended; `unlisted_runs` were missing
     from such a list, which may have been made before their start. A sync may
-    renew the leases of its tasks until `renewed_until`.
+    renew the leases of its tasks until `renewed_until`. It was last heard of
+    at `heard_at`. At `broke_at` it was last found to be silent or restarted;
+    before that, it was heard of at `heard_before_break`. No other work starts
+    there while `trial_run` is on trial.
     """
 
     name: str
@@ -55,6 +59,10 @@
     syncing: bool = False
     silent_since: float | None = None
     renewed_until: float = 0.0
+    heard_at: float = -math.inf
+    broke_at: float = -math.inf
+    heard_before_break: float = -math.inf
+    trial_run: str = ''
     used: _size.Size = _size.ZERO
     bookings_by_run: dict[str, Booking] = attrs.field(factory=dict)
     foreign_runs: set[str] = attrs.field(factory=set)
@@ -76,6 +84,7 @@
             and self.silent_since is None
             and not self.quarantined
             and not (self.probation and self.bookings_by_run)
+            and not self.trial_run
             and not self.backing_off
             and self.state is events.VmState.LIVE
         )
@@ -235,6 +244,8 @@
         worker.used -= booking.size
         worker.foreign_runs.discard(run_id)
         worker.unlisted_runs.discard(run_id)
+        if worker.trial_run == run_id:
+            worker.trial_run = ''
         self._count_rack(worker, booking, -1)
         self.refresh(worker)
         return booking
--- a/packages/core/celeryshift_core/_placement.py
+++ b/packages/core/celeryshift_core/_placement.py
@@ -2,6 +2,7 @@
 
 from celeryshift_core import _at_most_once
 from celeryshift_core import _config
+from celeryshift_core import _crashes
 from celeryshift_core import _dispatch
 from celeryshift_core import _earmarks
 from celeryshift_core import _gangs
@@ -195,6 +196,10 @@
             state.now, 'waits', 'the room left is for urgent work'
         )
         return
+    if task.on_trial and not candidates:
+        _close_group(state, slice_, task, 'no worker for its trial yet')
+        _schedule_search(state, slice_, task)
+        return
     worker = _choose_worker(slice_, task, kind, candidates)
     if candidates and worker is None:
         skipped.add((task.team, task.kind))
@@ -281,6 +286,9 @@
     _dispatch.book(state, slice_, task, worker, size)
     task.state = _tasks.TaskState.STARTING
     state.counters['placements'] += 1
+    if task.on_trial:
+        _crashes.begin_trial(slice_, task, worker)
+        state.counters['trials'] += 1
     _wait_times.record_wait(state, task)
     if kind.preemptible:
         _preemption.record_started(state, slice_, task)
@@ -301,6 +309,8 @@
 
     Schedules another search if this one gave up before it found a worker.
     """
+    if task.on_trial:
+        return _crashes.find_workers(slice_, task, size)
     workers_to_search = slice_.queue.workers_to_search(task)
     if workers_to_search is not None:
         return list(slice_.ledger.fitting(workers_to_search, size))
@@ -330,6 +340,8 @@
             for worker in candidates
             if worker.name not in task.failed_on
         ]
+    if task.on_trial:
+        return next(iter(candidates), None)
     strategy = _placement_strategies.BY_POLICY[kind.policy]
     return min(
         candidates,
--- a/packages/core/celeryshift_core/_queue.py
+++ b/packages/core/celeryshift_core/_queue.py
@@ -12,7 +12,8 @@
 from celeryshift_core import _tasks
 
 Fifo = collections.deque[_tasks.Task]
-GroupKey = tuple[bool, str, _size.Size]
+# Urgency, kind, size, and whether the tasks have to start on trial.
+GroupKey = tuple[bool, str, _size.Size, bool]
 # Team and kind of work.
 TeamKind = tuple[str, str]
 
@@ -20,11 +21,13 @@
 class _Group:
     """Waiting tasks of one kind and size, with a FIFO for each team.
 
-    All of them need the same capacity, so one search decides for the group.
-    If it finds no worker, the group is closed. After that only workers whose
-    free capacity grows are searched, which `workers_to_search` names; None
-    stands for all workers. At `search_at`, if set, the group is reopened and
-    all workers are searched again, even if no capacity was freed.
+    Those that have to start on trial wait in a group of their own, so that
+    others do not wait behind them. All of them need the same capacity, so one
+    search decides for the group. If it finds no worker, the group is closed.
+    After that only workers whose free capacity grows are searched, which
+    `workers_to_search` names; None stands for all workers. At `search_at`, if
+    set, the group is reopened and all workers are searched again, even if no
+    capacity was freed.
     """
 
     def __init__(self, key: GroupKey, upstream: str) -> None:
@@ -209,9 +212,13 @@
         upstream: str,
         free_by_worker: dict[str, _size.Size],
     ) -> None:
-        """Reopen groups that may fit on workers whose capacity grew."""
+        """Reopen groups that may fit on workers whose capacity grew.
+
+        Those of trials need more than capacity: they stay blocked until their
+        next search, so that a worker can be earmarked for them.
+        """
         for key, group in self._group_by_key.items():
-            if group.upstream != upstream:
+            if group.upstream != upstream or key[3]:
                 continue
             fitting = [
                 name
@@ -276,4 +283,4 @@
 
 
 def _group_key(task: _tasks.Task) -> GroupKey:
-    return task.urgent, task.kind, task.size
+    return task.urgent, task.kind, task.size, task.on_trial
--- a/packages/core/celeryshift_core/_slices.py
+++ b/packages/core/celeryshift_core/_slices.py
@@ -223,7 +223,9 @@
     worker = slice_.ledger.workers_by_name.get(vm.name)
     if vm.state is events.VmState.GONE:
         if worker is not None:
-            _workers.lose_all(state, slice_, worker, 'VM is gone', outbox)
+            _workers.lose_all(
+                state, slice_, worker, 'VM is gone', True, outbox
+            )
             slice_.ledger.remove(vm.name)
             state.slices_to_place[slice_.number] = None
     elif worker is None:
--- a/packages/core/celeryshift_core/_state.py
+++ b/packages/core/celeryshift_core/_state.py
@@ -60,6 +60,8 @@
 
     `reserving_by_upstream` has the job of the gang that reserves workers, and
     `earmarked_by_upstream` the task for each earmarked worker.
+    `trials_by_upstream` has the workers on which trials began; they may have
+    ended since.
     """
 
     number: int
@@ -87,6 +89,7 @@
         factory=dict
     )
     earmark_after: float = 0.0
+    trials_by_upstream: dict[str, set[str]] = attrs.field(factory=dict)
     preemptible_by_upstream: dict[str, dict[str, _tasks.Task]] = attrs.field(
         factory=dict
     )
--- a/packages/core/celeryshift_core/_tasks.py
+++ b/packages/core/celeryshift_core/_tasks.py
@@ -54,6 +54,8 @@
     `failed_on` has the workers that failed or refused it, `throttled_run` the
     run that was throttled last. `victim_worker` and `victim_run` name the run
     that was preempted for it last. `claim_version` is 0 without a claim.
+    `started_at` is the time at which the latest run was booked, sent or found,
+    and `on_trial` is set if it is or has to be on trial (see _crashes).
     """
 
     id: str
@@ -72,6 +74,8 @@
     attempt: int = 0
     claim_version: int = 0
     failed_on: tuple[str, ...] = ()
+    started_at: float = 0.0
+    on_trial: bool = False
     throttled_run: str = ''
     victim_worker: str = ''
     victim_run: str = ''
@@ -132,6 +136,8 @@
     order, so far those with an index below `cancelled_up_to`. `failures`,
     `failed_workers` and `hold_count` count since the last success;
     `probe_task` is the task that is tried after a hold.
+    `lost_runs_by_index` has, by index of the task, the runs that may have
+    crashed their worker, each with its points against the task (see _crashes).
     """
 
     id: str
@@ -156,6 +162,9 @@
     on_hold: bool = False
     probe_task: str = ''
     held_tasks: dict[str, Task] = attrs.field(factory=dict)
+    lost_runs_by_index: dict[int, dict[str, int]] = attrs.field(factory=dict)
+    losses_version: int = 0
+    stored_losses_version: int = 0
     decisions: list[Decision] = attrs.field(factory=list)
 
     def task_id(self, index: int) -> str:
--- a/packages/core/celeryshift_core/_workers.py
+++ b/packages/core/celeryshift_core/_workers.py
@@ -1,6 +1,7 @@
 """Workers: task leases, status reports, silent workers and lost tasks."""
 
 from celeryshift_core import _config
+from celeryshift_core import _crashes
 from celeryshift_core import _dispatch
 from celeryshift_core import _jobs
 from celeryshift_core import _lease
@@ -47,7 +48,12 @@
     needs_list = worker.foreign_runs or (
         worker.unlisted_runs & worker.listable_runs
     )
-    poll_soon = silent or not worker.answered or needs_list
+    poll_soon = (
+        silent
+        or not worker.answered
+        or needs_list
+        or _crashes.is_watched(slice_, worker)
+    )
     acknowledged = sorted(worker.to_acknowledge)[:MAX_ACKNOWLEDGED_PER_SYNC]
     worker.to_acknowledge.difference_update(acknowledged)
     worker.syncing = True
@@ -102,6 +108,9 @@
     _overload.relieve(state, slice_, worker, outbox)
     if event.whole:
         _lose_unlisted(state, slice_, worker, event.reports, outbox)
+    # Runs that a restarted worker has lost were heard of before this answer.
+    worker.heard_at = state.now
+    _crashes.update_trial(slice_, worker)
     slice_.ledger.refresh(worker)
     state.slices_to_place[slice_.number] = None
     sync(state, slice_, worker, outbox)
@@ -125,7 +134,7 @@
     found = _find(state, timer)
     if found is not None:
         slice_, worker = found
-        lose_all(state, slice_, worker, 'worker is silent', outbox)
+        lose_all(state, slice_, worker, 'worker is silent', False, outbox)
 
 
 def lose_all(
@@ -133,11 +142,14 @@
     slice_: _state.Slice,
     worker: _ledger.Worker,
     why: str,
+    has_crashed: bool,
     outbox: _state.Outbox,
 ) -> None:
     """Treat every task of a worker as ended without a result."""
+    if worker.silent_since is None:
+        _crashes.record_break(state, worker)
     for run_id in list(worker.bookings_by_run):
-        _lose(state, slice_, worker, run_id, why, outbox)
+        _lose(state, slice_, worker, run_id, why, has_crashed, outbox)
 
 
 def handle_started(
@@ -203,7 +215,8 @@
     task = slice_.tasks_by_id.get(_tasks.task_id_of_run(timer.run))
     current = task is not None and task.run_id == timer.run
     if is_unconfirmed or not current:
-        _lose(state, slice_, worker, timer.run, 'its end was not seen', outbox)
+        why = 'its end was not seen'
+        _lose(state, slice_, worker, timer.run, why, False, outbox)
 
 
 def handle_stopped(
@@ -277,6 +290,7 @@
     state.timers.set(retry_key, state.now + state.options.sync_retry_s)
     if worker.silent_since is None:
         worker.silent_since = state.now
+        _crashes.record_break(state, worker)
         slice_.ledger.refresh(worker)
         _set_leases_end(state, slice_, worker)
         fields = {'worker': worker.name, 'tasks': len(worker.bookings_by_run)}
@@ -291,6 +305,8 @@
     outbox: _state.Outbox,
 ) -> None:
     task = slice_.tasks_by_id.get(_tasks.task_id_of_run(report.id))
+    if task is not None:
+        _jobs.revoke_loss(state, slice_, task, report.id)
     if report.phase is events.TaskPhase.RUNNING:
         _handle_running(state, slice_, worker, report, task, outbox)
         return
@@ -423,9 +439,12 @@
     listed = {report.id for report in reports}
     unlisted = [run for run in worker.bookings_by_run if run not in listed]
     worker.unlisted_runs = set(unlisted)
-    for run_id in unlisted:
-        if run_id in worker.listable_runs:
-            _lose(state, slice_, worker, run_id, 'worker forgot it', outbox)
+    lost = [run_id for run_id in unlisted if run_id in worker.listable_runs]
+    if lost:
+        _crashes.record_break(state, worker)
+    for run_id in lost:
+        why = 'worker forgot it'
+        _lose(state, slice_, worker, run_id, why, True, outbox)
 
 
 def _lose(
@@ -434,6 +453,7 @@
     worker: _ledger.Worker,
     run_id: str,
     why: str,
+    has_crashed: bool,
     outbox: _state.Outbox,
 ) -> None:
     task = slice_.tasks_by_id.get(_tasks.task_id_of_run(run_id))
@@ -445,4 +465,5 @@
     if reserved:
         _jobs.requeue_task(state, slice_, task, outbox)
     elif not task.is_request:
-        _jobs.handle_task_lost(state, slice_, task, why, outbox)
+        loss = _crashes.find_loss(task, worker, has_crashed)
+        _jobs.handle_task_lost(state, slice_, task, why, outbox, loss)
