--- a/packages/core/celeryshift_core/_job_arrivals.py
+++ b/packages/core/celeryshift_core/_job_arrivals.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from celeryshift_core import _job_rows
 from celeryshift_core import _jobs
 from celeryshift_core import _state
 from celeryshift_core import _store
@@ -154,7 +155,7 @@
 
     The job is not moved again for MIN_STAY_S.
     """
-    job = _jobs.from_row(row)
+    job = _job_rows.from_row(row)
     if job.id in slice_.jobs_by_id:
         return
     job.movable_after = state.now + MIN_STAY_S
--- a/packages/core/celeryshift_core/_jobs.py
+++ b/packages/core/celeryshift_core/_jobs.py
@@ -7,12 +7,11 @@
 from celeryshift_core import _dispatch
 from celeryshift_core import _explain
 from celeryshift_core import _gangs
-from celeryshift_core import _indices
 from celeryshift_core import _job_holds
+from celeryshift_core import _job_rows
 from celeryshift_core import _ledger
 from celeryshift_core import _preemption
 from celeryshift_core import _quarantine
-from celeryshift_core import _size
 from celeryshift_core import _state
 from celeryshift_core import _store
 from celeryshift_core import _tasks
@@ -42,45 +41,6 @@
     losses_version_by_job: dict[str, int]
 
 
-def to_row(job: _tasks.Job) -> dict:
-    """Return the value of the row of a job."""
-    return {
-        'id': job.id,
-        'team': job.team,
-        'kind': job.kind,
-        'tasks': job.tasks,
-        'payload': job.payload,
-        'size': _config.unstructure(job.size),
-        'done': job.done.to_ranges(),
-        'failed': job.failed.to_ranges(),
-        'unknown': job.unknown.to_ranges(),
-        'cancelled': job.cancelled,
-        'moves': job.moves,
-        'lost_runs': _crashes.to_value(job),
-    }
-
-
-def from_row(row: schema.Row) -> _tasks.Job:
-    """Return the job of a row."""
-    value = row.value
-    return _tasks.Job(
-        value['id'],
-        value['team'],
-        value['kind'],
-        value['tasks'],
-        value['payload'],
-        _config.structure(value['size'], _size.Size),
-        row.version,
-        _indices.IndexSet(value['done']),
-        _indices.IndexSet(value['failed']),
-        _indices.IndexSet(value['unknown']),
-        value['cancelled'],
-        cancelled_up_to=value['tasks'] if value['cancelled'] else 0,
-        moves=value.get('moves', 0),
-        lost_runs_by_index=_crashes.from_value(value.get('lost_runs', {})),
-    )
-
-
 def create_tasks(
     state: _state.State,
     slice_: _state.Slice,
@@ -116,7 +76,7 @@
     state: _state.State, slice_: _state.Slice, row: schema.Row
 ) -> None:
     """Restore a job from the row that an earlier owner wrote."""
-    job = from_row(row)
+    job = _job_rows.from_row(row)
     for task in create_tasks(state, slice_, job, TaskState.UNACCOUNTED):
         slice_.unaccounted.add(task.id)
 
@@ -210,10 +170,7 @@
     outbox: _state.Outbox,
     loss: _crashes.Loss | None = None,
 ) -> None:
-    """Requeue a task that ended without a result, if permitted.
-
-    A task that crashes its workers is given up.
-    """
+    """Requeue a task that ended without a result, or give it up."""
     job = slice_.jobs_by_id[task.job]
     kind = state.config.kinds.get(task.kind)
     state.counters['tasks.lost'] += 1
@@ -430,7 +387,7 @@
             place['result'] = _explain.describe_job(job)
             puts[schema.job_place(job_id)] = place
         else:
-            puts[key] = to_row(job)
+            puts[key] = _job_rows.to_row(job)
     slice_.writing_jobs = True
     purpose = RecordPurpose(
         slice_.number, slice_.epoch, job_ids, ended, losses_version_by_job
--- a/packages/core/celeryshift_core/_submission.py
+++ b/packages/core/celeryshift_core/_submission.py
@@ -6,6 +6,7 @@
 from celeryshift_core import _config
 from celeryshift_core import _explain
 from celeryshift_core import _ids
+from celeryshift_core import _job_rows
 from celeryshift_core import _jobs
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
@@ -108,7 +109,7 @@
         checks[place_key] = 0
         puts[place_key] = {'data_centre': data_centre, 'slice': slice_.number}
         row_key = schema.job(data_centre, slice_.number, submission.job.id)
-        puts[row_key] = _jobs.to_row(submission.job)
+        puts[row_key] = _job_rows.to_row(submission.job)
         ready.append(submission)
     state.submissions[:0] = deferred
     if ready:
--- a/packages/core/celeryshift_core/_transfer.py
+++ b/packages/core/celeryshift_core/_transfer.py
@@ -16,6 +16,7 @@
 from celeryshift_core import _gangs
 from celeryshift_core import _headroom
 from celeryshift_core import _job_arrivals
+from celeryshift_core import _job_rows
 from celeryshift_core import _jobs
 from celeryshift_core import _lease
 from celeryshift_core import _ownership
@@ -293,7 +294,7 @@
     deletes = []
     value_by_job = {}
     for job in _select_jobs(state, target, need, jobs):
-        value = {**_jobs.to_row(job), 'moves': job.moves + 1}
+        value = {**_job_rows.to_row(job), 'moves': job.moves + 1}
         value_by_job[job.id] = value
         key = schema.job(data_centre, slice_.number, job.id)
         checks[key] = job.row_version
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -7,7 +7,7 @@
 import pytest
 
 from celeryshift_core import _crashes
-from celeryshift_core import _jobs
+from celeryshift_core import _job_rows
 from celeryshift_core import _size
 from celeryshift_core import _tasks
 from celeryshift_core import schema
@@ -197,12 +197,12 @@
 def test_a_row_of_the_previous_release_is_read():
     """Guards against rows without losses, and losses that are not stored."""
     job, task = _job({'3.6': 2})
-    value = _jobs.to_row(job)
-    restored = _jobs.from_row(schema.Row(5, value))
+    value = _job_rows.to_row(job)
+    restored = _job_rows.from_row(schema.Row(5, value))
     assert restored.lost_runs_by_index == {0: {'3.6': 2}}
     assert _crashes.is_suspect(restored, task)
     del value['lost_runs']
-    assert not _jobs.from_row(schema.Row(5, value)).lost_runs_by_index
+    assert not _job_rows.from_row(schema.Row(5, value)).lost_runs_by_index
 
 
 @pytest.mark.parametrize(
