--- a/packages/cell/celeryshift_cell/_order_window.py
+++ b/packages/cell/celeryshift_cell/_order_window.py
@@ -64,9 +64,7 @@
         self.late_share += ANSWER_WEIGHT * (is_late - self.late_share)
         if not is_late:
             if 2 * len(self.sent_at_by_run) >= self.size:
-                self.size = min(
-                    float(self.largest), self.size + 1 / self.size
-                )
+                self.size = min(float(self.largest), self.size + 1 / self.size)
             return False
         is_recent = now - self.shrunk_at < SHRINK_PAUSE_S
         if self.late_share <= LATE_SHARE or is_recent:
