--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -299,6 +299,26 @@
     _run(work, {'/late': _answer_when_released}, limit=1)
 
 
+def test_a_call_cancelled_as_it_gets_a_slot_returns_it():
+    # Otherwise an address has one connection fewer for ever.
+    async def work(server, channels, call):
+        async def time_out():
+            with pytest.raises(exchanges.NoAnswerError):
+                await call('/late', TIMEOUT_S)
+            # Its slot has been granted, over new connections, in this moment.
+            waiting.cancel()
+
+        silent = asyncio.ensure_future(time_out())
+        await _until(lambda: server.paths)
+        waiting = asyncio.ensure_future(call('/cancelled'))
+        await silent
+        assert await call() == (200, b'{}')
+        assert waiting.cancelled()
+        assert server.paths == ['/late', '/']
+
+    _run(work, {'/late': _answer_when_released}, limit=1)
+
+
 @pytest.mark.parametrize('is_cancelled', [False, True])
 def test_an_unresponsive_call_retires_the_connections(is_cancelled):
     # A device on the path may have lost the state of all of them.
