Evacuation of data centres, and cold workers

Cause: operators need to empty a data centre without calling a node, and workers report for how long they are slow after a start; the cell knew neither.

Change: the follower of the table `op` yields the data centres with a row `evacuate/ZONE`, and a new owner reads these rows with those of the cell, before its first order. Workers there are not usable; waiting steps and queries to the policy service are redirected at once, and a step that fits only there waits without reserving anything. Urgent work avoids workers with `cold_remaining_ms`, other work fills a share of them that grows from a quarter to all, and their run times train no averages.

--- a/packages/cell/celeryshift_cell/__init__.py
+++ b/packages/cell/celeryshift_cell/__init__.py
@@ -6,6 +6,7 @@
 
 from celeryshift_cell._explain import describe
 from celeryshift_cell._explain import explain
+from celeryshift_cell._explain import gauges
 from celeryshift_cell._feasibility import rejection_reason
 from celeryshift_cell._jobs import visible_state
 from celeryshift_cell._options import Options
@@ -18,6 +19,7 @@
     'Options',
     'describe',
     'explain',
+    'gauges',
     'is_known_job',
     'rejection_reason',
     'reduce',
--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -19,6 +19,7 @@
 
 import heapq
 
+from celeryshift_cell import _cold
 from celeryshift_cell import _jobs
 from celeryshift_cell import _ordering
 from celeryshift_cell import _state
@@ -95,7 +96,6 @@
 def _query_candidates(
     cell: _state.Cell, step: _state.StepRun, service: model.PolicyService
 ) -> list[_state.Worker]:
-    spec = step.spec
     approved, new = _known_and_new(cell, step)
     stale = [w for w in approved if valid_ticket(cell, step, w) is None]
     if approved:
@@ -107,7 +107,8 @@
     else:
         # First query: if no worker has free capacity, name all of them, since
         # capacity may become free before the response.
-        chosen = [w for w in new if w.has_capacity(spec)] or new
+        fitting = [w for w in new if _cold.has_capacity(cell, w, step)]
+        chosen = fitting or new
     return _limit(cell, step, service, chosen, [*stale, *new])
 
 
@@ -162,7 +163,7 @@
     return [
         worker
         for worker in workers
-        if worker.has_capacity(spec)
+        if _cold.has_capacity(cell, worker, step)
         and (
             spec.is_filler
             or worker.id not in cell.claims_by_worker
@@ -203,10 +204,13 @@
     others: list[_state.Worker],
 ) -> list[_state.Worker]:
     """Return the workers to name: the chosen ones, and others if cheap."""
-    spec = step.spec
 
-    def rank(worker: _state.Worker) -> tuple[bool, int]:
-        return (not worker.has_capacity(spec), -worker.free_cpu)
+    def rank(worker: _state.Worker) -> tuple[bool, bool, int]:
+        return (
+            not _cold.has_capacity(cell, worker, step),
+            _cold.is_cold_for_urgent(cell, step, worker),
+            -worker.free_cpu,
+        )
 
     enough = max(
         cell.options.min_queried_workers,
@@ -228,6 +232,39 @@
     return named
 
 
+def abandon_unusable(cell: _state.Cell) -> None:
+    """Abandon the queries that name no usable worker any more.
+
+    The steps are then queried for other workers at once.
+    """
+    for job in cell.jobs.values():
+        for step in job.steps.values():
+            named = step.pending_query
+            if not named or any(
+                worker is not None and worker.is_usable(cell.now)
+                for worker in map(cell.workers.get, named)
+            ):
+                continue
+            step.pending_query = {}
+            _release_claims(cell, step.name, tuple(named))
+            cell.log_decision(
+                'advice_abandoned',
+                job=job.spec.id,
+                step=step.name,
+                workers=len(named),
+            )
+
+
+def _take_query(
+    step: _state.StepRun, workers: tuple[str, ...]
+) -> dict[str, int] | None:
+    """Remove the query in flight; None if another one was answered."""
+    if step.pending_query.keys() != set(workers):
+        return None
+    queried, step.pending_query = step.pending_query, {}
+    return queried
+
+
 def query_successors(cell: _state.Cell, step: _state.StepRun) -> None:
     """Query for the steps that become ready once a step has completed."""
     job = step.job
@@ -339,7 +376,9 @@
     step = cell.step(event.step)
     if step is None:
         return
-    queried, step.pending_query = step.pending_query, {}
+    queried = _take_query(step, event.workers)
+    if queried is None:
+        return
     valid_until = event.sent_at + event.validity_ms / 1000
     for worker_id, incarnation in queried.items():
         if cell.worker(worker_id, incarnation) is None:
@@ -369,9 +408,8 @@
     """Allow the next query after a pause."""
     _release_claims(cell, event.step, event.workers)
     step = cell.step(event.step)
-    if step is None:
+    if step is None or _take_query(step, event.workers) is None:
         return
-    step.pending_query = {}
     step.query_after = cell.now + cell.options.query_retry_s
     cell.log_decision(
         'advice_failed',
--- a/packages/cell/celeryshift_cell/_crashes.py
+++ b/packages/cell/celeryshift_cell/_crashes.py
@@ -13,6 +13,7 @@
 
 from celeryshift_cell import _in_doubt
 from celeryshift_cell import _jobs
+from celeryshift_cell import _losses
 from celeryshift_cell import _state
 
 # A run that its worker has outlived for this time is no suspect.
@@ -91,13 +92,13 @@
     return cell.now - last < SETTLED_S
 
 
-def _is_guilty(losses: list[_state.Loss]) -> bool:
+def _is_guilty(losses: list[_losses.Loss]) -> bool:
     """Return whether losses, if certain, show that their task causes them."""
     has_trial = any(loss.is_trial for loss in losses)
     return has_trial and sum(map(_evidence, losses)) >= GUILTY
 
 
-def _evidence(loss: _state.Loss) -> int:
+def _evidence(loss: _losses.Loss) -> int:
     """Return how much a loss tells against its task."""
     if loss.is_trial:
         if loss.is_prompt:
@@ -204,7 +205,7 @@
             # The loss on a former incarnation, which the run outlived.
             continue
         survived_s = _survived_s(run)
-        loss = _state.Loss(
+        loss = _losses.Loss(
             run.number,
             worker.entry.address,
             cell.now,
@@ -258,7 +259,7 @@
     if not tasks:
         return
     for task in tasks:
-        loss = _state.Loss(
+        loss = _losses.Loss(
             0, '', cell.now, 0.0, is_suspect=True, is_certain=True
         )
         add_loss(cell, task, key, loss)
@@ -282,7 +283,7 @@
     cell: _state.Cell,
     task: _state.Task,
     key: tuple[str, int],
-    loss: _state.Loss,
+    loss: _losses.Loss,
 ) -> None:
     """Add a loss to a task, in place of the least telling if it has many."""
     losses = task.losses_by_worker
--- a/packages/cell/celeryshift_cell/_explain.py
+++ b/packages/cell/celeryshift_cell/_explain.py
@@ -4,6 +4,8 @@
 from typing import Any
 
 from celeryshift_cell import _advice
+from celeryshift_cell import _cold
+from celeryshift_cell import _evacuation
 from celeryshift_cell import _placement
 from celeryshift_cell import _state
 
@@ -25,6 +27,9 @@
         'workers_usable': sum(w.is_usable(cell.now) for w in workers),
         'workers_silent': sorted(w.id for w in workers if w.is_silent),
         'workers_in_doubt': sorted(cell.unfenced),
+        'workers_cold': _cold.count(cell),
+        'data_centres_evacuated': _evacuation.known(cell),
+        'evacuations_unknown': sorted(cell.unknown_evacuations),
         'teams': {
             name: [usage.cpu_milli, usage.memory_mb, usage.accelerators]
             for name, usage in cell.usage_by_team.items()
@@ -32,6 +37,14 @@
     }
 
 
+def gauges(cell: _state.Cell) -> dict[str, int]:
+    """Return the values of the gauges of a cell, by name."""
+    return {
+        'evacuated_data_centres': len(_evacuation.known(cell)),
+        'cold_workers': _cold.count(cell),
+    }
+
+
 def explain(cell: _state.Cell, job_id: str) -> dict[str, Any] | None:
     """Return the state of a job by step, or None if it is unknown."""
     job = cell.jobs.get(job_id)
@@ -76,6 +89,9 @@
         return 'running'
     if _placement.is_blocked_in_doubt(cell, step):
         return 'a silent worker may still run its tasks'
+    if _evacuation.blocks(cell, step):
+        names = ', '.join(_evacuation.known(cell))
+        return f'only evacuated data centres can run it: {names}'
     if step.blocked_by_limit:
         return 'the limit of its team'
     if step.blocked_by_headroom:
@@ -89,4 +105,6 @@
         for worker in cell.workers.values()
     ):
         return 'no ticket for a worker'
+    if _cold.holds_back(cell, step):
+        return 'the share of cold workers for work that is not urgent'
     return 'no room on the workers that may run it'
--- a/packages/cell/celeryshift_cell/_feasibility.py
+++ b/packages/cell/celeryshift_cell/_feasibility.py
@@ -25,12 +25,13 @@
             step.size, team.maximum
         ):
             return f'a task of step {number} is over the limit of {team.name}'
-        if workers and not any(_fits(step, worker) for worker in workers):
+        if workers and not any(fits(step, worker) for worker in workers):
             return f'no worker is large enough for step {number}'
     return None
 
 
-def _fits(step: model.Step, worker: _state.Worker) -> bool:
+def fits(step: model.Step, worker: _state.Worker) -> bool:
+    """Return whether a worker is large enough and has the required label."""
     label = step.required_label
     if label and label not in worker.entry.labels:
         return False
--- a/packages/cell/celeryshift_cell/_health.py
+++ b/packages/cell/celeryshift_cell/_health.py
@@ -4,6 +4,7 @@
 failures of one faulty job.
 """
 
+from celeryshift_cell import _cold
 from celeryshift_cell import _jobs
 from celeryshift_cell import _state
 from celeryshift_cell import _usage
@@ -33,7 +34,8 @@
         if run is not None and run.confirmed_at:
             run_s = cell.now - run.since
             task.step.slowest_s = max(task.step.slowest_s, run_s)
-            _learn_run_time(cell, worker, task, run_s * 1000)
+            if not _cold.was_cold_during(run):
+                _learn_run_time(cell, worker, task, run_s * 1000)
     elif result is model.RunResult.FAILED:
         worker.failed_jobs.add(task.step.job.spec.id)
         if len(worker.failed_jobs) >= cell.options.quarantine_failures:
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -4,7 +4,9 @@
 import math
 
 from celeryshift_cell import _advice
+from celeryshift_cell import _cold
 from celeryshift_cell import _crashes
+from celeryshift_cell import _evacuation
 from celeryshift_cell import _headroom
 from celeryshift_cell import _in_doubt
 from celeryshift_cell import _jobs
@@ -93,7 +95,11 @@
 
 def _record_wait(cell: _state.Cell, step: _state.StepRun) -> None:
     """Reserve what a waiting step needs next and log why it waits."""
-    if step.blocked_by_limit:
+    if _evacuation.blocks(cell, step):
+        # It can't use what its team or urgent work would leave to it.
+        step.blocked_by_limit = step.blocked_by_headroom = False
+        reason = 'evacuation'
+    elif step.blocked_by_limit:
         _reservations.reserve_limit(cell, step)
         reason = 'limit of its team'
     elif step.blocked_by_headroom:
@@ -105,6 +111,8 @@
         _reservations.reserve_workers(cell, step, candidates)
         _advice.query(cell, step)
         reason = 'policy service' if step.pending_query else 'room'
+        if reason == 'room' and _cold.holds_back(cell, step):
+            reason = 'cold workers'
         if any(step.tasks[i].losses_by_worker for i in step.pending):
             reason = 'workers lost under its tasks'
     if reason == step.wait_reason:
@@ -158,7 +166,7 @@
     is_suspect = _crashes.is_suspect(task)
     unclean: list[tuple[tuple[float, ...], _state.Worker]] = []
     for worker, ticket in _candidates(cell, step):
-        if not worker.has_capacity(step.spec):
+        if not _cold.has_capacity(cell, worker, step):
             continue
         if cell.worker_reservations.get(worker.id, priority) < priority:
             continue
@@ -173,7 +181,7 @@
         if is_suspect:
             # The worker may crash, so the least work is put at risk.
             busy_cpu = worker.entry.capacity.cpu_milli - worker.free_cpu
-            cost = (cost[0], busy_cpu, *cost[1:])
+            cost = (*cost[:2], busy_cpu, *cost[2:])
             if not _crashes.is_clean(cell, worker, step.job):
                 unclean.append((cost, worker))
                 continue
@@ -244,26 +252,36 @@
 ) -> tuple[float, ...]:
     """Return the cost of a worker for a task; the lowest is best.
 
-    Urgent tasks prefer the fastest workers. All other tasks are packed onto
-    the fullest workers that fit, which leaves room for large tasks and keeps
-    fast workers free for urgent ones.
+    Urgent tasks prefer warm workers, and the fastest of these. All other tasks
+    are packed onto the fullest workers that fit, which leaves room for large
+    tasks and keeps fast workers free for urgent ones.
     """
     spec = step.spec
     is_remote = bool(spec.near_rack) and worker.entry.rack != spec.near_rack
     is_avoided = (
         worker.id in task.failed_on or worker.id in task.avoided_workers
     )
+    is_cold = _cold.is_cold(cell, worker)
+    is_cold_for_urgent = _cold.is_cold_for_urgent(cell, step, worker)
     if spec.is_filler:
         idle_cpu = worker.free_cpu - worker.filler_cpu
-        return (is_avoided, is_remote, -idle_cpu)
+        return (is_avoided, is_cold_for_urgent, is_remote, -idle_cpu, is_cold)
     capacity = max(worker.entry.capacity.cpu_milli, 1)
     free_share = (worker.free_cpu - spec.size.cpu_milli) / capacity
     is_slow = worker.slowness > cell.options.slow_factor
     if step.job.queue.priority > 0:
-        return (is_avoided, is_remote, is_slow, free_share)
+        return (
+            is_avoided,
+            is_cold_for_urgent,
+            is_remote,
+            is_slow,
+            free_share,
+            is_cold,
+        )
     log_factor = math.log(cell.options.similar_factor)
     return (
         is_avoided,
+        is_cold_for_urgent,
         is_remote,
         math.log(worker.slowness) // log_factor,
         free_share,
@@ -280,8 +298,12 @@
         return 0
     if not all(_crashes.may_start(task) for task in step.tasks):
         return 0
-    workers = list(_candidates(cell, step))
-    plan = _plan_gang(step, workers)
+    workers = sorted(
+        _candidates(cell, step), key=lambda pair: _cold.is_cold(cell, pair[0])
+    )
+    plan = _plan_warm_gang(cell, step, workers)
+    if plan is None:
+        plan = _plan_gang(cell, step, workers)
     if plan is not None and any(map(_crashes.is_suspect, step.tasks)):
         plan = _plan_gang_trial(cell, step, workers, plan)
     if plan is None:
@@ -301,16 +323,35 @@
     )
 
 
+def _plan_warm_gang(
+    cell: _state.Cell,
+    step: _state.StepRun,
+    workers: list[tuple[_state.Worker, str]],
+) -> list[tuple[_state.Worker, str]] | None:
+    """Plan an urgent gang without cold workers, if there are any."""
+    warm = [
+        (worker, ticket)
+        for worker, ticket in workers
+        if not _cold.is_cold_for_urgent(cell, step, worker)
+    ]
+    if len(warm) == len(workers):
+        return None
+    return _plan_gang(cell, step, warm)
+
+
 def _plan_gang(
-    step: _state.StepRun, workers: list[tuple[_state.Worker, str]]
+    cell: _state.Cell,
+    step: _state.StepRun,
+    workers: list[tuple[_state.Worker, str]],
 ) -> list[tuple[_state.Worker, str]] | None:
     if step.spec.one_rack:
         racks = {worker.entry.rack for worker, _ in workers}
         for rack in sorted(racks):
-            plan = _pack(step, [w for w in workers if w[0].entry.rack == rack])
+            in_rack = [w for w in workers if w[0].entry.rack == rack]
+            plan = _pack(cell, step, in_rack)
             if plan is not None:
                 return plan
-    return _pack(step, workers)
+    return _pack(cell, step, workers)
 
 
 def _plan_gang_trial(
@@ -328,7 +369,7 @@
         for worker, ticket in workers
         if _crashes.is_clean(cell, worker, step.job)
     ]
-    trial = _plan_gang(step, clean)
+    trial = _plan_gang(cell, step, clean)
     if trial is None:
         for worker, _ in plan:
             _reserve(cell, step, worker)
@@ -336,15 +377,18 @@
 
 
 def _pack(
-    step: _state.StepRun, workers: list[tuple[_state.Worker, str]]
+    cell: _state.Cell,
+    step: _state.StepRun,
+    workers: list[tuple[_state.Worker, str]],
 ) -> list[tuple[_state.Worker, str]] | None:
     spec = step.spec
     plan: list[tuple[_state.Worker, str]] = []
     for worker, ticket in workers:
         size = spec.size
-        limits = [worker.free_memory // max(size.memory_mb, 1)]
+        free_cpu, free_memory = _cold.free(cell, worker, step)
+        limits = [free_memory // max(size.memory_mb, 1)]
         if not spec.is_filler:
-            limits.append(worker.free_cpu // max(size.cpu_milli, 1))
+            limits.append(free_cpu // max(size.cpu_milli, 1))
         if size.accelerators:
             limits.append(worker.free_accelerators // size.accelerators)
         if spec.most_per_worker:
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -10,6 +10,7 @@
 
 from celeryshift_cell import _crashes
 from celeryshift_cell import _jobs
+from celeryshift_cell import _losses
 from celeryshift_cell import _state
 from celeryshift_cell import _stops
 from celeryshift_cell import _workers
@@ -88,7 +89,7 @@
         entry = run.worker.entry
         key = entry.id, entry.incarnation
         if _crashes.is_on_trial(run) and key not in losses:
-            losses[key] = _state.Loss(
+            losses[key] = _losses.Loss(
                 run.number,
                 entry.address,
                 run.since,
@@ -141,7 +142,7 @@
         occurrence, number, index = (int(part) for part in key.split('.'))
         task = job.steps[occurrence, number].tasks[index]
         for worker, incarnation, run, address, survived_s, *flags in losses:
-            loss = _state.Loss(run, address, cell.now, survived_s, *flags)
+            loss = _losses.Loss(run, address, cell.now, survived_s, *flags)
             _crashes.add_loss(cell, task, (worker, incarnation), loss)
 
 
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -6,6 +6,7 @@
 from celeryshift_cell import _advice
 from celeryshift_cell import _data_centres
 from celeryshift_cell import _draining
+from celeryshift_cell import _evacuation
 from celeryshift_cell import _fillers
 from celeryshift_cell import _headroom
 from celeryshift_cell import _health
@@ -108,6 +109,7 @@
 HANDLERS: dict[type, Callable[[_state.Cell, Any], None]] = {
     events.ConfigChanged: _handle_config_changed,
     events.WorkersChanged: _workers.handle_workers_changed,
+    events.EvacuationsChanged: _evacuation.handle_evacuations_changed,
     events.JobAccepted: _handle_job_accepted,
     events.JobCancelled: _handle_job_cancelled,
     events.StartAnswered: _workers.handle_start_answered,
--- a/packages/cell/celeryshift_cell/_reservations.py
+++ b/packages/cell/celeryshift_cell/_reservations.py
@@ -6,9 +6,9 @@
 its team, no task of lower priority starts on that worker or within that limit.
 """
 
+from celeryshift_cell import _cold
 from celeryshift_cell import _jobs
 from celeryshift_cell import _state
-from celeryshift_cell import model
 
 # A step that has waited for longer than this, or than its tasks run, reserves
 # no workers: the capacity may not become free soon, and other tasks could use
@@ -35,7 +35,7 @@
     reserved_s = max(RESERVATION_S, run_s)
     if step.spec.is_filler or cell.now > step.ready_at + reserved_s:
         return
-    candidates.sort(key=lambda worker: _shortfall(step.spec.size, worker))
+    candidates.sort(key=lambda worker: _shortfall(cell, step, worker))
     chosen = candidates[: len(step.pending)]
     step.reserved_workers = frozenset(worker.id for worker in chosen)
     _add_workers(cell, step)
@@ -59,8 +59,12 @@
     reservations[name] = min(priority, reservations.get(name, priority))
 
 
-def _shortfall(size: model.Size, worker: _state.Worker) -> float:
+def _shortfall(
+    cell: _state.Cell, step: _state.StepRun, worker: _state.Worker
+) -> float:
     """Return the largest share of a task's size that a worker lacks."""
-    cpu = (size.cpu_milli - worker.free_cpu) / max(size.cpu_milli, 1)
-    memory = (size.memory_mb - worker.free_memory) / max(size.memory_mb, 1)
+    size = step.spec.size
+    free_cpu, free_memory = _cold.free(cell, worker, step)
+    cpu = (size.cpu_milli - free_cpu) / max(size.cpu_milli, 1)
+    memory = (size.memory_mb - free_memory) / max(size.memory_mb, 1)
     return max(cpu, memory)
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from celeryshift_cell import _losses
 from celeryshift_cell import _options
 from celeryshift_cell import _usage
 from celeryshift_cell import effects
@@ -75,28 +76,6 @@
     ticket: str = ''
 
 
-@attrs.define(slots=True, eq=False)
-class Loss:
-    """Run that was active when its worker was lost."""
-
-    # Number of the run, and address of the worker.
-    run: int
-    address: str
-    at: float
-    # How long the worker certainly lived with the run.
-    survived_s: float
-    # The worker had confirmed the start of the run.
-    is_confirmed: bool = False
-    # The worker had been heard of, or ordered, shortly before.
-    is_prompt: bool = False
-    # The run had only just begun.
-    is_suspect: bool = False
-    # The run was on trial.
-    is_trial: bool = False
-    # The worker has crashed, rather than being silent only.
-    is_certain: bool = False
-
-
 @attrs.define(slots=True, eq=False)
 class LostWorker:
     """Worker that is silent, and the tasks that have a loss on it."""
@@ -128,7 +107,9 @@
     # Workers that the task was moved away from.
     avoided_workers: set[str] = attrs.field(factory=set)
     # Workers that were lost under the task, by their id and incarnation.
-    losses_by_worker: dict[tuple[str, int], Loss] = attrs.field(factory=dict)
+    losses_by_worker: dict[tuple[str, int], _losses.Loss] = attrs.field(
+        factory=dict
+    )
     # Why and when runs were dropped without a result, by (worker id, number).
     dropped_runs: dict[tuple[str, int], tuple[str, float]] = attrs.field(
         factory=dict
@@ -272,6 +253,12 @@
     entry_awaited_until: float = 0.0
     # No task is started on the worker before this time.
     quarantined_until: float = 0.0
+    # The data centre of the worker is evacuated.
+    is_evacuated: bool = False
+    # Until when the worker is cold, and for how long it has been expected to
+    # be since it became cold.
+    cold_until: float = 0.0
+    cold_s: float = 0.0
     # Ids of the jobs with failures on the worker since its last success.
     failed_jobs: set[str] = attrs.field(factory=set)
     # Millicores requested by fillers, which are not taken from ``free_cpu``.
@@ -303,6 +290,7 @@
             and not self.is_suspect
             and not self.unknown_runs
             and not self.entry.is_draining
+            and not self.is_evacuated
             and self.quarantined_until <= now
             and self.entry_awaited_until <= now
         )
@@ -423,6 +411,10 @@
     pools: dict[str, _usage.Pool] = attrs.field(factory=dict)
     headroom_updated_at: float = 0.0
     data_centres: dict[str, DataCentre] = attrs.field(factory=dict)
+    # Names of the evacuated data centres, and those of them that no worker has
+    # had since they were evacuated.
+    evacuated: frozenset[str] = frozenset()
+    unknown_evacuations: set[str] = attrs.field(factory=set)
     # Most urgent priority of the steps that reserve a worker, by worker id,
     # as of the current placement pass.
     worker_reservations: dict[str, int] = attrs.field(factory=dict)
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -4,7 +4,9 @@
 
 import attrs
 
+from celeryshift_cell import _cold
 from celeryshift_cell import _crashes
+from celeryshift_cell import _evacuation
 from celeryshift_cell import _fillers
 from celeryshift_cell import _health
 from celeryshift_cell import _jobs
@@ -84,6 +86,8 @@
     )
     cell.workers[entry.id] = worker
     cell.dirty_workers[entry.id] = None
+    _evacuation.update_worker(cell, worker)
+    _cold.update_worker(cell, worker)
     return worker
 
 
@@ -127,9 +131,11 @@
     worker.is_listed = True
     worker.listed_at = cell.now
     worker.entry = entry
+    _evacuation.update_worker(cell, worker)
+    is_warm_early = _cold.update_worker(cell, worker, previous)
     was_awaited = worker.entry_awaited_until > cell.now
     worker.entry_awaited_until = 0.0
-    if previous != entry or was_awaited:
+    if previous != entry or was_awaited or is_warm_early:
         unblock_all(cell)
 
 
@@ -292,6 +298,7 @@
         replaced.entry,
         incarnation=incarnation,
         address=address or replaced.entry.address,
+        cold_remaining_ms=0,
     )
     _join(cell, entry, replaced)
     cell.workers[entry.id].is_listed = False
--- a/packages/cell/celeryshift_cell/events.py
+++ b/packages/cell/celeryshift_cell/events.py
@@ -54,6 +54,15 @@
     removed: tuple[str, ...] = ()
 
 
+@attrs.frozen(slots=True)
+class EvacuationsChanged:
+    """The operator evacuated data centres, or returned some."""
+
+    now: float
+    # Names of all evacuated data centres; '' stands for malformed names.
+    data_centres: frozenset[str]
+
+
 @attrs.frozen(slots=True)
 class StoredJob:
     """Job with the version of the store at which it was written."""
@@ -242,6 +251,7 @@
 Event = (
     ConfigChanged
     | WorkersChanged
+    | EvacuationsChanged
     | JobAccepted
     | JobCancelled
     | StartAnswered
--- a/packages/cell/celeryshift_cell/model.py
+++ b/packages/cell/celeryshift_cell/model.py
@@ -218,3 +218,6 @@
     clock_ms: int = attrs.field(default=0, eq=False)
     # Time until a draining worker leaves, if known.
     remaining_ms: int | None = None
+    # Time for which the worker is still slow; 0 if it is warm. Like the clock,
+    # it differs in every report.
+    cold_remaining_ms: int = attrs.field(default=0, eq=False)
--- a/packages/cellnode/celeryshift_cellnode/_followers.py
+++ b/packages/cellnode/celeryshift_cellnode/_followers.py
@@ -5,8 +5,11 @@
 from collections.abc import Callable
 import time
 
+import attrs
+
 from celeryshift_cell import events
 from celeryshift_cell import model
+from celeryshift_cellnode import _evacuations
 from celeryshift_cellnode import _records
 from celeryshift_cellnode import _runner
 from celeryshift_cellnode import _schema
@@ -14,8 +17,12 @@
 from celeryshift_cellnode import ports
 
 # A broken feed is noticed only when its wait ends, so the wait uses up part of
-# the time within which changes must take effect.
+# the time within which changes must take effect: at most this share of the
+# time within which an evacuation must.
 CONFIGURATION_WAIT_MS = 1500
+EVACUATION_WAIT_SHARE = 0.3
+# Shorter waits would only make more calls.
+MIN_WAIT_MS = 200
 FEED_WAIT_MS = 2000
 # Delay after a failed call.
 RETRY_DELAY_S = 0.25
@@ -74,43 +81,73 @@
                 return rows, is_complete
 
     async def _read(self) -> tuple[list[ports.Row], bool]:
+        # After a failure the feed does not wait, so that another lost answer
+        # is noticed sooner.
+        wait_ms = 0 if self._is_failing else self._wait_ms
         if self.after is None:
             rows, self.after = await _records.read_all(
                 self._store, self._table, self._part
             )
             return rows, True
-        read = await self._store.read_changes(
-            self._table, self.after, self._wait_ms
-        )
+        read = await self._store.read_changes(self._table, self.after, wait_ms)
         self.after = read.version
         return list(read.rows), False
 
 
+@attrs.frozen(slots=True)
+class OperatorChange:
+    """Change of what the operator has stored."""
+
+    # The new configuration, if it has changed.
+    configuration: ports.Configuration | None
+    # The data centres that are evacuated, if these have changed.
+    evacuated: frozenset[str] | None
+
+
 class ConfigurationFollower:
-    """Follower of the configuration."""
+    """Follower of the configuration and of the evacuated data centres."""
 
     def __init__(
         self,
         store: ports.Store,
         tables: ports.Tables,
         decoder: ports.Decoder,
+        evacuations: _evacuations.Evacuations,
+        evacuation_s: float,
         log_decision: Callable[..., None],
     ) -> None:
+        wait_ms = int(EVACUATION_WAIT_SHARE * evacuation_s * 1000)
         self._feed = _ChangeFeed(
-            store, tables.operator, '', CONFIGURATION_WAIT_MS, log_decision
+            store,
+            tables.operator,
+            '',
+            max(MIN_WAIT_MS, min(CONFIGURATION_WAIT_MS, wait_ms)),
+            log_decision,
         )
         self._tables = tables
         self._decoder = decoder
+        self._evacuations = evacuations
         self._version = 0
 
-    async def follow(self) -> AsyncIterator[ports.Configuration]:
-        """Yield each configuration that is newer than all before it."""
+    async def follow(self) -> AsyncIterator[OperatorChange]:
+        """Yield each configuration newer than all before it, and evacuations.
+
+        The evacuations come before the configurations of the same answer, and
+        at first in any case.
+        """
+        evacuated: frozenset[str] | None = None
         while True:
-            rows, _ = await self._feed.next_rows()
+            known = self._evacuations.revision
+            rows, is_complete = await self._feed.next_rows()
+            version = self._feed.after or 0
+            self._evacuations.apply(rows, version, is_complete, known)
+            if self._evacuations.data_centres != evacuated:
+                evacuated = self._evacuations.data_centres
+                yield OperatorChange(None, evacuated)
             for row in rows:
                 configuration = self._newer_configuration(row)
                 if configuration is not None:
-                    yield configuration
+                    yield OperatorChange(configuration, None)
 
     def _newer_configuration(
         self, row: ports.Row
--- a/packages/cellnode/celeryshift_cellnode/_records.py
+++ b/packages/cellnode/celeryshift_cellnode/_records.py
@@ -251,17 +251,21 @@
 
 
 async def read_all(
-    store: ports.Store, table: str, part: str = _schema.CELL
+    store: ports.Store,
+    table: str,
+    part: str = _schema.CELL,
+    first: str = '',
+    last: str | None = None,
 ) -> tuple[list[ports.Row], int]:
-    """Read the rows of a table in one part, page by page.
+    """Read the rows of a range of a table in one part, page by page.
 
     Returns the rows and the version of the first page, from which changes can
     be followed.
     """
     rows: list[ports.Row] = []
-    first, version = '', 0
+    version = 0
     while True:
-        page = await store.read(table, part, first, None, READ_TIMEOUT_S)
+        page = await store.read(table, part, first, last, READ_TIMEOUT_S)
         rows += page.rows
         version = version or page.version
         if not page.has_more:
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -16,6 +16,7 @@
 from celeryshift_cellnode import _advice
 from celeryshift_cellnode import _connectivity
 from celeryshift_cellnode import _election
+from celeryshift_cellnode import _evacuations
 from celeryshift_cellnode import _followers
 from celeryshift_cellnode import _groupwriter
 from celeryshift_cellnode import _logs
@@ -88,6 +89,7 @@
         self._store = _watchedstore.WatchedStore(store, self._log_decision)
         self._metrics = _metrics.Metrics()
         self._decoder = make_decoder(self._log_decision)
+        self._evacuations = _evacuations.Evacuations(tables, self._decoder)
         self._local_node = _schema.Node(
             settings.name,
             f'{settings.host}:{settings.peer_port}',
@@ -260,6 +262,8 @@
             self._metrics.set_gauge('jobs', len(state.jobs))
             self._metrics.set_gauge('steps_waiting', len(state.waiting))
             self._metrics.set_gauge('workers', len(state.workers))
+            for name, value in cell.gauges(state).items():
+                self._metrics.set_gauge(name, value)
         return self._metrics.render()
 
     async def _handle_show(self, body: Any) -> dict[str, Any]:
@@ -274,6 +278,7 @@
             'is_cut_off': self._connectivity.is_cut_off,
             'store_is_away': self._store.is_unavailable,
             'nodes': sorted(self._membership.nodes),
+            'evacuated': sorted(self._evacuations.data_centres),
         }
         if self._runner is not None:
             shown['cell'] = cell.describe(self._runner.state)
@@ -305,16 +310,30 @@
 
     async def _follow_configuration(self) -> None:
         follower = _followers.ConfigurationFollower(
-            self._store, self._tables, self._decoder, self._log_decision
+            self._store,
+            self._tables,
+            self._decoder,
+            self._evacuations,
+            self._settings.cell.evacuation_s,
+            self._log_decision,
         )
-        async for configuration in follower.follow():
-            self.service.configure(configuration)
-            self._log_decision('configuration', version=configuration.version)
-            if self._runner is not None:
+        async for change in follower.follow():
+            now = time.monotonic()
+            if change.configuration is not None:
+                self._configure(change.configuration)
+            if change.evacuated is not None and self._runner is not None:
                 self._runner.enqueue(
-                    events.ConfigChanged(time.monotonic(), configuration.cell)
+                    events.EvacuationsChanged(now, change.evacuated)
                 )
 
+    def _configure(self, configuration: ports.Configuration) -> None:
+        self.service.configure(configuration)
+        self._log_decision('configuration', version=configuration.version)
+        if self._runner is not None:
+            self._runner.enqueue(
+                events.ConfigChanged(time.monotonic(), configuration.cell)
+            )
+
     async def _start_owning(
         self, owner: _schema.Owner, version: int, former_owner_until: float
     ) -> None:
@@ -343,6 +362,8 @@
         if configuration is not None:
             runner.enqueue(events.ConfigChanged(now, configuration.cell))
         runner.enqueue(events.WorkersChanged(now, tuple(workers)))
+        evacuated = self._evacuations.data_centres
+        runner.enqueue(events.EvacuationsChanged(now, evacuated))
         runner.enqueue(
             restored[0].to_event(in_doubt_until, former_owner_until)
         )
@@ -378,7 +399,7 @@
     async def _restore(
         self, version: int, writer: _groupwriter.GroupWriter
     ) -> Any:
-        """Read the rows of the cell and the entries of all workers.
+        """Read the rows of the cell, all workers and the evacuations.
 
         Returns the results of ``_records.restore`` and
         ``_followers.read_workers``, or None if this node no longer owns the
@@ -391,6 +412,8 @@
                     _followers.read_workers(
                         self._store, self._tables, self._decoder
                     ),
+                    # This node's follower may lag behind the former owner's.
+                    self._evacuations.read(self._store),
                 )
             except errors.StoreError as error:
                 self._log_decision('rows_not_read', error=str(error))
--- a/packages/cellnode/celeryshift_cellnode/ports.py
+++ b/packages/cellnode/celeryshift_cellnode/ports.py
@@ -207,6 +207,12 @@
     def worker(self, key: str, value: bytes) -> model.WorkerEntry | None:
         """Decode the entry of a worker."""
 
+    def evacuated_data_centre(self, key: str) -> str | None:
+        """Return the data centre that a key of the operator evacuates.
+
+        It is empty if the key is malformed, and None if the key is another.
+        """
+
 
 @attrs.frozen(slots=True)
 class Tables:
@@ -214,6 +220,8 @@
 
     operator: str
     configuration_key: str
+    # The keys of evacuations start with this.
+    evacuation_prefix: str
     workers: str
 
 
@@ -249,3 +257,9 @@
     team_overage: float = 0.0
     # Interval at which workers publish their entries.
     report_interval_s: float = 1.5
+    # Time from the operator's evacuation of a data centre to the last start
+    # there.
+    evacuation_s: float = 5.0
+    # Read from the settings, but not used.
+    cold_overage: float = 0.0
+    cold_slack: float = 0.0
--- a/packages/standins/celeryshift_standins/rowstore.py
+++ b/packages/standins/celeryshift_standins/rowstore.py
@@ -54,6 +54,10 @@
             ports.Transaction(part, {}, {ports.Key(table, key): value})
         )
 
+    def remove(self, table: str, part: str, key: str) -> None:
+        """Remove a row as another client would."""
+        self._apply(ports.Transaction(part, removes=[ports.Key(table, key)]))
+
     async def transact(
         self, transaction: ports.Transaction, timeout_s: float
     ) -> ports.Committed | ports.Conflict:
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -1,5 +1,7 @@
 """Builders of configurations, jobs and workers, and a harness for cells."""
 
+from collections.abc import Iterable
+
 import attrs
 
 import celeryshift_cell as cell
@@ -69,13 +71,13 @@
     name: str, cores: int = 32, incarnation: int = 1, **fields: object
 ) -> model.WorkerEntry:
     """Build a worker entry."""
+    fields = {'data_centre': 'here'} | fields
     return model.WorkerEntry(
         name,
         incarnation,
         UPSTREAM,
         f'{name}:80',
-        'here',
-        model.Size(cores * CORE, 131_072),
+        capacity=model.Size(cores * CORE, 131_072),
         **fields,  # type: ignore[arg-type]
     )
 
@@ -237,6 +239,11 @@
             )
         )
 
+    def evacuate(self, names: Iterable[str]) -> list[effects.StartRun]:
+        """Evacuate only these data centres; return the start orders."""
+        self.send(events.EvacuationsChanged(0.0, frozenset(names)))
+        return self.effects_of(effects.StartRun)
+
     def finish_run(
         self,
         order: effects.StartRun,
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -290,6 +290,8 @@
         self.sim = sim
         self.state = cell.Cell(epoch)
         self.is_alive = True
+        # Evacuated data centres that this owner has read of.
+        self.known_evacuated: frozenset[str] = frozenset()
         self.owner_lease_until = sim.now + OWNER_LEASE_S
         sim.owner = self
         self.feed(events.ConfigChanged(sim.now, sim.config))
@@ -313,12 +315,15 @@
         if not self.is_alive:
             return
         event = attrs.evolve(event, now=self.sim.now)
+        if isinstance(event, events.EvacuationsChanged):
+            self.known_evacuated = event.data_centres
         for effect in cell.reduce(self.state, event, self.may_act):
             self._carry_out(effect)
 
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
             case effects.StartRun():
+                self._check_evacuations(effect)
                 self._send_order(effect, Worker.start, events.StartAnswered)
             case effects.StopRun():
                 self._send_order(effect, Worker.stop, events.StopAnswered)
@@ -333,6 +338,12 @@
             case effects.LogDecision():
                 self.sim.log.append((self.sim.now, effect))
 
+    def _check_evacuations(self, order: effects.StartRun) -> None:
+        """Check that nothing is ordered where this owner may not start."""
+        worker = self.state.workers[order.worker_id]
+        if worker.entry.data_centre in self.known_evacuated:
+            raise InvariantError(f'{order.task} on evacuated {worker.id}')
+
     def _send_order(
         self, order: Any, carry_out: Any, event_type: type
     ) -> None:
@@ -496,6 +507,7 @@
         # When each node can call the policy service next; None if the service
         # always answers soon.
         self.policy_nodes: list[float] | None = None
+        self.evacuated: frozenset[str] = frozenset()
         self.version = 0
         self.specs: dict[str, model.Job] = {}
         self.owner: Owner
@@ -532,6 +544,12 @@
         entries = tuple(w.entry for w in self.workers.values() if w.has_entry)
         return events.WorkersChanged(0.0, entries)
 
+    def evacuate(self, data_centres: frozenset[str]) -> None:
+        """Evacuate data centres and return all others; the owner reads it."""
+        self.evacuated = data_centres
+        event = events.EvacuationsChanged(0.0, data_centres)
+        self.owner.feed(event)
+
     def submit(self, job: model.Job) -> None:
         """Store a job and send it to the owner."""
         self.version += 1
@@ -553,6 +571,7 @@
         self.version += 1
         owner = Owner(self, epoch)
         owner.feed(self.listing())
+        self.evacuate(self.evacuated)
         lease_s = MAX_HOLD_S / (1 - DRIFT)
         owner.feed(
             events.Restored(
