Find workers and waiting steps of a cell by index

At 3,000 workers the reducer used 6.9 ms of a core for each task run: each task and query scanned all workers or approvals, each ended run and each pass all waiting steps.

Workers are indexed by upstream and free cores, waiting steps by what they wait for, and reservations are counted as steps change them. A pass ranks the candidates of a step once.

--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -17,7 +17,10 @@
 and to renew the tickets of the steps that are next to get free capacity.
 """
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import heapq
+import itertools
 
 from celeryshift_cell import _jobs
 from celeryshift_cell import _ordering
@@ -29,6 +32,9 @@
 # A query that would take longer names only the workers with the most free
 # capacity.
 LONG_QUERY_MS = 200.0
+# Workers beyond those named that are counted one by one for that; of more, all
+# with enough free cores are counted.
+MAX_COUNTED = 200
 # Share of the time of a decision that further workers may add to a query.
 BREADTH_SHARE = 0.25
 # Tickets are renewed ahead of need if a decision takes at least this long.
@@ -95,20 +101,24 @@
 def _query_candidates(
     cell: _state.Cell, step: _state.StepRun, service: model.PolicyService
 ) -> list[_state.Worker]:
-    spec = step.spec
-    approved, new = _known_and_new(cell, step)
+    approved = _approved(cell, step)
     stale = [w for w in approved if valid_ticket(cell, step, w) is None]
     if approved:
-        stale_with_capacity = _with_unclaimed_capacity(cell, step, stale)
-        new_with_capacity = _with_unclaimed_capacity(cell, step, new)
-        if not (stale_with_capacity or new_with_capacity):
+        new = _with_unclaimed_capacity(cell, step, _new(cell, step, True))
+        first_new = next(new, None)
+        chosen_new: Iterator[_state.Worker]
+        if first_new is not None:
+            chosen_new = itertools.chain((first_new,), new)
+        elif any(_with_unclaimed_capacity(cell, step, stale)):
+            chosen_new = iter(())
+        else:
             return []
-        chosen = new_with_capacity + stale
-    else:
-        # First query: if no worker has free capacity, name all of them, since
-        # capacity may become free before the response.
-        chosen = [w for w in new if w.has_capacity(spec)] or new
-    return _limit(cell, step, service, chosen, [*stale, *new])
+        return _limit(cell, step, service, chosen_new, stale, stale)
+    # First query: if no worker has free capacity, name all of them, since
+    # capacity may become free before the response.
+    first_new = next(_new(cell, step, True), None)
+    chosen_new = _new(cell, step, first_new is not None)
+    return _limit(cell, step, service, chosen_new, [], stale)
 
 
 def _claim(
@@ -121,6 +131,10 @@
     priority = step.job.queue.priority
     remaining = len(step.pending)
     for worker in workers:
+        if not remaining:
+            return
+        if not worker.has_capacity(step.spec):
+            continue
         free = _unclaimed(cell, worker, priority)
         while remaining and size.fits(free):
             remaining -= 1
@@ -135,96 +149,159 @@
     cell: _state.Cell, step_name: str, worker_ids: tuple[str, ...]
 ) -> None:
     for worker_id in worker_ids:
-        claims = cell.claims_by_worker.get(worker_id, {})
-        claims.pop(step_name, None)
-        if not claims:
-            cell.claims_by_worker.pop(worker_id, None)
+        claims = cell.claims_by_worker.get(worker_id)
+        if claims is not None:
+            claims.pop(step_name, None)
+            if not claims:
+                del cell.claims_by_worker[worker_id]
 
 
 def _unclaimed(
     cell: _state.Cell, worker: _state.Worker, priority: int
 ) -> model.Size:
     """Return the free capacity that no step as urgent has claimed."""
-    free = model.Size(
-        worker.free_cpu, worker.free_memory, worker.free_accelerators
-    )
-    for claimant, size in cell.claims_by_worker.get(worker.id, {}).values():
+    cpu, memory = worker.free_cpu, worker.free_memory
+    accelerators = worker.free_accelerators
+    claims = cell.claims_by_worker.get(worker.id)
+    for claimant, size in claims.values() if claims else ():
         if claimant <= priority:
-            free = free.minus(size)
-    return free
+            cpu -= size.cpu_milli
+            memory -= size.memory_mb
+            accelerators -= size.accelerators
+    return model.Size(cpu, memory, accelerators)
 
 
 def _with_unclaimed_capacity(
-    cell: _state.Cell, step: _state.StepRun, workers: list[_state.Worker]
-) -> list[_state.Worker]:
+    cell: _state.Cell,
+    step: _state.StepRun,
+    workers: Iterable[_state.Worker],
+) -> Iterator[_state.Worker]:
     spec = step.spec
     priority = step.job.queue.priority
-    return [
-        worker
-        for worker in workers
-        if worker.has_capacity(spec)
-        and (
+    for worker in workers:
+        if worker.has_capacity(spec) and (
             spec.is_filler
             or worker.id not in cell.claims_by_worker
             or spec.size.fits(_unclaimed(cell, worker, priority))
-        )
-    ]
+        ):
+            yield worker
 
 
-def _known_and_new(
-    cell: _state.Cell, step: _state.StepRun
-) -> tuple[list[_state.Worker], list[_state.Worker]]:
-    """Return the usable workers that are approved, and those not asked for."""
-    spec = step.spec
-    approved, new = [], []
-    for worker in cell.workers.values():
-        entry = worker.entry
+def _may_name(
+    cell: _state.Cell, step: _state.StepRun, worker: _state.Worker
+) -> bool:
+    """Return whether a query for a step may name a worker."""
+    return (
+        step.spec.size.fits(worker.entry.capacity)
+        and worker.is_usable(cell.now)
+        and meets_constraints(step, worker)
+    )
+
+
+def _approved(cell: _state.Cell, step: _state.StepRun) -> list[_state.Worker]:
+    """Return the usable workers that are approved, in the order of the cell.
+
+    Their tickets may have expired.
+    """
+    upstream = step.job.queue.upstream
+    approved = []
+    for worker_id, approval in step.approvals.items():
+        worker = cell.worker(worker_id, approval.incarnation)
         if (
-            entry.upstream != step.job.queue.upstream
-            or step.ineligible.get(worker.id) == entry.incarnation
-            or not spec.size.fits(entry.capacity)
-            or not worker.is_usable(cell.now)
-            or not meets_constraints(step, worker)
+            worker is not None
+            and step.ineligible.get(worker_id) != approval.incarnation
+            and worker.entry.upstream == upstream
+            and _may_name(cell, step, worker)
         ):
-            continue
-        approval = step.approvals.get(worker.id)
-        if approval is not None and approval.incarnation == entry.incarnation:
             approved.append(worker)
-        else:
-            new.append(worker)
-    return approved, new
+    approved.sort(key=lambda worker: worker.number)
+    return approved
+
+
+def _new(
+    cell: _state.Cell, step: _state.StepRun, with_capacity: bool = False
+) -> Iterator[_state.Worker]:
+    """Yield the usable workers that were not asked for, by ``_rank``."""
+    spec = step.spec
+    index = cell.capacity_of(step.job.queue.upstream)
+    lacking = []
+    minimum = None if spec.is_filler else spec.size.cpu_milli
+    for worker in index.workers(minimum):
+        if not worker.has_capacity(spec):
+            lacking.append(worker)
+        elif _is_new(step, worker) and _may_name(cell, step, worker):
+            yield worker
+    if with_capacity:
+        return
+    rest = [] if minimum is None else index.workers_below(minimum)
+    for worker in itertools.chain(lacking, rest):
+        if _is_new(step, worker) and _may_name(cell, step, worker):
+            yield worker
+
+
+def _is_new(step: _state.StepRun, worker: _state.Worker) -> bool:
+    """Return whether the policy service has not decided on a worker."""
+    incarnation = worker.entry.incarnation
+    if step.ineligible.get(worker.id) == incarnation:
+        return False
+    approval = step.approvals.get(worker.id)
+    return approval is None or approval.incarnation != incarnation
+
+
+def _rank(step: _state.StepRun, worker: _state.Worker) -> tuple[bool, int]:
+    """Return the rank of a worker in a query; the lowest is named first."""
+    return (not worker.has_capacity(step.spec), -worker.free_cpu)
 
 
 def _limit(
     cell: _state.Cell,
     step: _state.StepRun,
     service: model.PolicyService,
-    chosen: list[_state.Worker],
-    others: list[_state.Worker],
+    chosen_new: Iterator[_state.Worker],
+    chosen_known: list[_state.Worker],
+    other_known: list[_state.Worker],
 ) -> list[_state.Worker]:
-    """Return the workers to name: the chosen ones, and others if cheap."""
-    spec = step.spec
+    """Return the workers to name: the chosen ones, and others if cheap.
+
+    New workers come in the order of ``_rank``, and only as many are examined
+    as are needed.
+    """
 
     def rank(worker: _state.Worker) -> tuple[bool, int]:
-        return (not worker.has_capacity(spec), -worker.free_cpu)
+        return _rank(step, worker)
 
+    spec = step.spec
     enough = max(
         cell.options.min_queried_workers,
         cell.options.queried_workers_per_task * len(step.pending),
     )
     limit = min(cell.options.max_queried_workers, enough)
-    if service.decision_ms + service.each_ms * len(chosen) > LONG_QUERY_MS:
+    first = list(itertools.islice(chosen_new, limit))
+    # A query about all chosen workers would take at least so long.
+    expected_ms = service.decision_ms + service.each_ms * (
+        len(first) + len(chosen_known)
+    )
+    if expected_ms <= LONG_QUERY_MS and service.each_ms:
+        further = sum(1 for _ in itertools.islice(chosen_new, MAX_COUNTED))
+        if further == MAX_COUNTED:
+            index = cell.capacity_of(step.job.queue.upstream)
+            further = max(further, index.count(spec.size.cpu_milli))
+        expected_ms += service.each_ms * further
+    if expected_ms > LONG_QUERY_MS:
         limit = min(limit, cell.options.long_query_workers)
-    named = sorted(chosen, key=rank)[:limit]
+    named = sorted([*first, *chosen_known], key=rank)[:limit]
     breadth = limit
     if service.each_ms:
         cheap = int(BREADTH_SHARE * service.decision_ms / service.each_ms)
         breadth = min(limit, cheap)
-    if len(named) < breadth:
+    missing = breadth - len(named)
+    if missing > 0:
         known = {worker.id for worker in named}
-        further = [worker for worker in others if worker.id not in known]
-        further.sort(key=rank)
-        named += further[: breadth - len(named)]
+        others = [worker for worker in other_known if worker.id not in known]
+        new = (w for w in _new(cell, step) if w.id not in known)
+        others += itertools.islice(new, missing)
+        others.sort(key=rank)
+        named += others[:missing]
     return named
 
 
@@ -292,10 +369,7 @@
             upstream = step.job.queue.upstream
             steps_by_upstream.setdefault(upstream, []).append(step)
     for upstream, steps in steps_by_upstream.items():
-        workers = sum(
-            worker.entry.upstream == upstream
-            for worker in cell.workers.values()
-        )
+        workers = len(cell.capacity_of(upstream).entries)
         count = min(MAX_RENEWED_STEPS, int(RENEWED_STEPS_SHARE * workers))
         first = heapq.nsmallest(
             count, steps, key=lambda step: _ordering.sort_key(cell, step)
@@ -308,7 +382,7 @@
     service = policy_service(step)
     if service is None or step.pending_query or cell.now < step.query_after:
         return
-    approved, new = _known_and_new(cell, step)
+    approved = _approved(cell, step)
     lead_s = service.decision_ms / 1000 + AHEAD_MARGIN_S
     expiring = [
         worker
@@ -316,7 +390,7 @@
         if step.approvals[worker.id].valid_until < cell.now + lead_s
     ]
     if expiring:
-        workers = _limit(cell, step, service, expiring, new)
+        workers = _limit(cell, step, service, iter(()), expiring, [])
         _send(cell, step, service, workers)
 
 
@@ -347,8 +421,9 @@
         ticket = event.tickets_by_worker.get(worker_id)
         if ticket is None:
             step.ineligible[worker_id] = incarnation
-            step.approvals.pop(worker_id, None)
+            cell.steps.drop_approval(step, worker_id)
         else:
+            cell.steps.add_approval(step, worker_id)
             step.approvals[worker_id] = _state.Approval(
                 incarnation, ticket, valid_until
             )
@@ -360,7 +435,7 @@
         good=len(event.tickets_by_worker),
         took_ms=round((cell.now - event.sent_at) * 1000),
     )
-    step.is_blocked = False
+    cell.steps.unblock(step)
 
 
 def handle_advice_failed(
@@ -379,4 +454,4 @@
         step=step.name,
         reason=event.reason,
     )
-    step.is_blocked = False
+    cell.steps.unblock(step)
--- a/packages/cell/celeryshift_cell/_headroom.py
+++ b/packages/cell/celeryshift_cell/_headroom.py
@@ -35,7 +35,8 @@
         if is_urgent(step) and not step.blocked_by_limit:
             cell.pool(step.job.queue.upstream).waiting += len(step.pending)
         if step.blocked_by_headroom:
-            step.blocked_by_headroom = step.is_blocked = False
+            step.blocked_by_headroom = False
+            cell.steps.unblock(step)
     for pool in cell.pools.values():
         pool.urgent.update(pool.urgent.used + pool.waiting, fraction)
     for usage in cell.usage_by_team.values():
--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -110,8 +110,7 @@
 def unblock(cell: _state.Cell, step: _state.StepRun) -> None:
     """Try to place the pending tasks of a step in the next pass."""
     if step.is_ready and step.pending and step.job.state not in FINAL:
-        cell.waiting[step.name] = step
-        step.is_blocked = False
+        cell.steps.add(step)
 
 
 def requeue(cell: _state.Cell, task: _state.Task) -> None:
@@ -155,7 +154,7 @@
     cell.dirty_jobs[job.spec.id] = job
     if step.remaining_tasks:
         return
-    cell.waiting.pop(step.name, None)
+    cell.steps.remove(step)
     job.remaining_steps -= 1
     if job.remaining_steps == 0:
         finish(cell, job, model.JobState.COMPLETED)
@@ -207,7 +206,7 @@
     job.state = state
     cell.dirty_jobs[job.spec.id] = job
     for step in job.steps.values():
-        cell.waiting.pop(step.name, None)
+        cell.steps.remove(step)
         step.pending.clear()
     cell.log_decision('job_ended', job=job.spec.id, state=state.value)
 
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -1,6 +1,7 @@
 """Decides which waiting tasks start next, and on which workers."""
 
 from collections.abc import Iterator
+import heapq
 import math
 
 from celeryshift_cell import _advice
@@ -19,20 +20,31 @@
 # Maximum number of tasks started in one pass; the event loop reads responses
 # between passes.
 MAX_STARTS = 256
+# Number of candidates that are compared for tasks without a policy service.
+MAX_CANDIDATES = 256
+
+# Position for the choice among equal costs, worker and ticket.
+_Candidate = tuple[int, _state.Worker, str]
 
 
 def place_waiting(cell: _state.Cell) -> None:
     """Start the tasks that can be started, the most urgent steps first."""
     steps = [
         step
-        for step in cell.waiting.values()
-        if not step.is_blocked and not is_blocked_in_doubt(cell, step)
+        for step in cell.steps.unblocked.values()
+        if not is_blocked_in_doubt(cell, step)
     ]
     if not steps:
         return
     _in_doubt.update(cell)
     _reservations.collect(cell)
-    steps.sort(key=lambda step: _ordering.sort_key(cell, step))
+    # Steps with equal keys start in the order in which they began to wait.
+    steps.sort(
+        key=lambda step: (
+            _ordering.sort_key(cell, step),
+            step.waiting_number,
+        )
+    )
     starts = 0
     for step in steps:
         if starts >= MAX_STARTS:
@@ -56,6 +68,9 @@
 
 
 def _place_step(cell: _state.Cell, step: _state.StepRun) -> int:
+    cell.steps.changed[step.name] = step
+    for worker_id in step.reserved_workers:
+        cell.steps.touch(worker_id)
     step.reserved_workers = frozenset()
     step.blocked_by_limit = step.blocked_by_headroom = False
     if step.spec.is_gang:
@@ -76,8 +91,8 @@
         )
         cell.placements.clear()
     if step.pending:
-        step.is_blocked = True
         _record_wait(cell, step)
+        cell.steps.block(step)
     else:
         step.wait_reason = ''
         _advice.plan_ahead(cell, step)
@@ -101,8 +116,12 @@
         if not step.approvals:
             _advice.query(cell, step)
     else:
-        candidates = list(_approved_workers(cell, step))
-        _reservations.reserve_workers(cell, step, candidates)
+        _reservations.reserve_workers(
+            cell,
+            step,
+            _reservable(cell, step),
+            is_sorted=_advice.policy_service(step) is None,
+        )
         _advice.query(cell, step)
         reason = 'policy service' if step.pending_query else 'room'
         if any(step.tasks[i].losses_by_worker for i in step.pending):
@@ -124,13 +143,73 @@
     )
 
 
+class _Ranking:
+    """Workers that may start a task of a step, the cheapest first.
+
+    It serves the tasks of one pass for which ``_cost`` is the same, since they
+    have no history of their own. Starting one changes the cost only of the
+    worker that it starts on.
+    """
+
+    def __init__(self, cell: _state.Cell, step: _state.StepRun) -> None:
+        self._cell = cell
+        self._step = step
+        self._required_slots = _headroom.required_slots(cell, step)
+        self._is_headroom_short = False
+        self._heap: list[
+            tuple[tuple[float, ...], int, _state.Worker, str]
+        ] = []
+        self._is_built = False
+
+    def start_next(self, task: _state.Task) -> bool:
+        """Start a task on the best worker, and return whether there is one."""
+        if not self._is_built:
+            self._build(task)
+        cell, step = self._cell, self._step
+        while self._heap:
+            _, position, worker, ticket = heapq.heappop(self._heap)
+            if self._required_slots and not _headroom.leaves_required_slots(
+                cell, step, worker, self._required_slots
+            ):
+                # Nor will it later in this pass.
+                self._is_headroom_short = True
+                continue
+            number = _runs.next_number(cell, [task])
+            _runs.start(cell, task, worker, number, ticket)
+            if worker.has_capacity(step.spec) and _is_eligible(
+                cell, step, worker
+            ):
+                cost = _cost(cell, step, task, worker)
+                heapq.heappush(self._heap, (cost, position, worker, ticket))
+            return True
+        step.blocked_by_headroom = self._is_headroom_short
+        return False
+
+    def _build(self, task: _state.Task) -> None:
+        cell, step = self._cell, self._step
+        self._is_built = True
+        self._heap = [
+            (_cost(cell, step, task, worker), position, worker, ticket)
+            for position, worker, ticket in _fullest_candidates(cell, step)
+            if not _is_reserved(cell, step, worker)
+        ]
+        heapq.heapify(self._heap)
+
+
 def _place_tasks(cell: _state.Cell, step: _state.StepRun) -> int:
     placed = 0
+    ranking: _Ranking | None = None
     for index in sorted(step.pending):
         if not _limits.allows(cell, step, step.spec.size):
             step.blocked_by_limit = True
             break
         task = step.tasks[index]
+        if _has_no_history(task):
+            ranking = ranking or _Ranking(cell, step)
+            if not ranking.start_next(task):
+                break
+            placed += 1
+            continue
         if not _crashes.may_start(task):
             continue
         found = _best_worker(cell, step, task)
@@ -142,25 +221,32 @@
         worker, ticket = found
         number = _runs.next_number(cell, [task])
         _runs.start(cell, task, worker, number, ticket)
+        ranking = None
         placed += 1
     return placed
 
 
+def _has_no_history(task: _state.Task) -> bool:
+    return not (
+        task.runs
+        or task.failed_on
+        or task.avoided_workers
+        or task.losses_by_worker
+    )
+
+
 def _best_worker(
     cell: _state.Cell, step: _state.StepRun, task: _state.Task
 ) -> tuple[_state.Worker, str] | None:
     """Return the best worker for a task with its ticket, or None."""
     best = None
     lowest_cost: tuple[float, ...] = ()
-    priority = step.job.queue.priority
     required = _headroom.required_slots(cell, step)
     is_headroom_short = False
     is_suspect = _crashes.is_suspect(task)
     unclean: list[tuple[tuple[float, ...], _state.Worker]] = []
-    for worker, ticket in _candidates(cell, step):
-        if not worker.has_capacity(step.spec):
-            continue
-        if cell.worker_reservations.get(worker.id, priority) < priority:
+    for _, worker, ticket in _candidates(cell, step):
+        if _is_reserved(cell, step, worker):
             continue
         if required and not _headroom.leaves_required_slots(
             cell, step, worker, required
@@ -195,30 +281,93 @@
     _crashes.reserve(cell, worker, step.job)
 
 
-def _candidates(
-    cell: _state.Cell, step: _state.StepRun
-) -> Iterator[tuple[_state.Worker, str]]:
+def _is_reserved(
+    cell: _state.Cell, step: _state.StepRun, worker: _state.Worker
+) -> bool:
+    """Return whether a more urgent step has reserved a worker."""
+    priority = step.job.queue.priority
+    return cell.worker_reservations.get(worker.id, priority) < priority
+
+
+def _candidates(cell: _state.Cell, step: _state.StepRun) -> list[_Candidate]:
+    """Return the workers on which a task of a step can start now.
+
+    They come in the order of the cell, or in that of their approvals.
+    """
+    spec = step.spec
     if _advice.policy_service(step) is None:
-        for worker in cell.workers.values():
-            if (
-                worker.entry.upstream == step.job.queue.upstream
-                and _is_eligible(cell, step, worker)
-            ):
-                yield worker, ''
+        index = cell.capacity_of(step.job.queue.upstream)
+        candidates = [
+            (worker.number, worker, '')
+            for worker in index.workers(
+                None if spec.is_filler else spec.size.cpu_milli
+            )
+            if worker.has_capacity(spec) and _is_eligible(cell, step, worker)
+        ]
+        candidates.sort()
+        return candidates
+    return list(_candidates_with_ticket(cell, step))
+
+
+def _fullest_candidates(
+    cell: _state.Cell, step: _state.StepRun
+) -> Iterator[_Candidate]:
+    """Yield candidates for tasks without a history.
+
+    On a large fleet without a policy service, these are the fullest workers
+    that fit, or for fillers the emptiest.
+    """
+    spec = step.spec
+    if _advice.policy_service(step) is not None:
+        yield from _candidates_with_ticket(cell, step)
         return
-    for worker in _approved_workers(cell, step):
-        ticket = _advice.valid_ticket(cell, step, worker)
-        if ticket is not None:
-            yield worker, ticket
+    index = cell.capacity_of(step.job.queue.upstream)
+    workers = (
+        index.workers()
+        if spec.is_filler
+        else index.workers_from(spec.size.cpu_milli)
+    )
+    count = 0
+    for worker in workers:
+        if worker.has_capacity(spec) and _is_eligible(cell, step, worker):
+            yield worker.number, worker, ''
+            count += 1
+            if count >= MAX_CANDIDATES:
+                return
+
+
+def _candidates_with_ticket(
+    cell: _state.Cell, step: _state.StepRun
+) -> Iterator[_Candidate]:
+    """Yield the candidates of a step that needs approvals."""
+    spec = step.spec
+    workers = cell.workers
+    required_until = cell.now + cell.options.ticket_margin_s
+    for position, (worker_id, approval) in enumerate(step.approvals.items()):
+        if approval.valid_until < required_until:
+            continue
+        worker = workers.get(worker_id)
+        if (
+            worker is not None
+            and worker.has_capacity(spec)
+            and worker.entry.incarnation == approval.incarnation
+            and _is_eligible(cell, step, worker)
+        ):
+            yield position, worker, approval.ticket
 
 
-def _approved_workers(
+def _reservable(
     cell: _state.Cell, step: _state.StepRun
 ) -> Iterator[_state.Worker]:
-    """Yield the workers that may run a step, also with an expired ticket."""
+    """Yield the workers that may run a step, also with an expired ticket.
+
+    Without a policy service, those with the most free cores come first.
+    """
     if _advice.policy_service(step) is None:
-        for worker, _ in _candidates(cell, step):
-            yield worker
+        index = cell.capacity_of(step.job.queue.upstream)
+        for worker in index.workers():
+            if _is_eligible(cell, step, worker):
+                yield worker
         return
     for worker_id, approval in step.approvals.items():
         approved = cell.worker(worker_id, approval.incarnation)
@@ -244,6 +393,9 @@
 ) -> tuple[float, ...]:
     """Return the cost of a worker for a task; the lowest is best.
 
+    It may depend on what runs on this worker, but not on other workers; see
+    ``_Ranking``.
+
     Urgent tasks prefer the fastest workers. All other tasks are packed onto
     the fullest workers that fit, which leaves room for large tasks and keeps
     fast workers free for urgent ones.
@@ -280,7 +432,9 @@
         return 0
     if not all(_crashes.may_start(task) for task in step.tasks):
         return 0
-    workers = list(_candidates(cell, step))
+    workers = [
+        (worker, ticket) for _, worker, ticket in _candidates(cell, step)
+    ]
     plan = _plan_gang(step, workers)
     if plan is not None and any(map(_crashes.is_suspect, step.tasks)):
         plan = _plan_gang_trial(cell, step, workers, plan)
@@ -364,7 +518,9 @@
     """
     for step in cell.waiting.values():
         if step.is_blocked and not step.pending_query:
-            step.is_blocked = False
+            cell.steps.unblock(step)
+        elif step.approvals:
+            cell.steps.touched[step.name] = step
 
 
 def refresh_policies(cell: _state.Cell) -> None:
@@ -372,4 +528,6 @@
     for job in cell.jobs.values():
         if job.spec.queue in cell.config.queues_by_name:
             job.queue = _jobs.queue_of(cell, job.spec)
+    # Reservations depend on the priorities of the queues.
+    cell.steps.changed.update(cell.waiting)
     _workers.unblock_all(cell)
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -15,6 +15,7 @@
 from celeryshift_cell import _records
 from celeryshift_cell import _runs
 from celeryshift_cell import _state
+from celeryshift_cell import _waiting
 from celeryshift_cell import _workers
 from celeryshift_cell import effects
 from celeryshift_cell import events
@@ -82,6 +83,8 @@
 def _handle_ticked(cell: _state.Cell, event: events.Ticked) -> None:
     cell.wall_offset_ms = event.wall_ms - event.now * 1000
     _jobs.release_due(cell)
+    if len(cell.waiting) > _waiting.MAX_RETRIED:
+        cell.steps.retry_touched()
     _workers.expire_leases(cell)
     _workers.retry_stops(cell)
     _data_centres.check(cell)
--- a/packages/cell/celeryshift_cell/_reservations.py
+++ b/packages/cell/celeryshift_cell/_reservations.py
@@ -6,6 +6,9 @@
 its team, no task of lower priority starts on that worker or within that limit.
 """
 
+from collections.abc import Iterator
+import heapq
+
 from celeryshift_cell import _jobs
 from celeryshift_cell import _state
 from celeryshift_cell import model
@@ -18,49 +21,78 @@
 
 def collect(cell: _state.Cell) -> None:
     """Collect the reservations of all waiting steps for the next pass."""
-    cell.worker_reservations, cell.limit_reservations = {}, {}
-    for step in cell.waiting.values():
-        _add_workers(cell, step)
-        if step.blocked_by_limit:
-            reserve_limit(cell, step)
+    for step in cell.steps.changed.values():
+        is_waiting = step.name in cell.waiting
+        is_limited = is_waiting and step.blocked_by_limit
+        priority = step.job.queue.priority
+        workers = step.reserved_workers if is_waiting else ()
+        teams = (step.job.spec.team,) if is_limited else ()
+        cell.worker_reservations.replace(step.name, workers, priority)
+        cell.limit_reservations.replace(step.name, teams, priority)
+    cell.steps.changed.clear()
+    cell.worker_reservations.begin_pass()
+    cell.limit_reservations.begin_pass()
 
 
 def reserve_workers(
     cell: _state.Cell,
     step: _state.StepRun,
-    candidates: list[_state.Worker],
+    candidates: Iterator[_state.Worker],
+    is_sorted: bool,
 ) -> None:
-    """Reserve for a step the workers with the smallest shortfall."""
+    """Reserve for a step the workers with the smallest shortfall.
+
+    If the candidates are sorted, those with the most free cores come first.
+    """
     run_s = _jobs.expected_ms(cell, step.spec) / 1000
     reserved_s = max(RESERVATION_S, run_s)
     if step.spec.is_filler or cell.now > step.ready_at + reserved_s:
         return
-    candidates.sort(key=lambda worker: _shortfall(step.spec.size, worker))
-    chosen = candidates[: len(step.pending)]
+    if is_sorted:
+        chosen = _first_of_sorted(step, candidates)
+    else:
+        chosen = heapq.nsmallest(
+            len(step.pending),
+            candidates,
+            key=lambda worker: _shortfall(step.spec.size, worker),
+        )
     step.reserved_workers = frozenset(worker.id for worker in chosen)
-    _add_workers(cell, step)
-
+    for worker_id in step.reserved_workers:
+        cell.worker_reservations.add(worker_id, step.job.queue.priority)
 
-def reserve_limit(cell: _state.Cell, step: _state.StepRun) -> None:
-    """Reserve for a step what becomes free within its team's limit."""
-    _add(cell.limit_reservations, step.job.spec.team, step)
 
+def _first_of_sorted(
+    step: _state.StepRun, candidates: Iterator[_state.Worker]
+) -> list[_state.Worker]:
+    """Return the workers with the smallest shortfall.
 
-def _add_workers(cell: _state.Cell, step: _state.StepRun) -> None:
-    for worker_id in step.reserved_workers:
-        _add(cell.worker_reservations, worker_id, step)
+    Further candidates lack at least as many cores, so that few are examined.
+    """
+    size = step.spec.size
+    count = len(step.pending)
+    # Heap of the chosen workers, the one with the largest shortfall first.
+    heap: list[tuple[float, int, _state.Worker]] = []
+    for worker in candidates:
+        if len(heap) == count and _cpu_shortfall(size, worker) > -heap[0][0]:
+            break
+        entry = (-_shortfall(size, worker), -worker.number, worker)
+        if len(heap) < count:
+            heapq.heappush(heap, entry)
+        else:
+            heapq.heappushpop(heap, entry)
+    return [worker for _, _, worker in heap]
 
 
-def _add(
-    reservations: dict[str, int], name: str, step: _state.StepRun
-) -> None:
-    """Record the priority of a step unless a more urgent one is recorded."""
-    priority = step.job.queue.priority
-    reservations[name] = min(priority, reservations.get(name, priority))
+def reserve_limit(cell: _state.Cell, step: _state.StepRun) -> None:
+    """Reserve for a step what becomes free within its team's limit."""
+    cell.limit_reservations.add(step.job.spec.team, step.job.queue.priority)
 
 
 def _shortfall(size: model.Size, worker: _state.Worker) -> float:
     """Return the largest share of a task's size that a worker lacks."""
-    cpu = (size.cpu_milli - worker.free_cpu) / max(size.cpu_milli, 1)
     memory = (size.memory_mb - worker.free_memory) / max(size.memory_mb, 1)
-    return max(cpu, memory)
+    return max(_cpu_shortfall(size, worker), memory)
+
+
+def _cpu_shortfall(size: model.Size, worker: _state.Worker) -> float:
+    return (size.cpu_milli - worker.free_cpu) / max(size.cpu_milli, 1)
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -115,7 +115,7 @@
     step.runs_by_worker[run.worker.id] += 1
     step.pending.discard(task.index)
     if not step.pending:
-        cell.waiting.pop(step.name, None)
+        cell.steps.remove(step)
     if step.job.state is model.JobState.QUEUED:
         step.job.state = model.JobState.RUNNING
 
@@ -142,6 +142,7 @@
     pool = cell.pool(worker.entry.upstream)
     slots_before = _headroom.free_slots(pool, worker)
     worker.allocate(step.spec, sign)
+    cell.steps.touch(worker.id)
     pool.free_slots += _headroom.free_slots(pool, worker) - slots_before
     size = step.spec.size
     usage = cell.usage(step.job.spec.team)
@@ -155,17 +156,13 @@
 def _unblock_waiting(
     cell: _state.Cell, worker: _state.Worker, team: str
 ) -> None:
-    for step in cell.waiting.values():
-        # Steps blocked by headroom are unblocked by ``_headroom.update``.
-        if not step.is_blocked or step.blocked_by_headroom:
-            continue
-        if step.blocked_by_limit:
-            if step.job.spec.team == team:
-                step.is_blocked = False
-        elif worker.has_capacity(step.spec) and (
-            step.ineligible.get(worker.id) != worker.entry.incarnation
-        ):
-            step.is_blocked = False
+    """Unblock the steps that may start now that a run has ended."""
+    used = cell.usage(team)
+    configured = cell.config.teams_by_name.get(team)
+    maximum = configured.maximum if configured else model.Size()
+    cell.steps.unblock_for(
+        worker, team, lambda size: used.allows(size, maximum)
+    )
 
 
 def handle_start_answered(
@@ -234,7 +231,7 @@
     worker = run.worker
     step = run.task.step
     if outcome is Outcome.NO_TICKET:
-        step.approvals.pop(worker.id, None)
+        cell.steps.drop_approval(step, worker.id)
     elif outcome is not Outcome.STALE_RUN:
         worker.quarantined_until = max(
             worker.quarantined_until, cell.now + NOT_STARTED_PAUSE_S
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -10,8 +10,11 @@
 
 import attrs
 
+from celeryshift_cell import _capacity
 from celeryshift_cell import _options
+from celeryshift_cell import _priorities
 from celeryshift_cell import _usage
+from celeryshift_cell import _waiting
 from celeryshift_cell import effects
 from celeryshift_cell import events
 from celeryshift_cell import model
@@ -162,8 +165,10 @@
     remaining_tasks: int = 0
     is_ready: bool = False
     ready_at: float = 0.0
-    # The last attempt to place tasks failed and nothing has changed since.
-    is_blocked: bool = False
+    # Position in the order in which steps began to wait.
+    waiting_number: int = 0
+    # Group of blocked steps that has this one, or None; see ``_waiting``.
+    blocked_in: dict[str, 'StepRun'] | None = None
     # Why the last attempt failed, as last logged.
     wait_reason: str = ''
     # The step is blocked by the resource limit of its team.
@@ -190,6 +195,14 @@
     # Workers on which no task of lower priority may start before this step.
     reserved_workers: frozenset[str] = frozenset()
 
+    @property
+    def is_blocked(self) -> bool:
+        """Return whether the last attempt to place tasks failed.
+
+        Nothing has changed since.
+        """
+        return self.blocked_in is not None
+
 
 @attrs.define(slots=True, eq=False)
 class JobRun:
@@ -232,6 +245,11 @@
     free_accelerators: int
     # Largest amount of each resource that this owner has known it to have.
     largest_capacity: model.Size
+    # Position in the order in which worker ids were added.
+    number: int = 0
+    # Index that has the worker, if any, and its free cores as indexed.
+    index: _capacity.FreeCapacity | None = None
+    indexed_cpu: int = 0
     # Has accepted this owner's epoch and so rejects former owners' orders.
     is_fenced: bool = False
     # The worker is in the list of workers.
@@ -324,6 +342,8 @@
             self.free_cpu -= sign * step.size.cpu_milli
         self.free_memory -= sign * step.size.memory_mb
         self.free_accelerators -= sign * step.size.accelerators
+        if self.index is not None:
+            self.index.update(self)
 
 
 @attrs.define(slots=True, eq=False)
@@ -347,9 +367,15 @@
     config: model.Config = attrs.field(factory=model.Config)
     jobs: dict[str, JobRun] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
+    # Number of worker ids ever added.
+    worker_count: int = 0
+    # Workers by upstream.
+    free_capacity: dict[str, _capacity.FreeCapacity] = attrs.field(
+        factory=dict
+    )
     usage_by_team: dict[str, _usage.Usage] = attrs.field(factory=dict)
-    # Steps with waiting tasks, by name.
-    waiting: dict[str, StepRun] = attrs.field(factory=dict)
+    # Steps with waiting tasks.
+    steps: _waiting.WaitingSteps = attrs.field(factory=_waiting.WaitingSteps)
     # Heap of the steps that start at a set time, as (due Unix ms, name).
     scheduled_steps: list[tuple[int, str]] = attrs.field(factory=list)
     # Free capacity that queries to the policy service are sent for, by worker
@@ -425,14 +451,23 @@
     data_centres: dict[str, DataCentre] = attrs.field(factory=dict)
     # Most urgent priority of the steps that reserve a worker, by worker id,
     # as of the current placement pass.
-    worker_reservations: dict[str, int] = attrs.field(factory=dict)
+    worker_reservations: _priorities.Priorities = attrs.field(
+        factory=_priorities.Priorities
+    )
     # Most urgent priority of the steps that wait for a team limit, by team.
-    limit_reservations: dict[str, int] = attrs.field(factory=dict)
+    limit_reservations: _priorities.Priorities = attrs.field(
+        factory=_priorities.Priorities
+    )
     # Workers on which the current step just started tasks, by task index.
     placements: dict[int, str] = attrs.field(factory=dict)
     # Effects of the event being handled.
     outbox: list[effects.Effect] = attrs.field(factory=list)
 
+    @property
+    def waiting(self) -> dict[str, StepRun]:
+        """Return the steps with waiting tasks, by name."""
+        return self.steps.by_name
+
     def emit(self, effect: effects.Effect) -> None:
         """Append an effect for the caller to carry out."""
         self.outbox.append(effect)
@@ -448,7 +483,10 @@
 
     def usage(self, team: str) -> _usage.Usage:
         """Return the usage of a team."""
-        return self.usage_by_team.setdefault(team, _usage.Usage())
+        usage = self.usage_by_team.get(team)
+        if usage is None:
+            usage = self.usage_by_team[team] = _usage.Usage()
+        return usage
 
     def adopted_usage(self, team: str) -> _usage.Usage:
         """Return what a team was found running when this owner took over."""
@@ -456,7 +494,42 @@
 
     def pool(self, upstream: str) -> _usage.Pool:
         """Return the pool of an upstream."""
-        return self.pools.setdefault(upstream, _usage.Pool())
+        pool = self.pools.get(upstream)
+        if pool is None:
+            pool = self.pools[upstream] = _usage.Pool()
+        return pool
+
+    def add_worker(self, worker: Worker) -> None:
+        """Add a worker, or replace a former incarnation by it."""
+        former = self.workers.get(worker.id)
+        if former is not None:
+            worker.number = former.number
+            if former.index is not None:
+                former.index.remove(former)
+        else:
+            worker.number = self.worker_count
+            self.worker_count += 1
+        self.workers[worker.id] = worker
+        self.index_worker(worker)
+
+    def remove_worker(self, worker: Worker) -> None:
+        """Remove a worker."""
+        del self.workers[worker.id]
+        if worker.index is not None:
+            worker.index.remove(worker)
+
+    def index_worker(self, worker: Worker) -> None:
+        """Update the index for a worker whose entry has changed."""
+        if worker.index is not None:
+            worker.index.remove(worker)
+        self.capacity_of(worker.entry.upstream).add(worker)
+
+    def capacity_of(self, upstream: str) -> _capacity.FreeCapacity:
+        """Return the index of the workers of an upstream."""
+        index = self.free_capacity.get(upstream)
+        if index is None:
+            index = self.free_capacity[upstream] = _capacity.FreeCapacity()
+        return index
 
     def mark_data_centre_reachable(self, worker: Worker) -> None:
         """Record a response from the data centre of a worker."""
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -82,7 +82,7 @@
         capacity,
         listed_at=cell.now,
     )
-    cell.workers[entry.id] = worker
+    cell.add_worker(worker)
     cell.dirty_workers[entry.id] = None
     return worker
 
@@ -127,6 +127,7 @@
     worker.is_listed = True
     worker.listed_at = cell.now
     worker.entry = entry
+    cell.index_worker(worker)
     was_awaited = worker.entry_awaited_until > cell.now
     worker.entry_awaited_until = 0.0
     if previous != entry or was_awaited:
@@ -135,8 +136,7 @@
 
 def unblock_all(cell: _state.Cell) -> None:
     """Try to place every waiting step in the next pass."""
-    for step in cell.waiting.values():
-        step.is_blocked = False
+    cell.steps.unblock_all()
 
 
 def _unblock_reserving(cell: _state.Cell, worker: _state.Worker) -> None:
@@ -422,7 +422,7 @@
         if worker.is_listed or worker.id in cell.unfenced:
             continue
         if is_expired or is_idle:
-            del cell.workers[worker.id]
+            cell.remove_worker(worker)
             cell.dirty_workers[worker.id] = None
             cell.log_decision('worker_forgotten', worker=worker.id)
 
