--- a/packages/cell/celeryshift_cell/_evacuation.py
+++ b/packages/cell/celeryshift_cell/_evacuation.py
@@ -49,8 +49,7 @@
     cell.unknown_evacuations &= cell.evacuated
     cell.unknown_evacuations |= set(unknown)
     _advice.abandon_unusable(cell)
-    for step in cell.waiting.values():
-        step.is_blocked = False
+    cell.steps.unblock_all()
 
 
 def update_worker(cell: _state.Cell, worker: _state.Worker) -> None:
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -16,6 +16,7 @@
 from celeryshift_cell import _records
 from celeryshift_cell import _runs
 from celeryshift_cell import _state
+from celeryshift_cell import _waiting
 from celeryshift_cell import _workers
 from celeryshift_cell import effects
 from celeryshift_cell import events
@@ -88,6 +89,8 @@
     cell.lag_s = max(event.lag_s, LAG_DECAY * cell.lag_s)
     cell.window.expire(cell.now)
     _jobs.release_due(cell)
+    if len(cell.waiting) > _waiting.MAX_RETRIED:
+        cell.steps.retry_touched()
     _workers.expire_leases(cell)
     _workers.retry_stops(cell)
     _data_centres.check(cell)
