Shares of teams by weight in the cell, with a stored mark for surplus jobs

Cause: a team that sends more than its usual delays the work of all teams, since the order of starts ignores the weights of the configuration. Change: with weights that differ, the owner marks jobs beyond `weight` per second as surplus when it accepts them, and stores the mark with the job. Surplus work ranks behind all other work; while more work waits than fits, the team furthest below its weighted dominant share starts next within a rank. Invalid weights count as the smallest valid one and are logged once.

--- a/packages/cell/celeryshift_cell/__init__.py
+++ b/packages/cell/celeryshift_cell/__init__.py
@@ -11,14 +11,18 @@
 from celeryshift_cell._options import Options
 from celeryshift_cell._records import is_known_job
 from celeryshift_cell._reducer import reduce
+from celeryshift_cell._shares import count_accepted
+from celeryshift_cell._shares import mark_surplus
 from celeryshift_cell._state import Cell
 
 __all__ = [
     'Cell',
     'Options',
+    'count_accepted',
     'describe',
     'explain',
     'is_known_job',
+    'mark_surplus',
     'rejection_reason',
     'reduce',
     'visible_state',
--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -86,7 +86,7 @@
         effects.RequestAdvice(
             step.name,
             tuple(worker.id for worker in workers),
-            (job.queue.priority, expected_ms, step.ready_at),
+            (job.rank, expected_ms, step.ready_at),
             expected_ms,
         )
     )
@@ -118,7 +118,7 @@
     if step.spec.is_filler or not step.is_ready:
         return
     size = step.spec.size
-    priority = step.job.queue.priority
+    priority = step.job.rank
     remaining = len(step.pending)
     for worker in workers:
         free = _unclaimed(cell, worker, priority)
@@ -158,7 +158,7 @@
     cell: _state.Cell, step: _state.StepRun, workers: list[_state.Worker]
 ) -> list[_state.Worker]:
     spec = step.spec
-    priority = step.job.queue.priority
+    priority = step.job.rank
     return [
         worker
         for worker in workers
--- a/packages/cell/celeryshift_cell/_headroom.py
+++ b/packages/cell/celeryshift_cell/_headroom.py
@@ -12,7 +12,7 @@
 from celeryshift_cell import _state
 from celeryshift_cell import _usage
 
-# The priority that headroom is kept for; 0 is the most urgent.
+# The rank that headroom is kept for; 0 is the most urgent.
 URGENT = 0
 # A peak decays to zero over this time, which covers several bursts.
 PEAK_DECAY_S = 16.0
@@ -53,7 +53,7 @@
 
 def is_urgent(step: _state.StepRun) -> bool:
     """Return whether a step is urgent work that headroom is kept for."""
-    return step.job.queue.priority == URGENT and not is_exempt(step)
+    return step.job.rank == URGENT and not is_exempt(step)
 
 
 def is_exempt(step: _state.StepRun) -> bool:
@@ -89,7 +89,7 @@
 
 def required_slots(cell: _state.Cell, step: _state.StepRun) -> int | None:
     """Return how many slots a step must leave free, or None for no bound."""
-    if step.job.queue.priority == URGENT or is_exempt(step):
+    if step.job.rank == URGENT or is_exempt(step):
         return None
     pool = cell.pool(step.job.queue.upstream)
     return (
--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -22,13 +22,14 @@
 def add_job(cell: _state.Cell, spec: model.Job) -> _state.JobRun:
     """Add a stored job to the cell."""
     job = _state.JobRun(spec, queue_of(cell, spec))
+    job.is_surplus = spec.is_surplus and cell.shares.is_weighted
     for occurrence in range(spec.occurrences):
         for number, step in enumerate(spec.steps):
             job.steps[occurrence, number] = _make_step(
                 job, occurrence, number, step
             )
     job.remaining_steps = len(job.steps)
-    job.critical_path_ms = _critical_path_ms(cell, spec)
+    job.critical_path_ms = critical_path_ms(cell, spec)
     cell.jobs[spec.id] = job
     return job
 
@@ -47,7 +48,8 @@
     return step
 
 
-def _critical_path_ms(cell: _state.Cell, spec: model.Job) -> float:
+def critical_path_ms(cell: _state.Cell, spec: model.Job) -> float:
+    """Return the expected duration of a job's longest chain of steps."""
     longest_ms: list[float] = []
     for step in spec.steps:
         earlier_ms = max((longest_ms[i] for i in step.after), default=0.0)
--- a/packages/cell/celeryshift_cell/_limits.py
+++ b/packages/cell/celeryshift_cell/_limits.py
@@ -32,8 +32,8 @@
     may_use_headroom = step.spec.is_lasting or _headroom.is_urgent(step)
     if may_use_headroom or not _is_half_used(used, team.maximum):
         return used.allows(size, team.maximum)
-    priority = step.job.queue.priority
-    if cell.limit_reservations.get(name, priority) < priority:
+    rank = step.job.rank
+    if cell.limit_reservations.get(name, rank) < rank:
         return False
     return used.allows(size, _minus_headroom(used, team.maximum))
 
--- a/packages/cell/celeryshift_cell/_ordering.py
+++ b/packages/cell/celeryshift_cell/_ordering.py
@@ -14,22 +14,40 @@
 
 # A late result still has some value up to this multiple of the objective.
 LATE_FACTOR = 3.0
+# Classes of steps within a priority.
+IN_TIME, LATE, WORTHLESS = range(3)
 
 
 def sort_key(cell: _state.Cell, step: _state.StepRun) -> tuple[float, ...]:
     """Return the sort key of a step; the lowest is placed first."""
     job = step.job
-    queue = job.queue
     if step.spec.is_lasting:
         # The value of a service is the time that it runs, so services come
         # first within their priority.
-        return (queue.priority, 0, 0.0, step.ready_at)
-    path_ms = remaining_path_ms(cell, step)
+        return (job.rank, IN_TIME, 0.0, step.ready_at)
+    step_class = classify(cell, step)
+    if step_class == WORTHLESS:
+        return (job.rank, WORTHLESS, job.spec.arrived_ms, step.ready_at)
+    return (
+        job.rank,
+        step_class,
+        remaining_path_ms(cell, step),
+        step.ready_at,
+    )
+
+
+def classify(cell: _state.Cell, step: _state.StepRun) -> int:
+    """Return the class of a step within its priority."""
     if can_meet_objective(cell, step):
-        return (queue.priority, 0, path_ms, step.ready_at)
+        return IN_TIME
     if can_meet_objective(cell, step, LATE_FACTOR):
-        return (queue.priority, 1, path_ms, step.ready_at)
-    return (queue.priority, 2, job.spec.arrived_ms, step.ready_at)
+        return LATE
+    return WORTHLESS
+
+
+def objective_ms(job: _state.JobRun) -> float:
+    """Return the objective for the age of a job at its completion."""
+    return job.queue.stretch * job.critical_path_ms + job.queue.target_ms
 
 
 def can_meet_objective(
@@ -38,10 +56,8 @@
     """Return whether a job can end within a multiple of its objective."""
     job = step.job
     age_ms = cell.wall_ms - job.spec.arrived_ms
-    objective_ms = (
-        job.queue.stretch * job.critical_path_ms + job.queue.target_ms
-    )
-    return age_ms + remaining_path_ms(cell, step) <= factor * objective_ms
+    limit_ms = factor * objective_ms(job)
+    return age_ms + remaining_path_ms(cell, step) <= limit_ms
 
 
 def remaining_path_ms(cell: _state.Cell, step: _state.StepRun) -> float:
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -9,9 +9,9 @@
 from celeryshift_cell import _in_doubt
 from celeryshift_cell import _jobs
 from celeryshift_cell import _limits
-from celeryshift_cell import _ordering
 from celeryshift_cell import _reservations
 from celeryshift_cell import _runs
+from celeryshift_cell import _shares
 from celeryshift_cell import _state
 from celeryshift_cell import _workers
 from celeryshift_cell import model
@@ -32,9 +32,8 @@
         return
     _in_doubt.update(cell)
     _reservations.collect(cell)
-    steps.sort(key=lambda step: _ordering.sort_key(cell, step))
     starts = 0
-    for step in steps:
+    for step in _shares.in_turn(cell, steps):
         if starts >= MAX_STARTS:
             return
         if step.in_doubt and cell.unfenced:
@@ -75,6 +74,9 @@
             config=cell.config.version,
         )
         cell.placements.clear()
+    if step.pending and placed == cell.shares.turn > 0:
+        # It goes on when it is the turn of its team again.
+        return placed
     if step.pending:
         step.is_blocked = True
         _record_wait(cell, step)
@@ -127,6 +129,8 @@
 def _place_tasks(cell: _state.Cell, step: _state.StepRun) -> int:
     placed = 0
     for index in sorted(step.pending):
+        if placed == cell.shares.turn > 0:
+            break
         if not _limits.allows(cell, step, step.spec.size):
             step.blocked_by_limit = True
             break
@@ -152,7 +156,7 @@
     """Return the best worker for a task with its ticket, or None."""
     best = None
     lowest_cost: tuple[float, ...] = ()
-    priority = step.job.queue.priority
+    rank = step.job.rank
     required = _headroom.required_slots(cell, step)
     is_headroom_short = False
     is_suspect = _crashes.is_suspect(task)
@@ -160,7 +164,7 @@
     for worker, ticket in _candidates(cell, step):
         if not worker.has_capacity(step.spec):
             continue
-        if cell.worker_reservations.get(worker.id, priority) < priority:
+        if cell.worker_reservations.get(worker.id, rank) < rank:
             continue
         if required and not _headroom.leaves_required_slots(
             cell, step, worker, required
@@ -372,4 +376,5 @@
     for job in cell.jobs.values():
         if job.spec.queue in cell.config.queues_by_name:
             job.queue = _jobs.queue_of(cell, job.spec)
+        job.is_surplus = job.spec.is_surplus and cell.shares.is_weighted
     _workers.unblock_all(cell)
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from celeryshift_cell import _advice
+from celeryshift_cell import _backlog
 from celeryshift_cell import _data_centres
 from celeryshift_cell import _draining
 from celeryshift_cell import _fillers
@@ -14,6 +15,7 @@
 from celeryshift_cell import _preemption
 from celeryshift_cell import _records
 from celeryshift_cell import _runs
+from celeryshift_cell import _shares
 from celeryshift_cell import _state
 from celeryshift_cell import _workers
 from celeryshift_cell import effects
@@ -48,6 +50,7 @@
     cell: _state.Cell, event: events.ConfigChanged
 ) -> None:
     cell.config = event.config
+    _shares.configure(cell)
     _placement.refresh_policies(cell)
     cell.log_decision('config_applied', version=event.config.version)
 
@@ -57,6 +60,7 @@
     if not _records.is_new_job(cell, event.stored):
         return
     job = _jobs.add_job(cell, spec)
+    _backlog.add_job(cell, job)
     cell.log_decision(
         'job_taken',
         job=spec.id,
@@ -90,6 +94,7 @@
     _draining.move_tasks(cell)
     _fillers.stop_stalled(cell)
     _headroom.update(cell)
+    _backlog.refresh(cell)
     _preemption.preempt(cell)
     _records.evict_ended(cell)
     _advice.query_ahead(cell)
--- a/packages/cell/celeryshift_cell/_reservations.py
+++ b/packages/cell/celeryshift_cell/_reservations.py
@@ -4,6 +4,7 @@
 priority would take all capacity that becomes free on a worker or within the
 limit of the team. While a waiting step has reserved a worker or the limit of
 its team, no task of lower priority starts on that worker or within that limit.
+Surplus work ranks behind all work within its team's share.
 """
 
 from celeryshift_cell import _jobs
@@ -54,9 +55,9 @@
 def _add(
     reservations: dict[str, int], name: str, step: _state.StepRun
 ) -> None:
-    """Record the priority of a step unless a more urgent one is recorded."""
-    priority = step.job.queue.priority
-    reservations[name] = min(priority, reservations.get(name, priority))
+    """Record the rank of a step unless a lower one is recorded."""
+    rank = step.job.rank
+    reservations[name] = min(rank, reservations.get(name, rank))
 
 
 def _shortfall(size: model.Size, worker: _state.Worker) -> float:
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -146,6 +146,9 @@
     size = step.spec.size
     usage = cell.usage(step.job.spec.team)
     usage.add(size, sign)
+    if not _headroom.is_exempt(step):
+        cell.shares.usage(step.job.spec.team).add(size, sign)
+    cell.backlog.allocate(worker.id, worker.entry.upstream, step.spec, sign)
     if run.is_urgent:
         pool.urgent.used += sign
         usage.urgent_cpu.used += sign * size.cpu_milli
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -11,6 +11,7 @@
 import attrs
 
 from celeryshift_cell import _options
+from celeryshift_cell import _tallies
 from celeryshift_cell import _usage
 from celeryshift_cell import effects
 from celeryshift_cell import events
@@ -219,6 +220,13 @@
     required_loss_version: int = 0
     # Expected duration of the longest chain of dependent steps.
     critical_path_ms: float = 0.0
+    # The job is surplus, and the weights in force differ.
+    is_surplus: bool = False
+
+    @property
+    def rank(self) -> int:
+        """Return the rank of the job: the lowest is placed first."""
+        return _tallies.rank(self.queue, self.is_surplus)
 
 
 @attrs.define(slots=True, eq=False)
@@ -430,6 +438,10 @@
     limit_reservations: dict[str, int] = attrs.field(factory=dict)
     # Workers on which the current step just started tasks, by task index.
     placements: dict[int, str] = attrs.field(factory=dict)
+    shares: _tallies.Shares = attrs.field(factory=_tallies.Shares)
+    backlog: _tallies.Backlog = attrs.field(factory=_tallies.Backlog)
+    # Starts per second that the owner sustains; 0 if unknown.
+    start_rate: float = 0.0
     # Effects of the event being handled.
     outbox: list[effects.Effect] = attrs.field(factory=list)
 
--- a/packages/cell/celeryshift_cell/model.py
+++ b/packages/cell/celeryshift_cell/model.py
@@ -157,6 +157,9 @@
     # Policy at the time of acceptance, used once the queue is not configured
     # any more.
     policy: Queue | None = None
+    # The job exceeded the number of jobs per second that its team is entitled
+    # to when the owner accepted it.
+    is_surplus: bool = False
 
     @property
     def occurrences(self) -> int:
--- a/packages/cellnode/celeryshift_cellnode/_ownerservice.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownerservice.py
@@ -64,6 +64,8 @@
             return {'is_owner': True, 'written': IMPOSSIBLE, 'reason': reason}
         pending = self._pending_writes.get(job.id)
         if pending is None:
+            job = cell.mark_surplus(self.runner.state, job)
+            cell.count_accepted(self.runner.state, job)
             pending = asyncio.ensure_future(self._store_job(self.runner, job))
             self._pending_writes[job.id] = pending
             pending.add_done_callback(
