--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -93,7 +93,7 @@
         effects.RequestAdvice(
             step.name,
             tuple(worker.id for worker in workers),
-            (job.queue.priority, expected_ms, step.ready_at),
+            (job.rank, expected_ms, step.ready_at),
             expected_ms,
         )
     )
@@ -129,21 +129,21 @@
     if step.spec.is_filler or not step.is_ready:
         return
     size = step.spec.size
-    priority = step.job.queue.priority
+    rank = step.job.rank
     remaining = len(step.pending)
     for worker in workers:
         if not remaining:
             return
         if not worker.has_capacity(step.spec):
             continue
-        free = _unclaimed(cell, worker, priority)
+        free = _unclaimed(cell, worker, rank)
         while remaining and size.fits(free):
             remaining -= 1
             free = free.minus(size)
             claims = cell.claims_by_worker.setdefault(worker.id, {})
             claimed = claims.get(step.name)
             total = size if claimed is None else claimed[1].plus(size)
-            claims[step.name] = (priority, total)
+            claims[step.name] = (rank, total)
 
 
 def _release_claims(
@@ -158,14 +158,14 @@
 
 
 def _unclaimed(
-    cell: _state.Cell, worker: _state.Worker, priority: int
+    cell: _state.Cell, worker: _state.Worker, rank: int
 ) -> model.Size:
     """Return the free capacity that no step as urgent has claimed."""
     cpu, memory = worker.free_cpu, worker.free_memory
     accelerators = worker.free_accelerators
     claims = cell.claims_by_worker.get(worker.id)
     for claimant, size in claims.values() if claims else ():
-        if claimant <= priority:
+        if claimant <= rank:
             cpu -= size.cpu_milli
             memory -= size.memory_mb
             accelerators -= size.accelerators
@@ -178,12 +178,12 @@
     workers: Iterable[_state.Worker],
 ) -> Iterator[_state.Worker]:
     spec = step.spec
-    priority = step.job.queue.priority
+    rank = step.job.rank
     for worker in workers:
         if _cold.has_capacity(cell, worker, step) and (
             spec.is_filler
             or worker.id not in cell.claims_by_worker
-            or spec.size.fits(_unclaimed(cell, worker, priority))
+            or spec.size.fits(_unclaimed(cell, worker, rank))
         ):
             yield worker
 
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -12,9 +12,9 @@
 from celeryshift_cell import _in_doubt
 from celeryshift_cell import _jobs
 from celeryshift_cell import _limits
-from celeryshift_cell import _ordering
 from celeryshift_cell import _reservations
 from celeryshift_cell import _runs
+from celeryshift_cell import _shares
 from celeryshift_cell import _state
 from celeryshift_cell import _workers
 from celeryshift_cell import model
@@ -41,20 +41,18 @@
     _in_doubt.update(cell)
     _reservations.collect(cell)
     # Steps with equal keys start in the order in which they began to wait.
-    steps.sort(
-        key=lambda step: (
-            _ordering.sort_key(cell, step),
-            step.waiting_number,
-        )
-    )
+    steps.sort(key=lambda step: step.waiting_number)
     starts = 0
-    for step in steps:
+    for step in _shares.in_turn(cell, steps):
         if starts >= MAX_STARTS or not cell.window.room:
             return
         if step.in_doubt and cell.unfenced:
             # A copy of what a silent worker may run, or have crashed under.
             _crashes.suspect_step(cell, step)
-        starts += _place_step(cell, step, cell.window.room)
+        most_starts = cell.window.room
+        if cell.shares.turn:
+            most_starts = min(most_starts, cell.shares.turn)
+        starts += _place_step(cell, step, most_starts)
 
 
 def is_blocked_in_doubt(cell: _state.Cell, step: _state.StepRun) -> bool:
@@ -96,7 +94,8 @@
         )
         cell.placements.clear()
     if step.pending and placed >= most_starts:
-        # The step is tried again once starts have been answered.
+        # The step is tried again once starts have been answered, or when it is
+        # the turn of its team again.
         return placed
     if step.pending:
         _record_wait(cell, step)
@@ -303,8 +302,8 @@
     cell: _state.Cell, step: _state.StepRun, worker: _state.Worker
 ) -> bool:
     """Return whether a more urgent step has reserved a worker."""
-    priority = step.job.queue.priority
-    return cell.worker_reservations.get(worker.id, priority) < priority
+    rank = step.job.rank
+    return cell.worker_reservations.get(worker.id, rank) < rank
 
 
 def _candidates(cell: _state.Cell, step: _state.StepRun) -> list[_Candidate]:
--- a/packages/cell/celeryshift_cell/_reservations.py
+++ b/packages/cell/celeryshift_cell/_reservations.py
@@ -4,6 +4,7 @@
 priority would take all capacity that becomes free on a worker or within the
 limit of the team. While a waiting step has reserved a worker or the limit of
 its team, no task of lower priority starts on that worker or within that limit.
+Surplus work ranks behind all work within its team's share.
 """
 
 from collections.abc import Iterator
@@ -25,11 +26,11 @@
     for step in cell.steps.changed.values():
         is_waiting = step.name in cell.waiting
         is_limited = is_waiting and step.blocked_by_limit
-        priority = step.job.queue.priority
+        rank = step.job.rank
         workers = step.reserved_workers if is_waiting else ()
         teams = (step.job.spec.team,) if is_limited else ()
-        cell.worker_reservations.replace(step.name, workers, priority)
-        cell.limit_reservations.replace(step.name, teams, priority)
+        cell.worker_reservations.replace(step.name, workers, rank)
+        cell.limit_reservations.replace(step.name, teams, rank)
     cell.steps.changed.clear()
     cell.worker_reservations.begin_pass()
     cell.limit_reservations.begin_pass()
@@ -59,7 +60,7 @@
         )
     step.reserved_workers = frozenset(worker.id for worker in chosen)
     for worker_id in step.reserved_workers:
-        cell.worker_reservations.add(worker_id, step.job.queue.priority)
+        cell.worker_reservations.add(worker_id, step.job.rank)
 
 
 def _first_of_sorted(
@@ -92,7 +93,7 @@
 
 def reserve_limit(cell: _state.Cell, step: _state.StepRun) -> None:
     """Reserve for a step what becomes free within its team's limit."""
-    cell.limit_reservations.add(step.job.spec.team, step.job.queue.priority)
+    cell.limit_reservations.add(step.job.spec.team, step.job.rank)
 
 
 def _shortfall(
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -15,6 +15,7 @@
 from celeryshift_cell import _options
 from celeryshift_cell import _order_window
 from celeryshift_cell import _priorities
+from celeryshift_cell import _tallies
 from celeryshift_cell import _usage
 from celeryshift_cell import _waiting
 from celeryshift_cell import effects
@@ -219,6 +220,13 @@
     required_loss_version: int = 0
     # Expected duration of the longest chain of dependent steps.
     critical_path_ms: float = 0.0
+    # The job is surplus, and the weights in force differ.
+    is_surplus: bool = False
+
+    @property
+    def rank(self) -> int:
+        """Return the rank of the job: the lowest is placed first."""
+        return _tallies.rank(self.queue, self.is_surplus)
 
 
 @attrs.define(slots=True, eq=False)
@@ -487,6 +495,10 @@
     )
     # Recent lag of the owner's event loop.
     lag_s: float = 0.0
+    shares: _tallies.Shares = attrs.field(factory=_tallies.Shares)
+    backlog: _tallies.Backlog = attrs.field(factory=_tallies.Backlog)
+    # Starts per second that the owner sustains; 0 if unknown.
+    start_rate: float = 0.0
     # Effects of the event being handled.
     outbox: list[effects.Effect] = attrs.field(factory=list)
 
