config check warns of entries without effect, and compares

Cause: config check listed only what nodes refuse. Operators learned from refused calls that a team had no key that works, a kind an upstream that is leaving, or a size above the limit of every team.

Change: _findings, a module without I/O, finds entries that never match and settings that contradict each other, and has the functions that compare and merge documents, moved from _changes. A name that a JSON object has more than once is a warning.

--- a/packages/client/celeryshift_client/_changes.py
+++ b/packages/client/celeryshift_client/_changes.py
@@ -1,6 +1,8 @@
-"""Changes of the configuration: files, differences and keys."""
+"""Changes of the configuration: files and keys."""
 
 import asyncio
+import collections
+from collections.abc import Iterator
 import json
 import pathlib
 import random
@@ -12,13 +14,13 @@
 
 from celeryshift_client import _api
 from celeryshift_client import _errors
+from celeryshift_client import _findings
 from celeryshift_client import _fleet
 import celeryshift_core as core
 
 RETRY_LIMIT_S = 15.0
 INITIAL_DELAY_S = 0.05
 MAX_DELAY_S = 1.0
-HASH_FIELD = 'sha256'
 # `ran` is a string in ProblemError and an enum member in UnreachableError.
 UNKNOWN_OUTCOMES = frozenset((core.Ran.UNKNOWN, core.Ran.UNKNOWN.value))
 CONFLICT = core.Reason.CONFIGURATION_CONFLICT.value
@@ -26,10 +28,26 @@
 
 @attrs.frozen
 class Draft:
-    """Configuration from a file, and the version that it is based on."""
+    """Configuration from a file, and the version that it is based on.
+
+    `repeated_paths` are the paths of names that a JSON object has twice or
+    more; only the last entry of such a name is in the document. `lists_keys`
+    is false for the output of `config show`, which hides the keys.
+    """
 
     document: dict[str, Any]
     base_version: int | None = None
+    repeated_paths: tuple[str, ...] = ()
+    lists_keys: bool = True
+
+
+class _Object(dict):
+    """JSON object that knows which of its names were repeated."""
+
+    def __init__(self, pairs: list[tuple[str, Any]]) -> None:
+        super().__init__(pairs)
+        counts = collections.Counter(name for name, _ in pairs)
+        self.repeated = [name for name in counts if counts[name] > 1]
 
 
 class _Retries:
@@ -62,43 +80,9 @@
     if isinstance(document, dict) and 'configuration' in document:
         version = document.get('version')
         document = document['configuration']
-    return Draft(_fleet.canonical(document), version)
-
-
-def with_keys(
-    document: dict[str, Any], in_force: dict[str, Any]
-) -> dict[str, Any]:
-    """Return the document with the keys in force and all withdrawals."""
-    withdrawn = {*document['withdrawn_keys'], *in_force['withdrawn_keys']}
-    return {
-        **document,
-        'keys': {**in_force['keys'], **document['keys']},
-        'withdrawn_keys': sorted(withdrawn),
-    }
-
-
-def without_keys(document: dict[str, Any]) -> dict[str, Any]:
-    """Return the document without keys, whose hashes must not be shown."""
-    hidden = ('version', 'keys', 'withdrawn_keys')
-    return {key: document[key] for key in document if key not in hidden}
-
-
-def differences(
-    before: dict[str, Any], after: dict[str, Any]
-) -> list[dict[str, Any]]:
-    """Return the differences sorted by path, without values of hashes."""
-    old, new = (
-        dict(_iterate_leaves(before, '$')),
-        dict(_iterate_leaves(after, '$')),
-    )
-    changes = []
-    for path in sorted(old.keys() | new.keys()):
-        if old.get(path) != new.get(path):
-            change: dict[str, Any] = {'path': path}
-            if not path.endswith(HASH_FIELD):
-                change |= {'from': old.get(path), 'to': new.get(path)}
-            changes.append(change)
-    return changes
+    checked = _fleet.canonical(document)
+    repeated_paths = tuple(_iterate_repeated(document, '$'))
+    return Draft(checked, version, repeated_paths, 'keys' in document)
 
 
 async def grant(client: _api.Client, key_id: str, team: str) -> dict[str, Any]:
@@ -107,7 +91,7 @@
     The secret is part of the returned token and is shown nowhere else.
     """
     secret = _fleet.new_secret()
-    key = {'team': team, HASH_FIELD: _fleet.hash_of(secret)}
+    key = {'team': team, _findings.HASH_FIELD: _fleet.hash_of(secret)}
     retries = _Retries()
     while True:
         current = await client.configuration()
@@ -159,7 +143,8 @@
 
 def _read_json(path: str) -> Any:
     try:
-        return json.loads(pathlib.Path(path).read_text())
+        text = pathlib.Path(path).read_text()
+        return json.loads(text, object_pairs_hook=_Object)
     except OSError as error:
         raise _errors.UsageError(f'{path}: {error.strerror}') from error
     except (ValueError, RecursionError) as error:
@@ -178,9 +163,10 @@
     return fleet.document()
 
 
-def _iterate_leaves(value: Any, path: str) -> Any:
+def _iterate_repeated(value: Any, path: str) -> Iterator[str]:
+    if isinstance(value, _Object):
+        for name in value.repeated:
+            yield f'{path}.{name}'
     if isinstance(value, dict):
-        for key, child in value.items():
-            yield from _iterate_leaves(child, f'{path}.{key}')
-    else:
-        yield path, value
+        for name, child in value.items():
+            yield from _iterate_repeated(child, f'{path}.{name}')
--- a/packages/client/celeryshift_client/_commands.py
+++ b/packages/client/celeryshift_client/_commands.py
@@ -19,12 +19,16 @@
 from celeryshift_client import _changes
 from celeryshift_client import _errors
 from celeryshift_client import _exits
+from celeryshift_client import _findings
 from celeryshift_client import _fleet
+import celeryshift_core as core
 
 URL_VARIABLE = 'CELERYSHIFT_URL'
 TOKEN_VARIABLE = 'CELERYSHIFT_TOKEN'
 CA_VARIABLE = 'CELERYSHIFT_CA'
 AUDIT_PAGE_SIZE = 20
+# Value of --against for the configuration that the nodes use.
+IN_FORCE = 'in-force'
 
 # Fire keeps the metadata of a command in an attribute of this name. Its help
 # would list a public attribute as a group of commands.
@@ -98,12 +102,28 @@
         self._context = context
 
     @parse_as_text
-    def check(self, file: str) -> Action:
-        """Check a configuration and list every mistake."""
+    def check(self, file: str, against: str = '') -> Action:
+        """Check a configuration; list every mistake and warning.
+
+        --against FILE, or --against in-force for the configuration that the
+        nodes use, also lists the differences from it.
+        """
 
         async def execute() -> Result:
-            _changes.read(file)
-            return Result({'file': file, 'mistakes': []})
+            try:
+                draft = _changes.read(file)
+                base = await self._read_base(against)
+                in_force = base.document if base else None
+                findings = _findings.find(
+                    draft.document, in_force, draft.repeated_paths
+                )
+            except core.ConfigurationError as error:
+                if not self._context.as_json:
+                    raise
+                document = {'file': file, 'mistakes': [*error.mistakes]}
+                code = _exits.exit_code(error)
+                return Result(document, code, (str(error),))
+            return _check_result(file, draft, findings, base)
 
         return self._context.action(execute)
 
@@ -126,7 +146,7 @@
         async def call(client: _api.Client) -> Any:
             draft = _changes.read(file)
             current = await client.configuration()
-            document = _changes.with_keys(
+            document = _findings.with_keys(
                 draft.document, current['configuration']
             )
             version = current['version']
@@ -146,7 +166,7 @@
         async def call(client: _api.Client) -> Any:
             current = await client.configuration()
             document = current['configuration']
-            current['configuration'] = _changes.without_keys(document)
+            current['configuration'] = _findings.without_keys(document)
             return current
 
         return self._context.call(call)
@@ -157,18 +177,33 @@
 
         async def execute() -> Result:
             draft = _changes.read(file)
-            async with self._context.client() as client:
-                current = await client.configuration()
-            in_force = _fleet.canonical(current['configuration'])
-            after = _changes.with_keys(draft.document, in_force)
-            changes = _changes.differences(in_force, after)
+            base = await self._read_in_force()
+            changes = _findings.changes(draft.document, base.document)
             codes = _exits.ExitCode
             code = codes.DIFFERENT if changes else codes.OK
-            document = {'version': current['version'], 'changes': changes}
+            document = {'version': base.base_version, 'changes': changes}
             return Result(document, code)
 
         return self._context.action(execute)
 
+    async def _read_in_force(self) -> _changes.Draft:
+        async with self._context.client() as client:
+            current = await client.configuration()
+        document = _fleet.canonical(current['configuration'])
+        return _changes.Draft(document, current['version'])
+
+    async def _read_base(self, against: str) -> _changes.Draft | None:
+        if not against:
+            return None
+        try:
+            if against == IN_FORCE:
+                return await self._read_in_force()
+            return _changes.read(against)
+        except core.ConfigurationError as error:
+            # The mistakes are not those of the file that is checked.
+            message = f'--against {against}: {error}'
+            raise _errors.UsageError(message) from error
+
 
 class KeyCommands:
     """Grant, withdraw and list keys."""
@@ -377,6 +412,29 @@
     return await action._execute(), action._as_json
 
 
+def _check_result(
+    file: str,
+    draft: _changes.Draft,
+    findings: list[_findings.Finding],
+    base: _changes.Draft | None,
+) -> Result:
+    warnings = [
+        {**attrs.asdict(finding), 'category': finding.category.value}
+        for finding in findings
+    ]
+    document: dict[str, Any] = {
+        'file': file,
+        'mistakes': [],
+        'warnings': warnings,
+    }
+    if base is None:
+        return Result(document)
+    changes = _findings.changes(draft.document, base.document, base.lists_keys)
+    document |= {'version': base.base_version, 'changes': changes}
+    codes = _exits.ExitCode
+    return Result(document, codes.DIFFERENT if changes else codes.OK)
+
+
 def _parse_number(kind: type[Number], name: str, text: str) -> Number:
     try:
         return kind(text)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -39,6 +39,14 @@
     return builder
 
 
+def configuration(**entries_by_section: dict) -> dict:
+    """Build the document of the fleet with additional or other entries."""
+    document = fleet().document()
+    for section, entries in entries_by_section.items():
+        document[section] |= entries
+    return document
+
+
 def token() -> str:
     """Return the token that the callers of the fleet use."""
     return f'k1.{SECRET}'
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -163,18 +163,23 @@
     other = fleet.with_name('other.json')
     document['teams']['ministry']['share'] = 6
     other.write_text(json.dumps(document))
-    difference, applied, no_difference, shown, conflict, audit = _run_at_node(
+    difference, checked, applied, no_difference, *others = _run_at_node(
         capsys,
         ('config', 'diff', fleet, '--json'),
+        ('config', 'check', fleet, '--against', 'in-force', '--json'),
         ('config', 'apply', fleet),
         ('config', 'diff', fleet),
         ('config', 'show', '--json'),
         ('config', 'apply', other, '--base_version', '1'),
         ('audit', '--json'),
     )
+    shown, conflict, audit = others
     assert difference[0] == Code.DIFFERENT
     change = {'path': '$.teams.ministry.share', 'from': 4.0, 'to': 5.0}
     assert json.loads(difference[1])['changes'] == [change]
+    # A check that compares with anything else than `config diff` misleads.
+    assert checked[0] == Code.DIFFERENT
+    assert json.loads(difference[1]).items() <= json.loads(checked[1]).items()
     assert applied == (Code.OK, 'version: 2\nexisted: false\n', '')
     assert no_difference[0] == Code.OK
     assert json.loads(shown[1])['version'] == 2
