Examine only what is due in ticks, and fewer workers in queries

Ticks read sets of workers that have something due. Claims are compared as plain numbers, and beyond 256 workers those with room are counted by the index.

--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -32,9 +32,9 @@
 # A query that would take longer names only the workers with the most free
 # capacity.
 LONG_QUERY_MS = 200.0
-# Workers beyond those named that are counted one by one for that; of more, all
-# with enough free cores are counted.
-MAX_COUNTED = 200
+# Up to so many workers are counted one by one for that; of more, all that have
+# enough free cores are counted.
+MAX_COUNTED = 256
 # Share of the time of a decision that further workers may add to a query.
 BREADTH_SHARE = 0.25
 # Tickets are renewed ahead of need if a decision takes at least this long.
@@ -171,6 +171,21 @@
     return model.Size(cpu, memory, accelerators)
 
 
+def _has_unclaimed(
+    cell: _state.Cell, worker: _state.Worker, priority: int, size: model.Size
+) -> bool:
+    """Return whether a size fits into the unclaimed capacity of a worker."""
+    cpu = worker.free_cpu - size.cpu_milli
+    memory = worker.free_memory - size.memory_mb
+    accelerators = worker.free_accelerators - size.accelerators
+    for claimant, claimed in cell.claims_by_worker[worker.entry.id].values():
+        if claimant <= priority:
+            cpu -= claimed.cpu_milli
+            memory -= claimed.memory_mb
+            accelerators -= claimed.accelerators
+    return cpu >= 0 and memory >= 0 and accelerators >= 0
+
+
 def _with_unclaimed_capacity(
     cell: _state.Cell,
     step: _state.StepRun,
@@ -181,8 +196,8 @@
     for worker in workers:
         if worker.has_capacity(spec) and (
             spec.is_filler
-            or worker.id not in cell.claims_by_worker
-            or spec.size.fits(_unclaimed(cell, worker, priority))
+            or worker.entry.id not in cell.claims_by_worker
+            or _has_unclaimed(cell, worker, priority, spec.size)
         ):
             yield worker
 
@@ -226,10 +241,24 @@
     index = cell.capacity_of(step.job.queue.upstream)
     lacking = []
     minimum = None if spec.is_filler else spec.size.cpu_milli
+    # What has free capacity is large enough, and nothing else is required.
+    is_plain = not (
+        spec.is_filler or spec.required_label or spec.most_per_worker
+    )
+    ineligible, approvals, now = step.ineligible, step.approvals, cell.now
     for worker in index.workers(minimum):
         if not worker.has_capacity(spec):
             lacking.append(worker)
-        elif _is_new(step, worker) and _may_name(cell, step, worker):
+            continue
+        # Most workers are new to a step, so that this comes before ``_is_new``
+        # and spares a call for each of them.
+        worker_id = worker.entry.id
+        is_known = worker_id in ineligible or worker_id in approvals
+        if is_known and not _is_new(step, worker):
+            continue
+        if not worker.is_usable(now):
+            continue
+        if is_plain or _may_name(cell, step, worker):
             yield worker
     if with_capacity:
         return
@@ -282,10 +311,11 @@
         len(first) + len(chosen_known)
     )
     if expected_ms <= LONG_QUERY_MS and service.each_ms:
-        further = sum(1 for _ in itertools.islice(chosen_new, MAX_COUNTED))
-        if further == MAX_COUNTED:
-            index = cell.capacity_of(step.job.queue.upstream)
-            further = max(further, index.count(spec.size.cpu_milli))
+        index = cell.capacity_of(step.job.queue.upstream)
+        cpu_milli = 0 if spec.is_filler else spec.size.cpu_milli
+        further = index.count(cpu_milli) - len(first)
+        if further <= MAX_COUNTED:
+            further = sum(1 for _ in chosen_new)
         expected_ms += service.each_ms * further
     if expected_ms > LONG_QUERY_MS:
         limit = min(limit, cell.options.long_query_workers)
--- a/packages/cell/celeryshift_cell/_draining.py
+++ b/packages/cell/celeryshift_cell/_draining.py
@@ -14,8 +14,11 @@
 
 def move_tasks(cell: _state.Cell) -> None:
     """Stop the runs that would not complete before their worker leaves."""
-    for worker in cell.workers.values():
-        if not worker.entry.is_draining or worker.is_silent:
+    for worker in cell.workers_in(cell.due.draining):
+        if not worker.entry.is_draining:
+            cell.due.draining.discard(worker.id)
+            continue
+        if worker.is_silent:
             continue
         remaining_s = _remaining_s(cell, worker)
         for run in list(worker.runs.values()):
--- a/packages/cell/celeryshift_cell/_fillers.py
+++ b/packages/cell/celeryshift_cell/_fillers.py
@@ -69,6 +69,8 @@
         strain=round(latency_ratio, 2),
     )
     run.pace = pace
+    if pace == 0:
+        cell.due.stalled.add(run.worker.id)
     run.pace_changed_at = cell.now
     entry = run.worker.entry
     cell.emit(
@@ -85,7 +87,10 @@
 
 def stop_stalled(cell: _state.Cell) -> None:
     """Stop fillers that were throttled to a standstill for too long."""
-    for worker in cell.workers.values():
+    for worker in cell.workers_in(cell.due.stalled):
+        if all(run.pace for run in worker.runs.values()):
+            cell.due.stalled.discard(worker.id)
+            continue
         for run in list(worker.runs.values()):
             is_stalled = run.pace == 0 and run.phase is Phase.RUNNING
             waited_s = cell.now - run.pace_changed_at
--- a/packages/cell/celeryshift_cell/_headroom.py
+++ b/packages/cell/celeryshift_cell/_headroom.py
@@ -9,6 +9,7 @@
 since every second that they do not run is lost, and so are fillers.
 """
 
+from celeryshift_cell import _capacity
 from celeryshift_cell import _state
 from celeryshift_cell import _usage
 
@@ -42,14 +43,26 @@
     for usage in cell.usage_by_team.values():
         for part in (usage.urgent_cpu, usage.urgent_memory):
             part.update(part.used, fraction)
-    for worker in cell.workers.values():
-        if worker.is_usable(cell.now):
-            pool = cell.pool(worker.entry.upstream)
-            pool.free_slots += free_slots(pool, worker)
-            capacity = worker.entry.capacity
-            pool.slots += _count_slots(
-                pool, capacity.cpu_milli, capacity.memory_mb
-            )
+    for upstream, index in cell.free_capacity.items():
+        _count_upstream(cell, cell.pool(upstream), index)
+
+
+def _count_upstream(
+    cell: _state.Cell, pool: _usage.Pool, index: _capacity.FreeCapacity
+) -> None:
+    """Count the slots of the usable workers of an upstream."""
+    cpu = pool.slot_cpu_milli
+    if not cpu:
+        return
+    memory = max(pool.slot_memory_mb, 1)
+    now = cell.now
+    for _, _, worker in index.entries:
+        if worker.is_usable(now):
+            size = worker.entry.capacity
+            slots = min(size.cpu_milli // cpu, size.memory_mb // memory)
+            free = min(worker.free_cpu // cpu, worker.free_memory // memory)
+            pool.slots += max(0, slots)
+            pool.free_slots += max(0, free)
 
 
 def is_urgent(step: _state.StepRun) -> bool:
--- a/packages/cell/celeryshift_cell/_health.py
+++ b/packages/cell/celeryshift_cell/_health.py
@@ -77,7 +77,12 @@
 
 def copy_stragglers(cell: _state.Cell) -> None:
     """Queue copies of tasks that take far longer than expected."""
-    for worker in cell.workers.values():
+    for worker in cell.workers_in(cell.due.copyable):
+        if not any(
+            run.task.step.spec.allows_copies for run in worker.runs.values()
+        ):
+            cell.due.copyable.discard(worker.id)
+            continue
         for run in worker.runs.values():
             step = run.task.step
             if not step.spec.allows_copies or len(run.task.runs) > 1:
--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -22,6 +22,7 @@
 def add_job(cell: _state.Cell, spec: model.Job) -> _state.JobRun:
     """Add a stored job to the cell."""
     job = _state.JobRun(spec, queue_of(cell, spec))
+    cell.least_urgent = max(cell.least_urgent, job.queue.priority)
     for occurrence in range(spec.occurrences):
         for number, step in enumerate(spec.steps):
             job.steps[occurrence, number] = _make_step(
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -528,6 +528,8 @@
     for job in cell.jobs.values():
         if job.spec.queue in cell.config.queues_by_name:
             job.queue = _jobs.queue_of(cell, job.spec)
+    for queue in cell.config.queues_by_name.values():
+        cell.least_urgent = max(cell.least_urgent, queue.priority)
     # Reservations depend on the priorities of the queues.
     cell.steps.changed.update(cell.waiting)
     _workers.unblock_all(cell)
--- a/packages/cell/celeryshift_cell/_reservations.py
+++ b/packages/cell/celeryshift_cell/_reservations.py
@@ -11,6 +11,7 @@
 
 from celeryshift_cell import _jobs
 from celeryshift_cell import _state
+from celeryshift_cell import _waiting
 from celeryshift_cell import model
 
 # A step that has waited for longer than this, or than its tasks run, reserves
@@ -48,6 +49,11 @@
     reserved_s = max(RESERVATION_S, run_s)
     if step.spec.is_filler or cell.now > step.ready_at + reserved_s:
         return
+    is_least_urgent = step.job.queue.priority >= cell.least_urgent
+    if is_least_urgent and len(cell.waiting) > _waiting.MAX_RETRIED:
+        # The reservation would keep no task from a worker; with few waiting
+        # steps, its changes still tell when these are tried again.
+        return
     if is_sorted:
         chosen = _first_of_sorted(step, candidates)
     else:
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -111,6 +111,8 @@
     task.runs[run.number] = run
     run.worker.runs[task.name, run.number] = run
     run.is_urgent = _headroom.is_urgent(step)
+    if step.spec.allows_copies:
+        cell.due.copyable.add(run.worker.id)
     _update_usage(cell, run, 1)
     step.runs_by_worker[run.worker.id] += 1
     step.pending.discard(task.index)
@@ -280,6 +282,7 @@
     task = cell.task(status.task)
     if task is None:
         worker.unknown_runs.add((status.task, status.run))
+        cell.due.unknown.add(worker.id)
         worker_entry = worker.entry
         cell.log_decision('unknown_run', task=status.task, worker=worker.id)
         cell.emit(
@@ -329,7 +332,9 @@
     """
     prefix = f'{job.spec.id}.'
     _apply_early_completions(cell, prefix)
-    for worker in cell.workers.values():
+    for worker in cell.workers_in(cell.due.unknown):
+        if not worker.unknown_runs:
+            cell.due.unknown.discard(worker.id)
         for name, number in sorted(worker.unknown_runs):
             task = cell.task(name) if name.startswith(prefix) else None
             if task is not None:
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -11,6 +11,7 @@
 import attrs
 
 from celeryshift_cell import _capacity
+from celeryshift_cell import _due
 from celeryshift_cell import _options
 from celeryshift_cell import _priorities
 from celeryshift_cell import _usage
@@ -367,6 +368,8 @@
     config: model.Config = attrs.field(factory=model.Config)
     jobs: dict[str, JobRun] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
+    # Workers that ticks examine.
+    due: _due.DueWorkers = attrs.field(factory=_due.DueWorkers)
     # Number of worker ids ever added.
     worker_count: int = 0
     # Workers by upstream.
@@ -374,6 +377,8 @@
         factory=dict
     )
     usage_by_team: dict[str, _usage.Usage] = attrs.field(factory=dict)
+    # Highest number of a priority that any job or configured queue has.
+    least_urgent: int = 0
     # Steps with waiting tasks.
     steps: _waiting.WaitingSteps = attrs.field(factory=_waiting.WaitingSteps)
     # Heap of the steps that start at a set time, as (due Unix ms, name).
@@ -518,6 +523,19 @@
         if worker.index is not None:
             worker.index.remove(worker)
 
+    def workers_in(self, ids: set[str]) -> list[Worker]:
+        """Return the workers of a set in the order of the cell.
+
+        Ids of workers that were removed are dropped from the set.
+        """
+        if not ids:
+            return []
+        found = [self.workers[i] for i in ids if i in self.workers]
+        if len(found) < len(ids):
+            ids.intersection_update(self.workers)
+        found.sort(key=lambda worker: worker.number)
+        return found
+
     def index_worker(self, worker: Worker) -> None:
         """Update the index for a worker whose entry has changed."""
         if worker.index is not None:
--- a/packages/cell/celeryshift_cell/_stops.py
+++ b/packages/cell/celeryshift_cell/_stops.py
@@ -13,6 +13,7 @@
 def stop(cell: _state.Cell, run: _state.Run, reason: str) -> None:
     """Order a worker to stop a run."""
     run.phase = Phase.STOPPING
+    cell.due.stopping.add(run.worker.id)
     run.since = cell.now
     entry = run.worker.entry
     cell.log_decision(
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -83,6 +83,8 @@
         listed_at=cell.now,
     )
     cell.add_worker(worker)
+    if entry.is_draining:
+        cell.due.draining.add(entry.id)
     cell.dirty_workers[entry.id] = None
     return worker
 
@@ -128,6 +130,8 @@
     worker.listed_at = cell.now
     worker.entry = entry
     cell.index_worker(worker)
+    if entry.is_draining:
+        cell.due.draining.add(entry.id)
     was_awaited = worker.entry_awaited_until > cell.now
     worker.entry_awaited_until = 0.0
     if previous != entry or was_awaited:
@@ -434,7 +438,13 @@
     schedule a poll instead.
     """
     retry_s = cell.options.stop_retry_s
-    for worker in cell.workers.values():
+    for worker in cell.workers_in(cell.due.stopping):
+        if all(
+            run.phase is not _state.Phase.STOPPING
+            for run in worker.runs.values()
+        ):
+            cell.due.stopping.discard(worker.id)
+            continue
         if worker.is_silent:
             continue
         for run in list(worker.runs.values()):
