--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -23,6 +23,7 @@
     """Add a stored job to the cell."""
     job = _state.JobRun(spec, queue_of(cell, spec))
     job.is_surplus = spec.is_surplus and cell.shares.is_weighted
+    cell.least_urgent = max(cell.least_urgent, job.rank)
     for occurrence in range(spec.occurrences):
         for number, step in enumerate(spec.steps):
             job.steps[occurrence, number] = _make_step(
