Place by expected completion, copy by expected gain, and keep ages steady

Cause: on workers whose speeds differ by a factor of 2.4, long tasks were packed onto fast workers and urgent ones waited for slow ones; copies had no budget and mostly followed wrong estimates; and the ages and due times of jobs jumped with the wall clock of the owner.

Change: where kinds differ in speed, urgent and short tasks, copies and the last tasks of a step prefer the fastest workers, long tasks the slowest ones. Where kinds are alike, the order of starts and the choice of workers are as before (a test compares all placements).

--- a/packages/cell/celeryshift_cell/_explain.py
+++ b/packages/cell/celeryshift_cell/_explain.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from celeryshift_cell import _advice
+from celeryshift_cell import _jobs
 from celeryshift_cell import _placement
 from celeryshift_cell import _state
 
@@ -42,7 +43,7 @@
         'is_recorded': job.is_recorded,
         'queue': job.spec.queue,
         'team': job.spec.team,
-        'age_ms': round(cell.wall_ms - job.spec.arrived_ms),
+        'age_ms': round(_jobs.age_ms(cell, job)),
         'steps': {
             step.name: _explain_step(cell, step) for step in job.steps.values()
         },
--- a/packages/cell/celeryshift_cell/_health.py
+++ b/packages/cell/celeryshift_cell/_health.py
@@ -35,6 +35,9 @@
             run_s = cell.now - run.since
             task.step.slowest_s = max(task.step.slowest_s, run_s)
             _learn_run_time(cell, worker, task, run_s * 1000)
+            if task.step.spec.allows_copies:
+                average_ms = run_s * 1000 * _run_times.speed(cell, worker)
+                task.step.average_run_times_ms.append(average_ms)
             _run_times.learn(cell, worker, run)
     elif result is model.RunResult.FAILED:
         worker.failed_jobs.add(task.step.job.spec.id)
--- a/packages/cell/celeryshift_cell/_histograms.py
+++ b/packages/cell/celeryshift_cell/_histograms.py
@@ -28,6 +28,8 @@
     weight: float = 0.0
     # Monotonic time of the last sample.
     updated_at: float = 0.0
+    # Median as of the last sample; None if it has not been computed since.
+    _median: float | None = None
 
     def add(self, ratio: float, now: float) -> None:
         """Add a sample."""
@@ -41,6 +43,7 @@
                 if weight / 2 >= self.MIN_WEIGHT
             }
             self.weight = sum(weight for weight, _ in self.buckets.values())
+            self._median = None
 
     def _put(self, position: float, added: float) -> None:
         bucket = math.floor(position)
@@ -48,6 +51,14 @@
         mean += (position - mean) * added / (weight + added)
         self.buckets[bucket] = weight + added, mean
         self.weight += added
+        self._median = None
+
+    @property
+    def median(self) -> float:
+        """Return the median of the ratios; 1 if there are none."""
+        if self._median is None:
+            self._median = self.quantile(0.5)
+        return self._median
 
     def quantile(self, share: float) -> float:
         """Return a quantile of the ratios; 1 if there are none."""
@@ -138,6 +149,8 @@
     # Speeds relative to the average kind, and whether they differ.
     speed_by_kind: dict[str, float] = attrs.field(factory=dict)
     kinds_differ: bool = False
+    # When the speeds are next updated.
+    update_at: float = 0.0
     # The stored record is out of date, or is in the save in flight, and when
     # the next one may be saved.
     is_dirty: bool = False
--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -7,6 +7,9 @@
 from celeryshift_cell import _state
 from celeryshift_cell import model
 
+# Bound of the age of a job when it becomes known; a larger one comes from a
+# clock that is wrong.
+MAX_AGE_MS = 7 * 24 * 3_600_000.0
 FINAL = (
     model.JobState.COMPLETED,
     model.JobState.FAILED,
@@ -22,7 +25,9 @@
 
 def add_job(cell: _state.Cell, spec: model.Job) -> _state.JobRun:
     """Add a stored job to the cell."""
-    job = _state.JobRun(spec, queue_of(cell, spec))
+    known_age_ms = min(max(0.0, cell.wall_ms - spec.arrived_ms), MAX_AGE_MS)
+    arrived_at = cell.now - known_age_ms / 1000
+    job = _state.JobRun(spec, queue_of(cell, spec), arrived_at=arrived_at)
     for occurrence in range(spec.occurrences):
         for number, step in enumerate(spec.steps):
             job.steps[occurrence, number] = _make_step(
@@ -34,6 +39,11 @@
     return job
 
 
+def age_ms(cell: _state.Cell, job: _state.JobRun) -> float:
+    """Return the age of a job, which does not jump with the wall clock."""
+    return (cell.now - job.arrived_at) * 1000
+
+
 def _make_step(
     job: _state.JobRun, occurrence: int, number: int, spec: model.Step
 ) -> _state.StepRun:
--- a/packages/cell/celeryshift_cell/_ordering.py
+++ b/packages/cell/celeryshift_cell/_ordering.py
@@ -37,7 +37,7 @@
 ) -> bool:
     """Return whether a job can end within a multiple of its objective."""
     job = step.job
-    age_ms = cell.wall_ms - job.spec.arrived_ms
+    age_ms = _jobs.age_ms(cell, job)
     objective_ms = (
         job.queue.stretch * job.critical_path_ms + job.queue.target_ms
     )
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -4,6 +4,7 @@
 import math
 
 from celeryshift_cell import _advice
+from celeryshift_cell import _completion
 from celeryshift_cell import _crashes
 from celeryshift_cell import _headroom
 from celeryshift_cell import _in_doubt
@@ -11,6 +12,7 @@
 from celeryshift_cell import _limits
 from celeryshift_cell import _ordering
 from celeryshift_cell import _reservations
+from celeryshift_cell import _run_times
 from celeryshift_cell import _runs
 from celeryshift_cell import _state
 from celeryshift_cell import _workers
@@ -258,6 +260,9 @@
         return (is_avoided, is_remote, -idle_cpu)
     capacity = max(worker.entry.capacity.cpu_milli, 1)
     free_share = (worker.free_cpu - spec.size.cpu_milli) / capacity
+    if _run_times.is_used(cell):
+        speed_cost = _completion.cost(cell, step, task, worker)
+        return (is_avoided, is_remote, *speed_cost, free_share)
     is_slow = worker.slowness > cell.options.slow_factor
     if step.job.queue.priority > 0:
         return (is_avoided, is_remote, is_slow, free_share)
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from celeryshift_cell import _advice
+from celeryshift_cell import _completion
 from celeryshift_cell import _data_centres
 from celeryshift_cell import _draining
 from celeryshift_cell import _fillers
@@ -63,7 +64,7 @@
         job=spec.id,
         queue=spec.queue,
         team=spec.team,
-        age_ms=round(cell.wall_ms - spec.arrived_ms),
+        age_ms=round(_jobs.age_ms(cell, job)),
         config=cell.config.version,
     )
     if cell.unfenced and cell.now < cell.former_owner_until + LATE_JOB_S:
@@ -81,14 +82,17 @@
 
 
 def _handle_ticked(cell: _state.Cell, event: events.Ticked) -> None:
-    cell.wall_offset_ms = event.wall_ms - event.now * 1000
+    cell.clocks.read(cell.now, event.wall_ms)
     _jobs.release_due(cell)
     _workers.expire_leases(cell)
     _workers.retry_stops(cell)
     _data_centres.check(cell)
     _workers.poll_due(cell)
     _run_times.update(cell)
-    _health.copy_stragglers(cell)
+    if _run_times.is_used(cell):
+        _completion.queue_copies(cell)
+    else:
+        _health.copy_stragglers(cell)
     _draining.move_tasks(cell)
     _fillers.stop_stalled(cell)
     _headroom.update(cell)
@@ -102,7 +106,7 @@
 
 
 def _handle_restored(cell: _state.Cell, event: events.Restored) -> None:
-    cell.wall_offset_ms = event.wall_ms - event.now * 1000
+    cell.clocks.read(cell.now, event.wall_ms)
     _records.take_over(cell, event)
     _workers.poll_due(cell)
 
--- a/packages/cell/celeryshift_cell/_run_times.py
+++ b/packages/cell/celeryshift_cell/_run_times.py
@@ -40,8 +40,8 @@
 SPEED_HALF_LIFE_S = 14_400.0
 # Kinds differ if their speeds do so by this number of standard errors.
 SURE_ERRORS = 3.0
-# Quantiles of the ratio of run time to estimate.
-TYPICAL = 0.5
+# Interval at which the speeds of kinds are updated.
+UPDATE_S = 1.0
 
 
 def is_used(cell: _state.Cell) -> bool:
@@ -52,9 +52,9 @@
 def expected_ms(cell: _state.Cell, step: _state.StepRun) -> float:
     """Return the expected run time of a task on an average worker."""
     if is_used(cell):
-        learned_ms = quantile_ms(cell, step, TYPICAL)
-        if learned_ms is not None:
-            return learned_ms
+        ratios = ratios_of(cell, step)
+        if ratios is not None:
+            return step.spec.estimate_ms * ratios.median
     spec = step.spec
     mean_ms = cell.ms_by_image.get(spec.image) if spec.image else None
     return mean_ms if mean_ms is not None else float(spec.estimate_ms)
@@ -94,7 +94,7 @@
     """Learn from a run that has completed."""
     step = run.task.step
     kind = worker.entry.kind
-    if not kind or not _is_typical(run):
+    if not kind or not is_typical(run):
         return
     ratio = (cell.now - run.ordered_at) * 1000 / step.spec.estimate_ms
     if not MIN_RATIO <= ratio <= MAX_RATIO:
@@ -114,7 +114,7 @@
         del times.ratios_by_key[next(iter(times.ratios_by_key))]
 
 
-def _is_typical(run: _state.Run) -> bool:
+def is_typical(run: _state.Run) -> bool:
     """Return whether a run tells how long its task takes.
 
     Runs that were adopted, in doubt, stopped, throttled or resumed don't.
@@ -152,7 +152,7 @@
     if kind_times is None or kind_times.weight < MIN_SAMPLES:
         return
     own = worker.speed.relative_times
-    log_lead = math.log(kind_times.quantile(TYPICAL) / own.quantile(TYPICAL))
+    log_lead = math.log(kind_times.median / own.median)
     weight = min(own.weight, MAX_OWN_SAMPLES)
     log_lead *= weight / (weight + cell.options.kind_samples)
     lead = min(max(math.exp(log_lead), 1 / MAX_LAG), MAX_LEAD)
@@ -162,6 +162,9 @@
 def update(cell: _state.Cell) -> None:
     """Update the speeds of the kinds, and whether they differ."""
     times = cell.run_times
+    if cell.now < times.update_at:
+        return
+    times.update_at = cell.now + UPDATE_S
     known = {
         kind: histogram
         for kind, histogram in times.times_by_kind.items()
@@ -169,8 +172,7 @@
         and histogram.weight >= MIN_SAMPLES
     }
     log_speeds = {
-        kind: -math.log(histogram.quantile(TYPICAL))
-        for kind, histogram in known.items()
+        kind: -math.log(histogram.median) for kind, histogram in known.items()
     }
     mean = sum(log_speeds.values()) / max(len(log_speeds), 1)
     times.speed_by_kind = {
@@ -230,6 +232,7 @@
     times = model_from(record, cell.now)
     cell.run_times.ratios_by_key = times.ratios_by_key
     cell.run_times.times_by_kind = times.times_by_kind
+    cell.run_times.update_at = cell.now
     update(cell)
 
 
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from celeryshift_cell import _clocks
 from celeryshift_cell import _histograms
 from celeryshift_cell import _options
 from celeryshift_cell import _tickets
@@ -167,6 +168,8 @@
     blocked_by_headroom: bool = False
     # Longest run time among the completed tasks.
     slowest_s: float = 0.0
+    # Run times of its completed tasks, as on an average worker.
+    average_run_times_ms: list[float] = attrs.field(factory=list)
     # Approvals of the policy service, by worker id.
     approvals: dict[str, _tickets.Approval] = attrs.field(factory=dict)
     # Incarnations of workers that the policy service rejected, by worker id.
@@ -212,6 +215,8 @@
     saving_loss_version: int = 0
     stored_loss_version: int = 0
     required_loss_version: int = 0
+    # When its age was 0, as of the wall clock when the job became known.
+    arrived_at: float = 0.0
     # Expected duration of the longest chain of dependent steps.
     critical_path_ms: float = 0.0
 
@@ -340,8 +345,7 @@
     epoch: int
     options: _options.Options = attrs.field(factory=_options.Options)
     now: float = 0.0
-    # Unix time minus monotonic time, in milliseconds.
-    wall_offset_ms: float = 0.0
+    clocks: _clocks.Clocks = attrs.field(factory=_clocks.Clocks)
     config: model.Config = attrs.field(factory=model.Config)
     jobs: dict[str, JobRun] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
@@ -442,8 +446,8 @@
 
     @property
     def wall_ms(self) -> float:
-        """Return the current Unix time in milliseconds."""
-        return self.now * 1000 + self.wall_offset_ms
+        """Return the Unix time in milliseconds by which jobs are due."""
+        return self.now * 1000 + self.clocks.offset_ms
 
     def usage(self, team: str) -> _usage.Usage:
         """Return the usage of a team."""
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -38,6 +38,8 @@
 OWNER_LOST_S = 0.02
 # Share of the crashes that end the process only.
 REFUSING_SHARE = 0.7
+# Run time of the runs in the tail, as a multiple of the others.
+TAIL_FACTOR = 7
 # The entry of a worker that left expires after this.
 ENTRY_EXPIRY_S = 4.5
 # Workers that crash under a task, and starts of it after that many crashes
@@ -186,7 +188,7 @@
             return Outcome.DEADLINE_PASSED
         self._extend_lease(order.deadline_ms)
         self.sim.check_start(self, order)
-        run_s = self.sim.duration_s(order.task)
+        run_s = self.sim.duration_s(order.task, self.entry.kind)
         self.running[key] = self.sim.now + run_s
         self.run_times[key] = (self.sim.now, self.sim.now + run_s)
         incarnation = self.entry.incarnation
@@ -466,6 +468,11 @@
         self.maximum = maximum
         # Range of the factor between estimates and run times.
         self.duration_range = (0.5, 2.0)
+        # Run times by step, where they differ from the estimate; speeds by
+        # kind of worker; and share of the runs that take far longer.
+        self.run_ms_by_step: dict[str, float] = {}
+        self.speed_by_kind: dict[str, float] = {}
+        self.tail_share = 0.0
         # Share of the runs that fail.
         self.fail_share = 0.025
         self.config = cells.config(maximum=self.maximum)
@@ -617,13 +624,14 @@
         job_id, _, number, _ = task.split('.')
         return self.specs[job_id].steps[int(number)]
 
-    def duration_s(self, task: str) -> float:
-        """Return the run time of a task."""
-        return (
-            self._step_of(task).estimate_ms
-            / 1000
-            * self.random.uniform(*self.duration_range)
-        )
+    def duration_s(self, task: str, kind: str) -> float:
+        """Return the run time of a task on a kind of worker."""
+        estimate_ms = self._step_of(task).estimate_ms
+        run_ms = self.run_ms_by_step.get(task.rpartition('.')[0], estimate_ms)
+        run_ms *= self.random.uniform(*self.duration_range)
+        if self.tail_share and self.random.random() < self.tail_share:
+            run_ms *= TAIL_FACTOR
+        return run_ms / 1000 / self.speed_by_kind.get(kind, 1.0)
 
     def fails(self, task: str) -> bool:
         """Return whether a run fails."""
