Keep images apart that slow each other down on one worker

Cause: tasks that serve missed their target latency beside some images, and packing put these together again and again.

Change: _interference learns, from the tail latencies and run times that workers report, which image slows down which other one, by a regression over the images on the worker, so that a third image is not blamed. A pair that counts adds a penalty to the cost of a worker, below speed and above packing. The pairs are stored in the row run-times. It is switched by learn_interference, and does nothing where no loads are reported.

--- a/packages/cell/celeryshift_cell/_health.py
+++ b/packages/cell/celeryshift_cell/_health.py
@@ -4,6 +4,7 @@
 failures of one faulty job.
 """
 
+from celeryshift_cell import _interference
 from celeryshift_cell import _jobs
 from celeryshift_cell import _run_times
 from celeryshift_cell import _state
@@ -38,6 +39,7 @@
             if task.step.spec.allows_copies:
                 average_ms = run_s * 1000 * _run_times.speed(cell, worker)
                 task.step.average_run_times_ms.append(average_ms)
+            _interference.learn_run_time(cell, run)
             _run_times.learn(cell, worker, run)
     elif result is model.RunResult.FAILED:
         worker.failed_jobs.add(task.step.job.spec.id)
--- a/packages/cell/celeryshift_cell/_histograms.py
+++ b/packages/cell/celeryshift_cell/_histograms.py
@@ -1,4 +1,4 @@
-"""Histograms of ratios that forget old samples."""
+"""Histograms of ratios that forget old samples, and what is learned."""
 
 import math
 from typing import ClassVar
@@ -135,6 +135,30 @@
         return histogram
 
 
+@attrs.define(slots=True, eq=False)
+class Pair:
+    """By how much an image slows down another; see ``_interference``."""
+
+    # Logarithm of the slowdown, and its variance when it was last measured.
+    mean: float
+    variance: float
+    at: float
+
+
+@attrs.define(slots=True, eq=False)
+class Interference:
+    """What was learned about images on one worker; see ``_interference``."""
+
+    # By (disturbed image, disturbing image); the latter is empty for the
+    # disturbed image alone.
+    pairs: dict[tuple[str, str], Pair] = attrs.field(factory=dict)
+    # Logarithms of the slowdowns that count in placement, and their images.
+    found: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    images: set[str] = attrs.field(factory=set)
+    # When the pairs that count are next updated.
+    update_at: float = 0.0
+
+
 @attrs.define(slots=True, eq=False)
 class RunTimes:
     """What was learned about run times; see ``_run_times``.
@@ -151,6 +175,7 @@
     kinds_differ: bool = False
     # When the speeds are next updated.
     update_at: float = 0.0
+    interference: Interference = attrs.field(factory=Interference)
     # The stored record is out of date, or is in the save in flight, and when
     # the next one may be saved.
     is_dirty: bool = False
--- a/packages/cell/celeryshift_cell/_learning.py
+++ b/packages/cell/celeryshift_cell/_learning.py
@@ -6,6 +6,7 @@
 
 import json
 
+from celeryshift_cell import _interference
 from celeryshift_cell import _run_times
 from celeryshift_cell import _state
 
@@ -38,6 +39,7 @@
 def _encode(cell: _state.Cell) -> str:
     """Return the row, without the last entries of its lists if too long."""
     record = _run_times.encode(cell)
+    record['pairs'] = _interference.encode(cell)
     text = _dump(record)
     while len(text) > MAX_BYTES:
         longest = max(record.values(), key=len)
@@ -75,7 +77,9 @@
     if not text:
         return
     try:
-        _run_times.restore(cell, json.loads(text))
+        record = json.loads(text)
+        _run_times.restore(cell, record)
+        _interference.restore(cell, record.get('pairs', []))
     except (ValueError, TypeError, AttributeError, ArithmeticError) as error:
         cell.log_decision(
             'learned_unreadable', error=repr(error)[:MAX_ERROR_CHARS]
--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -94,6 +94,9 @@
     # Workers whose run times differ by less than this factor count as equally
     # fast.
     similar_factor: float = 1.12
+    # Learn which images slow down others on the same worker, and keep them
+    # apart where there is a choice.
+    learn_interference: bool = True
     # Size of the rows that store the progress of a job.
     record_part_bytes: int = effects.RECORD_PART_BYTES
     # How long an ended job is kept in memory; later requests for it are
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -8,6 +8,7 @@
 from celeryshift_cell import _crashes
 from celeryshift_cell import _headroom
 from celeryshift_cell import _in_doubt
+from celeryshift_cell import _interference
 from celeryshift_cell import _jobs
 from celeryshift_cell import _limits
 from celeryshift_cell import _ordering
@@ -257,20 +258,23 @@
     )
     if spec.is_filler:
         idle_cpu = worker.free_cpu - worker.filler_cpu
-        return (is_avoided, is_remote, -idle_cpu)
+        disturbance = _interference.penalty(cell, step, worker)
+        return (is_avoided, is_remote, disturbance, -idle_cpu)
     capacity = max(worker.entry.capacity.cpu_milli, 1)
     free_share = (worker.free_cpu - spec.size.cpu_milli) / capacity
+    disturbance = _interference.penalty(cell, step, worker)
     if _run_times.is_used(cell):
         speed_cost = _completion.cost(cell, step, task, worker)
-        return (is_avoided, is_remote, *speed_cost, free_share)
+        return (is_avoided, is_remote, *speed_cost, disturbance, free_share)
     is_slow = worker.slowness > cell.options.slow_factor
     if step.job.queue.priority > 0:
-        return (is_avoided, is_remote, is_slow, free_share)
+        return (is_avoided, is_remote, is_slow, disturbance, free_share)
     log_factor = math.log(cell.options.similar_factor)
     return (
         is_avoided,
         is_remote,
         math.log(worker.slowness) // log_factor,
+        disturbance,
         free_share,
     )
 
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -10,6 +10,7 @@
 from celeryshift_cell import _fillers
 from celeryshift_cell import _headroom
 from celeryshift_cell import _health
+from celeryshift_cell import _interference
 from celeryshift_cell import _jobs
 from celeryshift_cell import _placement
 from celeryshift_cell import _preemption
@@ -89,6 +90,7 @@
     _data_centres.check(cell)
     _workers.poll_due(cell)
     _run_times.update(cell)
+    _interference.update(cell)
     if _run_times.is_used(cell):
         _completion.queue_copies(cell)
     else:
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -7,6 +7,7 @@
 from celeryshift_cell import _crashes
 from celeryshift_cell import _fillers
 from celeryshift_cell import _health
+from celeryshift_cell import _interference
 from celeryshift_cell import _jobs
 from celeryshift_cell import _leases
 from celeryshift_cell import _runs
@@ -260,6 +261,7 @@
     # Only now are the runs of former owners known.
     worker.is_fenced = True
     cell.unfenced.discard(worker.id)
+    _interference.learn_latencies(cell, worker)
     _fillers.adjust_pace(cell, worker)
     _stalls.check_worker(cell, worker)
     if was_unusable or not was_fenced:
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -260,6 +260,8 @@
             self._metrics.set_gauge('jobs', len(state.jobs))
             self._metrics.set_gauge('steps_waiting', len(state.waiting))
             self._metrics.set_gauge('workers', len(state.workers))
+            found = state.run_times.interference.found
+            self._metrics.set_gauge('interference_pairs', len(found))
         return self._metrics.render()
 
     async def _handle_show(self, body: Any) -> dict[str, Any]:
