--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -26,6 +26,7 @@
 from celeryshift_cell import _jobs
 from celeryshift_cell import _ordering
 from celeryshift_cell import _state
+from celeryshift_cell import _tickets
 from celeryshift_cell import effects
 from celeryshift_cell import events
 from celeryshift_cell import model
@@ -407,7 +408,7 @@
     if not any(step.number in spec.after for spec in step.job.spec.steps):
         return
     lead_s = service.decision_ms / 1000 + AHEAD_MARGIN_S
-    run_s = _jobs.expected_ms(cell, step.spec) / 1000
+    run_s = _jobs.expected_ms(cell, step) / 1000
     due_at = cell.now + max(0.0, run_s - lead_s)
     heapq.heappush(cell.planned_queries, (due_at, step.name))
 
@@ -496,7 +497,7 @@
             cell.steps.drop_approval(step, worker_id)
         else:
             cell.steps.add_approval(step, worker_id)
-            step.approvals[worker_id] = _state.Approval(
+            step.approvals[worker_id] = _tickets.Approval(
                 incarnation, ticket, valid_until
             )
     cell.log_decision(
--- a/packages/cell/celeryshift_cell/_backlog.py
+++ b/packages/cell/celeryshift_cell/_backlog.py
@@ -9,6 +9,7 @@
 from celeryshift_cell import _headroom
 from celeryshift_cell import _jobs
 from celeryshift_cell import _ordering
+from celeryshift_cell import _run_times
 from celeryshift_cell import _state
 from celeryshift_cell import _tallies
 from celeryshift_cell import _usage
@@ -155,7 +156,7 @@
     work = _tallies.Work()
     for step in () if job.times else job.steps:
         if not (step.is_lasting or step.is_filler):
-            _add_step(cell, work, step, step.count, step.count)
+            _add_step(cell, work, job.queue, step, step.count, step.count)
     return work
 
 
@@ -168,18 +169,19 @@
             waiting = len(step.pending)
             running = max(0, step.remaining_tasks - waiting)
             count = waiting + RUNNING_SHARE * running
-            _add_step(cell, work, step.spec, count, waiting)
+            _add_step(cell, work, job.spec.queue, step.spec, count, waiting)
     return work
 
 
 def _add_step(
     cell: _state.Cell,
     work: _tallies.Work,
+    queue: str,
     step: model.Step,
     count: float,
     starts: int,
 ) -> None:
-    core_ms = count * _jobs.expected_ms(cell, step)
+    core_ms = count * _run_times.expected_ms(cell, queue, step)
     work.cpu += core_ms * step.size.cpu_milli
     work.memory += core_ms * step.size.memory_mb
     work.starts += starts
--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -3,9 +3,13 @@
 import heapq
 
 from celeryshift_cell import _headroom
+from celeryshift_cell import _run_times
 from celeryshift_cell import _state
 from celeryshift_cell import model
 
+# Bound of the age of a job when it becomes known; a larger one comes from a
+# clock that is wrong.
+MAX_AGE_MS = 7 * 24 * 3_600_000.0
 FINAL = (
     model.JobState.COMPLETED,
     model.JobState.FAILED,
@@ -21,7 +25,9 @@
 
 def add_job(cell: _state.Cell, spec: model.Job) -> _state.JobRun:
     """Add a stored job to the cell."""
-    job = _state.JobRun(spec, queue_of(cell, spec))
+    known_age_ms = min(max(0.0, cell.wall_ms - spec.arrived_ms), MAX_AGE_MS)
+    arrived_at = cell.now - known_age_ms / 1000
+    job = _state.JobRun(spec, queue_of(cell, spec), arrived_at=arrived_at)
     job.is_surplus = spec.is_surplus and cell.shares.is_weighted
     cell.least_urgent = max(cell.least_urgent, job.rank)
     for occurrence in range(spec.occurrences):
@@ -35,6 +41,11 @@
     return job
 
 
+def age_ms(cell: _state.Cell, job: _state.JobRun) -> float:
+    """Return the age of a job, which does not jump with the wall clock."""
+    return (cell.now - job.arrived_at) * 1000
+
+
 def _make_step(
     job: _state.JobRun, occurrence: int, number: int, spec: model.Step
 ) -> _state.StepRun:
@@ -54,14 +65,14 @@
     longest_ms: list[float] = []
     for step in spec.steps:
         earlier_ms = max((longest_ms[i] for i in step.after), default=0.0)
-        longest_ms.append(earlier_ms + expected_ms(cell, step))
+        own_ms = _run_times.expected_ms(cell, spec.queue, step)
+        longest_ms.append(earlier_ms + own_ms)
     return max(longest_ms, default=0.0)
 
 
-def expected_ms(cell: _state.Cell, step: model.Step) -> float:
+def expected_ms(cell: _state.Cell, step: _state.StepRun) -> float:
     """Return the expected run time of a task of the step."""
-    learned = cell.ms_by_image.get(step.image) if step.image else None
-    return learned if learned is not None else float(step.estimate_ms)
+    return _run_times.expected_ms(cell, step.job.spec.queue, step.spec)
 
 
 def release(cell: _state.Cell, job: _state.JobRun) -> None:
--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -109,6 +109,9 @@
     # one answer reports several completions, and by this at most.
     poll_delay_factor: float = 3.0
     max_poll_delay_s: float = 0.3
+    # Learn which images slow down others on the same worker, and keep them
+    # apart where there is a choice.
+    learn_interference: bool = True
     # Size of the rows that store the progress of a job.
     record_part_bytes: int = effects.RECORD_PART_BYTES
     # How long an ended job is kept in memory; later requests for it are
--- a/packages/cell/celeryshift_cell/_ordering.py
+++ b/packages/cell/celeryshift_cell/_ordering.py
@@ -55,7 +55,7 @@
 ) -> bool:
     """Return whether a job can end within a multiple of its objective."""
     job = step.job
-    age_ms = cell.wall_ms - job.spec.arrived_ms
+    age_ms = _jobs.age_ms(cell, job)
     limit_ms = factor * objective_ms(job)
     return age_ms + remaining_path_ms(cell, step) <= limit_ms
 
@@ -70,6 +70,8 @@
             for later in range(number + 1, len(spec.steps))
             if number in spec.steps[later].after
         ]
-        own_ms = _jobs.expected_ms(cell, spec.steps[number])
+        own_ms = _jobs.expected_ms(
+            cell, step.job.steps[step.occurrence, number]
+        )
         path_by_step[number] = own_ms + max(after, default=0.0)
     return path_by_step[step.number]
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -6,13 +6,16 @@
 
 from celeryshift_cell import _advice
 from celeryshift_cell import _cold
+from celeryshift_cell import _completion
 from celeryshift_cell import _crashes
 from celeryshift_cell import _evacuation
 from celeryshift_cell import _headroom
 from celeryshift_cell import _in_doubt
+from celeryshift_cell import _interference
 from celeryshift_cell import _jobs
 from celeryshift_cell import _limits
 from celeryshift_cell import _reservations
+from celeryshift_cell import _run_times
 from celeryshift_cell import _runs
 from celeryshift_cell import _shares
 from celeryshift_cell import _state
@@ -428,9 +431,29 @@
     is_cold_for_urgent = _cold.is_cold_for_urgent(cell, step, worker)
     if spec.is_filler:
         idle_cpu = worker.free_cpu - worker.filler_cpu
-        return (is_avoided, is_cold_for_urgent, is_remote, -idle_cpu, is_cold)
+        disturbance = _interference.penalty(cell, step, worker)
+        return (
+            is_avoided,
+            is_cold_for_urgent,
+            is_remote,
+            disturbance,
+            -idle_cpu,
+            is_cold,
+        )
     capacity = max(worker.entry.capacity.cpu_milli, 1)
     free_share = (worker.free_cpu - spec.size.cpu_milli) / capacity
+    disturbance = _interference.penalty(cell, step, worker)
+    if _run_times.is_used(cell):
+        speed_cost = _completion.cost(cell, step, task, worker)
+        return (
+            is_avoided,
+            is_cold_for_urgent,
+            is_remote,
+            *speed_cost,
+            disturbance,
+            free_share,
+            is_cold,
+        )
     is_slow = worker.slowness > cell.options.slow_factor
     if step.job.queue.priority > 0:
         return (
@@ -438,6 +461,7 @@
             is_cold_for_urgent,
             is_remote,
             is_slow,
+            disturbance,
             free_share,
             is_cold,
         )
@@ -447,6 +471,7 @@
         is_cold_for_urgent,
         is_remote,
         math.log(worker.slowness) // log_factor,
+        disturbance,
         free_share,
     )
 
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -5,16 +5,19 @@
 
 from celeryshift_cell import _advice
 from celeryshift_cell import _backlog
+from celeryshift_cell import _completion
 from celeryshift_cell import _data_centres
 from celeryshift_cell import _draining
 from celeryshift_cell import _evacuation
 from celeryshift_cell import _fillers
 from celeryshift_cell import _headroom
 from celeryshift_cell import _health
+from celeryshift_cell import _interference
 from celeryshift_cell import _jobs
 from celeryshift_cell import _placement
 from celeryshift_cell import _preemption
 from celeryshift_cell import _records
+from celeryshift_cell import _run_times
 from celeryshift_cell import _runs
 from celeryshift_cell import _shares
 from celeryshift_cell import _state
@@ -70,7 +73,7 @@
         job=spec.id,
         queue=spec.queue,
         team=spec.team,
-        age_ms=round(cell.wall_ms - spec.arrived_ms),
+        age_ms=round(_jobs.age_ms(cell, job)),
         config=cell.config.version,
     )
     if cell.unfenced and cell.now < cell.former_owner_until + LATE_JOB_S:
@@ -88,7 +91,7 @@
 
 
 def _handle_ticked(cell: _state.Cell, event: events.Ticked) -> None:
-    cell.wall_offset_ms = event.wall_ms - event.now * 1000
+    cell.clocks.read(cell.now, event.wall_ms)
     # A lag explains the answers that arrive late within a second after it.
     cell.lag_s = max(event.lag_s, LAG_DECAY * cell.lag_s)
     cell.window.expire(cell.now)
@@ -99,7 +102,12 @@
     _workers.retry_stops(cell)
     _data_centres.check(cell)
     _workers.poll_due(cell)
-    _health.copy_stragglers(cell)
+    _run_times.update(cell)
+    _interference.update(cell)
+    if _run_times.is_used(cell):
+        _completion.queue_copies(cell)
+    else:
+        _health.copy_stragglers(cell)
     _draining.move_tasks(cell)
     _fillers.stop_stalled(cell)
     _headroom.update(cell)
@@ -114,7 +122,7 @@
 
 
 def _handle_restored(cell: _state.Cell, event: events.Restored) -> None:
-    cell.wall_offset_ms = event.wall_ms - event.now * 1000
+    cell.clocks.read(cell.now, event.wall_ms)
     _records.take_over(cell, event)
     _workers.poll_due(cell)
 
--- a/packages/cell/celeryshift_cell/_reservations.py
+++ b/packages/cell/celeryshift_cell/_reservations.py
@@ -47,7 +47,7 @@
 
     If the candidates are sorted, those with the most free cores come first.
     """
-    run_s = _jobs.expected_ms(cell, step.spec) / 1000
+    run_s = _jobs.expected_ms(cell, step) / 1000
     reserved_s = max(RESERVATION_S, run_s)
     if step.spec.is_filler or cell.now > step.ready_at + reserved_s:
         return
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -11,12 +11,15 @@
 import attrs
 
 from celeryshift_cell import _capacity
+from celeryshift_cell import _clocks
 from celeryshift_cell import _due
+from celeryshift_cell import _histograms
 from celeryshift_cell import _losses
 from celeryshift_cell import _options
 from celeryshift_cell import _order_window
 from celeryshift_cell import _priorities
 from celeryshift_cell import _tallies
+from celeryshift_cell import _tickets
 from celeryshift_cell import _usage
 from celeryshift_cell import _waiting
 from celeryshift_cell import effects
@@ -62,6 +65,8 @@
     ordered_at: float = 0.0
     # When the worker confirmed the run; 0 if it has not.
     confirmed_at: float = 0.0
+    # The run resumed from a checkpoint.
+    is_resumed: bool = False
     # The current incarnation of the worker has listed the run. The answer to
     # a start order does not tell which incarnation carried the order out.
     is_listed: bool = False
@@ -127,15 +132,6 @@
     )
 
 
-@attrs.define(slots=True, eq=False)
-class Approval:
-    """Approval of a worker for a step by the policy service."""
-
-    incarnation: int
-    ticket: str
-    valid_until: float
-
-
 @attrs.define(slots=True, eq=False)
 class StepRun:
     """One step of one occurrence of a job."""
@@ -166,8 +162,10 @@
     blocked_by_headroom: bool = False
     # Longest run time among the completed tasks.
     slowest_s: float = 0.0
+    # Run times of its completed tasks, as on an average worker.
+    average_run_times_ms: list[float] = attrs.field(factory=list)
     # Approvals of the policy service, by worker id.
-    approvals: dict[str, Approval] = attrs.field(factory=dict)
+    approvals: dict[str, _tickets.Approval] = attrs.field(factory=dict)
     # Incarnations of workers that the policy service rejected, by worker id.
     ineligible: dict[str, int] = attrs.field(factory=dict)
     # Incarnations of the workers in the query to the policy service in flight,
@@ -219,6 +217,8 @@
     saving_loss_version: int = 0
     stored_loss_version: int = 0
     required_loss_version: int = 0
+    # When its age was 0, as of the wall clock when the job became known.
+    arrived_at: float = 0.0
     # Expected duration of the longest chain of dependent steps.
     critical_path_ms: float = 0.0
     # The job is surplus, and the weights in force differ.
@@ -306,6 +306,9 @@
     run_time_ratio: _usage.RunningMean = attrs.field(
         factory=_usage.RunningMean
     )
+    speed: _histograms.WorkerSpeed = attrs.field(
+        factory=_histograms.WorkerSpeed
+    )
 
     @property
     def id(self) -> str:
@@ -389,8 +392,7 @@
     epoch: int
     options: _options.Options = attrs.field(factory=_options.Options)
     now: float = 0.0
-    # Unix time minus monotonic time, in milliseconds.
-    wall_offset_ms: float = 0.0
+    clocks: _clocks.Clocks = attrs.field(factory=_clocks.Clocks)
     config: model.Config = attrs.field(factory=model.Config)
     jobs: dict[str, JobRun] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
@@ -473,6 +475,7 @@
     run_time_ratio_by_kind: dict[str, _usage.RunningMean] = attrs.field(
         factory=dict
     )
+    run_times: _histograms.RunTimes = attrs.field(factory=_histograms.RunTimes)
     # Average run time by image.
     ms_by_image: dict[str, float] = attrs.field(factory=dict)
     # Totals by upstream. Slots and waiting tasks are counted on every tick.
@@ -522,8 +525,8 @@
 
     @property
     def wall_ms(self) -> float:
-        """Return the current Unix time in milliseconds."""
-        return self.now * 1000 + self.wall_offset_ms
+        """Return the Unix time in milliseconds by which jobs are due."""
+        return self.now * 1000 + self.clocks.offset_ms
 
     @property
     def timeout_slack_s(self) -> float:
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -9,6 +9,7 @@
 from celeryshift_cell import _evacuation
 from celeryshift_cell import _fillers
 from celeryshift_cell import _health
+from celeryshift_cell import _interference
 from celeryshift_cell import _jobs
 from celeryshift_cell import _leases
 from celeryshift_cell import _runs
@@ -277,6 +278,7 @@
     # Only now are the runs of former owners known.
     worker.is_fenced = True
     cell.unfenced.discard(worker.id)
+    _interference.learn_latencies(cell, worker)
     _fillers.adjust_pace(cell, worker)
     _stalls.check_worker(cell, worker)
     if was_unusable or not was_fenced:
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -267,6 +267,8 @@
             self._metrics.set_gauge('starts_at_most', int(window.size))
             for name, value in cell.gauges(state).items():
                 self._metrics.set_gauge(name, value)
+            found = state.run_times.interference.found
+            self._metrics.set_gauge('interference_pairs', len(found))
         return self._metrics.render()
 
     async def _handle_show(self, body: Any) -> dict[str, Any]:
