--- a/tests/soak.py
+++ b/tests/soak.py
@@ -22,6 +22,7 @@
 import signal
 import sys
 import tempfile
+import time
 from typing import Any
 
 import aiohttp
@@ -55,6 +56,11 @@
 MIN_LONG_S = 4.0
 MAX_LONG_S = 6.0
 BURST_JOBS = 8
+# An evacuation takes effect within this time of the operator's write, and an
+# order that is carried out late within a lease more.
+EVACUATION_S = 5.0
+MAX_EVACUATED_S = 10.0
+LEASE_S = 4.2
 # After a burst, how long its faults run before others begin.
 BURST_S = 5.0
 # How long a worker or a data centre is cut off.
@@ -78,7 +84,8 @@
     'slow': ('latency_s', 0.45),
     'lost': ('lost_share', 0.3),
 }
-# Besides the faults of the store: a new configuration (configure), silent loss
+# Besides the faults of the store: a new configuration (configure), a data
+# centre that is evacuated for a while (evacuate), silent loss
 # or delay at a proxy (deaf, delay), abort of its connections (reset), SIGKILL
 # and restart of one program (kill) or of all (herd), SIGTERM and restart
 # (term), SIGSTOP for a while (pause), and a worker whose runs make no progress
@@ -88,6 +95,7 @@
     'configure',
     'deaf store',
     'delay',
+    'evacuate',
     'herd',
     'kill',
     'pause',
@@ -156,6 +164,8 @@
         self.statuses: dict[str, list[int]] = collections.defaultdict(list)
         self.crashing_jobs: set[str] = set()
         self._last_fault_at = 0.0
+        # Data centre, and from when to when nothing may start there.
+        self.evacuations: list[tuple[str, float, float]] = []
         self.faults: list[str] = []
         self._restarting: set[str] = set()
         self._version = 1
@@ -270,6 +280,8 @@
         duration_s = self.rng.uniform(0.2, 4.0)
         if kind in ('cut', 'cut zone', 'pause owner'):
             duration_s = self.rng.uniform(MIN_CUT_S, MAX_CUT_S)
+        elif kind == 'evacuate':
+            duration_s = self.rng.uniform(EVACUATION_S, MAX_EVACUATED_S)
         self.faults.append(f'{kind} {duration_s:.1f}')
         if kind in OWNER_FAULTS:
             self._inject_owner_fault(kind, duration_s)
@@ -293,6 +305,8 @@
             self.rng.choice(
                 [*self.store_proxies, *self.worker_proxies]
             ).reset()
+        elif kind == 'evacuate':
+            self._schedule(0.0, self._evacuate(duration_s))
         elif kind == 'configure':
             self._version += 1
             self.platform.configure(self._version)
@@ -311,6 +325,26 @@
             )
             self._set_temporarily(component, name, value, duration_s)
 
+    async def _evacuate(self, duration_s: float) -> None:
+        """Evacuate a data centre for a while, and return it."""
+        zone = self.rng.choice(site.ZONES)
+        key = f'evacuate/{zone}'
+        rows = self.platform.rows
+        # The operator writes once the store answers.
+        while self.platform.is_away or ('op', '', key) in rows.rows:
+            await asyncio.sleep(siteworker.TICK_S)
+        rows.put('op', '', key, b'{}')
+        now = time.monotonic()
+        since, until = now + EVACUATION_S, now + duration_s
+        while now < until:
+            last = now
+            await asyncio.sleep(siteworker.TICK_S)
+            now = time.monotonic()
+            # While the store is away, nobody can read the row.
+            since += (now - last) * self.platform.is_away
+        self.evacuations.append((zone, since, now))
+        rows.remove('op', '', key)
+
     def _inject_worker_fault(self, kind: str, duration_s: float) -> None:
         worker = self.rng.choice(self.platform.workers)
         if kind == 'deaf worker':
@@ -500,6 +534,7 @@
         repetitions = runchecks.find_repetitions(self.platform.workers)
         assert not repetitions, runchecks.report(repetitions, self.lines)
         self._check_crashes()
+        self._check_evacuations()
         done = [t for w in self.platform.workers for t in w.done]
         for job, statuses in self.statuses.items():
             if ACCEPTED in statuses or IN_DOUBT in statuses:
@@ -507,6 +542,18 @@
             ran = [task for task in done if task.startswith(job)]
             assert not ran, f'{job} was refused but ran'
 
+    def _check_evacuations(self) -> None:
+        """Check that nothing started in evacuated data centres."""
+        for zone, since, until in self.evacuations:
+            started = [
+                run
+                for worker in self.platform.workers
+                for run in worker.records
+                if worker.zone == zone
+                and since + LEASE_S * run.is_late < run.started_at < until
+            ]
+            assert not started, f'{zone} from {since} to {until}: {started}'
+
     def _check_crashes(self) -> None:
         """Check that no task crashed one worker after the other."""
         runs = [r for w in self.platform.workers for r in w.records]
