Tell admission the rate of starts that the owner sustains

Cause: an owner accepted more work than it could order, so that accepted tasks waited to the end. Change: the rate of answers counts as the sustained rate while the window for starts is mostly full; admission uses it as a resource.

--- a/packages/cell/celeryshift_cell/_order_window.py
+++ b/packages/cell/celeryshift_cell/_order_window.py
@@ -10,6 +10,8 @@
 answers late, so it leaves the window as it is.
 """
 
+import collections
+
 import attrs
 
 # Half of the timeout of an order. A start that takes longer is late.
@@ -24,6 +26,8 @@
 LATE_SHARE = 0.5
 # Answers to the starts that were in flight say nothing about a new size.
 SHRINK_PAUSE_S = 0.3
+# Number of ticks from which the rate of answers is computed.
+RATE_TICKS = 20
 # A start whose answer was lost by the caller leaves the window after this.
 ANSWER_LOST_S = 2.0
 
@@ -38,6 +42,13 @@
     sent_at_by_run: dict[tuple[str, int], float] = attrs.field(factory=dict)
     late_share: float = 0.0
     shrunk_at: float = float('-inf')
+    # Answers since the last tick, and whether the window was full then.
+    answered: int = 0
+    was_full: bool = False
+    # Time, answers, and whether the window was full, of the last ticks.
+    ticks: collections.deque[tuple[float, int, bool]] = attrs.field(
+        factory=lambda: collections.deque(maxlen=RATE_TICKS)
+    )
 
     @property
     def room(self) -> int:
@@ -52,6 +63,7 @@
     def add(self, task: str, run: int, now: float) -> None:
         """Add a start that is being ordered."""
         self.sent_at_by_run[task, run] = now
+        self.was_full = self.was_full or not self.room
 
     def remove(
         self, task: str, run: int, now: float, is_unknown: bool
@@ -60,6 +72,7 @@
         sent_at = self.sent_at_by_run.pop((task, run), None)
         if sent_at is None:
             return False
+        self.answered += 1
         is_late = is_unknown or now - sent_at > LATE_S
         self.late_share += ANSWER_WEIGHT * (is_late - self.late_share)
         if not is_late:
@@ -78,6 +91,20 @@
         """Remove a start whose outcome is known from a poll."""
         self.sent_at_by_run.pop((task, run), None)
 
+    def start_rate(self, now: float) -> float:
+        """Return the starts a second that the owner sustains; 0 if unknown.
+
+        The rate of answers shows it only while the window is mostly full.
+        """
+        self.ticks.append((now, self.answered, self.was_full))
+        self.answered, self.was_full = 0, not self.room
+        elapsed_s = now - self.ticks[0][0]
+        full = sum(is_full for _, _, is_full in self.ticks)
+        if len(self.ticks) < RATE_TICKS or 2 * full < RATE_TICKS:
+            return 0.0
+        answered = sum(count for _, count, _ in self.ticks)
+        return answered / elapsed_s if elapsed_s > 0 else 0.0
+
     def expire(self, now: float) -> None:
         """Remove the starts whose answers were lost."""
         for key, sent_at in list(self.sent_at_by_run.items()):
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -95,6 +95,7 @@
     # A lag explains the answers that arrive late within a second after it.
     cell.lag_s = max(event.lag_s, LAG_DECAY * cell.lag_s)
     cell.window.expire(cell.now)
+    cell.start_rate = cell.window.start_rate(cell.now)
     _jobs.release_due(cell)
     if len(cell.waiting) > _waiting.MAX_RETRIED:
         cell.steps.retry_touched()
--- a/tests/test_cell_orders.py
+++ b/tests/test_cell_orders.py
@@ -121,3 +121,21 @@
         )
     )
     assert worker.storable_completion == 2
+
+
+def test_the_rate_of_starts_is_known_only_while_the_window_is_full():
+    """Guards against a rate of an owner that has little to do."""
+    window = _order_window.OrderWindow(256, 8.0)
+    for tick in range(40):
+        for number in range(2):
+            window.add('a', 2 * tick + number, tick / 10)
+            window.remove('a', 2 * tick + number, tick / 10, False)
+        assert window.start_rate(tick / 10) == 0.0
+    for number in range(8):
+        window.add('b', number, 4.0)
+    for tick in range(40, 80):
+        for number in range(2):
+            window.remove('b', 2 * tick - 80 + number, tick / 10, False)
+            window.add('b', 2 * tick - 72 + number, tick / 10)
+        rate = window.start_rate(tick / 10)
+    assert 18 < rate < 23
