Admission of jobs with Retry-After while more work waits than fits

Cause: long jobs were accepted without bound, so that the capacity was shared among more of them than can end in time. Change: the owner predicts the completion of each arriving job from the work ahead, the capacity that is available, the rate of work that arrives and is placed earlier, the limit and share of its team, and `Cell.start_rate`. A job that would end after its late limit, or a surplus job that would miss its objective, is answered 429 with `Retry-After` before it is stored. Steps of jobs that have begun are placed first within their class while work waits.

--- a/packages/cell/celeryshift_cell/_explain.py
+++ b/packages/cell/celeryshift_cell/_explain.py
@@ -3,6 +3,7 @@
 import collections
 from typing import Any
 
+from celeryshift_cell import _admission
 from celeryshift_cell import _advice
 from celeryshift_cell import _placement
 from celeryshift_cell import _state
@@ -43,6 +44,8 @@
         'queue': job.spec.queue,
         'team': job.spec.team,
         'age_ms': round(cell.wall_ms - job.spec.arrived_ms),
+        'is_surplus': job.spec.is_surplus,
+        'predicted_age_ms': _admission.explain(cell, job),
         'steps': {
             step.name: _explain_step(cell, step) for step in job.steps.values()
         },
--- a/packages/cell/celeryshift_cell/_ordering.py
+++ b/packages/cell/celeryshift_cell/_ordering.py
@@ -11,6 +11,7 @@
 
 from celeryshift_cell import _jobs
 from celeryshift_cell import _state
+from celeryshift_cell import model
 
 # A late result still has some value up to this multiple of the objective.
 LATE_FACTOR = 3.0
@@ -28,12 +29,13 @@
     step_class = classify(cell, step)
     if step_class == WORTHLESS:
         return (job.rank, WORTHLESS, job.spec.arrived_ms, step.ready_at)
-    return (
-        job.rank,
-        step_class,
-        remaining_path_ms(cell, step),
-        step.ready_at,
-    )
+    path_ms = remaining_path_ms(cell, step)
+    if job.queue.upstream in cell.backlog.saturated:
+        # What has begun is finished first. Otherwise more jobs share the
+        # capacity than can end in time.
+        has_begun = job.state is model.JobState.RUNNING
+        return (job.rank, step_class, not has_begun, path_ms, step.ready_at)
+    return (job.rank, step_class, path_ms, step.ready_at)
 
 
 def classify(cell: _state.Cell, step: _state.StepRun) -> int:
--- a/packages/cellnode/celeryshift_cellnode/_ownerservice.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownerservice.py
@@ -1,10 +1,12 @@
 """Handles requests to the owner of a cell."""
 
 import asyncio
+from collections.abc import Callable
 import time
 from typing import Any
 
 import celeryshift_cell as cell
+from celeryshift_cell import admission
 from celeryshift_cell import events
 from celeryshift_cell import model
 from celeryshift_cellnode import _groupwriter
@@ -19,6 +21,10 @@
 # The owner rejects the job, which cannot run on any current worker or within
 # the current limits.
 IMPOSSIBLE = 'impossible'
+# The owner rejects the job, which would end too late. It is not stored.
+OVERLOADED = 'overloaded'
+# Jobs in doubt that are remembered. Callers give up after a few retries.
+MAX_IN_DOUBT = 10_000
 
 
 class OwnerService:
@@ -28,8 +34,14 @@
     it is.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, is_store_impaired: Callable[[], bool] = lambda: False
+    ) -> None:
         self.runner: _runner.Runner | None = None
+        self._is_store_impaired = is_store_impaired
+        # IDs of jobs whose last write by this node has an unknown outcome, in
+        # the order of these writes.
+        self._in_doubt: dict[str, None] = {}
         # Writes of jobs in flight, by job ID.
         self._pending_writes: dict[
             str, asyncio.Future[_groupwriter.Result]
@@ -64,6 +76,16 @@
             return {'is_owner': True, 'written': IMPOSSIBLE, 'reason': reason}
         pending = self._pending_writes.get(job.id)
         if pending is None:
+            rejection = None
+            if not body.get('in_doubt'):
+                rejection = self._decide_admission(self.runner, job)
+            if rejection is not None:
+                return {
+                    'is_owner': True,
+                    'written': OVERLOADED,
+                    'reason': rejection.reason,
+                    'retry_after_s': rejection.retry_after_s,
+                }
             job = cell.mark_surplus(self.runner.state, job)
             cell.count_accepted(self.runner.state, job)
             pending = asyncio.ensure_future(self._store_job(self.runner, job))
@@ -79,6 +101,35 @@
             'reason': result.reason,
         }
 
+    def _decide_admission(
+        self, runner: _runner.Runner, job: model.Job
+    ) -> admission.Rejection | None:
+        """Return why a job is rejected that has certainly not been stored."""
+        if job.id in self._in_doubt or self._is_store_impaired():
+            return None
+        state = runner.state
+        job = cell.mark_surplus(state, job)
+        rejection = admission.decide(state, job)
+        if rejection is not None:
+            prediction = rejection.prediction
+            runner.log_decision(
+                'job_rejected',
+                job=job.id,
+                queue=job.queue,
+                team=job.team,
+                surplus=job.is_surplus,
+                why=rejection.reason,
+                retry_after_s=rejection.retry_after_s,
+                predicted_ms=round(prediction.in_time_ms),
+                late_ms=round(prediction.late_ms),
+                objective_ms=round(prediction.objective_ms),
+                ahead_core_s=round(prediction.work_ahead.cpu / 1e6, 1),
+                ahead_starts=round(prediction.work_ahead.starts),
+                cores=prediction.capacity.cpu_milli // 1000,
+                start_rate=state.start_rate,
+            )
+        return rejection
+
     async def _store_job(
         self, runner: _runner.Runner, job: model.Job
     ) -> _groupwriter.Result:
@@ -96,6 +147,11 @@
         )
         result = await runner.writer.write(change)
         is_stored = result.outcome is _groupwriter.WriteOutcome.STORED
+        self._in_doubt.pop(job.id, None)
+        if result.outcome is _groupwriter.WriteOutcome.UNKNOWN:
+            self._in_doubt[job.id] = None
+            if len(self._in_doubt) > MAX_IN_DOUBT:
+                del self._in_doubt[next(iter(self._in_doubt))]
         if is_stored and self.runner is runner:
             self.add_job(events.StoredJob(job, result.version))
         return result
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -69,6 +69,10 @@
             self._is_scheduled = True
             asyncio.get_running_loop().call_soon(self._drain_queue)
 
+    def log_decision(self, decision: str, **fields: Any) -> None:
+        """Log and count a decision that was made outside of the reducer."""
+        self._execute(effects.LogDecision(decision, fields))
+
     def close(self) -> None:
         """Stop giving orders, and close the writer."""
         self._is_closed = True
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -59,8 +59,8 @@
     # The store has no such job.
     NO_JOB = 'no job'
     MALFORMED = 'malformed'
-    # The job is not accepted, because no worker or limit allows it; the client
-    # may retry.
+    # The job is not accepted, because no worker or limit allows it, or because
+    # it would end too late; the client may retry.
     TRY_LATER = 'try later'
     # The store or the owner does not answer. A submitted job is not accepted;
     # the client may retry.
@@ -133,7 +133,9 @@
         self.configuration: ports.Configuration | None = None
         self._router = _routing.Router(())
         # Handles requests to the owner while this node is the owner.
-        self.owner_service = _ownerservice.OwnerService()
+        self.owner_service = _ownerservice.OwnerService(
+            lambda: store.is_slow or store.is_unavailable
+        )
         self._notifications: set[asyncio.Task[None]] = set()
 
     def configure(self, configuration: ports.Configuration) -> None:
@@ -186,7 +188,9 @@
         """Have the owner store a job, or store it without the owner."""
         in_doubt = False
         while True:
-            answer, may_be_stored = await self._request_accept(job, deadline)
+            answer, may_be_stored = await self._request_accept(
+                job, deadline, in_doubt
+            )
             if answer is not None:
                 return answer
             in_doubt = in_doubt or may_be_stored
@@ -209,14 +213,14 @@
         return answer
 
     async def _request_accept(
-        self, job: model.Job, deadline: float
+        self, job: model.Job, deadline: float, in_doubt: bool
     ) -> tuple[Answer | None, bool]:
-        """Ask the owner to store a job.
+        """Ask the owner to store a job, which an earlier call may have stored.
 
         Returns the answer to the client; or None, and whether the owner may
         still store the job.
         """
-        body = {'job': _schema.unstructure(job)}
+        body = {'job': _schema.unstructure(job), 'in_doubt': in_doubt}
         try:
             # The call may take until the deadline: an owner that is running
             # but does not answer waits for a slow store, and a write by this
@@ -239,6 +243,13 @@
                 reason=reply['reason'],
             )
             return answer, False
+        if written == _ownerservice.OVERLOADED:
+            answer = Answer(
+                Verdict.TRY_LATER,
+                retry_after_s=reply['retry_after_s'],
+                reason=reply['reason'],
+            )
+            return answer, False
         if written == _ownerservice.REJECTED:
             return Answer(Verdict.MALFORMED, reason=reply['reason']), False
         return None, written == UNKNOWN
