Surplus tasks with checkpoints make way for urgent work within its share

Cause: capacity that was lent to surplus work returned only when its tasks ended. Change: `_reclaim` stops surplus tasks for urgent tasks that wait for room and can still meet their objective, at most 2 % of the cores per second.

--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -13,6 +13,7 @@
 from celeryshift_cell import _jobs
 from celeryshift_cell import _placement
 from celeryshift_cell import _preemption
+from celeryshift_cell import _reclaim
 from celeryshift_cell import _records
 from celeryshift_cell import _runs
 from celeryshift_cell import _shares
@@ -96,6 +97,7 @@
     _headroom.update(cell)
     _backlog.refresh(cell)
     _preemption.preempt(cell)
+    _reclaim.reclaim(cell)
     _records.evict_ended(cell)
     _advice.query_ahead(cell)
     if event.now >= cell.recheck_at:
--- a/tests/test_cell_shares.py
+++ b/tests/test_cell_shares.py
@@ -158,3 +158,33 @@
         decision.decision == 'weights_invalid'
         for decision in bench.effects_of(effects.LogDecision)
     )
+
+
+def _stops_for(**fields) -> int:
+    """Return how many surplus tasks are stopped for an urgent one in 4 s."""
+    bench = cells.Bench(
+        tuple(cells.entry(name, 32) for name in 'ab'), _weighted(a=1, b=2)
+    )
+    step = cells.step(64, checkpoints=True)
+    job = _job('s', 'b', step, queue='weekly', is_surplus=True)
+    for order in bench.accept(attrs.evolve(job, **fields)):
+        bench.answer_start(order)
+    # Its objective leaves time to wait.
+    urgent = attrs.evolve(cells.step(8), estimate_ms=20_000)
+    bench.accept(_job('u', 'a', urgent))
+    # Stop orders without an answer are repeated.
+    stopped = set()
+    for _ in range(40):
+        bench.tick()
+        stopped |= {s.task for s in bench.effects_of(effects.StopRun)}
+    return len(stopped)
+
+
+def test_lent_capacity_is_reclaimed_within_a_bound():
+    # Urgent work waited until long surplus tasks ended; without a bound, one
+    # burst would stop all of them.
+    assert 3 <= _stops_for() <= 0.02 * 64 * 4
+
+
+def test_work_within_its_share_is_not_preempted():
+    assert _stops_for(is_surplus=False) == 0
