--- a/packages/cell/celeryshift_cell/_backlog.py
+++ b/packages/cell/celeryshift_cell/_backlog.py
@@ -80,6 +80,7 @@
         and worker.is_listed
         and not worker.is_silent
         and not worker.entry.is_draining
+        and not worker.is_evacuated
     )
 
 
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -16,6 +16,7 @@
 from celeryshift_cell import _jobs
 from celeryshift_cell import _placement
 from celeryshift_cell import _preemption
+from celeryshift_cell import _reclaim
 from celeryshift_cell import _records
 from celeryshift_cell import _run_times
 from celeryshift_cell import _runs
@@ -114,6 +115,7 @@
     _headroom.update(cell)
     _backlog.refresh(cell)
     _preemption.preempt(cell)
+    _reclaim.reclaim(cell)
     _records.evict_ended(cell)
     _advice.query_ahead(cell)
     if event.now >= cell.recheck_at:
