--- a/tests/test_cell_admission.py
+++ b/tests/test_cell_admission.py
@@ -11,6 +11,7 @@
 from tests import virtualtime
 
 import celeryshift_cell as cell
+from celeryshift_cell import _order_window
 from celeryshift_cell import admission
 from celeryshift_cell import events
 from celeryshift_cell import model
@@ -233,10 +234,17 @@
     assert admission.decide(bench.state, _long('x', 1000)) is None
 
 
+class _SlowWindow(_order_window.OrderWindow):
+    """Window of an owner that sustains one start a second."""
+
+    def start_rate(self, now):
+        return 1.0
+
+
 def test_what_the_owner_cannot_start_in_time_is_rejected():
     # An owner with few cores accepted work for which workers had room.
     bench = cells.Bench((cells.entry('a'),), _load_config({cells.TEAM: 1.0}))
-    bench.state.start_rate = 1.0
+    bench.state.window = _SlowWindow(1000, 1000.0)
     bench.tick(3.0)
     tiny = attrs.evolve(cells.step(900, 0.1), estimate_ms=100)
     bench.accept(
