--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -94,6 +94,10 @@
     # Workers whose run times differ by less than this factor count as equally
     # fast.
     similar_factor: float = 1.12
+    # Burst of a team beyond its jobs per second: seconds of its weight, and a
+    # number of jobs.
+    share_window_s: float = 2.0
+    share_slack: float = 0.0
     # Cores of the owner, which bound the orders that it can follow.
     cores: float = 4.0
     # Maximum number of starts that have been ordered and not answered.
--- a/packages/cell/celeryshift_cell/_shares.py
+++ b/packages/cell/celeryshift_cell/_shares.py
@@ -21,8 +21,7 @@
 from celeryshift_cell import _usage
 from celeryshift_cell import model
 
-# Burst of a team, in seconds of its weight, and at least this many jobs.
-BURST_S = 2.0
+# Least burst of a team, in jobs.
 MIN_BURST = 2.0
 # Weights outside of these bounds are invalid.
 MIN_WEIGHT = 1e-6
@@ -102,7 +101,10 @@
 def _bucket(cell: _state.Cell, team: str) -> _tallies.Bucket:
     """Return the bucket of a team, filled up to the current time."""
     weight = cell.shares.weight(team)
-    burst = max(MIN_BURST, BURST_S * weight)
+    options = cell.options
+    burst = max(
+        MIN_BURST, options.share_window_s * weight + options.share_slack
+    )
     bucket = cell.shares.bucket_by_team.get(team)
     if bucket is None:
         bucket = _tallies.Bucket(burst, cell.now)
--- a/packages/cellnode/celeryshift_cellnode/ports.py
+++ b/packages/cellnode/celeryshift_cellnode/ports.py
@@ -257,6 +257,10 @@
     team_overage: float = 0.0
     # Interval at which workers publish their entries.
     report_interval_s: float = 1.5
+    # Window over which the jobs of a team are compared with its weight, and
+    # the number of jobs by which it may exceed it.
+    share_window_s: float = 2.0
+    share_slack: float = 0.0
     # Time from the operator's evacuation of a data centre to the last start
     # there.
     evacuation_s: float = 5.0
