Reject jobs only while little capacity is free

Change: nothing is rejected while more than 0.3 of the cores and memory is free, unless the owner can't follow.

--- a/packages/cell/celeryshift_cell/_admission.py
+++ b/packages/cell/celeryshift_cell/_admission.py
@@ -24,6 +24,11 @@
 GRACE_S = 2.0
 # It does so longer while more than this share of its workers has not answered.
 MAX_UNFENCED_SHARE = 0.1
+# Nothing is rejected for want of workers while more than this share of their
+# cores and memory is free: the wait then has causes that the totals don't
+# show, such as large tasks, labels, accelerators or the limit of the team. The
+# headroom for urgent work and what large tasks leave unused add up to it.
+MAX_FREE_SHARE = 0.3
 # Work that keeps arriving and is placed earlier takes at most this share of
 # the capacity in the prediction: its rate may fall soon.
 MAX_EARLIER_SHARE = 0.75
@@ -92,6 +97,12 @@
     capacity = cell.backlog.capacity(upstream)
     if min(capacity.cpu_milli, capacity.memory_mb) <= 0:
         return False
+    free_share = min(
+        capacity.free_cpu / capacity.cpu_milli,
+        capacity.free_memory / capacity.memory_mb,
+    )
+    if free_share > MAX_FREE_SHARE and not cell.start_rate:
+        return False
     known_cpu = capacity.cpu_milli + capacity.unfenced_cpu
     is_taking_over = (
         cell.unfenced
