Reject only what would be late by twice its limit, since estimates are off

Change: a job that is not surplus is rejected only if it would miss its late limit by a factor of two.

--- a/packages/cell/celeryshift_cell/_admission.py
+++ b/packages/cell/celeryshift_cell/_admission.py
@@ -29,6 +29,9 @@
 # show, such as large tasks, labels, accelerators or the limit of the team. The
 # headroom for urgent work and what large tasks leave unused add up to it.
 MAX_FREE_SHARE = 0.3
+# Run times may be half of their estimates, so that only a job that would be
+# late by this factor more is certain to be.
+ERROR_FACTOR = 2.0
 # Work that keeps arriving and is placed earlier takes at most this share of
 # the capacity in the prediction: its rate may fall soon.
 MAX_EARLIER_SHARE = 0.75
@@ -75,7 +78,8 @@
         return None
     reason = 'surplus work would miss its objective'
     if not job.is_surplus:
-        if prediction.late_ms <= _ordering.LATE_FACTOR * limit_ms:
+        late_limit_ms = _ordering.LATE_FACTOR * limit_ms
+        if prediction.late_ms <= ERROR_FACTOR * late_limit_ms:
             return None
         reason = 'it would end after its late limit'
     return Rejection(
