The ranking of workers costs tasks as if they had not started

Cause: after a start it computed the cost of the same worker for the task that had just started, which counts as a copy and prefers fast workers. Change: costs are those of a task without a history. Result: test_long_tasks_use_fast_workers_where_no_other_has_capacity failed and passes.

--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -176,11 +176,13 @@
             tuple[tuple[float, ...], int, _state.Worker, str]
         ] = []
         self._is_built = False
+        # Costs are those of a task that waits, without a history.
+        self._waiting_task = _state.Task(step, -1, step.name)
 
     def start_next(self, task: _state.Task) -> bool:
         """Start a task on the best worker, and return whether there is one."""
         if not self._is_built:
-            self._build(task)
+            self._build()
         cell, step = self._cell, self._step
         while self._heap:
             _, position, worker, ticket = heapq.heappop(self._heap)
@@ -195,14 +197,14 @@
             if _cold.has_capacity(cell, worker, step) and _is_eligible(
                 cell, step, worker
             ):
-                cost = _cost(cell, step, task, worker)
+                cost = _cost(cell, step, self._waiting_task, worker)
                 heapq.heappush(self._heap, (cost, position, worker, ticket))
             return True
         step.blocked_by_headroom = self._is_headroom_short
         return False
 
-    def _build(self, task: _state.Task) -> None:
-        cell, step = self._cell, self._step
+    def _build(self) -> None:
+        cell, step, task = self._cell, self._step, self._waiting_task
         self._is_built = True
         self._heap = [
             (_cost(cell, step, task, worker), position, worker, ticket)
