--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -219,6 +219,9 @@
 ) -> int:
     placed = 0
     ranking: _Ranking | None = None
+    # With the run-time model, the cost of a worker changes with the number of
+    # waiting tasks: the last ones of a step get faster workers.
+    may_rank = not _run_times.is_used(cell)
     for index in sorted(step.pending):
         if placed >= most_starts:
             break
@@ -226,7 +229,7 @@
             step.blocked_by_limit = True
             break
         task = step.tasks[index]
-        if _has_no_history(task):
+        if may_rank and _has_no_history(task):
             ranking = ranking or _Ranking(cell, step)
             if not ranking.start_next(task):
                 break
