--- a/packages/cell/celeryshift_cell/_admission.py
+++ b/packages/cell/celeryshift_cell/_admission.py
@@ -91,6 +91,8 @@
 
 def _may_reject(cell: _state.Cell, job: model.Job) -> bool:
     """Return whether the totals are complete, and apply to a job."""
+    if not cell.options.rejects_late_jobs:
+        return False
     if job.times or any(step.is_lasting for step in job.steps):
         return False
     if not cell.is_restored or cell.now < cell.restored_at + GRACE_S:
--- a/packages/cell/celeryshift_cell/_options.py
+++ b/packages/cell/celeryshift_cell/_options.py
@@ -94,6 +94,8 @@
     # Workers whose run times differ by less than this factor count as equally
     # fast.
     similar_factor: float = 1.12
+    # Reject jobs that would end too late; see ``_admission``.
+    rejects_late_jobs: bool = True
     # Burst of a team beyond its jobs per second: seconds of its weight, and a
     # number of jobs.
     share_window_s: float = 2.0
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -457,6 +457,7 @@
             max_lease_s=cell_settings.max_lease_s,
             report_interval_s=cell_settings.report_interval_s,
             cores=self._settings.cores,
+            rejects_late_jobs=cell_settings.rejects_late_jobs,
             share_window_s=cell_settings.share_window_s,
             share_slack=cell_settings.share_slack,
             in_doubt_overage=cell_settings.team_overage if is_settled else 0.0,
--- a/packages/cellnode/celeryshift_cellnode/ports.py
+++ b/packages/cellnode/celeryshift_cellnode/ports.py
@@ -257,6 +257,9 @@
     team_overage: float = 0.0
     # Interval at which workers publish their entries.
     report_interval_s: float = 1.5
+    # Whether jobs that would end too late are rejected. Off by default: where
+    # estimates of run times are far off, callers lose by it.
+    rejects_late_jobs: bool = False
     # Window over which the jobs of a team are compared with its weight, and
     # the number of jobs by which it may exceed it.
     share_window_s: float = 2.0
