A worker that may have restarted acknowledges nothing

Cause: a worker restarted as a start was on its way, and its next incarnation carried the start out and ended it. The polls of the silent worker still carried the number of the last completion that the former incarnation had listed, so that the next one discarded its first end unread; the start in doubt was then taken to have never run. Change: polls of suspect or silent workers acknowledge nothing, until a list of the present incarnation has arrived.

--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -164,17 +164,22 @@
     worker.poll_at = None
     worker.polls_in_flight += 1
     deadline_ms = None
+    stored_completion = 0
     # A silent worker may receive the poll late. Such a poll must not extend
     # the lease, since the cell waits for that lease to expire.
     if worker.is_fenced and not (worker.is_silent or worker.is_suspect):
         deadline_ms = _leases.extend(cell, worker)
+    if not (worker.is_silent or worker.is_suspect):
+        # Any other worker may have restarted. The next incarnation counts its
+        # completions anew, and would discard some that were never listed.
+        stored_completion = worker.last_stored_completion
     entry = worker.entry
     cell.emit(
         effects.PollWorker(
             entry.id,
             entry.incarnation,
             entry.address,
-            worker.last_stored_completion,
+            stored_completion,
             wait_ms,
             deadline_ms,
             cell.timeout_slack_s,
--- a/tests/test_cell_orders.py
+++ b/tests/test_cell_orders.py
@@ -139,3 +139,30 @@
             window.add('b', 2 * tick - 72 + number, tick / 10)
         rate = window.start_rate(tick / 10)
     assert 18 < rate < 23
+
+
+def test_a_worker_that_may_have_restarted_acknowledges_nothing():
+    """The next incarnation would discard ends that were never listed."""
+    bench = cells.Bench(WORKERS[:1])
+    (order,) = bench.accept(cells.job('a', cells.step(1)))
+    bench.answer_start(order)
+    bench.finish_run(order)
+    while bench.state.save_in_flight:
+        bench.store_records()
+    worker = bench.state.workers[order.worker_id]
+    assert worker.last_stored_completion == 1
+    bench.send(
+        events.StartAnswered(
+            0.0, worker.id, 1, *_start_again(bench), Outcome.UNKNOWN
+        )
+    )
+    (probe,) = bench.effects_of(effects.PollWorker)
+    assert probe.stored_completion == 0
+    emitted = bench.answer_poll(worker.id) + bench.tick(2.0)
+    polls = [e for e in emitted if isinstance(e, effects.PollWorker)]
+    assert {poll.stored_completion for poll in polls} == {1}
+
+
+def _start_again(bench):
+    (order,) = bench.accept(cells.job('b', cells.step(1)))
+    return order.task, order.run
