--- a/bench/orders.py
+++ b/bench/orders.py
@@ -112,7 +112,7 @@
         await exchanges.exchange(
             channels.get(address),
             'POST',
-            f'http://{address}/-/run-start',
+            f'http://{address}/start',
             BODY,
             TIMEOUT_S,
             HEADERS,
--- a/packages/cellnode/celeryshift_cellnode/ports.py
+++ b/packages/cellnode/celeryshift_cellnode/ports.py
@@ -267,6 +267,3 @@
     # Time from the operator's evacuation of a data centre to the last start
     # there.
     evacuation_s: float = 5.0
-    # Read from the settings, but not used.
-    cold_overage: float = 0.0
-    cold_slack: float = 0.0
