Split promises and handover off the ownership of the cell

Change: _ownerstatus holds what a node knows about the owner, its lease and the takeover order; _promises extends the lease by promises; _handover gives the cell to another node. Ownership passes them the status. Their shared write timeout is now in _election.

--- a/packages/cellnode/celeryshift_cellnode/_election.py
+++ b/packages/cellnode/celeryshift_cellnode/_election.py
@@ -52,6 +52,8 @@
 # A node counts as gone when its row has not changed for this many renewal
 # intervals.
 STALE_AFTER_RENEWALS = 3.25
+# Timeout of a write that names the owner of the cell.
+ACQUIRE_TIMEOUT_S = 2.0
 # How long a promise binds the node that gave it.
 PROMISE_DURATION_S = 1.2
 # How long the owner relies on a promise, from when it was requested.
--- a/packages/cellnode/celeryshift_cellnode/_ownership.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownership.py
@@ -7,14 +7,16 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import enum
 import time
 from typing import Any
 
 from celeryshift_cellnode import _election
 from celeryshift_cellnode import _groupwriter
+from celeryshift_cellnode import _handover
 from celeryshift_cellnode import _membership
+from celeryshift_cellnode import _ownerstatus
 from celeryshift_cellnode import _peers
+from celeryshift_cellnode import _promises
 from celeryshift_cellnode import _schema
 from celeryshift_cellnode import _watchedstore
 from celeryshift_cellnode import errors
@@ -22,36 +24,16 @@
 
 OWNER = _groupwriter.OWNER
 HEARTBEAT = _groupwriter.HEARTBEAT
-ACQUIRE_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 1.0
-# How often the owner checks its lease, and the remaining validity below which
-# it requests promises from the other nodes.
+# How often the owner checks its lease.
 OWNER_CHECK_INTERVAL_S = 0.1
-PROMISE_REQUEST_MARGIN_S = 0.5
 PING_TIMEOUT_S = 0.15
-PROMISE_TIMEOUT_S = 0.5
-# A weak owner hands over to a strong node only after this time, because nodes
-# that start together appear one after the other.
-WEAK_OWNER_GRACE_S = 2.0
-# Timeout of the ping that a successor must answer before a handover.
-HANDOVER_TIMEOUT_S = 0.5
 
 # Called with the new owner, the version of its row, and the time until which
 # the former owner may act.
 AcquiredCallback = Callable[[_schema.Owner, int, float], Awaitable[None]]
 
 
-class Promise(enum.Enum):
-    """Answers of a node to an owner's request for a promise.
-
-    A promise is the pledge not to acquire the cell for a while.
-    """
-
-    GIVEN = 'given'
-    REFUSED = 'refused'
-    NO_ANSWER = 'no answer'
-
-
 class Ownership:
     """Ownership of the cell, as seen and acted on by this node."""
 
@@ -71,45 +53,47 @@
         self._peers = peers
         self._log_decision = log_decision
         self._on_acquired = on_acquired
-        self._on_lost = on_lost
-        self.view = _election.OwnerView()
-        self.lease = _election.OwnerLease()
+        self._status = _ownerstatus.OwnerStatus(
+            local_node, membership, log_decision, on_lost
+        )
+        self.view = self._status.view
+        self.lease = self._status.lease
+        self.handover = _handover.Handover(
+            store,
+            self._status,
+            local_node,
+            membership,
+            peers,
+            log_decision,
+            self._announce_owner,
+        )
+        self.promises = _promises.Promises(
+            store,
+            self._status,
+            membership,
+            peers,
+            log_decision,
+            self.handover.resign,
+        )
         self.is_leaving = False
         # Version of the owner row for which this node last became the owner.
         self._active_version = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._has_failed_read = False
-        # Inputs from which the cached takeover order was computed.
-        self._order_inputs: tuple[
-            dict[str, _schema.Node], _schema.Owner | None
-        ] = ({}, None)
-        self._cached_order = _election.TakeoverOrder()
-        # Since when this node has been weak compared with others.
-        self._weak_since: float | None = None
 
     @property
     def owner(self) -> _schema.Owner | None:
         """Return the last known owner."""
-        return self.view.owner
+        return self._status.owner
 
     @property
     def is_owner(self) -> bool:
         """Return whether this process owns the cell."""
-        view = self.view
-        return (
-            view.owner is not None
-            and view.owner.is_process(self._local_node)
-            and view.deposed_version != view.owner_version
-        )
+        return self._status.is_owner
 
     def step_down(self, reason: str) -> None:
         """Stop acting as the owner."""
-        if self.is_owner:
-            self._log_decision(
-                'cell_lost', why=reason, version=self.view.owner_version
-            )
-        self.view.deposed_version = self.view.owner_version
-        self._on_lost(reason)
+        self._status.step_down(reason)
 
     async def run(self) -> None:
         """Follow the owner, or act as the owner, until cancelled."""
@@ -121,33 +105,20 @@
                     await self._start_owning(
                         None, self._latest_former_owner_until()
                     )
-                await self._extend_lease()
-                await self._yield_to_stronger_node()
+                await self.promises.extend_lease()
+                await self.handover.yield_to_stronger_node()
                 await asyncio.sleep(OWNER_CHECK_INTERVAL_S)
                 continue
             await self._follow_owner()
             if self.is_owner:
                 continue
-            is_standby = self._rank() < _election.STANDBY_COUNT
+            is_standby = self._status.rank < _election.STANDBY_COUNT
             await asyncio.sleep(
                 _election.STANDBY_POLL_S
                 if is_standby
                 else _election.OTHER_POLL_S
             )
 
-    @property
-    def _takeover_order(self) -> _election.TakeoverOrder:
-        """Return the takeover order, recomputed when its inputs change."""
-        nodes, owner = self._membership.nodes, self.view.owner
-        known_nodes, known_owner = self._order_inputs
-        if known_nodes is not nodes or known_owner != owner:
-            self._order_inputs = nodes, owner
-            self._cached_order = _election.takeover_order(nodes, owner)
-        return self._cached_order
-
-    def _rank(self) -> int:
-        return self._takeover_order.rank(self._local_node.name)
-
     async def _follow_owner(self) -> None:
         try:
             await asyncio.gather(self.read_owner(), self._ping_owner())
@@ -161,7 +132,7 @@
             return
         reason = self.view.takeover_reason(
             time.monotonic(),
-            self._rank(),
+            self._status.rank,
             self._local_node,
             self._store.last_latency_s,
         )
@@ -199,7 +170,7 @@
 
     async def _ping_owner(self) -> None:
         owner = self.view.owner
-        is_standby = self._rank() < _election.STANDBY_COUNT
+        is_standby = self._status.rank < _election.STANDBY_COUNT
         if (
             owner is None
             or owner.is_process(self._local_node)
@@ -261,7 +232,9 @@
             {OWNER: _schema.dump(owner)},
         )
         try:
-            answer = await self._store.transact(change, ACQUIRE_TIMEOUT_S)
+            answer = await self._store.transact(
+                change, _election.ACQUIRE_TIMEOUT_S
+            )
         except errors.StoreError as error:
             # If the write took effect after all, the next read shows this node
             # as the owner, and `run` starts the ownership.
@@ -316,8 +289,7 @@
             self._log_decision('ownership_not_started', error=repr(error))
             self.step_down('the ownership could not be started')
             return
-        for node in self._membership.others:
-            self._spawn(self._announce_owner(node.address, owner, version))
+        self._announce_owner(owner, version)
 
     def _spawn(self, work: Any) -> None:
         """Run a coroutine in the background, referenced until it ends."""
@@ -325,7 +297,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _announce_owner(
+    def _announce_owner(self, owner: _schema.Owner, version: int) -> None:
+        """Announce the owner to the other nodes in the background."""
+        for node in self._membership.others:
+            self._spawn(self._announce_to(node.address, owner, version))
+
+    async def _announce_to(
         self, address: str, owner: _schema.Owner, version: int
     ) -> None:
         body = {'owner': _schema.unstructure(owner), 'version': version}
@@ -351,81 +328,9 @@
         )
         self._log_decision('owner_known', owner=owner.node, epoch=owner.epoch)
         if was_owner and not self.is_owner:
-            self._on_lost(f'{owner.node} owns the cell')
+            self._status.on_lost(f'{owner.node} owns the cell')
         return {}
 
-    async def _extend_lease(self) -> None:
-        remaining_s = self.lease.expires_at - time.monotonic()
-        if remaining_s < PROMISE_REQUEST_MARGIN_S:
-            await self._request_promises()
-
-    async def _request_promises(self) -> None:
-        """Request promises from all other nodes to extend the lease."""
-        requested_at = time.monotonic()
-        others = self._membership.others
-        if not self.is_owner or not others:
-            return
-        has_store_contact = (
-            self._store.unanswered_s < _election.STORE_CONTACT_S
-        )
-        answers = await asyncio.gather(
-            *(
-                self._request_promise(node.address, has_store_contact)
-                for node in others
-            )
-        )
-        if all(answer is Promise.GIVEN for answer in answers):
-            self.lease.extend_by_promises(requested_at)
-            return
-        self._log_decision(
-            'promises_refused',
-            asked=len(answers),
-            promised=answers.count(Promise.GIVEN),
-            heard=has_store_contact,
-            right_left_s=round(self.lease.expires_at - requested_at, 3),
-        )
-        if has_store_contact or Promise.REFUSED not in answers:
-            return
-        # A node that can reach the store refuses. The store may have just
-        # recovered, and the node may have noticed it before this one.
-        if not await self._can_reach_store(_election.LAST_PROBE_S):
-            await self._resign(
-                [
-                    node
-                    for node, answer in zip(others, answers, strict=True)
-                    if answer is Promise.REFUSED
-                ]
-            )
-
-    async def _resign(self, nodes: list[_schema.Node]) -> None:
-        """Give the cell up to one of the nodes that can reach the store.
-
-        The first in takeover order is asked, since a weak node would hand the
-        cell over once more.
-        """
-        if not self.is_owner:
-            return
-        order = self._takeover_order
-        version = self.view.owner_version
-        self.step_down('only other nodes reach the store')
-        for node in sorted(nodes, key=lambda node: order.rank(node.name)):
-            try:
-                await self._peers.call(
-                    node.address, 'resigned', {'version': version}
-                )
-            except errors.PeerRefusedError as error:
-                self._log_decision(
-                    'no_successor', peer=node.name, error=str(error)
-                )
-                continue
-            except errors.PeerError as error:
-                # The node may have been told. If not, the other nodes notice
-                # that the heartbeats have stopped.
-                self._log_decision(
-                    'no_successor', peer=node.name, error=str(error)
-                )
-            return
-
     async def handle_resignation(self, body: Any) -> dict[str, Any]:
         """Acquire the cell from an owner that resigns."""
         self._spawn(self._acquire_resigned(body['version']))
@@ -445,138 +350,9 @@
             self.view.promised_until = 0.0
             await self.acquire('owner resigned', time.monotonic())
 
-    async def _request_promise(
-        self, address: str, has_store_contact: bool
-    ) -> Promise:
-        try:
-            answer = await self._peers.call(
-                address,
-                'promise',
-                {'heard': has_store_contact},
-                PROMISE_TIMEOUT_S,
-            )
-        except errors.PeerError:
-            # The node may be running and acquire the cell, even if its port
-            # refuses connections: a network partition can cause that too.
-            return Promise.NO_ANSWER
-        return Promise.GIVEN if answer['promised'] else Promise.REFUSED
-
-    async def handle_promise_request(self, body: Any) -> dict[str, Any]:
-        """Promise not to acquire the cell, or refuse the promise.
-
-        It is refused if this node is the owner, or if this node can reach the
-        store and the requesting owner cannot.
-        """
-        if self.is_owner:
-            return {'promised': False}
-        if not body['heard'] and await self._can_reach_store(
-            _election.STORE_PROBE_S
-        ):
-            return {'promised': False}
-        self.view.promised_until = (
-            time.monotonic() + _election.PROMISE_DURATION_S
-        )
-        return {'promised': True}
-
-    async def _can_reach_store(self, timeout_s: float) -> bool:
-        try:
-            await self._store.read(
-                _schema.CELLS,
-                _schema.CELL,
-                HEARTBEAT.key,
-                OWNER.key,
-                timeout_s=timeout_s,
-            )
-        except errors.StoreError:
-            # The caller logs the consequence.
-            return False
-        return True
-
     async def handle_ping(self, body: Any) -> dict[str, Any]:
         """Return the incarnation of this process and whether it is leaving."""
         return {
             'incarnation': self._local_node.incarnation,
             'is_leaving': self.is_leaving,
         }
-
-    async def _yield_to_stronger_node(self) -> None:
-        """Hand the cell over once a stronger node is available."""
-        now = time.monotonic()
-        if self._local_node.name not in self._takeover_order.weak:
-            self._weak_since = None
-        elif self._weak_since is None:
-            self._weak_since = now
-        elif (
-            now - self._weak_since > WEAK_OWNER_GRACE_S
-            and self.lease.is_valid(now)
-        ):
-            self._weak_since = None
-            await self.hand_over(to_strong=True)
-
-    async def hand_over(self, to_strong: bool = False) -> None:
-        """Make the first reachable node in takeover order the owner."""
-        order = self._takeover_order
-        nodes = sorted(
-            (
-                node
-                for node in self._membership.others
-                if not (to_strong and node.name in order.weak)
-            ),
-            key=lambda node: order.rank(node.name),
-        )
-        for node in nodes:
-            if not self.is_owner:
-                return
-            try:
-                answer = await self._peers.call(
-                    node.address, 'ping', {}, HANDOVER_TIMEOUT_S
-                )
-            except errors.PeerError as error:
-                self._log_decision(
-                    'no_successor', peer=node.name, error=str(error)
-                )
-                continue
-            if answer['is_leaving']:
-                continue
-            if await self._transfer_to(node):
-                return
-
-    async def _transfer_to(self, node: _schema.Node) -> bool:
-        """Name a node as the owner; return whether the handover is over.
-
-        It is over after every outcome of the write, so no other node is tried.
-        """
-        previous = self.view.owner
-        assert previous is not None
-        owner = _schema.Owner(
-            node.name, node.address, node.incarnation, previous.epoch + 1
-        )
-        change = ports.Transaction(
-            _schema.CELL,
-            {OWNER: self.view.owner_version},
-            {OWNER: _schema.dump(owner)},
-        )
-        try:
-            answer = await self._store.transact(change, ACQUIRE_TIMEOUT_S)
-        except errors.StoreError as error:
-            self._log_decision(
-                'handover_unknown', to=node.name, error=str(error)
-            )
-            # The write may take effect, so no other node is tried.
-            return True
-        if isinstance(answer, ports.Conflict):
-            self.step_down('the store names a later owner')
-            return True
-        self._log_decision('cell_handed_over', to=node.name, epoch=owner.epoch)
-        self.view.update(
-            time.monotonic(),
-            owner,
-            answer.version,
-            self.view.heartbeat_version,
-        )
-        self._on_lost('handed over')
-        for other in self._membership.others:
-            self._spawn(
-                self._announce_owner(other.address, owner, answer.version)
-            )
-        return True
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -197,7 +197,7 @@
         if self._runner is not None:
             await self._flush(self._runner)
         self._ownership.is_leaving = True
-        await self._ownership.hand_over()
+        await self._ownership.handover.hand_over()
         await self._announce_departure()
         elapsed_s = time.monotonic() - started_at
         await asyncio.sleep(max(0.0, DRAIN_S - elapsed_s))
@@ -245,7 +245,7 @@
             server.add_handler(name, handler)
         server.add_handler('ping', self._ownership.handle_ping)
         server.add_handler('owner', self._ownership.handle_announcement)
-        server.add_handler('promise', self._ownership.handle_promise_request)
+        server.add_handler('promise', self._ownership.promises.handle_request)
         server.add_handler('resigned', self._ownership.handle_resignation)
         server.add_handler('advise', self._handle_advise)
         server.add_handler('left', self._membership.handle_leave)
--- a/tests/cellnodes.py
+++ b/tests/cellnodes.py
@@ -150,7 +150,7 @@
         self.network.handlers[self.node.address] = {
             'ping': ownership.handle_ping,
             'owner': ownership.handle_announcement,
-            'promise': ownership.handle_promise_request,
+            'promise': ownership.promises.handle_request,
             'resigned': ownership.handle_resignation,
         }
         self.tasks += [
--- a/tests/test_cell_ownership.py
+++ b/tests/test_cell_ownership.py
@@ -7,7 +7,9 @@
 from tests import virtualtime
 
 from celeryshift_cellnode import _election
+from celeryshift_cellnode import _handover
 from celeryshift_cellnode import _ownership
+from celeryshift_cellnode import _promises
 from celeryshift_cellnode import _schema
 from celeryshift_standins import rowstore
 
@@ -110,11 +112,11 @@
             assert not has_store_contact
             owner.access.is_reachable = True
             await ownership.read_owner()
-            return _ownership.Promise.REFUSED
+            return _promises.Promise.REFUSED
 
         await asyncio.sleep(_election.STORE_CONTACT_S + 0.1)
-        ownership._request_promise = refuse_late
-        await ownership._request_promises()
+        ownership.promises._request_promise = refuse_late
+        await ownership.promises._request_promises()
         assert ownership.is_owner
 
     run(work)
@@ -176,7 +178,7 @@
     async def work():
         members, _ = await cellnodes.start_members('a', 'b', 'c')
         owner, others = cellnodes.split_owner(members)
-        await owner.ownership.hand_over()
+        await owner.ownership.handover.hand_over()
         elapsed_s = await cellnodes.wait_until(
             lambda: any(m.acquired_at for m in others)
         )
@@ -246,12 +248,12 @@
         for other in others:
             other.access.answer_delay_s = 0.5
         owner.kill()
-        candidate, *_ = sorted(others, key=lambda m: m.ownership._rank())
+        candidate, *_ = sorted(others, key=lambda m: m.ownership._status.rank)
         started_at = time.monotonic()
         while (await _read_owner(owner.access.store)) == owner.node.name:
             await asyncio.sleep(0.01)
             assert time.monotonic() < started_at + 5
-        answer = await candidate.ownership.handle_promise_request(
+        answer = await candidate.ownership.promises.handle_request(
             {'heard': True}
         )
         promised_until = candidate.ownership.view.promised_until
@@ -299,7 +301,7 @@
         strong = cellnodes.Member('c', weak.access.store, network, cores=2.0)
         network.unresponsive.add('c')
         strong.tasks.append(asyncio.create_task(strong.membership.run()))
-        await asyncio.sleep(_ownership.WEAK_OWNER_GRACE_S + 2.5)
+        await asyncio.sleep(_handover.WEAK_OWNER_GRACE_S + 2.5)
         assert weak.ownership.is_owner
         assert not other.acquired_at
         strong.kill()
@@ -329,7 +331,7 @@
         leaving, staying = others
         leaving.ownership.is_leaving = True
         owner.ownership.is_leaving = True
-        await owner.ownership.hand_over()
+        await owner.ownership.handover.hand_over()
         await cellnodes.wait_until(lambda: staying.ownership.is_owner)
         assert not leaving.acquired_at
 
@@ -368,7 +370,7 @@
     # An owner requested promises 0.31 s before its lease expired, and a node
     # that had to probe the store first answered after 0.4 s.
     slowest_s = _election.STORE_PROBE_S + _ownership.OWNER_CHECK_INTERVAL_S
-    assert slowest_s + 0.1 < _ownership.PROMISE_REQUEST_MARGIN_S
+    assert slowest_s + 0.1 < _promises.PROMISE_REQUEST_MARGIN_S
 
 
 def test_turns_of_many_nodes_cost_little():
