Split the making of a runner and advice calls off the node

Change: _runnerfactory makes the writer and the runner of an owner from the node's settings; _advicerelay requests advice through another node or on behalf of one. Only moves; one test uses the new name.

--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -13,9 +13,8 @@
 
 import celeryshift_cell as cell
 from celeryshift_cell import events
-from celeryshift_cellnode import _advice
+from celeryshift_cellnode import _advicerelay
 from celeryshift_cellnode import _connectivity
-from celeryshift_cellnode import _election
 from celeryshift_cellnode import _evacuations
 from celeryshift_cellnode import _followers
 from celeryshift_cellnode import _groupwriter
@@ -27,6 +26,7 @@
 from celeryshift_cellnode import _pruning
 from celeryshift_cellnode import _records
 from celeryshift_cellnode import _runner
+from celeryshift_cellnode import _runnerfactory
 from celeryshift_cellnode import _schema
 from celeryshift_cellnode import _watchedstore
 from celeryshift_cellnode import errors
@@ -46,8 +46,6 @@
 KEEPALIVE_S = 75.0
 # Delay before the rows of the cell are read again after a failure.
 RESTORE_RETRY_DELAY_S = 0.2
-# Room for the number of parts in the first part of a record.
-PART_HEADER_BYTES = 8
 # Margin added to the time until which workers may obey a former owner.
 CLOCK_MARGIN_S = 0.1
 # Delay before failed background work is restarted.
@@ -81,8 +79,6 @@
         self._settings = settings
         # Applies changed settings, and returns their new values by name.
         self._read_settings = read_settings
-        self._workers = workers
-        self._policy_client = policy_client
         self._tables = tables
         self._log = _logs.DecisionLog(settings.name)
         self._log_decision = self._log.write
@@ -111,6 +107,19 @@
             self._start_owning,
             self._stop_owning,
         )
+        self._advice_relay = _advicerelay.AdviceRelay(
+            policy_client, self._local_node.address, self._peers
+        )
+        self._runner_factory = _runnerfactory.RunnerFactory(
+            settings,
+            self._store,
+            workers,
+            self._advice_relay,
+            self._membership,
+            self._ownership,
+            self._log_decision,
+            self._metrics,
+        )
         self._connectivity = _connectivity.ConnectivityMonitor(
             self._store,
             self._peers,
@@ -247,7 +256,7 @@
         server.add_handler('owner', self._ownership.handle_announcement)
         server.add_handler('promise', self._ownership.promises.handle_request)
         server.add_handler('resigned', self._ownership.handle_resignation)
-        server.add_handler('advise', self._handle_advise)
+        server.add_handler('advise', self._advice_relay.handle_request)
         server.add_handler('left', self._membership.handle_leave)
         server.add_handler('show', self._handle_show)
         server.add_handler('explain', self._handle_explain)
@@ -295,24 +304,6 @@
         result = cell.explain(self._runner.state, body['job'])
         return {'is_owner': True, 'job': result}
 
-    async def _handle_advise(self, body: Any) -> dict[str, Any]:
-        advice = await self._policy_client.advise(
-            body['step'], body['workers'], body['timeout_s']
-        )
-        return {
-            'tickets': dict(advice.tickets_by_worker),
-            'validity_ms': advice.validity_ms,
-        }
-
-    async def _request_advice(
-        self, address: str, step: str, workers: list[str], timeout_s: float
-    ) -> ports.AdviceResult:
-        if address == self._local_node.address:
-            return await self._policy_client.advise(step, workers, timeout_s)
-        body = {'step': step, 'workers': workers, 'timeout_s': timeout_s}
-        answer = await self._peers.call(address, 'advise', body, timeout_s)
-        return ports.AdviceResult(answer['tickets'], answer['validity_ms'])
-
     async def _follow_configuration(self) -> None:
         follower = _followers.ConfigurationFollower(
             self._store,
@@ -345,7 +336,7 @@
         """Restore the cell from the store, and start to order workers."""
         self._stop_owning('cell acquired again')
         # The writer renews the lease while the rows are read.
-        writer = self._make_writer(version)
+        writer = self._runner_factory.make_writer(version)
         try:
             restored = await self._restore(version, writer)
         except Exception:
@@ -355,7 +346,7 @@
             writer.close()
             return
         workers, workers_version = restored[1]
-        runner = self._make_runner(owner, writer)
+        runner = self._runner_factory.make_runner(owner, writer)
         options = runner.state.options
         # The last lease that the former owner granted to a worker may last
         # this long: the worker's clock may be slow, and if the worker has
@@ -432,55 +423,6 @@
         ownership = self._ownership
         return ownership.is_owner and ownership.view.owner_version == version
 
-    def _make_writer(self, version: int) -> _groupwriter.GroupWriter:
-        ownership = self._ownership
-        return _groupwriter.GroupWriter(
-            self._store,
-            version,
-            ownership.view.heartbeat_version,
-            ownership.lease,
-            self._log_decision,
-            ownership.step_down,
-            self._settings.store_limits,
-        )
-
-    def _make_runner(
-        self, owner: _schema.Owner, writer: _groupwriter.GroupWriter
-    ) -> _runner.Runner:
-        cell_settings = self._settings.cell
-        # In-doubt runs may exceed the limit of a team once, not again under
-        # each of several owners that follow each other quickly.
-        predecessor_s = self._ownership.view.predecessor_known_s
-        is_settled = predecessor_s > _election.SETTLED_OWNER_S
-        options = cell.Options(
-            lease_s=min(cell_settings.max_lease_s, cell.Options().lease_s),
-            max_lease_s=cell_settings.max_lease_s,
-            report_interval_s=cell_settings.report_interval_s,
-            cores=self._settings.cores,
-            rejects_late_jobs=cell_settings.rejects_late_jobs,
-            share_window_s=cell_settings.share_window_s,
-            share_slack=cell_settings.share_slack,
-            in_doubt_overage=cell_settings.team_overage if is_settled else 0.0,
-            record_part_bytes=min(
-                cell.Options().record_part_bytes,
-                # The first part begins with the number of parts.
-                self._settings.store_limits.row_bytes - PART_HEADER_BYTES,
-            ),
-        )
-        return _runner.Runner(
-            owner.epoch,
-            options,
-            self._ownership.lease,
-            self._workers,
-            _advice.AdviceScheduler(
-                self._request_advice, lambda: self._membership.addresses
-            ),
-            writer,
-            self._log_decision,
-            self._metrics,
-            self._ownership.step_down,
-        )
-
     def _stop_owning(self, reason: str) -> None:
         if self._runner is None:
             return
--- a/tests/test_cell_evacuation.py
+++ b/tests/test_cell_evacuation.py
@@ -172,7 +172,7 @@
             *ports_of_node, _decode.Decoder, _decode.TABLES, dict
         )
         owning._owns_version = lambda version: True
-        owning._make_writer = lambda version: stub
+        owning._runner_factory.make_writer = lambda version: stub
         owner = _schema.Owner('n', 'h:1', '1', 2)
         await owning._start_owning(owner, 1, time.monotonic())
         *_, evacuations, restored = owning._runner._queue
