--- a/packages/core/celeryshift_core/_configuration.py
+++ b/packages/core/celeryshift_core/_configuration.py
@@ -2,12 +2,12 @@
 
 import attrs
 
-from celeryshift_core import _allotments
 from celeryshift_core import _audit
 from celeryshift_core import _config
 from celeryshift_core import _confirmation
 from celeryshift_core import _errors
 from celeryshift_core import _keys
+from celeryshift_core import _pools
 from celeryshift_core import _refusals
 from celeryshift_core import _rerouting
 from celeryshift_core import _shares
@@ -146,7 +146,7 @@
     )
     outbox.append(change)
     _rerouting.handle_config_changed(state, before)
-    _allotments.handle_config_changed(state, before, outbox)
+    _pools.handle_config_changed(state, before, outbox)
     _shares.handle_config_changed(state, before)
     _keys.handle_config_changed(state, outbox)
 
--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -18,11 +18,13 @@
 from celeryshift_core import _ownership
 from celeryshift_core import _peers
 from celeryshift_core import _placement
+from celeryshift_core import _pools
 from celeryshift_core import _quarantine
 from celeryshift_core import _queries
 from celeryshift_core import _refusal_checks
 from celeryshift_core import _requests
 from celeryshift_core import _slices
+from celeryshift_core import _slot_moves
 from celeryshift_core import _state
 from celeryshift_core import _store
 from celeryshift_core import _submission
@@ -225,7 +227,7 @@
     _timers.ConfigReplyDue: _configuration.handle_reply_due,
     _timers.SendUsage: _usage.send_usage,
     _timers.ReviewAllotments: _allotments.review,
-    _timers.MoveAllotments: _allotments.move,
+    _timers.MoveAllotments: _slot_moves.move,
     _timers.InheritedEnds: _allotments.handle_inherited_end,
     _timers.MoveJobs: _transfer.move,
     _timers.PollArrivals: _job_arrivals.read_arrivals,
@@ -244,7 +246,7 @@
     _submission.SubmitPurpose: _submission.handle_submission_written,
     _configuration.SubmitPurpose: _configuration.handle_written,
     _keys.WritePurpose: _configuration.handle_withdrawals_written,
-    _allotments.MovePurpose: _allotments.handle_moved,
+    _slot_moves.MovePurpose: _slot_moves.handle_moved,
 }
 
 _HANDLERS_BY_READ: dict[type, ReadHandler] = {
@@ -256,7 +258,7 @@
     _configuration.DocumentPurpose: _configuration.handle_document_read,
     _configuration.BasePurpose: _configuration.handle_base_read,
     _keys.BasePurpose: _keys.handle_base_read,
-    _allotments.PoolsPurpose: _allotments.handle_pools_read,
+    _pools.PoolsPurpose: _allotments.handle_pools_read,
     _queries.AuditPurpose: _queries.handle_audit_read,
     _job_arrivals.ArrivalsPurpose: _job_arrivals.handle_arrivals_read,
     _job_arrivals.RowsPurpose: _job_arrivals.handle_rows_read,
