The cell's state and the handling of workers are split by subject

Cause: _state.py had 636 lines and _workers.py 506; each mixed several subjects. Change: the state of jobs and their runs is in _job_state, that of workers and data centres in _worker_state; _state keeps Cell. Sending polls is in _polls, applying answers in _answers, retry_stops in _stops; _workers keeps joining, changing and leaving. _state still names six of the classes, since renaming their users would change 34 of the 53 modules. Code is only moved; two functions that became public, poll and schedule_poll, got docstrings.

--- a/packages/cell/celeryshift_cell/_capacity.py
+++ b/packages/cell/celeryshift_cell/_capacity.py
@@ -12,10 +12,10 @@
 import attrs
 
 if TYPE_CHECKING:
-    from celeryshift_cell import _state
+    from celeryshift_cell import _worker_state
 
 # Free millicores, negated, and the number of the worker, which is unique.
-Entry = tuple[int, int, '_state.Worker']
+Entry = tuple[int, int, '_worker_state.Worker']
 
 
 @attrs.define(slots=True, eq=False)
@@ -27,18 +27,18 @@
 
     entries: list[Entry] = attrs.field(factory=list)
 
-    def add(self, worker: '_state.Worker') -> None:
+    def add(self, worker: '_worker_state.Worker') -> None:
         """Add a worker, with the free cores that it has now."""
         worker.index = self
         worker.indexed_cpu = worker.free_cpu
         bisect.insort(self.entries, _entry(worker))
 
-    def remove(self, worker: '_state.Worker') -> None:
+    def remove(self, worker: '_worker_state.Worker') -> None:
         """Remove a worker."""
         del self.entries[bisect.bisect_left(self.entries, _entry(worker))]
         worker.index = None
 
-    def update(self, worker: '_state.Worker') -> None:
+    def update(self, worker: '_worker_state.Worker') -> None:
         """Move a worker whose free cores may have changed."""
         if worker.free_cpu != worker.indexed_cpu:
             self.remove(worker)
@@ -46,7 +46,7 @@
 
     def workers(
         self, cpu_milli: int | None = None
-    ) -> Iterator['_state.Worker']:
+    ) -> Iterator['_worker_state.Worker']:
         """Yield the workers with at least so many free millicores, or all.
 
         The index must not change meanwhile.
@@ -56,7 +56,7 @@
                 return
             yield worker
 
-    def workers_from(self, cpu_milli: int) -> Iterator['_state.Worker']:
+    def workers_from(self, cpu_milli: int) -> Iterator['_worker_state.Worker']:
         """Yield the workers with at least so many, the fullest first."""
         for number in range(self.count(cpu_milli) - 1, -1, -1):
             yield self.entries[number][2]
@@ -67,11 +67,13 @@
             self.entries, -cpu_milli, key=lambda entry: entry[0]
         )
 
-    def workers_below(self, cpu_milli: int) -> Iterator['_state.Worker']:
+    def workers_below(
+        self, cpu_milli: int
+    ) -> Iterator['_worker_state.Worker']:
         """Yield the workers with fewer free millicores."""
         for number in range(self.count(cpu_milli), len(self.entries)):
             yield self.entries[number][2]
 
 
-def _entry(worker: '_state.Worker') -> Entry:
+def _entry(worker: '_worker_state.Worker') -> Entry:
     return -worker.indexed_cpu, worker.number, worker
--- a/packages/cell/celeryshift_cell/_crashes.py
+++ b/packages/cell/celeryshift_cell/_crashes.py
@@ -15,6 +15,7 @@
 from celeryshift_cell import _jobs
 from celeryshift_cell import _losses
 from celeryshift_cell import _state
+from celeryshift_cell import _worker_state
 
 # A run that its worker has outlived for this time is no suspect.
 SETTLED_S = 0.25
@@ -293,7 +294,7 @@
     losses[key] = loss
     if not loss.is_certain:
         lost = cell.lost_workers.setdefault(
-            key, _state.LostWorker(loss.address, loss.at)
+            key, _worker_state.LostWorker(loss.address, loss.at)
         )
         lost.tasks.append(task)
 
--- a/packages/cell/celeryshift_cell/_data_centres.py
+++ b/packages/cell/celeryshift_cell/_data_centres.py
@@ -7,8 +7,8 @@
 timeouts of single orders do.
 """
 
+from celeryshift_cell import _polls
 from celeryshift_cell import _state
-from celeryshift_cell import _workers
 
 # Responses take a few milliseconds, and a loaded owner reads them about 50 ms
 # later.
@@ -34,4 +34,4 @@
             unanswered_ms=round((cell.now - since) * 1000),
         )
         for worker in usable:
-            _workers.probe(cell, worker)
+            _polls.probe(cell, worker)
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -14,6 +14,7 @@
 from celeryshift_cell import _interference
 from celeryshift_cell import _jobs
 from celeryshift_cell import _limits
+from celeryshift_cell import _polls
 from celeryshift_cell import _reservations
 from celeryshift_cell import _run_times
 from celeryshift_cell import _runs
@@ -302,7 +303,7 @@
 ) -> None:
     """Keep a worker from other starts, and poll it before a trial."""
     if not worker.reserved_until > cell.now:
-        _workers.poll_reserved(cell, worker)
+        _polls.poll_reserved(cell, worker)
     _crashes.reserve(cell, worker, step.job)
 
 
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -12,6 +12,7 @@
 from celeryshift_cell import _jobs
 from celeryshift_cell import _learning
 from celeryshift_cell import _losses
+from celeryshift_cell import _polls
 from celeryshift_cell import _state
 from celeryshift_cell import _stops
 from celeryshift_cell import _workers
@@ -260,7 +261,7 @@
         job.recorded_at = cell.now
         cell.log_decision('end_recorded', job=job_id, state=job.state.value)
     _mark_recorded(cell, cell.saving_records)
-    _workers.handle_completions_saved(cell)
+    _polls.handle_completions_saved(cell)
 
 
 def _mark_losses_stored(cell: _state.Cell, job: _state.JobRun) -> None:
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from celeryshift_cell import _advice
+from celeryshift_cell import _answers
 from celeryshift_cell import _backlog
 from celeryshift_cell import _completion
 from celeryshift_cell import _data_centres
@@ -15,6 +16,7 @@
 from celeryshift_cell import _interference
 from celeryshift_cell import _jobs
 from celeryshift_cell import _placement
+from celeryshift_cell import _polls
 from celeryshift_cell import _preemption
 from celeryshift_cell import _reclaim
 from celeryshift_cell import _records
@@ -22,6 +24,7 @@
 from celeryshift_cell import _runs
 from celeryshift_cell import _shares
 from celeryshift_cell import _state
+from celeryshift_cell import _stops
 from celeryshift_cell import _waiting
 from celeryshift_cell import _workers
 from celeryshift_cell import effects
@@ -101,9 +104,9 @@
     if len(cell.waiting) > _waiting.MAX_RETRIED:
         cell.steps.retry_touched()
     _workers.expire_leases(cell)
-    _workers.retry_stops(cell)
+    _stops.retry_stops(cell)
     _data_centres.check(cell)
-    _workers.poll_due(cell)
+    _polls.poll_due(cell)
     _run_times.update(cell)
     _interference.update(cell)
     if _run_times.is_used(cell):
@@ -127,7 +130,7 @@
 def _handle_restored(cell: _state.Cell, event: events.Restored) -> None:
     cell.clocks.read(cell.now, event.wall_ms)
     _records.take_over(cell, event)
-    _workers.poll_due(cell)
+    _polls.poll_due(cell)
 
 
 HANDLERS: dict[type, Callable[[_state.Cell, Any], None]] = {
@@ -136,10 +139,10 @@
     events.EvacuationsChanged: _evacuation.handle_evacuations_changed,
     events.JobAccepted: _handle_job_accepted,
     events.JobCancelled: _handle_job_cancelled,
-    events.StartAnswered: _workers.handle_start_answered,
-    events.StopAnswered: _workers.handle_stop_answered,
-    events.PollAnswered: _workers.handle_poll_answered,
-    events.PollFailed: _workers.handle_poll_failed,
+    events.StartAnswered: _answers.handle_start_answered,
+    events.StopAnswered: _answers.handle_stop_answered,
+    events.PollAnswered: _answers.handle_poll_answered,
+    events.PollFailed: _answers.handle_poll_failed,
     events.AdviceAnswered: _advice.handle_advice_answered,
     events.AdviceFailed: _advice.handle_advice_failed,
     events.RecordsSaved: lambda cell, event: _records.handle_saved(cell),
--- a/packages/cell/celeryshift_cell/_stops.py
+++ b/packages/cell/celeryshift_cell/_stops.py
@@ -88,5 +88,30 @@
     ):
         run.stopped_at = cell.now
         return None if run.confirmed_at else worker
-    # Without a response, ``_workers.retry_stops`` repeats the order.
+    # Without a response, ``retry_stops`` repeats the order.
     return None
+
+
+def retry_stops(cell: _state.Cell) -> None:
+    """Repeat stop orders without a response.
+
+    If the order was acknowledged but the run has not been reported as ended,
+    schedule a poll instead.
+    """
+    retry_s = cell.options.stop_retry_s
+    for worker in cell.workers_in(cell.due.stopping):
+        if all(
+            run.phase is not Phase.STOPPING for run in worker.runs.values()
+        ):
+            cell.due.stopping.discard(worker.id)
+            continue
+        if worker.is_silent:
+            continue
+        for run in list(worker.runs.values()):
+            is_due = cell.now - run.since > retry_s
+            if run.phase is not Phase.STOPPING or not is_due:
+                continue
+            if run.stopped_at is None:
+                stop(cell, run, 'no answer to the stop')
+            elif not worker.polls_in_flight or worker.poll_at is None:
+                worker.poll_at = cell.now
--- a/packages/cell/celeryshift_cell/_waiting.py
+++ b/packages/cell/celeryshift_cell/_waiting.py
@@ -15,9 +15,10 @@
 from celeryshift_cell import model
 
 if TYPE_CHECKING:
-    from celeryshift_cell import _state
+    from celeryshift_cell import _job_state
+    from celeryshift_cell import _worker_state
 
-Steps = dict[str, '_state.StepRun']
+Steps = dict[str, '_job_state.StepRun']
 # Size of a task, and whether it is a filler.
 Demand = tuple[model.Size, bool]
 # With more waiting steps than this, only those that a worker may run are tried
@@ -52,7 +53,7 @@
     changed: Steps = attrs.field(factory=dict)
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
-    def add(self, step: '_state.StepRun') -> None:
+    def add(self, step: '_job_state.StepRun') -> None:
         """Add a step, or unblock it if it waits already."""
         if step.name in self.by_name:
             self.unblock(step)
@@ -64,7 +65,7 @@
         for worker_id in step.approvals:
             self.approved_by_worker.setdefault(worker_id, {})[step.name] = step
 
-    def remove(self, step: '_state.StepRun') -> None:
+    def remove(self, step: '_job_state.StepRun') -> None:
         """Remove a step that no longer waits, if it does."""
         if self.by_name.pop(step.name, None) is None:
             return
@@ -77,7 +78,7 @@
         for worker_id in step.approvals:
             self._remove_approval(step, worker_id)
 
-    def block(self, step: '_state.StepRun') -> None:
+    def block(self, step: '_job_state.StepRun') -> None:
         """Try a waiting step again only once it may succeed."""
         if step.name not in self.by_name:
             return
@@ -102,7 +103,7 @@
             )
         step.blocked_in[step.name] = step
 
-    def unblock(self, step: '_state.StepRun') -> None:
+    def unblock(self, step: '_job_state.StepRun') -> None:
         """Try a step in the next placement pass, if it waits."""
         if step.name in self.by_name:
             self._clear_block(step)
@@ -114,12 +115,14 @@
             self._clear_block(step)
         self.unblocked = dict(self.by_name)
 
-    def add_approval(self, step: '_state.StepRun', worker_id: str) -> None:
+    def add_approval(self, step: '_job_state.StepRun', worker_id: str) -> None:
         """Note that the policy service has approved a worker for a step."""
         if step.name in self.by_name:
             self.approved_by_worker.setdefault(worker_id, {})[step.name] = step
 
-    def drop_approval(self, step: '_state.StepRun', worker_id: str) -> None:
+    def drop_approval(
+        self, step: '_job_state.StepRun', worker_id: str
+    ) -> None:
         """Drop the approval of a worker for a step, if any."""
         if step.approvals.pop(worker_id, None) is not None:
             self._remove_approval(step, worker_id)
@@ -131,7 +134,7 @@
             self.touched.update(steps)
 
     def unblock_for(
-        self, worker: '_state.Worker', team: str, is_allowed: IsAllowed
+        self, worker: '_worker_state.Worker', team: str, is_allowed: IsAllowed
     ) -> None:
         """Unblock the steps that may start once a run has ended.
 
@@ -171,21 +174,23 @@
         for step in list(self.touched.values()):
             self._retry(step)
 
-    def _retry(self, step: '_state.StepRun') -> None:
+    def _retry(self, step: '_job_state.StepRun') -> None:
         self.touched.pop(step.name, None)
         if not (step.blocked_by_limit or step.blocked_by_headroom):
             self.unblock(step)
 
-    def _unblock_each(self, steps: list['_state.StepRun']) -> None:
+    def _unblock_each(self, steps: list['_job_state.StepRun']) -> None:
         for step in steps:
             self.unblock(step)
 
-    def _clear_block(self, step: '_state.StepRun') -> None:
+    def _clear_block(self, step: '_job_state.StepRun') -> None:
         if step.blocked_in is not None:
             step.blocked_in.pop(step.name, None)
             step.blocked_in = None
 
-    def _remove_approval(self, step: '_state.StepRun', worker_id: str) -> None:
+    def _remove_approval(
+        self, step: '_job_state.StepRun', worker_id: str
+    ) -> None:
         steps = self.approved_by_worker.get(worker_id)
         if steps is not None:
             steps.pop(step.name, None)
