Placement, queries and runs are split by subject

Change: only moves, with the imports and names that follow. Functions that other modules now call have lost their underscore, and have a docstring where they had none. All function bodies are equal as syntax trees, apart from names and docstrings. Lint and types pass. tests/test_cell_*.py and tests/test_docs.py: 512 tests, no failure; one known failure failed as expected, and one that fails sometimes passed.

--- a/packages/cell/celeryshift_cell/_completion.py
+++ b/packages/cell/celeryshift_cell/_completion.py
@@ -16,8 +16,8 @@
 
 import attrs
 
-from celeryshift_cell import _advice
 from celeryshift_cell import _jobs
+from celeryshift_cell import _requirements
 from celeryshift_cell import _run_times
 from celeryshift_cell import _state
 from celeryshift_cell import model
@@ -212,7 +212,7 @@
     for worker in totals.free_workers:
         if _may_run(run, step.spec, worker):
             copy_ms /= _run_times.speed(cell, worker)
-            service = _advice.policy_service(step)
+            service = _requirements.policy_service(step)
             wait_ms = service.decision_ms if service is not None else 0.0
             return wait_ms + copy_ms * (1 + totals.busy_share)
     return math.inf
@@ -290,5 +290,5 @@
     return (
         worker is not run.worker
         and worker.has_capacity(spec)
-        and _advice.meets_constraints(run.task.step, worker)
+        and _requirements.meets_constraints(run.task.step, worker)
     )
--- a/packages/cell/celeryshift_cell/_explain.py
+++ b/packages/cell/celeryshift_cell/_explain.py
@@ -4,11 +4,11 @@
 from typing import Any
 
 from celeryshift_cell import _admission
-from celeryshift_cell import _advice
 from celeryshift_cell import _cold
 from celeryshift_cell import _evacuation
 from celeryshift_cell import _jobs
 from celeryshift_cell import _placement
+from celeryshift_cell import _requirements
 from celeryshift_cell import _state
 
 
@@ -104,8 +104,8 @@
         return 'workers were lost under its tasks, which start on trial'
     if step.pending_query:
         return 'the answer of the policy service'
-    if _advice.policy_service(step) is not None and not any(
-        _advice.valid_ticket(cell, step, worker)
+    if _requirements.policy_service(step) is not None and not any(
+        _requirements.valid_ticket(cell, step, worker)
         for worker in cell.workers.values()
     ):
         return 'no ticket for a worker'
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -1,35 +1,29 @@
 """Decides which waiting tasks start next, and on which workers."""
 
-from collections.abc import Iterator
 import heapq
-import math
 
 from celeryshift_cell import _advice
+from celeryshift_cell import _candidates
 from celeryshift_cell import _cold
-from celeryshift_cell import _completion
+from celeryshift_cell import _costs
 from celeryshift_cell import _crashes
 from celeryshift_cell import _evacuation
+from celeryshift_cell import _gangs
 from celeryshift_cell import _headroom
 from celeryshift_cell import _in_doubt
-from celeryshift_cell import _interference
 from celeryshift_cell import _jobs
 from celeryshift_cell import _limits
+from celeryshift_cell import _requirements
 from celeryshift_cell import _reservations
 from celeryshift_cell import _run_times
 from celeryshift_cell import _runs
 from celeryshift_cell import _shares
 from celeryshift_cell import _state
 from celeryshift_cell import _workers
-from celeryshift_cell import model
 
 # Maximum number of tasks started in one pass; the event loop reads responses
 # between passes.
 MAX_STARTS = 256
-# Number of candidates that are compared for tasks without a policy service.
-MAX_CANDIDATES = 256
-
-# Position for the choice among equal costs, worker and ticket.
-_Candidate = tuple[int, _state.Worker, str]
 
 
 def place_waiting(cell: _state.Cell) -> None:
@@ -80,7 +74,7 @@
     step.reserved_workers = frozenset()
     step.blocked_by_limit = step.blocked_by_headroom = False
     if step.spec.is_gang:
-        placed = _place_gang(cell, step)
+        placed = _gangs.place(cell, step)
     else:
         placed = _place_tasks(cell, step, most_starts)
     if placed:
@@ -133,8 +127,8 @@
         _reservations.reserve_workers(
             cell,
             step,
-            _reservable(cell, step),
-            is_sorted=_advice.policy_service(step) is None,
+            _candidates.reservable(cell, step),
+            is_sorted=_requirements.policy_service(step) is None,
         )
         _advice.query(cell, step)
         reason = 'policy service' if step.pending_query else 'room'
@@ -162,9 +156,9 @@
 class _Ranking:
     """Workers that may start a task of a step, the cheapest first.
 
-    It serves the tasks of one pass for which ``_cost`` is the same, since they
-    have no history of their own. Starting one changes the cost only of the
-    worker that it starts on.
+    It serves the tasks of one pass for which ``_costs.cost`` is the same,
+    since they have no history of their own. Starting one changes the cost only
+    of the worker that it starts on.
     """
 
     def __init__(self, cell: _state.Cell, step: _state.StepRun) -> None:
@@ -194,10 +188,10 @@
                 continue
             number = _runs.next_number(cell, [task])
             _runs.start(cell, task, worker, number, ticket)
-            if _cold.has_capacity(cell, worker, step) and _is_eligible(
-                cell, step, worker
-            ):
-                cost = _cost(cell, step, self._waiting_task, worker)
+            if _cold.has_capacity(
+                cell, worker, step
+            ) and _candidates.is_eligible(cell, step, worker):
+                cost = _costs.cost(cell, step, self._waiting_task, worker)
                 heapq.heappush(self._heap, (cost, position, worker, ticket))
             return True
         step.blocked_by_headroom = self._is_headroom_short
@@ -207,9 +201,9 @@
         cell, step, task = self._cell, self._step, self._waiting_task
         self._is_built = True
         self._heap = [
-            (_cost(cell, step, task, worker), position, worker, ticket)
-            for position, worker, ticket in _fullest_candidates(cell, step)
-            if not _is_reserved(cell, step, worker)
+            (_costs.cost(cell, step, task, worker), position, worker, ticket)
+            for position, worker, ticket in _candidates.fullest(cell, step)
+            if not _candidates.is_reserved(cell, step, worker)
         ]
         heapq.heapify(self._heap)
 
@@ -270,8 +264,8 @@
     is_headroom_short = False
     is_suspect = _crashes.is_suspect(task)
     unclean: list[tuple[tuple[float, ...], _state.Worker]] = []
-    for _, worker, ticket in _candidates(cell, step):
-        if _is_reserved(cell, step, worker):
+    for _, worker, ticket in _candidates.in_order(cell, step):
+        if _candidates.is_reserved(cell, step, worker):
             continue
         if required and not _headroom.leaves_required_slots(
             cell, step, worker, required
@@ -280,7 +274,7 @@
             continue
         if any(run.worker is worker for run in task.runs.values()):
             continue
-        cost = _cost(cell, step, task, worker)
+        cost = _costs.cost(cell, step, task, worker)
         if is_suspect:
             # The worker may crash, so the least work is put at risk.
             busy_cpu = worker.entry.capacity.cpu_milli - worker.free_cpu
@@ -292,309 +286,11 @@
             best, lowest_cost = (worker, ticket), cost
     if best is None and unclean:
         _, chosen = min(unclean, key=lambda pair: pair[0])
-        _reserve(cell, step, chosen)
+        _candidates.reserve_for_trial(cell, step, chosen)
     step.blocked_by_headroom = is_headroom_short and best is None
     return best
 
 
-def _reserve(
-    cell: _state.Cell, step: _state.StepRun, worker: _state.Worker
-) -> None:
-    """Keep a worker from other starts, and poll it before a trial."""
-    if not worker.reserved_until > cell.now:
-        _workers.poll_reserved(cell, worker)
-    _crashes.reserve(cell, worker, step.job)
-
-
-def _is_reserved(
-    cell: _state.Cell, step: _state.StepRun, worker: _state.Worker
-) -> bool:
-    """Return whether a more urgent step has reserved a worker."""
-    rank = step.job.rank
-    return cell.worker_reservations.get(worker.id, rank) < rank
-
-
-def _candidates(cell: _state.Cell, step: _state.StepRun) -> list[_Candidate]:
-    """Return the workers on which a task of a step can start now.
-
-    They come in the order of the cell, or in that of their approvals.
-    """
-    spec = step.spec
-    if _advice.policy_service(step) is None:
-        index = cell.capacity_of(step.job.queue.upstream)
-        candidates = [
-            (worker.number, worker, '')
-            for worker in index.workers(
-                None if spec.is_filler else spec.size.cpu_milli
-            )
-            if _cold.has_capacity(cell, worker, step)
-            and _is_eligible(cell, step, worker)
-        ]
-        candidates.sort()
-        return candidates
-    return list(_candidates_with_ticket(cell, step))
-
-
-def _fullest_candidates(
-    cell: _state.Cell, step: _state.StepRun
-) -> Iterator[_Candidate]:
-    """Yield candidates for tasks without a history.
-
-    On a large fleet without a policy service, these are the fullest workers
-    that fit, or for fillers the emptiest.
-    """
-    spec = step.spec
-    if _advice.policy_service(step) is not None:
-        yield from _candidates_with_ticket(cell, step)
-        return
-    index = cell.capacity_of(step.job.queue.upstream)
-    workers = (
-        index.workers()
-        if spec.is_filler
-        else index.workers_from(spec.size.cpu_milli)
-    )
-    count = 0
-    for worker in workers:
-        if _cold.has_capacity(cell, worker, step) and _is_eligible(
-            cell, step, worker
-        ):
-            yield worker.number, worker, ''
-            count += 1
-            if count >= MAX_CANDIDATES:
-                return
-
-
-def _candidates_with_ticket(
-    cell: _state.Cell, step: _state.StepRun
-) -> Iterator[_Candidate]:
-    """Yield the candidates of a step that needs approvals."""
-    workers = cell.workers
-    required_until = cell.now + cell.options.ticket_margin_s
-    for position, (worker_id, approval) in enumerate(step.approvals.items()):
-        if approval.valid_until < required_until:
-            continue
-        worker = workers.get(worker_id)
-        if (
-            worker is not None
-            and _cold.has_capacity(cell, worker, step)
-            and worker.entry.incarnation == approval.incarnation
-            and _is_eligible(cell, step, worker)
-        ):
-            yield position, worker, approval.ticket
-
-
-def _reservable(
-    cell: _state.Cell, step: _state.StepRun
-) -> Iterator[_state.Worker]:
-    """Yield the workers that may run a step, also with an expired ticket.
-
-    Without a policy service, those with the most free cores come first.
-    """
-    if _advice.policy_service(step) is None:
-        index = cell.capacity_of(step.job.queue.upstream)
-        for worker in index.workers():
-            if _is_eligible(cell, step, worker):
-                yield worker
-        return
-    for worker_id, approval in step.approvals.items():
-        approved = cell.worker(worker_id, approval.incarnation)
-        if approved is not None and _is_eligible(cell, step, approved):
-            yield approved
-
-
-def _is_eligible(
-    cell: _state.Cell, step: _state.StepRun, worker: _state.Worker
-) -> bool:
-    return (
-        worker.is_usable(cell.now)
-        and not _crashes.is_reserved(cell, worker, step)
-        and _advice.meets_constraints(step, worker)
-    )
-
-
-def _cost(
-    cell: _state.Cell,
-    step: _state.StepRun,
-    task: _state.Task,
-    worker: _state.Worker,
-) -> tuple[float, ...]:
-    """Return the cost of a worker for a task; the lowest is best.
-
-    It may depend on what runs on this worker, but not on other workers; see
-    ``_Ranking``.
-
-    Urgent tasks prefer warm workers, and the fastest of these. All other tasks
-    are packed onto the fullest workers that fit, which leaves room for large
-    tasks and keeps fast workers free for urgent ones.
-    """
-    spec = step.spec
-    is_remote = bool(spec.near_rack) and worker.entry.rack != spec.near_rack
-    is_avoided = (
-        worker.id in task.failed_on or worker.id in task.avoided_workers
-    )
-    is_cold = _cold.is_cold(cell, worker)
-    is_cold_for_urgent = _cold.is_cold_for_urgent(cell, step, worker)
-    if spec.is_filler:
-        idle_cpu = worker.free_cpu - worker.filler_cpu
-        disturbance = _interference.penalty(cell, step, worker)
-        return (
-            is_avoided,
-            is_cold_for_urgent,
-            is_remote,
-            disturbance,
-            -idle_cpu,
-            is_cold,
-        )
-    capacity = max(worker.entry.capacity.cpu_milli, 1)
-    free_share = (worker.free_cpu - spec.size.cpu_milli) / capacity
-    disturbance = _interference.penalty(cell, step, worker)
-    if _run_times.is_used(cell):
-        speed_cost = _completion.cost(cell, step, task, worker)
-        return (
-            is_avoided,
-            is_cold_for_urgent,
-            is_remote,
-            *speed_cost,
-            disturbance,
-            free_share,
-            is_cold,
-        )
-    is_slow = worker.slowness > cell.options.slow_factor
-    if step.job.queue.priority > 0:
-        return (
-            is_avoided,
-            is_cold_for_urgent,
-            is_remote,
-            is_slow,
-            disturbance,
-            free_share,
-            is_cold,
-        )
-    log_factor = math.log(cell.options.similar_factor)
-    return (
-        is_avoided,
-        is_cold_for_urgent,
-        is_remote,
-        math.log(worker.slowness) // log_factor,
-        disturbance,
-        free_share,
-    )
-
-
-def _place_gang(cell: _state.Cell, step: _state.StepRun) -> int:
-    if len(step.pending) < step.spec.count:
-        return 0
-    if any(task.runs for task in step.tasks):
-        return 0
-    if not _limits.allows(cell, step, _gang_size(step.spec)):
-        step.blocked_by_limit = True
-        return 0
-    if not all(_crashes.may_start(task) for task in step.tasks):
-        return 0
-    workers = [
-        (worker, ticket) for _, worker, ticket in _candidates(cell, step)
-    ]
-    workers.sort(key=lambda pair: _cold.is_cold(cell, pair[0]))
-    plan = _plan_warm_gang(cell, step, workers)
-    if plan is None:
-        plan = _plan_gang(cell, step, workers)
-    if plan is not None and any(map(_crashes.is_suspect, step.tasks)):
-        plan = _plan_gang_trial(cell, step, workers, plan)
-    if plan is None:
-        return 0
-    number = _runs.next_number(cell, step.tasks)
-    for task, (worker, ticket) in zip(step.tasks, plan, strict=True):
-        _runs.start(cell, task, worker, number, ticket)
-    return len(plan)
-
-
-def _gang_size(spec: model.Step) -> model.Size:
-    size = spec.size
-    return model.Size(
-        size.cpu_milli * spec.count,
-        size.memory_mb * spec.count,
-        size.accelerators * spec.count,
-    )
-
-
-def _plan_warm_gang(
-    cell: _state.Cell,
-    step: _state.StepRun,
-    workers: list[tuple[_state.Worker, str]],
-) -> list[tuple[_state.Worker, str]] | None:
-    """Plan an urgent gang without cold workers, if there are any."""
-    warm = [
-        (worker, ticket)
-        for worker, ticket in workers
-        if not _cold.is_cold_for_urgent(cell, step, worker)
-    ]
-    if len(warm) == len(workers):
-        return None
-    return _plan_gang(cell, step, warm)
-
-
-def _plan_gang(
-    cell: _state.Cell,
-    step: _state.StepRun,
-    workers: list[tuple[_state.Worker, str]],
-) -> list[tuple[_state.Worker, str]] | None:
-    if step.spec.one_rack:
-        racks = {worker.entry.rack for worker, _ in workers}
-        for rack in sorted(racks):
-            in_rack = [w for w in workers if w[0].entry.rack == rack]
-            plan = _pack(cell, step, in_rack)
-            if plan is not None:
-                return plan
-    return _pack(cell, step, workers)
-
-
-def _plan_gang_trial(
-    cell: _state.Cell,
-    step: _state.StepRun,
-    workers: list[tuple[_state.Worker, str]],
-    plan: list[tuple[_state.Worker, str]],
-) -> list[tuple[_state.Worker, str]] | None:
-    """Plan a gang on workers where nothing else has just started.
-
-    If there are too few, those of the given plan are kept from other starts.
-    """
-    clean = [
-        (worker, ticket)
-        for worker, ticket in workers
-        if _crashes.is_clean(cell, worker, step.job)
-    ]
-    trial = _plan_gang(cell, step, clean)
-    if trial is None:
-        for worker, _ in plan:
-            _reserve(cell, step, worker)
-    return trial
-
-
-def _pack(
-    cell: _state.Cell,
-    step: _state.StepRun,
-    workers: list[tuple[_state.Worker, str]],
-) -> list[tuple[_state.Worker, str]] | None:
-    spec = step.spec
-    plan: list[tuple[_state.Worker, str]] = []
-    for worker, ticket in workers:
-        size = spec.size
-        free_cpu, free_memory = _cold.free(cell, worker, step)
-        limits = [free_memory // max(size.memory_mb, 1)]
-        if not spec.is_filler:
-            limits.append(free_cpu // max(size.cpu_milli, 1))
-        if size.accelerators:
-            limits.append(worker.free_accelerators // size.accelerators)
-        if spec.most_per_worker:
-            limits.append(
-                spec.most_per_worker - step.runs_by_worker[worker.id]
-            )
-        plan += [(worker, ticket)] * max(0, min(limits))
-        if len(plan) >= spec.count:
-            return plan[: spec.count]
-    return None
-
-
 def recheck_waiting(cell: _state.Cell) -> None:
     """Unblock the steps without a query to the policy service in flight.
 
--- a/packages/cell/celeryshift_cell/_reclaim.py
+++ b/packages/cell/celeryshift_cell/_reclaim.py
@@ -6,11 +6,11 @@
 room for it, at most ``SHARE_PER_S`` of the capacity per second.
 """
 
-from celeryshift_cell import _advice
 from celeryshift_cell import _backlog
 from celeryshift_cell import _headroom
 from celeryshift_cell import _ordering
 from celeryshift_cell import _preemption
+from celeryshift_cell import _requirements
 from celeryshift_cell import _state
 from celeryshift_cell import _stops
 from celeryshift_cell import model
@@ -79,7 +79,7 @@
         if (
             worker.entry.upstream != step.job.queue.upstream
             or not worker.is_usable(cell.now)
-            or not _advice.meets_constraints(step, worker)
+            or not _requirements.meets_constraints(step, worker)
         ):
             continue
         needed = promised.get(worker.id, model.Size()).plus(step.spec.size)
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -17,6 +17,7 @@
 from celeryshift_cell import _placement
 from celeryshift_cell import _preemption
 from celeryshift_cell import _reclaim
+from celeryshift_cell import _reconciliation
 from celeryshift_cell import _records
 from celeryshift_cell import _run_times
 from celeryshift_cell import _runs
@@ -81,7 +82,7 @@
         # The former owner may have received the job and started tasks.
         for step in job.steps.values():
             step.in_doubt = True
-    _runs.reconcile_new_job(cell, job)
+    _reconciliation.reconcile_new_job(cell, job)
     _jobs.release(cell, job)
 
 
--- a/packages/cell/celeryshift_cell/_workers.py
+++ b/packages/cell/celeryshift_cell/_workers.py
@@ -12,6 +12,7 @@
 from celeryshift_cell import _interference
 from celeryshift_cell import _jobs
 from celeryshift_cell import _leases
+from celeryshift_cell import _reconciliation
 from celeryshift_cell import _runs
 from celeryshift_cell import _stalls
 from celeryshift_cell import _state
@@ -279,7 +280,7 @@
             worker.last_completion = completion.number
             _withheld.check(cell, worker, completion)
             _runs.handle_run_completed(cell, worker, completion)
-    _runs.reconcile(cell, worker, event, is_first=not was_fenced)
+    _reconciliation.reconcile(cell, worker, event, is_first=not was_fenced)
     # Only now are the runs of former owners known.
     worker.is_fenced = True
     cell.unfenced.discard(worker.id)
--- a/tests/test_cell_choice.py
+++ b/tests/test_cell_choice.py
@@ -5,7 +5,7 @@
 import pytest
 from tests import cells
 
-from celeryshift_cell import _placement
+from celeryshift_cell import _costs
 from celeryshift_cell import _priorities
 from celeryshift_cell import _reservations
 from celeryshift_cell import effects
@@ -39,7 +39,7 @@
             worker.is_usable(state.now) and worker.has_capacity(step.spec)
         ):
             continue
-        cost = _placement._cost(state, step, step.tasks[0], worker)
+        cost = _costs.cost(state, step, step.tasks[0], worker)
         if lowest is None or cost < lowest:
             best, lowest = worker, cost
     return best
