--- a/review/lab.py
+++ b/review/lab.py
@@ -213,6 +213,39 @@
                     await self._changed.wait()
 
 
+class Policy:
+    """The policy service: it allows every worker that it is asked about."""
+
+    def __init__(self, site):
+        self.site = site
+        self.server = HttpServer(self._answer)
+        self._turn = asyncio.Lock()
+        self._tickets = {}
+
+    async def _answer(self, request):
+        body = json.loads(await request.read())
+        advice = self.site.queue['advice']
+        names = body['workers']
+        async with self._turn:
+            took_ms = advice['decision_ms'] + advice['each_ms'] * len(names)
+            await asyncio.sleep(took_ms / 1000)
+        good = []
+        for name in names:
+            worker = self.site.workers_by_name[name]
+            ticket = f'{body["step"]}/{name}/{worker.born}'
+            self._tickets[ticket] = (
+                time.monotonic() + advice['validity_ms'] / 1000
+            )
+            good.append([name, ticket])
+        return web.json_response(
+            {'good': good, 'validity_ms': advice['validity_ms']}
+        )
+
+    def is_valid(self, ticket, task, worker):
+        due = f'{task.rpartition(".")[0]}/{worker.name}/{worker.born}'
+        return ticket == due and time.monotonic() < self._tickets.get(due, 0)
+
+
 class Run:
     """One run of a task on a worker."""
 
@@ -338,6 +371,10 @@
             return self._say(409, reason='old')
         if body['deadline_ms'] < self.clock_ms():
             return self._say(409, reason='late')
+        if 'advice' in self.site.queue and not self.site.policy.is_valid(
+            body.get('ticket', ''), task, self
+        ):
+            return self._say(409, reason='ticket')
         self._extend(body['deadline_ms'])
         run = self.running[task] = Run(self, body)
         self.site.starts.append(run)
@@ -433,6 +470,7 @@
             'heartbeat_ms': int(HEARTBEAT_S * 1000),
             'bounds': BOUNDS
             | {'checkpoint_interval_s': site.interval_s}, 'orders': 'call',
+            'advice': f'{HOST}:{site.policy.server.port}',
             'platform': {'address': f'{HOST}:{site.store.server.port}',
                          'form': 'table', 'row_bytes': 65_536},
         }))
@@ -480,7 +518,7 @@
 class Site:
     """Store, workers, nodes and clients."""
 
-    def __init__(self, folder, kinds, nodes=3, interval_s=1.0, queues=None):
+    def __init__(self, folder, kinds, nodes=3, interval_s=1.0, **queue):
         self.record = Record(pathlib.Path(folder))
         self._temporary = tempfile.TemporaryDirectory(prefix='review-')
         self.folder = pathlib.Path(self._temporary.name)
@@ -489,8 +527,11 @@
         self.workers = [
             Worker(self, f'w-{n:02}', kind) for n, kind in enumerate(kinds)
         ]
+        self.workers_by_name = {w.name: w for w in self.workers}
         self._node_count = nodes
-        self._queues = queues or {}
+        # Further fields of the only queue.
+        self.queue = queue
+        self.policy = Policy(self)
         self.nodes = []
         self.starts, self.ended = [], []
         self._gangs = {}
@@ -530,7 +571,7 @@
             'name': 'field', 'host': FIELD_HOST, 'path_prefix': PREFIX,
             'kind': 'unsafe', 'service': SERVICE, 'priority': 0,
             'max_attempts': 3, 'stretch': 2, 'target_duration_ms': 250,
-        } | self._queues
+        } | self.queue
         self.store.put('op', 'config', {
             'version': version, 'routes': [route],
             'services': [{'name': SERVICE, 'enforces_capacity': False}],
@@ -553,6 +594,7 @@
 
     async def __aenter__(self):
         await self.store.server.open()
+        await self.policy.server.open()
         self.configure()
         for key, entry in self.foreign_entries.items():
             self.store.put('servers', key, entry)
@@ -597,6 +639,7 @@
         for worker in self.workers:
             worker.server.abort()
         self.store.server.abort()
+        self.policy.server.abort()
         self._temporary.cleanup()
 
     async def call(self, method, job='', body=None, node=0):
