--- a/review/lab.py
+++ b/review/lab.py
@@ -585,6 +585,10 @@
                 stderr=log,
             )
 
+    def last_line(self):
+        log = self.site.folder / f'{self.name}.log'
+        return log.read_text(errors='replace').strip().rpartition('\n')[2]
+
 
 _used_ports = set()
 
@@ -741,7 +745,12 @@
                     await asyncio.sleep(3.0)
                     return
             await asyncio.sleep(0.1)
-        raise TimeoutError('the deployment did not start')
+        ended = [
+            f'{node.name}: {node.last_line()}'
+            for node in self.nodes
+            if node.process.returncode is not None
+        ]
+        raise TimeoutError(f'the deployment did not start, ended: {ended}')
 
     async def __aexit__(self, *failure):
         for node in self.nodes:
