Gauges of the queries to the policy service that wait and are in flight

Change: the owner exposes advice_waiting and advice_in_flight; the runner collects the gauges that the node renders.

--- a/packages/cellnode/celeryshift_cellnode/_advice.py
+++ b/packages/cellnode/celeryshift_cellnode/_advice.py
@@ -55,6 +55,16 @@
         ] = []
         self._sequence = itertools.count()
 
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that no node has been assigned to."""
+        return len(self._queue)
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of nodes that are sending a request."""
+        return len(self._busy)
+
     async def request_advice(
         self, request: effects.RequestAdvice
     ) -> events.AdviceAnswered | events.AdviceFailed:
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -60,6 +60,21 @@
         """Return the epoch under which all orders are given."""
         return self.state.epoch
 
+    def gauges(self) -> dict[str, float]:
+        """Return the gauges of the cell and of its executor, by name."""
+        window = self.state.window
+        return {
+            'jobs': len(self.state.jobs),
+            'steps_waiting': len(self.state.waiting),
+            'workers': len(self.state.workers),
+            'starts_in_flight': window.in_flight,
+            'starts_at_most': int(window.size),
+            'interference_pairs': len(self.state.run_times.interference.found),
+            'advice_waiting': self._advice.waiting,
+            'advice_in_flight': self._advice.in_flight,
+            **cell.gauges(self.state),
+        }
+
     def enqueue(self, event: events.Event) -> None:
         """Queue an event; it is processed soon, together with others."""
         if self._is_closed:
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -267,17 +267,8 @@
         for name, count in self._log.counters.items():
             self._metrics.set_gauge(name, count)
         if self._runner is not None:
-            state = self._runner.state
-            self._metrics.set_gauge('jobs', len(state.jobs))
-            self._metrics.set_gauge('steps_waiting', len(state.waiting))
-            self._metrics.set_gauge('workers', len(state.workers))
-            window = state.window
-            self._metrics.set_gauge('starts_in_flight', window.in_flight)
-            self._metrics.set_gauge('starts_at_most', int(window.size))
-            for name, value in cell.gauges(state).items():
+            for name, value in self._runner.gauges().items():
                 self._metrics.set_gauge(name, value)
-            found = state.run_times.interference.found
-            self._metrics.set_gauge('interference_pairs', len(found))
         return self._metrics.render()
 
     async def _handle_show(self, body: Any) -> dict[str, Any]:
