Waiting queries to the policy service are sent whenever a node may send them

Cause: a quarter of the nodes that the membership lists was reserved for short queries, lost ones included, so that the last node was never used for a long one; and nodes were assigned only when a query arrived or ended. With every long query deferred none was in flight, so that nothing woke them: neither the end of a back-off, nor a node that joined or restarted. A node that had restarted also kept the back-off of its former process, up to 30 s.

--- a/packages/cellnode/celeryshift_cellnode/_membership.py
+++ b/packages/cellnode/celeryshift_cellnode/_membership.py
@@ -29,10 +29,13 @@
         store: ports.Store,
         local_node: _schema.Node,
         log_decision: Callable[..., None],
+        on_changed: Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._local_node = local_node
         self._log_decision = log_decision
+        # Called after ``nodes`` has been replaced.
+        self._on_changed = on_changed
         self._versions: dict[str, int] = {}
         self._changed_at: dict[str, float] = {}
         self._is_leaving = False
@@ -52,11 +55,6 @@
         load_bound_s = len(self.nodes) / _election.NODE_RENEWALS_PER_S
         return max(_election.NODE_RENEWAL_INTERVAL_S, load_bound_s)
 
-    @property
-    def addresses(self) -> list[str]:
-        """Return the addresses of all nodes, this one included."""
-        return [node.address for node in self.nodes.values()]
-
     @property
     def others(self) -> list[_schema.Node]:
         """Return all nodes except this one."""
@@ -124,7 +122,7 @@
         self._decoded = decoded
         if nodes != self.nodes:
             self._log_changes(nodes)
-            self.nodes = nodes
+            self._replace_nodes(nodes)
         if expired:
             await self._remove(expired)
 
@@ -153,13 +151,19 @@
         self._departed.add(body['incarnation'])
         node = self.nodes.get(body['name'])
         if node is not None and node.incarnation in self._departed:
-            self.nodes = {
-                name: other
-                for name, other in self.nodes.items()
-                if other is not node
-            }
+            self._replace_nodes(
+                {
+                    name: other
+                    for name, other in self.nodes.items()
+                    if other is not node
+                }
+            )
         return {}
 
+    def _replace_nodes(self, nodes: dict[str, _schema.Node]) -> None:
+        self.nodes = nodes
+        self._on_changed()
+
     def _log_changes(self, nodes: dict[str, _schema.Node]) -> None:
         joined = nodes.keys() - self.nodes.keys()
         left = self.nodes.keys() - nodes.keys()
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -84,6 +84,11 @@
             self._is_scheduled = True
             asyncio.get_running_loop().call_soon(self._drain_queue)
 
+    def handle_nodes_changed(self) -> None:
+        """Use the present nodes for the queries that wait for one."""
+        if not self._is_closed:
+            self._advice.assign_nodes()
+
     def log_decision(self, decision: str, **fields: Any) -> None:
         """Log and count a decision that was made outside of the reducer."""
         self._execute(effects.LogDecision(decision, fields))
--- a/packages/cellnode/celeryshift_cellnode/_runnerfactory.py
+++ b/packages/cellnode/celeryshift_cellnode/_runnerfactory.py
@@ -66,7 +66,7 @@
             self._workers,
             _advice.AdviceScheduler(
                 self._advice_relay.request_advice,
-                lambda: self._membership.addresses,
+                lambda: self._membership.nodes.values(),
             ),
             writer,
             self._log_decision,
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -96,7 +96,10 @@
         )
         self._peers = _peers.Peers(channels)
         self._membership = _membership.Membership(
-            self._store, self._local_node, self._log_decision
+            self._store,
+            self._local_node,
+            self._log_decision,
+            self._handle_nodes_changed,
         )
         self._ownership = _ownership.Ownership(
             self._store,
@@ -188,6 +191,10 @@
                 )
             await asyncio.sleep(RESTART_DELAY_S)
 
+    def _handle_nodes_changed(self) -> None:
+        if self._runner is not None:
+            self._runner.handle_nodes_changed()
+
     def reload(self) -> None:
         """Apply the settings that may change while the node runs."""
         try:
--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -12,6 +12,7 @@
 
 import attrs
 from tests import cells
+from tests import simnodes
 
 import celeryshift_cell as cell
 from celeryshift_cell import effects
@@ -514,6 +515,8 @@
         # When each node can call the policy service next; None if the service
         # always answers soon.
         self.policy_nodes: list[float] | None = None
+        # Nodes that send the queries and may be lost, if any.
+        self.nodes: simnodes.PolicyNodes | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.learned = ''
         self.version = 0
@@ -626,13 +629,20 @@
             if worker == 'w0'
             or random.Random(f'{query.step}{worker}').random() < 0.7
         }
+
+        def answer(sent_at: float) -> events.AdviceAnswered:
+            return events.AdviceAnswered(
+                0.0, query.step, query.workers, tickets, sent_at, 2500
+            )
+
+        if self.nodes is not None:
+            self.nodes.request(owner, query, answer)
+            return
         sent_at = self.now
         if self.policy_nodes is not None:
             # Each node has one call at a time, the first free one the next.
             sent_at = max(self.now, heapq.heappop(self.policy_nodes))
-        event = events.AdviceAnswered(
-            0.0, query.step, query.workers, tickets, sent_at, 2500
-        )
+        event = answer(sent_at)
         answered_at = sent_at + 0.05
         if self.policy_nodes is not None:
             answered_at = sent_at + query.expected_ms / 1000
--- a/tests/test_cell_evacuation.py
+++ b/tests/test_cell_evacuation.py
@@ -52,7 +52,7 @@
     sim = cellsim.Sim(seed)
     faults._spread_workers(sim)
     for number, (change, pause_s) in enumerate(history):
-        sim.submit(faults._random_job(sim, number))
+        sim.submit(faults.random_job(sim, number))
         if isinstance(change, frozenset):
             sim.evacuate(change)
         else:
@@ -60,7 +60,7 @@
         sim.run(sim.now + pause_s)
     sim.evacuate(frozenset())
     sim.run(sim.now + faults.SETTLE_S)
-    faults._check_all_ended(sim)
+    faults.check_all_ended(sim)
 
 
 def test_waiting_work_goes_elsewhere_and_back_at_once():
--- a/tests/test_cell_random.py
+++ b/tests/test_cell_random.py
@@ -73,7 +73,7 @@
 SLOW_WRITE_S = 1.0
 
 
-def _random_job(sim: cellsim.Sim, number: int) -> model.Job:
+def random_job(sim: cellsim.Sim, number: int) -> model.Job:
     """Build a job of one to three steps."""
     steps = []
     for index in range(sim.random.randint(1, 3)):
@@ -89,7 +89,7 @@
     return attrs.evolve(job, id=f'{number:016x}')
 
 
-def _inject_fault(sim: cellsim.Sim) -> None:
+def inject_fault(sim: cellsim.Sim) -> None:
     """Inject one random fault and schedule its end."""
     worker = sim.random.choice(list(sim.workers.values()))
     kind = sim.random.randrange(7)
@@ -197,7 +197,7 @@
         worker.clock_rate = sim.random.choice((1.0, 1 - cellsim.DRIFT))
     for number in range(IDLE_PHASES):
         sim.run(sim.now + sim.random.uniform(*IDLE_RANGE_S))
-        sim.submit(_random_job(sim, number))
+        sim.submit(random_job(sim, number))
         for worker in sim.random.sample(list(sim.workers.values()), 2):
             sim.schedule(
                 sim.random.uniform(0, 2),
@@ -216,10 +216,10 @@
     until = sim.now + LONG_SETTLE_S
     while sim.jobs and sim.now < until:
         sim.run(sim.now + 1)
-    _check_all_ended(sim)
+    check_all_ended(sim)
 
 
-def _check_all_ended(sim):
+def check_all_ended(sim):
     unfinished = set(sim.jobs)
     if unfinished:
         first = min(unfinished)
@@ -235,7 +235,7 @@
     duration_s = sim.random.uniform(1, 7)
     cut_after_s = sim.random.choice((0.003, 0.005, 0.02, 0.2, 0.5))
     if kind == 0:
-        _inject_fault(sim)
+        inject_fault(sim)
         return
     if kind in (1, 2, 3):
         sim.store_write_s = sim.random.uniform(*SLOW_STORE_WRITE_S)
@@ -296,7 +296,7 @@
 
 def simulate(
     seed: int,
-    inject: Callable[[cellsim.Sim], None] = _inject_fault,
+    inject: Callable[[cellsim.Sim], None] = inject_fault,
     restarts: int = 0,
     late_orders_outlive: bool = False,
 ) -> cellsim.Sim:
@@ -306,10 +306,10 @@
     end.
     """
     sim = cellsim.Sim(seed)
-    if inject is not _inject_fault:
+    if inject is not inject_fault:
         _spread_workers(sim)
     for number in range(JOBS):
-        job = _random_job(sim, number)
+        job = random_job(sim, number)
         sim.schedule(
             sim.random.uniform(0, FAULTS_S), lambda j=job: sim.submit(j)
         )
@@ -323,7 +323,7 @@
             sim.random.uniform(1, FAULTS_S), lambda: _inject_restart(sim)
         )
     sim.run(FAULTS_S + SETTLE_S)
-    _check_all_ended(sim)
+    check_all_ended(sim)
     return sim
 
 
@@ -361,7 +361,7 @@
     sim.owner_lost_share = owner_lost_share
     sim.fail_share = 0.0
     for number in range(JOBS):
-        job = _random_job(sim, number)
+        job = random_job(sim, number)
         if sim.random.random() < CRASHING_SHARE:
             step = sim.random.randrange(len(job.steps))
             index = sim.random.randrange(job.steps[step].count)
@@ -375,7 +375,7 @@
             lambda: sim.take_over(is_dead=True),
         )
     sim.run(FAULTS_S + SETTLE_S)
-    _check_all_ended(sim)
+    check_all_ended(sim)
     crashing = {task.split('.')[0] for task in sim.crashing_tasks}
     given_up = {
         job for job, state in sim.final_states.items() if state == 'failed'
@@ -397,7 +397,7 @@
         worker.resize(sim.random.choice(RESIZED_CORES) * cells.CORE)
 
     for number in range(JOBS):
-        job = _random_job(sim, number)
+        job = random_job(sim, number)
         sim.schedule(
             sim.random.uniform(0, FAULTS_S), lambda j=job: sim.submit(j)
         )
@@ -408,10 +408,10 @@
         sim.schedule(FAULTS_S, lambda w=grown, c=cpu_milli: w.resize(c))
     for _ in range(FAULTS):
         sim.schedule(
-            sim.random.uniform(1, FAULTS_S), lambda: _inject_fault(sim)
+            sim.random.uniform(1, FAULTS_S), lambda: inject_fault(sim)
         )
     sim.run(FAULTS_S + SETTLE_S)
-    _check_all_ended(sim)
+    check_all_ended(sim)
     return sim
 
 
