Changes of one row are written in different groups

Cause: the end of a job removes its row, and a caller who repeats the job meanwhile has it stored on condition that it has not ended. Both could be in one group, which is one transaction: the condition held, and the row that the one removed was written by the other.

Change: a change that concerns a row of the group waits for the next one, whose conditions see the first.

Result: test_the_end_of_a_job_and_its_repetition_are_not_written_together fails without the change and passes with it.

--- a/packages/cellnode/celeryshift_cellnode/_groupwriter.py
+++ b/packages/cellnode/celeryshift_cellnode/_groupwriter.py
@@ -84,6 +84,11 @@
         """Return the size of the values in bytes."""
         return sum(map(len, self.puts.values()))
 
+    @property
+    def keys(self) -> set[ports.Key]:
+        """Return the keys of all rows that the change concerns."""
+        return {*self.absent, *self.puts, *self.removes}
+
     def rejection_reason(self, limits: ports.StoreLimits) -> str | None:
         """Return which limit of the store the change exceeds, or None."""
         if self.entries > limits.entries - OWN_ENTRIES:
@@ -210,7 +215,8 @@
 
         Clients wait for the changes that fail fast, so these come first. The
         oldest other change is always included, since clients also wait for the
-        results of jobs.
+        results of jobs. Changes of one row go into different groups, since the
+        second one may depend on the first.
         """
         others = (
             pending for pending in self._queue if not pending.change.fails_fast
@@ -224,7 +230,11 @@
             )
         )
         entries, size, count = OWN_ENTRIES, 0, 0
+        keys: set[ports.Key] = set()
         for pending in self._queue:
+            if not keys.isdisjoint(pending.change.keys):
+                break
+            keys |= pending.change.keys
             entries += pending.change.entries
             size += pending.change.size
             if count and (
--- a/tests/test_cell_journal.py
+++ b/tests/test_cell_journal.py
@@ -82,6 +82,27 @@
     run(scenario)
 
 
+def test_the_end_of_a_job_and_its_repetition_are_not_written_together():
+    # One group removed the row of a job that had ended and stored it again
+    # for a caller who had repeated it.
+    async def scenario():
+        harness = WriterHarness()
+        live, ended = (ports.Key(t, 'job') for t in ('live', 'ended'))
+        harness.store.put('live', _schema.CELL, 'job', b'job')
+        end = _groupwriter.Change(puts={ended: b'end'}, removes=(live,))
+        repetition = _groupwriter.Change(
+            absent=(ended,), puts={live: b'job'}, fails_fast=True
+        )
+        results = await asyncio.gather(
+            harness.writer.write(end), harness.writer.write(repetition)
+        )
+        outcomes = [result.outcome for result in results]
+        assert outcomes == [WriteOutcome.STORED, WriteOutcome.EXISTS]
+        assert ('live', _schema.CELL, 'job') not in harness.store.rows
+
+    run(scenario)
+
+
 def test_a_lost_answer_is_settled_by_another_attempt():
     async def scenario():
         harness = WriterHarness()
