A cancelled job that is being stored is cancelled or refused

The cancellation was answered with 410 ("no such job"), the job was stored at that moment, and all its steps ran.

Cause: the owner answered for the jobs in the cell only, not for those that it was storing. The node then read the tables of jobs and of ends one after the other, found the job in neither, and answered 410 without anything in the store that would keep the job out. The same holds for a job that a node stores without the owner, for one whose write is in doubt or applied late, and for one that waits in a frozen owner or node and is stored when that goes on.

Change: the owner waits for a write in flight before it answers a cancellation. If there is no job, the node stores a withdrawal in the table of ends, on condition that there is neither a job nor an end. Whoever stores a job requires that it has no end, so that exactly one of both is stored. A job that was withdrawn is refused (503: it never runs) and unknown (410). A call to the owner on the same node ends with the caller's time, as one to another node did. A row of the end that can't be read counts as that of a job.

--- a/packages/cellnode/celeryshift_cellnode/_groupwriter.py
+++ b/packages/cellnode/celeryshift_cellnode/_groupwriter.py
@@ -111,6 +111,8 @@
     outcome: WriteOutcome
     version: int = 0
     reason: str = ''
+    # Value of the row that exists.
+    existing: bytes = b''
 
 
 @attrs.define(slots=True, eq=False)
@@ -355,9 +357,12 @@
         outcome: WriteOutcome,
         version: int = 0,
         reason: str = '',
+        existing: bytes = b'',
     ) -> None:
         if not pending.future.done():
-            pending.future.set_result(Result(outcome, version, reason))
+            pending.future.set_result(
+                Result(outcome, version, reason, existing)
+            )
 
     def _is_deposed(self, rows: dict[ports.Key, ports.Row]) -> bool:
         owner = rows.get(OWNER)
@@ -371,7 +376,12 @@
         for pending in group:
             existing = [rows[k] for k in pending.change.absent if k in rows]
             if existing:
-                self._settle(pending, WriteOutcome.EXISTS, existing[0].version)
+                self._settle(
+                    pending,
+                    WriteOutcome.EXISTS,
+                    existing[0].version,
+                    existing=existing[0].value,
+                )
             else:
                 remaining.append(pending)
         return remaining
--- a/packages/cellnode/celeryshift_cellnode/_ownerservice.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownerservice.py
@@ -23,6 +23,8 @@
 IMPOSSIBLE = 'impossible'
 # The owner rejects the job, which would end too late. It is not stored.
 OVERLOADED = 'overloaded'
+# The job was cancelled before it was stored.
+WITHDRAWN = 'withdrawn'
 # Jobs in doubt that are remembered. Callers give up after a few retries.
 MAX_IN_DOUBT = 10_000
 
@@ -95,9 +97,10 @@
             )
         # A caller that disconnects must not cancel a write that others await.
         result = await asyncio.shield(pending)
+        is_withdrawn = _schema.is_withdrawn(result.existing)
         return {
             'is_owner': True,
-            'written': result.outcome.value,
+            'written': WITHDRAWN if is_withdrawn else result.outcome.value,
             'reason': result.reason,
         }
 
@@ -164,11 +167,19 @@
         return {'is_owner': True}
 
     async def _handle_cancel(self, body: Any) -> dict[str, Any]:
-        """Cancel a job known to the cell; the caller handles other jobs."""
+        """Cancel a job known to the cell; the caller handles other jobs.
+
+        A job that is being stored becomes known once it is stored.
+        """
         job_id = body['job']
+        pending = self._pending_writes.get(job_id)
+        is_stored = False
+        if pending is not None:
+            written = await asyncio.shield(pending)
+            is_stored = written.outcome is _groupwriter.WriteOutcome.STORED
         if self.runner is None:
             return {'is_owner': False}
-        if job_id not in self.runner.state.jobs:
+        if not (is_stored or job_id in self.runner.state.jobs):
             return {'is_owner': True, 'written': REFUSED}
         cancel_key = _records.cancel_key(job_id)
         change = _groupwriter.Change(puts={cancel_key: b'{}'}, fails_fast=True)
--- a/packages/cellnode/celeryshift_cellnode/_schema.py
+++ b/packages/cellnode/celeryshift_cellnode/_schema.py
@@ -38,6 +38,9 @@
 CANCEL_SUFFIX = '/cancel'
 # Precedes the number of a further part of a record in the key of its row.
 PART_SEPARATOR = '/'
+# Final state of an ID that was cancelled while no job had it. No job of that
+# ID is stored any more, because that requires that it has not ended.
+WITHDRAWN = 'withdrawn'
 
 
 @attrs.frozen(slots=True)
@@ -105,6 +108,17 @@
     return _converter.structure(orjson.loads(value), kind)
 
 
+def is_withdrawn(ended: bytes) -> bool:
+    """Return whether a row of ``ENDED`` only prevents a job.
+
+    A row that cannot be read is that of a job.
+    """
+    try:
+        return load(Ended, ended).state == WITHDRAWN
+    except Exception:
+        return False
+
+
 def unstructure(value: Any) -> Any:
     """Return a typed value as plain data, to embed it in a message."""
     return _converter.unstructure(value)
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -13,10 +13,10 @@
 from celeryshift_cell import model
 from celeryshift_cellnode import _connectivity
 from celeryshift_cellnode import _groupwriter
+from celeryshift_cellnode import _jobrows
 from celeryshift_cellnode import _jobspec
 from celeryshift_cellnode import _metrics
 from celeryshift_cellnode import _ownerservice
-from celeryshift_cellnode import _records
 from celeryshift_cellnode import _routing
 from celeryshift_cellnode import _schema
 from celeryshift_cellnode import _watchedstore
@@ -59,6 +59,8 @@
     # The store has no such job.
     NO_JOB = 'no job'
     MALFORMED = 'malformed'
+    # The job was cancelled before it was stored. It is not accepted.
+    WITHDRAWN = 'withdrawn'
     # The job is not accepted, because no worker or limit allows it, or because
     # it would end too late; the client may retry.
     TRY_LATER = 'try later'
@@ -90,6 +92,12 @@
     timeout_s: float
 
 
+VERDICT_BY_CANCEL_OUTCOME = {
+    _jobrows.CancelOutcome.CANCELLED: Verdict.OK,
+    _jobrows.CancelOutcome.ENDED: Verdict.OK,
+    _jobrows.CancelOutcome.NO_JOB: Verdict.NO_JOB,
+    _jobrows.CancelOutcome.UNKNOWN: Verdict.UNKNOWN,
+}
 STORED = _groupwriter.WriteOutcome.STORED.value
 EXISTS = _groupwriter.WriteOutcome.EXISTS.value
 UNKNOWN = _groupwriter.WriteOutcome.UNKNOWN.value
@@ -105,6 +113,12 @@
     )
 
 
+def _withdrawn() -> Answer:
+    return Answer(
+        Verdict.WITHDRAWN, reason='the job was cancelled before it was stored'
+    )
+
+
 def _answer_deadline(call: Call, started_at: float) -> float:
     """Return when the answer must be sent to arrive in time."""
     return started_at + max(call.timeout_s - ANSWER_MARGIN_S, MIN_TIMEOUT_S)
@@ -130,6 +144,7 @@
         self._log_decision = log_decision
         self._metrics = metrics
         self._row_bytes = row_bytes
+        self._job_rows = _jobrows.JobRows(store)
         self.configuration: ports.Configuration | None = None
         self._router = _routing.Router(())
         # Handles requests to the owner while this node is the owner.
@@ -236,6 +251,8 @@
         written = reply['written']
         if written in (STORED, EXISTS):
             return Answer(Verdict.OK), False
+        if written == _ownerservice.WITHDRAWN:
+            return _withdrawn(), False
         if written == _ownerservice.IMPOSSIBLE:
             answer = Answer(
                 Verdict.TRY_LATER,
@@ -289,6 +306,9 @@
             else:
                 if isinstance(stored, ports.Committed):
                     return Answer(Verdict.OK), stored.version
+                ended = stored.rows.get(ended_key)
+                if ended is not None and _schema.is_withdrawn(ended.value):
+                    return _withdrawn(), 0
                 # The job or its final state is stored already. The owner need
                 # not be notified, because it follows the table of jobs.
                 return Answer(Verdict.OK), 0
@@ -337,7 +357,11 @@
         ``NOT_DELIVERED`` if the owner has certainly not received the call.
         """
         if self.owner_service.runner is not None:
-            answer = await self.owner_service.handlers[name](body)
+            try:
+                async with asyncio.timeout(timeout_s):
+                    answer = await self.owner_service.handlers[name](body)
+            except TimeoutError as error:
+                raise errors.PeerError(f'{name}: no answer') from error
         else:
             answer = await self._owner_client.call(name, body, timeout_s)
         if not answer['is_owner']:
@@ -388,42 +412,13 @@
             if self._store.is_unavailable:
                 return _unavailable(str(error))
         try:
-            state = await self._stored_state(job_id)
+            state = await self._job_rows.read_state(job_id)
         except errors.StoreError as error:
             return _unavailable(str(error))
         if state is None:
             return Answer(Verdict.NO_JOB)
         return Answer(Verdict.OK, {'state': state})
 
-    async def _stored_state(self, job_id: str) -> str | None:
-        """Return the state of a job from the store, or None.
-
-        The tables are read in the order in which a job moves through them, so
-        that a job that moves between two reads is found.
-        """
-        live_rows = await self._read_rows(_schema.JOBS, job_id)
-        if live_rows:
-            if _records.cancel_key(job_id).key in live_rows:
-                return model.JobState.CANCELLED.value
-            progress_rows = await self._read_rows(_schema.PROGRESS, job_id)
-            return (
-                model.JobState.RUNNING.value
-                if progress_rows
-                else model.JobState.QUEUED.value
-            )
-        ended_rows = await self._read_rows(_schema.ENDED, job_id)
-        if not ended_rows:
-            return None
-        return _schema.load(_schema.Ended, ended_rows[job_id].value).state
-
-    async def _read_rows(
-        self, table: str, job_id: str
-    ) -> dict[str, ports.Row]:
-        # The range contains the row of the job and that of its cancellation.
-        last = _records.cancel_key(job_id).key + '\0'
-        result = await self._store.read(table, _schema.CELL, job_id, last)
-        return {row.key: row for row in result.rows}
-
     async def cancel(self, call: Call) -> Answer:
         """Cancel a job; answer once the cancellation is stored."""
         deadline = _answer_deadline(call, time.monotonic())
@@ -443,35 +438,10 @@
         except errors.PeerError as error:
             if self._store.is_unavailable:
                 return _unavailable(str(error))
-        return await self._store_cancel(job_id, deadline)
-
-    async def _store_cancel(self, job_id: str, deadline: float) -> Answer:
-        live_key = ports.Key(_schema.JOBS, job_id)
-        cancel_key = _records.cancel_key(job_id)
-        reason = 'no answer from the store'
-        while time.monotonic() < deadline:
-            try:
-                rows = await self._read_rows(_schema.JOBS, job_id)
-                if job_id not in rows:
-                    ended_rows = await self._read_rows(_schema.ENDED, job_id)
-                    return Answer(Verdict.OK if ended_rows else Verdict.NO_JOB)
-                if cancel_key.key in rows:
-                    return Answer(Verdict.OK)
-                change = ports.Transaction(
-                    _schema.CELL,
-                    {live_key: rows[job_id].version},
-                    {cancel_key: b'{}'},
-                )
-                stored = await self._store.transact(
-                    change, STORE_ATTEMPT_TIMEOUT_S
-                )
-                if isinstance(stored, ports.Committed):
-                    self._notify_owner('cancelled', {'job': job_id}, job_id)
-                    return Answer(Verdict.OK)
-            except errors.StoreError as error:
-                reason = str(error)
-            await asyncio.sleep(RETRY_DELAY_S)
-        return Answer(Verdict.UNKNOWN, reason=reason)
+        outcome, reason = await self._job_rows.cancel(job_id, deadline)
+        if outcome is _jobrows.CancelOutcome.CANCELLED:
+            self._notify_owner('cancelled', {'job': job_id}, job_id)
+        return Answer(VERDICT_BY_CANCEL_OUTCOME[outcome], reason=reason)
 
     def _record_answer(
         self,
