The soak loses nodes together and cancels jobs that are being stored

Cause: no fault of the soak froze or powered off several nodes at once, its policy service decided in 5 ms, so that no query was long, and no caller cancelled a job.

Change: a fault "lose nodes" stops any number of nodes, which go on or start again after 3 to 9.5 s. Faults that the end of another one schedules are waited for as well.

--- a/tests/site.py
+++ b/tests/site.py
@@ -26,6 +26,8 @@
 # Orders to a worker that has restarted are never answered, and would keep the
 # platform open for much longer.
 CLOSE_S = 0.5
+# Decisions that take no longer are made at once.
+FAST_DECISION_MS = 5
 UPDATE_S = 0.05
 # A transaction that takes longer than this is applied late.
 STORE_TIMEOUT_S = 1.0
@@ -49,6 +51,8 @@
         self._stranger = siteworker.FakeWorker('i-stranger')
         self.runners: list[web.ServerRunner] = []
         self.port = 0
+        # Time that the policy service needs for a decision.
+        self.decision_ms = 5
         # Whether the store refuses all calls.
         self.is_away = False
         # This fraction of the transactions is applied but not answered.
@@ -131,7 +135,11 @@
             'max_attempts': 3,
             'stretch': 2,
             'target_duration_ms': 250,
-            'advice': {'decision_ms': 5, 'each_ms': 1, 'validity_ms': 2000},
+            'advice': {
+                'decision_ms': self.decision_ms,
+                'each_ms': 1,
+                'validity_ms': 2000,
+            },
         }
         document = {
             'version': version,
@@ -155,6 +163,8 @@
         name = request.path.rpartition('/')[2]
         if name == 'advise':
             body = json.loads(await request.read())
+            if self.decision_ms > FAST_DECISION_MS:
+                await asyncio.sleep(self.decision_ms / 1000)
             good = [[worker, 'ticket'] for worker in body['workers']]
             return web.json_response({'good': good, 'validity_ms': 2000})
         if self.is_away:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,7 +5,8 @@
 submit jobs and repeat each call until the job is accepted. At the end, the
 guarantees are checked against what callers and workers saw: each accepted job
 completes, no task runs twice at once or again after its end was acknowledged,
-and a job that was always refused does not run.
+a job that was always refused does not run, and one that was cancelled, also
+while it was being stored, does not go on.
 
 To run seeds 1 to 49: ``python -m tests.soak 1 50``. The options of
 ``python -m tests.soak --help`` make runs longer and larger, or let workers
@@ -31,6 +32,7 @@
 from tests import runchecks
 from tests import site
 from tests import siteworker
+from tests import soakcancels
 from tests import test_cell_processes as processes
 
 # Within this time leases expire, in-doubt runs are settled and the remaining
@@ -56,6 +58,15 @@
 MIN_LONG_S = 4.0
 MAX_LONG_S = 6.0
 BURST_JOBS = 8
+# Share of the jobs that their callers cancel.
+CANCELLED_SHARE = 0.15
+# Decisions of the policy service, and with the long ones, the nodes at least
+# and the share of the jobs.
+DECISIONS_MS = (5, 5, 300)
+LONG_DECISION_NODES = 4
+LONG_DECISION_JOBS = 0.5
+# Longest time for which nodes are lost together.
+MAX_LOST_S = 9.5
 # An evacuation takes effect within this time of the operator's write, and an
 # order that is carried out late within a lease more.
 EVACUATION_S = 5.0
@@ -88,8 +99,8 @@
 # centre that is evacuated for a while (evacuate), silent loss
 # or delay at a proxy (deaf, delay), abort of its connections (reset), SIGKILL
 # and restart of one program (kill) or of all (herd), SIGTERM and restart
-# (term), SIGSTOP for a while (pause), and a worker whose runs make no progress
-# (sick).
+# (term), SIGSTOP for a while (pause), several nodes that freeze or lose power
+# at once (lose nodes), and a worker whose runs make no progress (sick).
 PROGRAM_FAULTS = (
     *STORE_FAULTS,
     'configure',
@@ -98,6 +109,7 @@
     'evacuate',
     'herd',
     'kill',
+    'lose nodes',
     'pause',
     'reset',
     'term',
@@ -158,6 +170,8 @@
             worker.cores = WORKER_CORES
             worker.clock_rate = self.rng.choice(CLOCK_RATES)
             worker.on_crash = self._crash
+        self.platform.decision_ms = self.rng.choice(DECISIONS_MS)
+        self._decides_fast = self.platform.decision_ms == min(DECISIONS_MS)
         self.programs: list[processes.Program] = []
         self.store_proxies: list[proxies.Proxy] = []
         self.worker_proxies: list[proxies.Proxy] = []
@@ -191,6 +205,9 @@
             await self._start()
             async with aiohttp.ClientSession() as session:
                 self._session = session
+                self._cancellations = soakcancels.Cancellations(
+                    self.rng, session, self.programs
+                )
                 await self._idle()
                 submissions = asyncio.create_task(self._submit_jobs())
                 await self._inject_faults()
@@ -209,7 +226,10 @@
     async def _start(self) -> None:
         for address in self.platform.addresses:
             self.worker_proxies.append(await proxies.put_before(address))
-        for number in range(self._profile.nodes):
+        nodes = self._profile.nodes
+        if not self._decides_fast:
+            nodes = max(nodes, LONG_DECISION_NODES)
+        for number in range(nodes):
             proxy = proxies.Proxy(self.platform.port)
             await proxy.start()
             self.store_proxies.append(proxy)
@@ -220,7 +240,7 @@
             self.programs.append(program)
         await processes.until(
             lambda: any(p.owns for p in self.programs),
-            processes.START_S + self._profile.nodes,
+            processes.START_S + nodes,
         )
 
     async def _idle(self) -> None:
@@ -241,12 +261,20 @@
 
     async def _submit_jobs(self) -> None:
         calls = []
-        for number in range(int(self._profile.faults_s * JOBS_PER_S)):
+        jobs_per_s = JOBS_PER_S
+        if not self._decides_fast:
+            jobs_per_s *= LONG_DECISION_JOBS
+        for number in range(int(self._profile.faults_s * jobs_per_s)):
             took_s = self.rng.uniform(0.1, 1.5)
             if self.rng.random() < LONG_SHARE:
                 took_s = self._long_s()
-            calls.append(asyncio.create_task(self._submit(number, took_s)))
-            await asyncio.sleep(1 / JOBS_PER_S)
+            call = (
+                self._cancellations.submit_and_cancel(number)
+                if self.rng.random() < CANCELLED_SHARE
+                else self._submit(number, took_s)
+            )
+            calls.append(asyncio.create_task(call))
+            await asyncio.sleep(1 / jobs_per_s)
         await asyncio.gather(*calls)
 
     async def _submit(self, number: int, took_s: float) -> None:
@@ -280,6 +308,8 @@
         duration_s = self.rng.uniform(0.2, 4.0)
         if kind in ('cut', 'cut zone', 'pause owner'):
             duration_s = self.rng.uniform(MIN_CUT_S, MAX_CUT_S)
+        elif kind == 'lose nodes':
+            duration_s = self.rng.uniform(MIN_CUT_S, MAX_LOST_S)
         elif kind == 'evacuate':
             duration_s = self.rng.uniform(EVACUATION_S, MAX_EVACUATED_S)
         self.faults.append(f'{kind} {duration_s:.1f}')
@@ -301,6 +331,8 @@
                 self._restart(each, signal.SIGKILL)
         elif kind == 'pause':
             self._pause(program, duration_s)
+        elif kind == 'lose nodes':
+            self._lose_nodes(duration_s)
         elif kind == 'reset':
             self.rng.choice(
                 [*self.store_proxies, *self.worker_proxies]
@@ -325,6 +357,18 @@
             )
             self._set_temporarily(component, name, value, duration_s)
 
+    def _lose_nodes(self, duration_s: float) -> None:
+        """Let some nodes freeze, or lose power and start again."""
+        count = self.rng.randint(1, len(self.programs))
+        is_power = self.rng.random() < 0.5
+        for program in self.rng.sample(self.programs, count):
+            self._pause(program, duration_s)
+            if is_power:
+                self._schedule(duration_s, self._kill(program))
+
+    async def _kill(self, program: processes.Program) -> None:
+        self._restart(program, signal.SIGKILL)
+
     async def _evacuate(self, duration_s: float) -> None:
         """Evacuate a data centre for a while, and return it."""
         zone = self.rng.choice(site.ZONES)
@@ -493,10 +537,13 @@
         self._schedule(0.3, restart())
 
     async def _clear_faults(self) -> None:
-        await asyncio.gather(*self._pending)
+        while self._pending:
+            pending, self._pending = self._pending, []
+            await asyncio.gather(*pending)
         self.platform.is_away = False
         for proxy in (*self.store_proxies, *self.worker_proxies):
             await self._clear_proxy(proxy)
+        self._calm_at = time.monotonic()
 
     async def _check(self) -> None:
         accepted = [j for j, s in self.statuses.items() if ACCEPTED in s]
@@ -513,6 +560,8 @@
             await asyncio.sleep(0.2)
         # Repetitions first: they explain more than an unfinished job.
         self._check_runs()
+        self._cancellations.check(self.platform.workers, self._calm_at)
+        await self._cancellations.check_states()
         assert not unfinished, (
             f'accepted but not completed: {sorted(unfinished)}'
         )
