celeryshiftd: a cancelled job that is being accepted is refused

A job that was cancelled while its acceptance was being written was answered with unknown-job (404), was accepted and ran.

Cause: the same as in the nodes of a cell. The cancellation read the place of the job, found none, and left nothing that would keep the job out.

Change: the cancellation of a job without a place writes a withdrawal as its place, on condition that there is none, which is also the condition of accepting a job. If the job got its place meanwhile, the cancellation goes to the owner of its slice. A job that meets a withdrawal is refused as withdrawn-job (409, ran: no); others of its write are written again.

The nodes of a cell are not changed.

--- a/packages/core/celeryshift_core/_reducer.py
+++ b/packages/core/celeryshift_core/_reducer.py
@@ -244,6 +244,7 @@
     _transfer.MovePurpose: _transfer.handle_moved,
     _job_arrivals.AcceptPurpose: _job_arrivals.handle_accept_written,
     _submission.SubmitPurpose: _submission.handle_submission_written,
+    _submission.WithdrawPurpose: _submission.handle_withdrawal_written,
     _configuration.SubmitPurpose: _configuration.handle_written,
     _keys.WritePurpose: _configuration.handle_withdrawals_written,
     _slot_moves.MovePurpose: _slot_moves.handle_moved,
--- a/packages/core/celeryshift_core/_refusals.py
+++ b/packages/core/celeryshift_core/_refusals.py
@@ -20,6 +20,7 @@
     UNKNOWN_KIND = 'unknown-kind'
     UNKNOWN_QUEUE = 'unknown-queue'
     UNKNOWN_JOB = 'unknown-job'
+    WITHDRAWN_JOB = 'withdrawn-job'
     UNKNOWN_REQUEST = 'unknown-request'
     UNKNOWN_PATH = 'unknown-path'
     WRONG_KEY = 'wrong-key'
--- a/packages/core/celeryshift_core/_submission.py
+++ b/packages/core/celeryshift_core/_submission.py
@@ -20,6 +20,8 @@
 from celeryshift_core import schema
 
 MAX_TASKS = 10_000
+# Field of the place of a job that was cancelled before it was accepted.
+WITHDRAWN = 'withdrawn'
 
 Outcome = events.Outcome
 Ran = _refusals.Ran
@@ -45,6 +47,13 @@
     hops: int
 
 
+@attrs.frozen(slots=True)
+class WithdrawPurpose:
+    """Purpose of a write that keeps a cancelled job from being accepted."""
+
+    place: PlacePurpose
+
+
 def handle_job_submitted(
     state: _state.State, event: events.JobSubmitted, outbox: _state.Outbox
 ) -> None:
@@ -136,6 +145,8 @@
                 # job was read with it.
                 _jobs.accept(state, slice_, submission.job)
             _reply_accepted(state, submission, False, outbox)
+        elif place is not None and _is_withdrawn(place):
+            _refuse_submission(state, submission, Reason.WITHDRAWN_JOB, outbox)
         elif place is not None:
             _reply_accepted(state, submission, True, outbox)
         elif result.reached and submission.reply_id in state.pending_replies:
@@ -213,7 +224,15 @@
         _refuse(state, purpose.reply_id, refusal, outbox)
         return
     row = rows.get(schema.job_place(job_id))
-    if row is None:
+    if row is None and purpose.act is events.JobAct.CANCEL:
+        # The job may be on its way. Accepting it requires that it has no
+        # place.
+        place_key = schema.job_place(job_id)
+        puts = {place_key: {WITHDRAWN: True}}
+        withdrawal = WithdrawPurpose(purpose)
+        _store.write(state, outbox, withdrawal, {place_key: 0}, puts)
+        return
+    if row is None or _is_withdrawn(row):
         refusal = Refusal(Reason.UNKNOWN_JOB, detail=purpose.job)
         _refuse(state, purpose.reply_id, refusal, outbox)
         return
@@ -240,6 +259,28 @@
     )
 
 
+def handle_withdrawal_written(
+    state: _state.State,
+    purpose: WithdrawPurpose,
+    result: _store.WriteResult,
+    outbox: _state.Outbox,
+) -> None:
+    """Answer the cancellation of a job that has no place, or has got one."""
+    place = purpose.place
+    place_key = schema.job_place(_ids.scoped(place.team, place.job))
+    if result.ok:
+        refusal = Refusal(Reason.UNKNOWN_JOB, detail=place.job)
+        _refuse(state, place.reply_id, refusal, outbox)
+    elif place_key in result.rows:
+        handle_place_read(state, place, result.rows, outbox)
+    else:
+        handle_place_read(state, place, None, outbox)
+
+
+def _is_withdrawn(place: schema.Row) -> bool:
+    return bool(place.value.get(WITHDRAWN))
+
+
 def _is_moving(state: _state.State, job_id: str) -> bool:
     return any(
         job_id in slice_.moving_jobs
@@ -417,7 +458,9 @@
     outbox: _state.Outbox,
 ) -> None:
     if submission.reply_id in state.pending_replies:
-        refusal = Refusal(reason, Ran.NO, state.options.retry_after_s)
+        is_final = reason is Reason.WITHDRAWN_JOB
+        retry_s = None if is_final else state.options.retry_after_s
+        refusal = Refusal(reason, Ran.NO, retry_s)
         _refuse(state, submission.reply_id, refusal, outbox)
 
 
--- a/packages/node/celeryshift_node/_problems.py
+++ b/packages/node/celeryshift_node/_problems.py
@@ -20,6 +20,7 @@
     Reason.UNKNOWN_KIND: 404,
     Reason.UNKNOWN_QUEUE: 404,
     Reason.UNKNOWN_JOB: 404,
+    Reason.WITHDRAWN_JOB: 409,
     Reason.UNKNOWN_REQUEST: 404,
     Reason.UNKNOWN_PATH: 404,
     Reason.WRONG_KEY: 401,
