The simulated nodes keep the queries of each owner apart

Traced to the simulation: a former owner that was isolated, and still queried, replaced the queue of the new one. In the product each runner has a scheduler of its own.

Change: the simulation has a queue for each owner.

--- a/tests/simnodes.py
+++ b/tests/simnodes.py
@@ -30,6 +30,20 @@
     restarts: int = 0
 
 
+@attrs.define
+class _Queries:
+    """Queries of one owner."""
+
+    owner: 'cellsim.Owner'
+    queue: _advicequeue.AdviceQueue = attrs.field(
+        factory=_advicequeue.AdviceQueue
+    )
+    # Makes the answer to a query, by its number.
+    answers: dict[int, Callable[[float], events.Event]] = attrs.field(
+        factory=dict
+    )
+
+
 class PolicyNodes:
     """Nodes that each send one query at a time, as the owner assigns them."""
 
@@ -43,9 +57,8 @@
         }
         # Nodes as the owner knows them.
         self._known = [each.node for each in self.nodes.values()]
-        self._owner: cellsim.Owner | None = None
-        self._queue = _advicequeue.AdviceQueue()
-        self._answers: dict[int, Callable[[float], events.Event]] = {}
+        # By owner; a former one may still send queries.
+        self._queues: dict[cellsim.Owner, _Queries] = {}
 
     def request(
         self,
@@ -54,13 +67,9 @@
         answer: Callable[[float], events.Event],
     ) -> None:
         """Send a query; ``answer`` is called with the time of its start."""
-        if owner is not self._owner:
-            # Queries of a former owner end with it.
-            self._owner = owner
-            self._queue = _advicequeue.AdviceQueue()
-            self._answers = {}
-        self._answers[self._queue.add(query)] = answer
-        self._assign()
+        queries = self._queues.setdefault(owner, _Queries(owner))
+        queries.answers[queries.queue.add(query)] = answer
+        self._assign(queries)
 
     def lose(
         self, names: list[str], lost_s: float, hangs: bool, restarts: bool
@@ -83,26 +92,24 @@
 
     def _update_known(self) -> None:
         self._known = [each.node for each in self.nodes.values()]
-        self._assign()
+        for queries in self._queues.values():
+            self._assign(queries)
 
-    def _assign(self) -> None:
-        queue, sim = self._queue, self._sim
+    def _assign(self, queries: '_Queries') -> None:
+        queue, sim = queries.queue, self._sim
         for assignment in queue.assign(self._known, sim.now):
-            self._send(queue, assignment)
+            self._send(queries, assignment)
         retry_at = queue.next_retry_at(sim.now)
         if retry_at is not None:
-            sim.schedule(retry_at - sim.now, self._assign)
+            sim.schedule(retry_at - sim.now, lambda: self._assign(queries))
 
     def _send(
-        self,
-        queue: _advicequeue.AdviceQueue,
-        assignment: _advicequeue.Assignment,
+        self, queries: '_Queries', assignment: _advicequeue.Assignment
     ) -> None:
         sim, sent_at = self._sim, self._sim.now
+        queue, owner = queries.queue, queries.owner
         query, node = assignment.request, assignment.node
-        answer = self._answers.pop(assignment.number)
-        owner = self._owner
-        assert owner is not None
+        answer = queries.answers.pop(assignment.number)
 
         def end(is_answered: bool) -> None:
             event: events.Event
@@ -116,7 +123,7 @@
                 )
             queue.release(node)
             owner.feed(event)
-            self._assign()
+            self._assign(queries)
 
         def arrive() -> None:
             lost = self.nodes[node.name]
