--- a/tests/virtualtime.py
+++ b/tests/virtualtime.py
@@ -9,6 +9,10 @@
 from typing import Any
 from unittest import mock
 
+# If the clock stands still for so many iterations of the loop, tasks only wake
+# each other.
+MAX_STILL_ITERATIONS = 1_000_000
+
 
 class _Selector(selectors.SelectSelector):
     """Selector that advances the clock instead of waiting."""
@@ -16,6 +20,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = 1000.0
+        self._still_iterations = 0
 
     def select(self, timeout: float | None = None) -> list[Any]:
         """Return what is ready; advance the clock if nothing is."""
@@ -24,7 +29,12 @@
             return ready
         if timeout is None:
             raise RuntimeError('nothing is scheduled, so time stands still')
-        self.now += max(0.0, timeout)
+        self._still_iterations += 1
+        if timeout > 0:
+            self._still_iterations = 0
+            self.now += timeout
+        elif self._still_iterations > MAX_STILL_ITERATIONS:
+            raise RuntimeError('time stands still while tasks run')
         return ready
 
 
