Log how much of an unfinished answer has arrived, and large answers

A call that times out is logged as "no answer", whether nothing or almost all of the answer has arrived, and the size of an answer is not logged.

NoAnswerError of a raw connection names the bytes that were received, and the follower of the operator's table logs the rows and bytes of a large answer. No decision depends on either.

--- a/packages/cellnode/celeryshift_cellnode/_followers.py
+++ b/packages/cellnode/celeryshift_cellnode/_followers.py
@@ -29,6 +29,8 @@
 # Delays after an answer, so that the next one contains several changes.
 JOBS_BATCH_DELAY_S = 0.5
 WORKERS_BATCH_DELAY_S = 0.4
+# An answer with more bytes than this is logged.
+LOGGED_BYTES = 100_000
 # An answer with this many rows or more may not be all that has changed, so the
 # next one is requested at once.
 FULL_ANSWER_ROWS = 100
@@ -127,6 +129,7 @@
         self._tables = tables
         self._decoder = decoder
         self._evacuations = evacuations
+        self._log_decision = log_decision
         self._version = 0
 
     async def follow(self) -> AsyncIterator[OperatorChange]:
@@ -144,11 +147,22 @@
             if self._evacuations.data_centres != evacuated:
                 evacuated = self._evacuations.data_centres
                 yield OperatorChange(None, evacuated)
+            self._log_if_large(rows)
             for row in rows:
                 configuration = self._newer_configuration(row)
                 if configuration is not None:
                     yield OperatorChange(configuration, None)
 
+    def _log_if_large(self, rows: list[ports.Row]) -> None:
+        size = sum(len(row.value) for row in rows)
+        if size > LOGGED_BYTES:
+            self._log_decision(
+                'large_answer',
+                table=self._tables.operator,
+                rows=len(rows),
+                bytes=size,
+            )
+
     def _newer_configuration(
         self, row: ports.Row
     ) -> ports.Configuration | None:
--- a/packages/net/celeryshift_net/_channels.py
+++ b/packages/net/celeryshift_net/_channels.py
@@ -104,6 +104,7 @@
             message = f'{url}: no answer within {timeout_s:g} s'
             if connection is None:
                 raise _errors.NotSentError(message) from error
+            message += f', {connection.received} bytes received'
             raise _errors.NoAnswerError(message) from error
         except (OSError, ValueError) as error:
             message = f'{url}: {error!r}'
--- a/packages/net/celeryshift_net/_connections.py
+++ b/packages/net/celeryshift_net/_connections.py
@@ -18,6 +18,8 @@
     generation: Any
     _handle_lost: Callable[['Connection'], None]
     released_at: float = 0.0
+    # Bytes of the current response.
+    received: int = 0
     _transport: asyncio.Transport = attrs.field(init=False)
     _reader: _responses.ResponseReader = attrs.field(
         factory=_responses.ResponseReader
@@ -44,6 +46,7 @@
         """
         answer: asyncio.Future[_responses.Response] = loop.create_future()
         self._answer = answer
+        self.received = 0
         self._timer = loop.call_at(deadline, self._expire)
         self._reader.begin(is_head)
         self._transport.write(request)
@@ -70,6 +73,7 @@
             # idle connection.
             self.abort()
             return
+        self.received += len(data)
         try:
             response = self._reader.feed(data)
         except _responses.MalformedError as error:
