--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -19,6 +19,15 @@
 }
 
 
+# Size of each chunk of an answer, number of chunks, pause between them, and
+# share of the announced length that is sent.
+CHUNKS = {
+    '/large': (16_384, 10, TIMEOUT_S / 3, 1),
+    '/drip': (10, 100, TIMEOUT_S / 10, 1),
+    '/stalled': (16_384, 4, 0.0, 2),
+}
+
+
 class Server:
     """Server that counts the calls that it received."""
 
@@ -26,7 +35,9 @@
         self.calls = 0
         self.location = ''
 
-    async def handle_request(self, request: web.BaseRequest) -> web.Response:
+    async def handle_request(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
         """Answer, reset the connection or stay silent, as the path says."""
         await request.read()
         self.calls += 1
@@ -35,6 +46,8 @@
             request.transport.abort()
         elif request.path == '/silent':
             await asyncio.sleep(2 * TIMEOUT_S)
+        elif request.path in CHUNKS:
+            return await _answer_in_chunks(request, *CHUNKS[request.path])
         elif request.path.startswith('/redirect/'):
             status = int(request.path.rpartition('/')[2])
             headers = {'Location': self.location}
@@ -42,6 +55,20 @@
         return web.Response(text='{}')
 
 
+async def _answer_in_chunks(
+    request: web.BaseRequest, size: int, count: int, pause_s: float, share: int
+) -> web.StreamResponse:
+    response = web.StreamResponse()
+    response.content_length = size * count * share
+    await response.prepare(request)
+    for _ in range(count):
+        await response.write(b'x' * size)
+        await asyncio.sleep(pause_s)
+    if share > 1:
+        await asyncio.sleep(3 * TIMEOUT_S)
+    return response
+
+
 async def _listen(server: Server) -> tuple[web.ServerRunner, str]:
     runner = web.ServerRunner(web.Server(server.handle_request))
     await runner.setup()
@@ -99,6 +126,28 @@
     run(work)
 
 
+def test_an_answer_that_is_arriving_is_not_discarded_at_the_timeout(run):
+    async def work(server, channels, address):
+        status, body = await _post(channels, address, '/large')
+        assert status == 200
+        size, count, _, _ = CHUNKS['/large']
+        assert len(body) == size * count
+
+    run(work)
+
+
+@pytest.mark.parametrize('path', ['/drip', '/stalled'])
+def test_an_answer_that_stops_arriving_fails_at_about_the_timeout(path, run):
+    async def work(server, channels, address):
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        with pytest.raises(exchanges.NoAnswerError):
+            await _post(channels, address, path)
+        assert loop.time() - started_at < 2.5 * TIMEOUT_S
+
+    run(work)
+
+
 @pytest.mark.parametrize('status', [301, 302, 303, 307, 308])
 def test_a_call_that_is_redirected_is_not_reported_as_unsent(status, run):
     # The server that received the call named an address without a listener.
--- a/tests/virtualtime.py
+++ b/tests/virtualtime.py
@@ -41,10 +41,17 @@
 class _Loop(asyncio.SelectorEventLoop):
     """Event loop on virtual time."""
 
+    # Simulated network, through which all connections go.
+    network: Any = None
+
     def __init__(self) -> None:
         self._clock = _Selector()
         super().__init__(self._clock)
 
+    async def create_connection(self, *arguments: Any, **_: Any) -> Any:
+        """Connect through the simulated network."""
+        return await self.network.connect(*arguments)
+
     def time(self) -> float:
         """Return the virtual time."""
         return self._clock.now
