A timeout bounds the wait for an answer, not its transfer

Callers saw queues refused with 404 (or served) as an older configuration says, for up to 20 s on the nodes with slow links. The timeout of a call covered its whole answer. An answer that took longer to arrive, since the link is slow or the long poll had used up most of the timeout, was discarded and requested again from the start; each attempt also filled the link for 1.2 s.

The deadline of a call now moves while its answer arrives: it fails after a pause of the timeout (1 s at most), or if the answer comes at less than 32 kB/s on the whole, so that a server that drips can't hold a call. This holds for both clients, and thus for each reader of the store, for answers between nodes, of workers and of the policy service, and for celeryshiftd. A part of an answer that arrives counts as contact with the store, and the latency of large answers says nothing about the store.

--- a/packages/cellnode/celeryshift_cellnode/_watchedstore.py
+++ b/packages/cellnode/celeryshift_cellnode/_watchedstore.py
@@ -15,6 +15,9 @@
 # A call that takes longer than this marks the store as slow; the usual latency
 # is about 10 ms.
 SLOW_CALL_S = 0.15
+# The latency of an answer with values of more bytes than this depends on the
+# link of this node.
+LARGE_ANSWER_BYTES = 50_000
 
 T = TypeVar('T')
 
@@ -32,7 +35,7 @@
         self._is_reported_lost = False
         self._numbers = itertools.count()
         # Latency of the last immediate call, which is any but
-        # ``read_changes``.
+        # ``read_changes`` and reads with a large answer.
         self.last_latency_s = 0.0
         # Send times of the immediate calls in flight.
         self._sent_at: dict[int, float] = {}
@@ -42,9 +45,18 @@
         """Return whether the store does not answer this node."""
         return (
             self._failed_at is not None
-            and self._failed_at - self._answered_at > UNAVAILABLE_AFTER_S
+            and self._failed_at - self._heard_at > UNAVAILABLE_AFTER_S
         )
 
+    @property
+    def progressed_at(self) -> float:
+        """Return when a part of a long answer last arrived; 0 if never."""
+        return self._store.progressed_at
+
+    @property
+    def _heard_at(self) -> float:
+        return max(self._answered_at, self._store.progressed_at)
+
     @property
     def is_slow(self) -> bool:
         """Return whether the store takes far longer than usual."""
@@ -55,9 +67,9 @@
         """Return for how long calls have been unanswered; 0 if none is."""
         now = time.monotonic()
         if self._failed_at is not None:
-            return now - self._answered_at
+            return now - self._heard_at
         oldest = min(self._sent_at.values(), default=now)
-        return now - max(oldest, self._answered_at)
+        return now - max(oldest, self._heard_at)
 
     async def transact(
         self, transaction: ports.Transaction, timeout_s: float
@@ -92,8 +104,10 @@
         number = next(self._numbers)
         if is_immediate:
             self._sent_at[number] = time.monotonic()
+        is_large = False
         try:
             answer = await call
+            is_large = _is_large(answer)
         except (errors.HistoryLostError, errors.StoreRejectedError):
             # These errors are answers of the store.
             self._record_answer()
@@ -106,7 +120,7 @@
             raise
         finally:
             sent_at = self._sent_at.pop(number, None)
-            if sent_at is not None:
+            if sent_at is not None and not is_large:
                 self.last_latency_s = time.monotonic() - sent_at
         self._record_answer()
         return answer
@@ -119,3 +133,10 @@
             self._log_decision('store_regained', away_s=away_s)
         self._answered_at = now
         self._failed_at = None
+
+
+def _is_large(answer: object) -> bool:
+    if not isinstance(answer, ports.ReadResult):
+        return False
+    size = sum(len(row.value) for row in answer.rows)
+    return size > LARGE_ANSWER_BYTES
--- a/packages/cellnode/celeryshift_cellnode/ports.py
+++ b/packages/cellnode/celeryshift_cellnode/ports.py
@@ -88,9 +88,14 @@
     Every call raises ``StoreRefusedError`` if the store has not carried it
     out, and ``StoreOutcomeUnknownError`` if it may have. The first one is a
     ``StoreRejectedError`` if the store will not carry out the call later
-    either.
+    either. The timeouts bound the wait for an answer; one that has begun may
+    take longer, as long as it keeps arriving.
     """
 
+    @property
+    def progressed_at(self) -> float:
+        """Return when a part of a long answer last arrived; 0 if never."""
+
     async def transact(
         self, transaction: Transaction, timeout_s: float
     ) -> Committed | Conflict:
--- a/packages/net/celeryshift_net/_channels.py
+++ b/packages/net/celeryshift_net/_channels.py
@@ -5,10 +5,12 @@
 from collections.abc import Mapping
 import functools
 import re
+import time
 
 import attrs
 
 from celeryshift_net import _connections
+from celeryshift_net import _deadlines
 from celeryshift_net import _errors
 from celeryshift_net import pools
 
@@ -59,6 +61,7 @@
         self, address: str, max_connections: int, traffic: pools.Traffic
     ) -> None:
         self.traffic = traffic
+        self.progressed_at = 0.0
         self._address = address
         self._prefix = f'http://{address}'
         self._max_connections = max_connections
@@ -82,14 +85,14 @@
         """Make a call and return its status and complete body."""
         self.traffic.count_call(len(data))
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_s
+        deadline = _deadlines.Deadline(loop.time(), timeout_s)
         generation = self._generation
         connection = response = None
         try:
             request = self._encode(method, url, data, headers)
             connection = self._take_idle(loop.time())
             if connection is None:
-                async with asyncio.timeout_at(deadline):
+                async with asyncio.timeout_at(deadline.at):
                     connection = await self._acquire(loop)
             response = await connection.send(
                 request, method == 'HEAD', loop, deadline
@@ -104,7 +107,7 @@
             message = f'{url}: no answer within {timeout_s:g} s'
             if connection is None:
                 raise _errors.NotSentError(message) from error
-            message += f', {connection.received} bytes received'
+            message += f', {deadline.received} bytes received'
             raise _errors.NoAnswerError(message) from error
         except (OSError, ValueError) as error:
             message = f'{url}: {error!r}'
@@ -213,7 +216,10 @@
         host, port = _parse_address(self._address)
         _, connection = await loop.create_connection(
             functools.partial(
-                _connections.Connection, generation, self._handle_lost
+                _connections.Connection,
+                generation,
+                self._handle_lost,
+                self._handle_progress,
             ),
             host,
             port,
@@ -233,6 +239,9 @@
         if connection in idle:
             idle.remove(connection)
 
+    def _handle_progress(self) -> None:
+        self.progressed_at = time.monotonic()
+
     def _release(
         self,
         connection: _connections.Connection,
--- a/packages/net/celeryshift_net/_connections.py
+++ b/packages/net/celeryshift_net/_connections.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from celeryshift_net import _deadlines
 from celeryshift_net import _responses
 
 
@@ -17,14 +18,16 @@
 
     generation: Any
     _handle_lost: Callable[['Connection'], None]
+    # Called when a part of a response has arrived that is not its end.
+    _handle_progress: Callable[[], None]
     released_at: float = 0.0
-    # Bytes of the current response.
-    received: int = 0
     _transport: asyncio.Transport = attrs.field(init=False)
     _reader: _responses.ResponseReader = attrs.field(
         factory=_responses.ResponseReader
     )
     _answer: asyncio.Future[_responses.Response] | None = None
+    _deadline: _deadlines.Deadline | None = None
+    _loop: asyncio.AbstractEventLoop | None = None
     _timer: asyncio.TimerHandle | None = None
     _is_usable: bool = True
 
@@ -37,17 +40,18 @@
         request: bytes,
         is_head: bool,
         loop: asyncio.AbstractEventLoop,
-        deadline: float,
+        deadline: _deadlines.Deadline,
     ) -> asyncio.Future[_responses.Response]:
         """Send a request, and return the future of its response.
 
-        It fails with TimeoutError at the deadline, and with other errors if
-        the connection is lost or the response malformed.
+        It fails with TimeoutError at the deadline, which moves while the
+        response arrives, and with other errors if the connection is lost or
+        the response malformed.
         """
         answer: asyncio.Future[_responses.Response] = loop.create_future()
         self._answer = answer
-        self.received = 0
-        self._timer = loop.call_at(deadline, self._expire)
+        self._deadline, self._loop = deadline, loop
+        self._timer = loop.call_at(deadline.at, self._expire)
         self._reader.begin(is_head)
         self._transport.write(request)
         return answer
@@ -73,7 +77,6 @@
             # idle connection.
             self.abort()
             return
-        self.received += len(data)
         try:
             response = self._reader.feed(data)
         except _responses.MalformedError as error:
@@ -82,6 +85,9 @@
             return
         if response is not None:
             self._complete(response)
+        elif self._deadline is not None and self._loop is not None:
+            self._deadline.extend(self._loop.time(), len(data))
+            self._handle_progress()
 
     def eof_received(self) -> None:
         """Complete the call if its response ends with the connection."""
@@ -108,6 +114,11 @@
             answer.set_result(response)
 
     def _expire(self) -> None:
+        assert self._deadline is not None
+        assert self._loop is not None
+        if self._deadline.at > self._loop.time():
+            self._timer = self._loop.call_at(self._deadline.at, self._expire)
+            return
         self._fail(TimeoutError())
 
     def _fail(self, error: Exception) -> None:
--- a/packages/net/celeryshift_net/exchanges.py
+++ b/packages/net/celeryshift_net/exchanges.py
@@ -25,6 +25,10 @@
 class Channel(Protocol):
     """Connections to one address."""
 
+    # When a part of an answer last arrived, on the monotonic clock; 0 if
+    # never. An answer that arrives in one piece need not count.
+    progressed_at: float
+
     async def exchange(
         self,
         method: str,
@@ -56,7 +60,9 @@
 ) -> tuple[int, bytes]:
     """Make a call and return its status and complete body.
 
-    Raises NotSentError if the call was certainly not sent, and
-    NoAnswerError if it may have been executed or may still be executed.
+    `timeout_s` bounds the wait for the answer. An answer that has begun may
+    take longer, as long as it keeps arriving. Raises NotSentError if the call
+    was certainly not sent, and NoAnswerError if it may have been executed or
+    may still be executed.
     """
     return await channel.exchange(method, url, data, timeout_s, headers)
--- a/packages/net/celeryshift_net/pools.py
+++ b/packages/net/celeryshift_net/pools.py
@@ -11,9 +11,11 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import ssl
+import time
 
 import aiohttp
 
+from celeryshift_net import _deadlines
 from celeryshift_net import _errors
 
 MAX_CONNECTIONS_PER_ADDRESS = 64
@@ -63,6 +65,7 @@
         traffic: Traffic,
     ) -> None:
         self.traffic = traffic
+        self.progressed_at = 0.0
         self._make_session = make_session
         self._session: aiohttp.ClientSession | None = None
         self._open_calls_by_session: dict[aiohttp.ClientSession, int] = {}
@@ -79,9 +82,11 @@
         self.traffic.count_call(len(data))
         session = self.acquire()
         unresponsive = False
+        loop = asyncio.get_running_loop()
+        deadline = _deadlines.Deadline(loop.time(), timeout_s)
         try:
             async with (
-                asyncio.timeout(timeout_s),
+                asyncio.timeout_at(deadline.at) as limit,
                 # A redirected call has been sent even if the second one has
                 # not.
                 session.request(
@@ -92,7 +97,13 @@
                     allow_redirects=False,
                 ) as response,
             ):
-                body = await response.read()
+                chunks = []
+                async for chunk in response.content.iter_any():
+                    chunks.append(chunk)
+                    deadline.extend(loop.time(), len(chunk))
+                    limit.reschedule(deadline.at)
+                    self.progressed_at = time.monotonic()
+                body = b''.join(chunks)
                 self.traffic.count_reply(len(body))
                 return response.status, body
         except CONNECT_ERRORS as error:
@@ -102,7 +113,10 @@
             raise _errors.NotSentError(f'{url}: {error}') from error
         except TimeoutError as error:
             unresponsive = True
-            message = f'{url}: no answer within {timeout_s:g} s'
+            message = (
+                f'{url}: no answer within {timeout_s:g} s, '
+                f'{deadline.received} bytes received'
+            )
             raise _errors.NoAnswerError(message) from error
         except (aiohttp.ClientError, ValueError, OSError) as error:
             raise _errors.NoAnswerError(f'{url}: {error!r}') from error
--- a/packages/standins/celeryshift_standins/rowstore.py
+++ b/packages/standins/celeryshift_standins/rowstore.py
@@ -35,6 +35,9 @@
     It rejects transactions beyond the limits of the platform's store.
     """
 
+    # Its answers arrive in one piece.
+    progressed_at = 0.0
+
     def __init__(self) -> None:
         self.limits = ports.StoreLimits()
         # Reasons of rejected transactions.
--- a/tests/callsim.py
+++ b/tests/callsim.py
@@ -42,6 +42,8 @@
 class _StoreAccess:
     """Access of one node to the store."""
 
+    progressed_at = 0.0
+
     def __init__(self, store: rowstore.RowStore, node: 'Node') -> None:
         self._store = store
         self._node = node
--- a/tests/cellnodes.py
+++ b/tests/cellnodes.py
@@ -16,6 +16,8 @@
 class StoreAccess:
     """Access of one node to the store, which a test can cut off."""
 
+    progressed_at = 0.0
+
     def __init__(self, store: rowstore.RowStore) -> None:
         self.store = store
         self.is_reachable = True
--- a/tests/configsim.py
+++ b/tests/configsim.py
@@ -154,13 +154,13 @@
             for number in range(fast + slow)
         ]
 
-    async def start(self) -> None:
-        """Start all nodes, and wait for the first configuration."""
+    async def start(self, routes: int = 10, settle_s: float = 2.0) -> None:
+        """Start all nodes, and let them read the first configuration."""
         asyncio.get_running_loop().network = self.network  # type: ignore[attr-defined]
-        self.configure(10)
+        self.configure(routes)
         for node in self.nodes:
             node.start()
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(settle_s)
 
     def configure(self, routes: int) -> int:
         """Store the next version, with a number of routes."""
--- a/tests/test_cell_configurations.py
+++ b/tests/test_cell_configurations.py
@@ -24,3 +24,23 @@
     site = configsim.run(work())
     assert not site.late()
     assert not any(node.count('store_lost') for node in site.nodes)
+
+
+def test_a_large_answer_does_not_mark_the_store_as_slow_or_lost():
+    async def work():
+        site = configsim.Site(fast=0, slow=1)
+        (node,) = site.nodes
+        await site.start(MANY_ROUTES, settle_s=0.0)
+        marks = []
+        for _ in range(300):
+            await asyncio.sleep(0.01)
+            store = node.store
+            marks.append(
+                store.is_slow or store.is_unavailable or store.unanswered_s
+            )
+        assert node.version
+        site.stop()
+        return marks
+
+    marks = configsim.run(work())
+    assert max(marks) < 0.1
