Nodes tell each other of newer configurations, and read only the newest

- After a failure, or an answer of more than 100 kB, during which further versions may be stored, the rows of the operator are read instead of their changes.
The first repetition comes at once.
- The owner tells all nodes which version it has; any other node tells the owner, and a notice is answered with the version of the receiver.
A node that is behind for 0.25 s fetches the configuration from a node with a fast link, compressed, and goes on from there.
Its own call in flight is abandoned, which frees its link.
The store remains the source for every node.

tests/configsim.py draws sizes up to 1.7 MB, many versions, slow links, lost answers, silent and slow stores, lost history, cut-off nodes and owners.

--- a/packages/cellnode/celeryshift_cellnode/_evacuations.py
+++ b/packages/cellnode/celeryshift_cellnode/_evacuations.py
@@ -55,6 +55,19 @@
         names = map(self._decoder.evacuated_data_centre, self._keys)
         self.data_centres = frozenset(n for n in names if n is not None)
 
+    @property
+    def keys(self) -> frozenset[str]:
+        """Return the keys of all evacuations."""
+        return frozenset(self._keys)
+
+    def replace(self, keys: Sequence[str], version: int) -> None:
+        """Apply the keys that another node has read, as of a version."""
+        rows = [
+            ports.Row(self._tables.operator, '', key, b'', version)
+            for key in keys
+        ]
+        self.apply(rows, version, True, self.revision)
+
     async def read(self, store: ports.Store) -> None:
         """Read the rows of all evacuations."""
         revision = self.revision
--- a/packages/cellnode/celeryshift_cellnode/_peers.py
+++ b/packages/cellnode/celeryshift_cellnode/_peers.py
@@ -29,7 +29,7 @@
         name: str,
         body: Any,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Any:
+    ) -> dict[str, Any]:
         """Call a function of another node, and return its result."""
         channel = self._channels.get(address, pools.PEERS)
         try:
@@ -46,7 +46,13 @@
             raise errors.PeerError(str(error)) from error
         if status != 200:
             raise errors.PeerError(f'{name} at {address}: status {status}')
-        return orjson.loads(received)
+        try:
+            result = orjson.loads(received)
+        except ValueError as error:
+            raise errors.PeerError(f'{name} at {address}: {error}') from error
+        if not isinstance(result, dict):
+            raise errors.PeerError(f'{name} at {address}: no object')
+        return result
 
     async def is_reachable(self, address: str, timeout_s: float) -> bool:
         """Return whether a node answers a ping."""
--- a/packages/cellnode/celeryshift_cellnode/_records.py
+++ b/packages/cellnode/celeryshift_cellnode/_records.py
@@ -266,6 +266,7 @@
     part: str = _schema.CELL,
     first: str = '',
     last: str | None = None,
+    timeout_s: float = READ_TIMEOUT_S,
 ) -> tuple[list[ports.Row], int]:
     """Read the rows of a range of a table in one part, page by page.
 
@@ -275,7 +276,7 @@
     rows: list[ports.Row] = []
     version = 0
     while True:
-        page = await store.read(table, part, first, last, READ_TIMEOUT_S)
+        page = await store.read(table, part, first, last, timeout_s)
         rows += page.rows
         version = version or page.version
         if not page.has_more:
--- a/packages/cellnode/celeryshift_cellnode/_watchedstore.py
+++ b/packages/cellnode/celeryshift_cellnode/_watchedstore.py
@@ -102,29 +102,33 @@
 
     async def _track(self, call: Awaitable[T], is_immediate: bool = True) -> T:
         number = next(self._numbers)
+        sent_at = time.monotonic()
         if is_immediate:
-            self._sent_at[number] = time.monotonic()
-        is_large = False
+            self._sent_at[number] = sent_at
         try:
             answer = await call
-            is_large = _is_large(answer)
         except (errors.HistoryLostError, errors.StoreRejectedError):
             # These errors are answers of the store.
+            self._record_latency(sent_at, is_immediate)
             self._record_answer()
             raise
         except errors.StoreError as error:
+            self._record_latency(sent_at, is_immediate)
             self._failed_at = time.monotonic()
             if self.is_unavailable and not self._is_reported_lost:
                 self._is_reported_lost = True
                 self._log_decision('store_lost', error=str(error))
             raise
         finally:
-            sent_at = self._sent_at.pop(number, None)
-            if sent_at is not None and not is_large:
-                self.last_latency_s = time.monotonic() - sent_at
+            self._sent_at.pop(number, None)
+        self._record_latency(sent_at, is_immediate and not _is_large(answer))
         self._record_answer()
         return answer
 
+    def _record_latency(self, sent_at: float, is_measured: bool) -> None:
+        if is_measured:
+            self.last_latency_s = time.monotonic() - sent_at
+
     def _record_answer(self) -> None:
         now = time.monotonic()
         if self._is_reported_lost:
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -14,6 +14,7 @@
 import celeryshift_cell as cell
 from celeryshift_cell import events
 from celeryshift_cellnode import _advicerelay
+from celeryshift_cellnode import _configurations
 from celeryshift_cellnode import _connectivity
 from celeryshift_cellnode import _evacuations
 from celeryshift_cellnode import _followers
@@ -110,6 +111,20 @@
             self._start_owning,
             self._stop_owning,
         )
+        self._configurations = _configurations.Configurations(
+            self._store,
+            tables,
+            self._decoder,
+            self._evacuations,
+            settings.cell.evacuation_s,
+            self._peers,
+            self._ownership,
+            self._membership,
+            self._local_node,
+            self._log_decision,
+            self._handle_configured,
+            self._handle_evacuated,
+        )
         self._advice_relay = _advicerelay.AdviceRelay(
             policy_client, self._local_node.address, self._peers
         )
@@ -163,7 +178,7 @@
         background = [
             loop.create_task(self._restart_on_failure(work))
             for work in (
-                self._follow_configuration,
+                self._configurations.run,
                 self._membership.run,
                 self._ownership.run,
                 self._connectivity.run,
@@ -259,6 +274,8 @@
         server = _peers.PeerServer(self._render_metrics, self._log_decision)
         for name, handler in self.service.owner_service.handlers.items():
             server.add_handler(name, handler)
+        for name, handler in self._configurations.handlers.items():
+            server.add_handler(name, handler)
         server.add_handler('ping', self._ownership.handle_ping)
         server.add_handler('owner', self._ownership.handle_announcement)
         server.add_handler('promise', self._ownership.promises.handle_request)
@@ -302,32 +319,19 @@
         result = cell.explain(self._runner.state, body['job'])
         return {'is_owner': True, 'job': result}
 
-    async def _follow_configuration(self) -> None:
-        follower = _followers.ConfigurationFollower(
-            self._store,
-            self._tables,
-            self._decoder,
-            self._evacuations,
-            self._settings.cell.evacuation_s,
-            self._log_decision,
-        )
-        async for change in follower.follow():
-            now = time.monotonic()
-            if change.configuration is not None:
-                self._configure(change.configuration)
-            if change.evacuated is not None and self._runner is not None:
-                self._runner.enqueue(
-                    events.EvacuationsChanged(now, change.evacuated)
-                )
-
-    def _configure(self, configuration: ports.Configuration) -> None:
+    def _handle_configured(self, configuration: ports.Configuration) -> None:
         self.service.configure(configuration)
-        self._log_decision('configuration', version=configuration.version)
         if self._runner is not None:
             self._runner.enqueue(
                 events.ConfigChanged(time.monotonic(), configuration.cell)
             )
 
+    def _handle_evacuated(self, evacuated: frozenset[str]) -> None:
+        if self._runner is not None:
+            self._runner.enqueue(
+                events.EvacuationsChanged(time.monotonic(), evacuated)
+            )
+
     async def _start_owning(
         self, owner: _schema.Owner, version: int, former_owner_until: float
     ) -> None:
@@ -389,6 +393,8 @@
                 ),
             )
         ]
+        # The former owner may have ended before it told all nodes.
+        self._configurations.announce()
 
     async def _restore(
         self, version: int, writer: _groupwriter.GroupWriter
--- a/tests/configsim.py
+++ b/tests/configsim.py
@@ -4,6 +4,7 @@
 import base64
 import contextlib
 import json
+import random
 import time
 from typing import Any
 import urllib.parse
@@ -12,8 +13,10 @@
 from tests import linksim
 from tests import virtualtime
 
+from celeryshift_cellnode import _configurations
 from celeryshift_cellnode import _evacuations
-from celeryshift_cellnode import _followers
+from celeryshift_cellnode import _peers
+from celeryshift_cellnode import _schema
 from celeryshift_cellnode import _watchedstore
 from celeryshift_cellnode import errors
 from celeryshift_cellnode import ports
@@ -62,13 +65,15 @@
 
 
 class Node:
-    """Node that follows the operator's table."""
+    """Node that follows the operator's table, and may own the cell."""
 
     def __init__(self, site: 'Site', name: str, mbps: float) -> None:
         self.name = name
         self.site = site
         self.link = linksim.Link(mbps)
-        site.network.hosts[name] = linksim.Host(self.link)
+        self.node = _schema.Node(
+            name, f'{name}:81', name, f'dc-{len(name)}', 1.0, mbps
+        )
         self.lines: list[tuple[float, str, dict[str, Any]]] = []
         channels = http1.ChannelPool(16)
         self.store = _watchedstore.WatchedStore(
@@ -79,6 +84,38 @@
         # End of the last fault that concerned this node.
         self.calm_since = 0.0
         self.tasks: list[asyncio.Task[None]] = []
+        decoder = _decode.Decoder(self.log_decision)
+        self.configurations = _configurations.Configurations(
+            self.store,
+            _decode.TABLES,
+            decoder,
+            _evacuations.Evacuations(_decode.TABLES, decoder),
+            5.0,
+            _peers.Peers(channels),
+            self,  # type: ignore[arg-type]
+            self,  # type: ignore[arg-type]
+            self.node,
+            self.log_decision,
+            self._apply,
+            lambda _: None,
+        )
+        site.network.hosts[name] = linksim.Host(self.link, self._answer)
+
+    @property
+    def owner(self) -> _schema.Owner | None:
+        """Return the owner."""
+        node = self.site.owner
+        return node and _schema.Owner(node.name, node.node.address, '', 1)
+
+    @property
+    def is_owner(self) -> bool:
+        """Return whether this node is the owner."""
+        return self.site.owner is self
+
+    @property
+    def others(self) -> list[_schema.Node]:
+        """Return the other nodes."""
+        return [each.node for each in self.site.nodes if each is not self]
 
     @property
     def version(self) -> int:
@@ -97,29 +134,20 @@
         """Start to follow, as this host."""
         linksim.caller.set(self.name)
         self.tasks = [
-            asyncio.create_task(self._follow()),
+            asyncio.create_task(self.configurations.run()),
             asyncio.create_task(self._probe()),
         ]
 
-    async def _follow(self) -> None:
-        decoder = _decode.Decoder(self.log_decision)
-        follower = _followers.ConfigurationFollower(
-            self.store,
-            _decode.TABLES,
-            decoder,
-            _evacuations.Evacuations(_decode.TABLES, decoder),
-            5.0,
-            self.log_decision,
-        )
-        async for change in follower.follow():
-            if change.configuration is not None:
-                self.apply(change.configuration)
+    def _apply(self, configuration: ports.Configuration) -> None:
+        self.in_force.append((time.monotonic(), configuration.version))
 
-    def apply(self, configuration: ports.Configuration) -> None:
-        """Put a configuration into force, if it is newer."""
-        if configuration.version > self.version:
-            now = time.monotonic()
-            self.in_force.append((now, configuration.version))
+    async def _answer(
+        self, name: str, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        handler = self.configurations.handlers[target.rpartition('/')[2]]
+        # The work that a call begins is done by this node.
+        linksim.caller.set(self.name)
+        return 200, orjson.dumps(await handler(orjson.loads(body)))
 
     async def _probe(self) -> None:
         """Read small rows, as all nodes do to follow the owner."""
@@ -143,8 +171,12 @@
         self.network.hosts[STORE] = linksim.Host(
             linksim.Link(STORE_MBPS), self._answer
         )
-        self.is_busy = False
+        # Present while the store refuses all calls.
+        self.busy: dict[str, float] = {}
         self.ended_at = 0.0
+        # End of the last cut.
+        self.cut_until = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
         # Version before which the store has dropped its history.
         self.history_from = 0
         # When each version was confirmed.
@@ -153,6 +185,7 @@
             Node(self, f'n{number}', FAST_MBPS if number < fast else SLOW_MBPS)
             for number in range(fast + slow)
         ]
+        self.owner: Node | None = self.nodes[0]
 
     async def start(self, routes: int = 10, settle_s: float = 2.0) -> None:
         """Start all nodes, and let them read the first configuration."""
@@ -169,14 +202,52 @@
         self.confirmed.append((time.monotonic(), version))
         return version
 
-    def disturb(self, node: Node, for_s: float) -> None:
-        """Note that a fault concerns a node until a while from now."""
-        node.calm_since = max(node.calm_since, time.monotonic() + for_s)
+    def spawn(self, work: Any) -> None:
+        """Run a coroutine in the background."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def cut(self, pairs: list[tuple[str, str]], for_s: float) -> None:
+        """Deliver nothing between pairs of caller and host for a while."""
+        added = set(pairs) - self.network.silent
+        self.cut_until = time.monotonic() + for_s
+        self.network.silent |= added
+
+        async def heal() -> None:
+            await asyncio.sleep(for_s)
+            self.network.silent -= added
+
+        self.spawn(heal())
+
+    def set_temporarily(
+        self, values: dict[str, float], value: float, for_s: float
+    ) -> None:
+        """Set a property of the store for a while, which concerns all."""
+        values[STORE] = value
+
+        async def clear() -> None:
+            await asyncio.sleep(for_s)
+            values.pop(STORE, None)
+
+        self.spawn(clear())
+        for node in self.nodes:
+            until = time.monotonic() + for_s
+            node.calm_since = max(node.calm_since, until)
+
+    async def change_owner(self, draw: random.Random) -> None:
+        """Replace the owner after a while."""
+        former, self.owner = self.owner, None
+        await asyncio.sleep(draw.uniform(*TAKEOVER_S))
+        others = [node for node in self.nodes if node is not former]
+        self.owner = draw.choice(others)
+        linksim.caller.set(self.owner.name)
+        self.owner.configurations.announce()
 
     async def _answer(
         self, name: str, method: str, target: str, body: bytes
     ) -> tuple[int, bytes]:
-        if self.is_busy:
+        if self.busy.get(STORE):
             return BUSY, b'{}'
         path, _, text = target.partition('?')
         query = dict(urllib.parse.parse_qsl(text, True))
@@ -244,3 +315,85 @@
 def run(work: Any, limit_s: float = 120.0) -> Any:
     """Run a coroutine in virtual time."""
     return virtualtime.run(work, limit_s)
+
+
+SIZES = (10, 500, 2000, 4000, 8000)
+SETTLE_S = 12.0
+# Time until a lost owner is replaced.
+TAKEOVER_S = (0.6, 1.5)
+
+
+def _silence(site: Site, draw: random.Random) -> None:
+    """Let the store be silent towards some nodes or all."""
+    nodes = draw.sample(site.nodes, draw.randint(1, len(site.nodes)))
+    site.cut([(node.name, STORE) for node in nodes], draw.uniform(0.2, 5.0))
+    for node in site.nodes:
+        node.calm_since = max(node.calm_since, site.cut_until)
+
+
+def _isolate(site: Site, draw: random.Random) -> None:
+    """Cut a node off from the store and all nodes; replace it as the owner."""
+    node = draw.choice(site.nodes)
+    others = [STORE, *(each.name for each in site.nodes if each is not node)]
+    pairs = [(node.name, other) for other in others]
+    pairs += [(other, node.name) for other in others]
+    site.cut(pairs, draw.uniform(0.2, 5.0))
+    node.calm_since = max(node.calm_since, site.cut_until)
+    if node is site.owner:
+        site.spawn(site.change_owner(draw))
+
+
+def _lose_answers(site: Site, draw: random.Random) -> None:
+    site.set_temporarily(
+        site.network.lost_share, draw.uniform(0.2, 1.0), draw.uniform(0.2, 4.0)
+    )
+
+
+def _slow_down(site: Site, draw: random.Random) -> None:
+    site.set_temporarily(
+        site.network.latency_s, draw.uniform(0.05, 0.4), draw.uniform(0.5, 4.0)
+    )
+
+
+def _refuse(site: Site, draw: random.Random) -> None:
+    site.set_temporarily(site.busy, 1.0, draw.uniform(0.2, 4.0))
+
+
+def _forget(site: Site, draw: random.Random) -> None:
+    site.history_from = site.rows.version
+    for node in site.nodes:
+        node.calm_since = max(node.calm_since, time.monotonic())
+
+
+def _lose_owner(site: Site, draw: random.Random) -> None:
+    site.spawn(site.change_owner(draw))
+
+
+FAULTS = (
+    _silence,
+    _isolate,
+    _lose_answers,
+    _slow_down,
+    _refuse,
+    _forget,
+    _lose_owner,
+)
+
+
+async def play(seed: int) -> Site:
+    """Play a site whose configurations, links and faults a seed chooses."""
+    draw = random.Random(seed)
+    site = Site(draw.randint(1, 3), draw.randint(1, 5))
+    site.network.random.seed(seed)
+    await site.start(draw.choice(SIZES))
+    for _ in range(draw.randint(2, 6)):
+        for _ in range(draw.choice((0, 1, 1, 2))):
+            draw.choice(FAULTS)(site, draw)
+            await asyncio.sleep(draw.uniform(0.0, 1.0))
+        for _ in range(draw.choice((1, 1, 2, 6))):
+            site.configure(draw.choice(SIZES))
+            await asyncio.sleep(draw.uniform(0.05, 0.8))
+        await asyncio.sleep(draw.uniform(0.0, 3.0))
+    await asyncio.sleep(SETTLE_S)
+    site.stop()
+    return site
