A node whose calls to the store fail asks others for its configuration

A node that was cut off when a configuration was announced learned of it only by its own read of the store afterwards. While its calls to the store fail, a node now asks nodes with fast links each 0.5 s.

--- a/packages/cellnode/celeryshift_cellnode/_configurations.py
+++ b/packages/cellnode/celeryshift_cellnode/_configurations.py
@@ -39,7 +39,13 @@
         # Encoded value of the configuration in force.
         self._value = b''
         self._follower = _followers.ConfigurationFollower(
-            store, tables, decoder, evacuations, evacuation_s, log_decision
+            store,
+            tables,
+            decoder,
+            evacuations,
+            evacuation_s,
+            log_decision,
+            self._handle_failing,
         )
         self._distribution = _distribution.Distribution(
             peers,
@@ -85,6 +91,9 @@
         )
         self._distribution.announce()
 
+    def _handle_failing(self) -> None:
+        self._distribution.ask_while(lambda: self._follower.is_failing)
+
     def _take_snapshot(self) -> _distribution.Snapshot | None:
         if self._in_force is None:
             return None
--- a/packages/cellnode/celeryshift_cellnode/_distribution.py
+++ b/packages/cellnode/celeryshift_cellnode/_distribution.py
@@ -33,6 +33,8 @@
 # them. After the last one, the node depends on its own calls to the store.
 ATTEMPTS = 4
 RETRY_DELAY_S = 0.3
+# Interval at which a node asks others while its own calls to the store fail.
+ASK_INTERVAL_S = 0.5
 # Nodes with fast links that are asked for a configuration before the one that
 # has announced it.
 MAX_SOURCES = 2
@@ -89,6 +91,7 @@
         # Encoded value of the last configuration that was asked for.
         self._encoded: tuple[int, str] = (0, '')
         self._fetching: asyncio.Task[None] | None = None
+        self._asking: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -112,6 +115,20 @@
         else:
             self._spawn(self._notify_owner(self._version))
 
+    def ask_while(self, is_needed: Callable[[], bool]) -> None:
+        """Ask other nodes for a newer configuration while it is needed."""
+        if self._asking is None or self._asking.done():
+            loop = asyncio.get_running_loop()
+            self._asking = loop.create_task(self._ask_while(is_needed))
+
+    async def _ask_while(self, is_needed: Callable[[], bool]) -> None:
+        while is_needed():
+            silent: set[str] = set()
+            for address in self._sources(silent):
+                if not is_needed() or await self._fetch(address):
+                    break
+            await asyncio.sleep(ASK_INTERVAL_S)
+
     def _spawn(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
@@ -180,7 +197,7 @@
                 if not await self._fetch(address):
                     silent.add(address)
         # A version that could not be fetched may be announced again.
-        self._newest = 0
+        self._newest, self._newest_at = 0, ''
 
     def _sources(self, silent: set[str]) -> list[str]:
         """Return some nodes with fast links, near ones first, and the newest.
@@ -202,7 +219,7 @@
             key=lambda node: node.data_centre != self._local_node.data_centre
         )
         addresses = [node.address for node in nodes[:MAX_SOURCES]]
-        return [*addresses, self._newest_at]
+        return [*addresses, self._newest_at] if self._newest_at else addresses
 
     async def _fetch(self, address: str) -> bool:
         """Fetch a configuration; return whether the node answered."""
@@ -224,12 +241,13 @@
             if snapshot is not None and is_newer:
                 self._on_fetched(snapshot)
             return True
-        self._log_decision(
-            'configuration_not_fetched',
-            at=address,
-            version=self._newest,
-            error=reason,
-        )
+        if self._newest_at:
+            self._log_decision(
+                'configuration_not_fetched',
+                at=address,
+                version=self._newest,
+                error=reason,
+            )
         return False
 
     def _decode(self, answer: Any) -> Snapshot | None:
--- a/packages/cellnode/celeryshift_cellnode/_followers.py
+++ b/packages/cellnode/celeryshift_cellnode/_followers.py
@@ -57,14 +57,17 @@
         wait_ms: int,
         log_decision: Callable[..., None],
         reads_newest: bool = False,
+        on_failing: Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._table = table
         self._part = part
         self._wait_ms = wait_ms
         self._log_decision = log_decision
-        self._is_failing = False
+        # Whether the last call has failed.
+        self.is_failing = False
         self._reads_newest = reads_newest
+        self._on_failing = on_failing
         # Whether the rows are read next instead of their changes.
         self._reads_rows = False
         self._call: asyncio.Task[tuple[list[ports.Row], bool]] | None = None
@@ -85,7 +88,7 @@
                 )
                 self.after = None
             except errors.StoreError as error:
-                if not self._is_failing:
+                if not self.is_failing:
                     self._log_decision(
                         'feed_lost', table=self._table, error=str(error)
                     )
@@ -93,12 +96,13 @@
                     # The first repetition must not add to the time that it
                     # took to notice the failure.
                     await asyncio.sleep(RETRY_DELAY_S)
-                self._is_failing = True
+                self.is_failing = True
+                self._on_failing()
                 self._reads_rows = self._reads_newest
             else:
-                if self._is_failing:
+                if self.is_failing:
                     self._log_decision('feed_regained', table=self._table)
-                self._is_failing = False
+                self.is_failing = False
                 return rows, is_complete
 
     def skip_to(self, version: int) -> bool:
@@ -136,9 +140,7 @@
         after = self.after
         if after is None or self._reads_rows:
             timeout_s = (
-                RETRY_TIMEOUT_S
-                if self._is_failing
-                else _records.READ_TIMEOUT_S
+                RETRY_TIMEOUT_S if self.is_failing else _records.READ_TIMEOUT_S
             )
             rows, self.after = await _records.read_all(
                 self._store, self._table, self._part, timeout_s=timeout_s
@@ -149,7 +151,7 @@
             return rows, True
         # After a failure the feed does not wait, so that another lost answer
         # is noticed sooner.
-        wait_ms = 0 if self._is_failing else self._wait_ms
+        wait_ms = 0 if self.is_failing else self._wait_ms
         read = await self._store.read_changes(self._table, after, wait_ms)
         self.after = read.version
         self._reads_rows = self._has_large_change(read.rows, after)
@@ -183,6 +185,7 @@
         evacuations: _evacuations.Evacuations,
         evacuation_s: float,
         log_decision: Callable[..., None],
+        on_failing: Callable[[], None] = lambda: None,
     ) -> None:
         wait_ms = int(EVACUATION_WAIT_SHARE * evacuation_s * 1000)
         self._feed = _ChangeFeed(
@@ -192,6 +195,7 @@
             max(MIN_WAIT_MS, min(CONFIGURATION_WAIT_MS, wait_ms)),
             log_decision,
             reads_newest=True,
+            on_failing=on_failing,
         )
         self._tables = tables
         self._decoder = decoder
@@ -203,6 +207,11 @@
         # Version up to which the rows have been applied; 0 if none have.
         self.read_to = 0
 
+    @property
+    def is_failing(self) -> bool:
+        """Return whether the last call to the store has failed."""
+        return self._feed.is_failing
+
     def adopt(self, snapshot: _distribution.Snapshot) -> None:
         """Continue from what another node has read."""
         self._version = snapshot.configuration.version
