No entry, answer or call of others ends or stops what reads it

One entry of another writer in the table of workers, nested 1,000 deep, with a number beyond 64 bits or a port out of range, was decoded with an error that nobody expected (RecursionError of repr, in the follower of the workers, which restarted without end, and in each new owner, which gave the cell up), or passed on numbers that a log line can't hold.

- An effect that fails loses no other effect or event.
A line of the log whose values have no JSON form is written with their descriptions.

--- a/packages/cell/celeryshift_cell/_learning.py
+++ b/packages/cell/celeryshift_cell/_learning.py
@@ -80,7 +80,14 @@
         record = json.loads(text)
         _run_times.restore(cell, record)
         _interference.restore(cell, record.get('pairs', []))
-    except (ValueError, TypeError, AttributeError, ArithmeticError) as error:
+    except (
+        ValueError,
+        TypeError,
+        AttributeError,
+        LookupError,
+        ArithmeticError,
+        RecursionError,
+    ) as error:
         cell.log_decision(
             'learned_unreadable', error=repr(error)[:MAX_ERROR_CHARS]
         )
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -398,7 +398,14 @@
     for stored in event.jobs:
         try:
             _restore_job(cell, stored.job, event)
-        except (ValueError, LookupError, TypeError, AttributeError) as error:
+        except (
+            ValueError,
+            LookupError,
+            TypeError,
+            AttributeError,
+            ArithmeticError,
+            RecursionError,
+        ) as error:
             # Without its progress the job would run again. Its rows remain.
             cell.jobs.pop(stored.job.id, None)
             cell.evicted_at[stored.job.id] = cell.now
--- a/packages/cellnode/celeryshift_cellnode/_advicerelay.py
+++ b/packages/cellnode/celeryshift_cellnode/_advicerelay.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from celeryshift_cellnode import _peers
+from celeryshift_cellnode import errors
 from celeryshift_cellnode import ports
 
 
@@ -27,7 +28,10 @@
             return await self._policy_client.advise(step, workers, timeout_s)
         body = {'step': step, 'workers': workers, 'timeout_s': timeout_s}
         answer = await self._peers.call(address, 'advise', body, timeout_s)
-        return ports.AdviceResult(answer['tickets'], answer['validity_ms'])
+        tickets, validity_ms = answer['tickets'], answer['validity_ms']
+        if not (isinstance(tickets, dict) and isinstance(validity_ms, int)):
+            raise errors.PeerError(f'advice on {step}: no tickets')
+        return ports.AdviceResult(tickets, validity_ms)
 
     async def handle_request(self, body: Any) -> dict[str, Any]:
         """Request advice on behalf of another node."""
--- a/packages/cellnode/celeryshift_cellnode/_groupwriter.py
+++ b/packages/cellnode/celeryshift_cellnode/_groupwriter.py
@@ -192,7 +192,7 @@
         try:
             await self._write_all()
         except Exception as error:
-            self._log_decision('journal_failed', error=repr(error))
+            self._log_decision('journal_failed', error=errors.describe(error))
             self._on_lost('writes to the store fail')
             raise
 
--- a/packages/cellnode/celeryshift_cellnode/_handover.py
+++ b/packages/cellnode/celeryshift_cellnode/_handover.py
@@ -78,12 +78,13 @@
                 answer = await self._peers.call(
                     node.address, 'ping', {}, HANDOVER_TIMEOUT_S
                 )
+                is_leaving = answer['is_leaving']
             except errors.PeerError as error:
                 self._log_decision(
                     'no_successor', peer=node.name, error=str(error)
                 )
                 continue
-            if answer['is_leaving']:
+            if is_leaving:
                 continue
             if await self._transfer_to(node):
                 return
--- a/packages/cellnode/celeryshift_cellnode/_logs.py
+++ b/packages/cellnode/celeryshift_cellnode/_logs.py
@@ -12,6 +12,8 @@
 
 import orjson
 
+from celeryshift_cellnode import errors
+
 # Lines beyond this rate are dropped; a burst of two seconds' worth may pass.
 LINES_PER_S = 1000.0
 BURST_LINES = 2000.0
@@ -73,10 +75,13 @@
             'decision': decision,
             **fields,
         }
-        self._buffer += (
-            orjson.dumps(line, default=str, option=orjson.OPT_NON_STR_KEYS)
-            + b'\n'
-        )
+        try:
+            encoded = _encode(line)
+        except Exception:
+            # A value has no JSON form, such as a number beyond 64 bits. A line
+            # must not fail the work that it reports.
+            encoded = _encode({k: _to_text(v) for k, v in line.items()})
+        self._buffer += encoded + b'\n'
 
     def flush(self) -> None:
         """Write buffered lines, as far as the reader accepts them."""
@@ -92,3 +97,16 @@
                 self._buffer.clear()
                 return
             del self._buffer[:written]
+
+
+def _encode(line: dict[str, Any]) -> bytes:
+    return orjson.dumps(line, default=str, option=orjson.OPT_NON_STR_KEYS)
+
+
+def _to_text(value: Any) -> Any:
+    try:
+        _encode({'': value})
+    except Exception:
+        text = errors.describe(value)
+        return text.encode(errors='replace').decode()
+    return value
--- a/packages/cellnode/celeryshift_cellnode/_membership.py
+++ b/packages/cellnode/celeryshift_cellnode/_membership.py
@@ -134,7 +134,9 @@
             # A later release or a fault may have written it.
             if self._unreadable.get(row.key) != row.value:
                 self._log_decision(
-                    'node_unreadable', peer=row.key, error=repr(error)[:200]
+                    'node_unreadable',
+                    peer=row.key,
+                    error=errors.describe(error),
                 )
             self._unreadable[row.key] = row.value
             return None
--- a/packages/cellnode/celeryshift_cellnode/_ownership.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownership.py
@@ -181,6 +181,7 @@
             answer = await self._peers.call(
                 owner.address, 'ping', {}, PING_TIMEOUT_S
             )
+            incarnation = answer['incarnation']
         except errors.PeerRefusedError:
             if self.view.owner is owner and self.view.refused_since is None:
                 self.view.refused_since = time.monotonic()
@@ -193,7 +194,7 @@
             # The answer says nothing about an owner that was read meanwhile.
             return
         self.view.refused_since = None
-        if answer['incarnation'] != owner.incarnation:
+        if incarnation != owner.incarnation:
             self.view.has_restarted = True
 
     async def acquire(
@@ -286,7 +287,9 @@
         except Exception as error:
             # An owner that renews its lease but does not act would keep the
             # others from taking over.
-            self._log_decision('ownership_not_started', error=repr(error))
+            self._log_decision(
+                'ownership_not_started', error=errors.describe(error)
+            )
             self.step_down('the ownership could not be started')
             return
         self._announce_owner(owner, version)
--- a/packages/cellnode/celeryshift_cellnode/_peers.py
+++ b/packages/cellnode/celeryshift_cellnode/_peers.py
@@ -17,6 +17,14 @@
 Handler = Callable[[Any], Awaitable[Any]]
 
 
+class Answer(dict[str, Any]):
+    """Answer of another node; a field that it lacks counts as no answer."""
+
+    def __missing__(self, field: str) -> Any:
+        """Raise ``PeerError``."""
+        raise errors.PeerError(f'the answer has no {field!r}')
+
+
 class Peers:
     """Client for calls to other nodes."""
 
@@ -52,7 +60,7 @@
             raise errors.PeerError(f'{name} at {address}: {error}') from error
         if not isinstance(result, dict):
             raise errors.PeerError(f'{name} at {address}: no object')
-        return result
+        return Answer(result)
 
     async def is_reachable(self, address: str, timeout_s: float) -> bool:
         """Return whether a node answers a ping."""
@@ -101,7 +109,9 @@
             # Another release or a fault may send anything; the caller treats
             # the status as no answer.
             self._log_decision(
-                'peer_call_failed', call=request.path, error=repr(error)
+                'peer_call_failed',
+                call=request.path,
+                error=errors.describe(error),
             )
             return web.Response(status=503)
         return web.Response(
--- a/packages/cellnode/celeryshift_cellnode/_promises.py
+++ b/packages/cellnode/celeryshift_cellnode/_promises.py
@@ -114,11 +114,12 @@
                 {'heard': has_store_contact},
                 PROMISE_TIMEOUT_S,
             )
+            is_given = answer['promised']
         except errors.PeerError:
             # The node may be running and acquire the cell, even if its port
             # refuses connections: a network partition can cause that too.
             return Promise.NO_ANSWER
-        return Promise.GIVEN if answer['promised'] else Promise.REFUSED
+        return Promise.GIVEN if is_given else Promise.REFUSED
 
     async def handle_request(self, body: Any) -> dict[str, Any]:
         """Promise not to acquire the cell, or refuse the promise.
--- a/packages/cellnode/celeryshift_cellnode/_records.py
+++ b/packages/cellnode/celeryshift_cellnode/_records.py
@@ -19,8 +19,6 @@
 READ_TIMEOUT_S = 2.0
 # Row of what the owner has learned.
 LEARNED = ports.Key(_schema.CELLS, _schema.LEARNED_KEY)
-# Size of an error in the log.
-MAX_ERROR_CHARS = 200
 
 
 def cancel_key(job_id: str) -> ports.Key:
@@ -237,7 +235,7 @@
             'row_unreadable',
             table=row.table,
             key=row.key,
-            error=repr(error)[:MAX_ERROR_CHARS],
+            error=errors.describe(error),
         )
         return None
 
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -13,6 +13,7 @@
 from celeryshift_cellnode import _groupwriter
 from celeryshift_cellnode import _metrics
 from celeryshift_cellnode import _records
+from celeryshift_cellnode import errors
 from celeryshift_cellnode import ports
 
 # Interval at which leases, tickets and delays are checked.
@@ -116,11 +117,18 @@
                 self._log_decision(
                     'event_failed',
                     event=type(event).__name__,
-                    error=repr(error),
+                    error=errors.describe(error),
                 )
                 continue
             for effect in emitted:
-                self._execute(effect)
+                self._execute_safely(effect)
+
+    def _execute_safely(self, effect: effects.Effect) -> None:
+        try:
+            self._execute(effect)
+        except Exception as error:
+            # The other effects and events must not be lost.
+            self._log_failed_effect(effect, error)
 
     def _spawn(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -131,14 +139,16 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             error = task.exception()
-            self._log_decision('effect_failed', error=repr(error))
+            self._log_decision('effect_failed', error=errors.describe(error))
 
     def _log_failed_effect(
         self, effect: effects.Effect, error: Exception
     ) -> None:
         """Log an unexpected error; the cell then treats it as no answer."""
         self._log_decision(
-            'effect_failed', effect=type(effect).__name__, error=repr(error)
+            'effect_failed',
+            effect=type(effect).__name__,
+            error=errors.describe(error),
         )
 
     def _execute(self, effect: effects.Effect) -> None:
@@ -237,7 +247,10 @@
         except Exception as error:
             self._log_failed_effect(request, error)
             answer = events.AdviceFailed(
-                time.monotonic(), request.step, request.workers, repr(error)
+                time.monotonic(),
+                request.step,
+                request.workers,
+                errors.describe(error),
             )
         self.enqueue(answer)
 
--- a/packages/cellnode/celeryshift_cellnode/errors.py
+++ b/packages/cellnode/celeryshift_cellnode/errors.py
@@ -1,5 +1,8 @@
 """Errors of a node; each class states what is known of the failed call."""
 
+# Size of a value or an error in a message.
+MAX_DESCRIPTION_CHARS = 200
+
 
 class CellNodeError(Exception):
     """Base class of the errors of a node."""
@@ -39,3 +42,18 @@
 
 class JobError(CellNodeError):
     """Raised when the description of a job is invalid."""
+
+
+def describe(value: object) -> str:
+    """Return a short text for any value or error, for a message or the log."""
+    if isinstance(value, list | dict):
+        # The text of one that is nested or long would take very long to make.
+        return type(value).__name__
+    if isinstance(value, str | bytes):
+        value = value[:MAX_DESCRIPTION_CHARS]
+    try:
+        text = repr(value)
+    except Exception:
+        # Its contents can't be printed, such as a number of many digits.
+        text = type(value).__name__
+    return text[:MAX_DESCRIPTION_CHARS]
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -202,7 +202,9 @@
                 await work()
             except Exception as error:
                 self._log_decision(
-                    'work_failed', work=repr(work), error=repr(error)
+                    'work_failed',
+                    work=repr(work),
+                    error=errors.describe(error),
                 )
             await asyncio.sleep(RESTART_DELAY_S)
 
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -243,11 +243,17 @@
             reply = await self._call_owner(
                 'accept', body, _remaining_s(deadline)
             )
+            return self._interpret_accept(reply)
         except errors.PeerError as error:
             # Unless the owner has certainly not received the call, it may
             # still store the job. Storing the same row here settles the
             # outcome.
             return None, not isinstance(error, NOT_DELIVERED)
+
+    def _interpret_accept(
+        self, reply: dict[str, Any]
+    ) -> tuple[Answer | None, bool]:
+        """Return what the owner's reply means, as ``_request_accept`` does."""
         written = reply['written']
         if written in (STORED, EXISTS):
             return Answer(Verdict.OK), False
@@ -399,9 +405,9 @@
     async def _count_waiting(self, queue: str) -> Answer:
         try:
             reply = await self._call_owner('waiting', {'queue': queue})
+            return Answer(Verdict.OK, {'waiting': reply['waiting']})
         except errors.PeerError as error:
             return _unavailable(str(error))
-        return Answer(Verdict.OK, {'waiting': reply['waiting']})
 
     async def _job_state(self, job_id: str) -> Answer:
         try:
--- a/tests/test_cell_malformed.py
+++ b/tests/test_cell_malformed.py
@@ -1,14 +1,19 @@
 """Malformed rows, answers and calls: one log line, and no other effect."""
 
 import asyncio
+import base64
 import json
+import os
 import types
+import zlib
 
 import attrs
 import orjson
 import pytest
 from tests import cellnodes
 from tests import cells
+from tests import configsim
+from tests import oddvalues
 from tests import test_cell_journal as journal
 from tests import test_cell_runner as runners
 from tests import virtualtime
@@ -16,11 +21,16 @@
 from celeryshift_cell import effects
 from celeryshift_cell import events
 from celeryshift_cellnode import _groupwriter
+from celeryshift_cellnode import _jobspec
+from celeryshift_cellnode import _logs
 from celeryshift_cellnode import _peers
 from celeryshift_cellnode import _records
 from celeryshift_cellnode import _schema
+from celeryshift_cellnode import errors
 from celeryshift_net import exchanges
 from celeryshift_platform import _decode
+from celeryshift_platform import _front
+from celeryshift_platform import _store
 from celeryshift_platform import _workers
 
 ENTRY = {
@@ -72,6 +82,15 @@
         ('capacity', 32),
         ('capacity', {'cpu': '32'}),
         ('capacity', {'cpu': 1e400}),
+        ('capacity', {'cpu': 1e300}),
+        ('capacity', {'cpu': -1}),
+        ('cold_remaining_ms', 1.5e20),
+        ('remaining_ms', -1e300),
+        ('born', 2**63),
+        ('clock_ms', 2**63),
+        ('address', '10.0.0.1:0'),
+        ('address', '10.0.0.1:99999'),
+        ('address', '10.0.0.1:' + '1' * 5000),
     ],
 )
 def test_an_entry_of_another_writer_names_no_worker(field, value):
@@ -84,6 +103,27 @@
     assert decoder.worker('i-2', json.dumps(ENTRY).encode()) is not None
 
 
+@pytest.mark.parametrize('field', oddvalues.ENTRY_FIELDS)
+@pytest.mark.parametrize('value', oddvalues.texts())
+def test_no_value_of_an_entry_fails_the_decoder(field, value):
+    decoder, lines = _decoder()
+    fields = {name: json.dumps(each) for name, each in ENTRY.items()}
+    entry = decoder.worker('i-1', oddvalues.replace(fields, field, value))
+    assert (entry is None) == (lines == ['worker_unreadable'])
+    if entry is not None:
+        # Its numbers can be logged, stored and calculated with.
+        orjson.dumps(attrs.asdict(entry))
+
+
+@pytest.mark.parametrize('field', ['labels', 'state', 'address', 'born'])
+def test_a_deeply_nested_value_names_no_worker(field):
+    decoder, lines = _decoder()
+    fields = {name: json.dumps(each) for name, each in ENTRY.items()}
+    raw = oddvalues.replace(fields, field, oddvalues.nested())
+    assert decoder.worker('i-1', raw) is None
+    assert lines == ['worker_unreadable']
+
+
 @pytest.mark.parametrize('raw', [b'', b'\xff', b'[]', b'null', b'{"a":'])
 def test_bytes_that_are_no_entry_name_no_worker(raw):
     decoder, lines = _decoder()
@@ -282,3 +322,181 @@
         puts={journal.ports.Key('t', 'k' * 300): b'v'}
     )
     assert change.rejection_reason(journal.ports.StoreLimits())
+
+
+def test_an_effect_that_fails_loses_no_other_effect_or_event():
+    # A line of the log could not be written, and a new owner lost the event
+    # that restores its cell.
+    async def work(runner, workers):
+        written = []
+
+        def fail(decision, **_):
+            written.append(decision)
+            if decision == 'worker_cold':
+                raise TypeError('Integer exceeds 64-bit range')
+
+        runner._log_decision = fail
+        now = asyncio.get_running_loop().time()
+        cold = cells.entry('odd', cold_remaining_ms=10**20)
+        runner.enqueue(events.ConfigChanged(now, cells.config()))
+        runner.enqueue(events.WorkersChanged(now, (cold, cells.entry('w'))))
+        runner.enqueue(events.Restored(now, 0, (), {}, (), (), 0.0, 0))
+        await asyncio.sleep(0.1)
+        assert 'cell_restored' in written
+        assert runner.state.is_restored
+
+    runners._run(work)
+
+
+@pytest.mark.parametrize(
+    'value',
+    [2**64, 10**5000, '\ud800', {'a': [2**70]}, object()],
+    ids=['64 bits', 'digits', 'surrogate', 'in a list', 'object'],
+)
+def test_a_line_with_a_value_that_has_no_json_form_is_written(value):
+    reading, writing = os.pipe()
+    log = _logs.DecisionLog('n', writing)
+    log.write('odd', value=value, sound=1)
+    line = json.loads(os.read(reading, 65536))
+    assert line['decision'] == 'odd'
+    assert line['sound'] == 1
+    for descriptor in (reading, writing):
+        os.close(descriptor)
+
+
+@pytest.mark.parametrize('value', oddvalues.texts())
+@pytest.mark.parametrize('field', ['count', 'cpu', 'after', 'image'])
+def test_a_job_with_an_odd_value_is_refused_or_stored(field, value):
+    step = oddvalues.replace({'count': '1', 'cpu': '500'}, field, value)
+    document = b'{"spec":"x","steps":[' + step + b']}'
+    try:
+        job = _decode.decode_job(
+            orjson.loads(document), 'a' * 16, 'field', 'team', 0
+        )
+        _jobspec.validate(job, 65_536)
+    except (errors.JobError, *_decode.DECODE_ERRORS) as error:
+        assert errors.describe(error)
+
+
+@pytest.mark.parametrize('deadline', ['\u00b2', '9' * 5000, '-1', '1e9', ''])
+def test_an_odd_deadline_of_a_call_counts_as_none(deadline):
+    headers = {'Deadline-Ms': deadline, 'Host': 'h'}
+    request = types.SimpleNamespace(headers=headers, path='/p')
+    assert _front._parse_call(request).timeout_s == 3.0
+
+
+@pytest.mark.parametrize('value', oddvalues.texts())
+@pytest.mark.parametrize('field', ['good', 'validity_ms'])
+def test_an_odd_answer_of_the_policy_service_counts_as_none(
+    field, value, monkeypatch
+):
+    async def exchange(*_):
+        fields = {'good': '[["w","t"]]', 'validity_ms': '2000'}
+        return 200, oddvalues.replace(fields, field, value)
+
+    monkeypatch.setattr(exchanges, 'exchange', exchange)
+    channels = types.SimpleNamespace(get=lambda *_: None)
+    client = _workers.PolicyClient(channels, '10.0.0.1:80')
+    with pytest.raises(errors.PeerError):
+        asyncio.run(client.advise('a.0.0', ['w'], 1.0))
+
+
+@pytest.mark.parametrize('value', oddvalues.texts())
+@pytest.mark.parametrize('field', ['running', 'ended_runs', 'clock_ms'])
+def test_an_odd_list_of_a_worker_counts_as_no_answer(
+    field, value, monkeypatch
+):
+    async def exchange(*_):
+        fields = {name: json.dumps(each) for name, each in POLL_ANSWER.items()}
+        return 200, oddvalues.replace(fields, field, value)
+
+    monkeypatch.setattr(exchanges, 'exchange', exchange)
+    channels = types.SimpleNamespace(get=lambda address: None)
+    order = effects.PollWorker('w', 7, '10.0.0.1:80', 0, 0, None)
+    answer = asyncio.run(
+        _workers.Workers(channels).poll(order, 1, lambda: 0.0)
+    )
+    assert answer.outcome is events.Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    'document',
+    [b'[]', b'{}', b'{"rows":[{}]}', b'{"rows":[{"value":7}]}', b'7', b'null'],
+)
+def test_an_odd_answer_of_the_store_counts_as_none(document, monkeypatch):
+    async def exchange(*_):
+        return 200, document
+
+    monkeypatch.setattr(exchanges, 'exchange', exchange)
+    channels = types.SimpleNamespace(get=lambda *_: None)
+    store = _store.Store(channels, '10.0.0.1:80')
+    key = _schema_key()
+    for call in (
+        store.read('servers', ''),
+        store.read_changes('servers', 0, 0),
+        store.transact(_groupwriter.ports.Transaction('', {key: 1}), 1.0),
+    ):
+        with pytest.raises(errors.StoreOutcomeUnknownError):
+            asyncio.run(call)
+
+
+def _schema_key():
+    return journal.ports.Key(_schema.NODES, 'n')
+
+
+@pytest.mark.parametrize('document', [b'', b'\xff', b'[]', b'7', b'{}'])
+def test_an_odd_answer_of_another_node_counts_as_none(document, monkeypatch):
+    async def exchange(*_):
+        return 200, document
+
+    monkeypatch.setattr(exchanges, 'exchange', exchange)
+    channels = types.SimpleNamespace(get=lambda *_: None)
+
+    async def call():
+        answer = await _peers.Peers(channels).call('10.0.0.1:80', 'ping', {})
+        return answer['incarnation']
+
+    with pytest.raises(errors.PeerError):
+        asyncio.run(call())
+
+
+def _compress(value):
+    return base64.b64encode(zlib.compress(value)).decode()
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        {'value': 7},
+        {'value': '!'},
+        {'value': base64.b64encode(b'no zlib').decode()},
+        {'value': _compress(b'{"version":9}')},
+        {'value': _compress(configsim.document(9, 1))[:-8]},
+        {'value': _compress(configsim.document(9, 1)), 'read_to': -1},
+        {
+            'value': _compress(configsim.document(9, 1)),
+            'read_to': 1,
+            'evacuations': [7],
+        },
+    ],
+)
+def test_an_odd_configuration_of_another_node_changes_nothing(answer):
+    async def work():
+        site = configsim.Site(fast=2, slow=0)
+        await site.start()
+
+        async def respond(name, method, target, body):
+            return 200, orjson.dumps({'version': 9, **answer})
+
+        first, second = site.nodes
+        site.network.hosts[first.name].handler = respond
+        notice = {'version': 9, 'address': first.node.address}
+        await second.configurations.handlers['configured'](notice)
+        await asyncio.sleep(5.0)
+        assert second.version == 1
+        site.configure(20)
+        await asyncio.sleep(1.0)
+        assert second.version == 2
+        site.stop()
+
+    configsim.run(work())
