--- a/tests/proxies.py
+++ b/tests/proxies.py
@@ -15,6 +15,8 @@
         self._target = port
         self.port = 0
         self.delay_s = 0.0
+        # Rate of each connection; 0 if it is not limited.
+        self.bytes_per_s = 0.0
         # Bytes from the client (deaf) or to it (mute) are dropped, without
         # an error on either side.
         self.is_deaf = False
@@ -36,7 +38,7 @@
     def clear(self) -> None:
         """End all faults; abort the connections, which lost bytes."""
         self.is_deaf = self.is_mute = False
-        self.delay_s = 0.0
+        self.delay_s = self.bytes_per_s = 0.0
         self.reset()
 
     def reset(self) -> None:
@@ -79,6 +81,8 @@
             while data := await reader.read(CHUNK_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
+                if self.bytes_per_s:
+                    await asyncio.sleep(len(data) / self.bytes_per_s)
                 if getattr(self, fault):
                     # These bytes are lost, and the stream cannot recover:
                     # clearing the fault resets all connections.
--- a/tests/site.py
+++ b/tests/site.py
@@ -123,8 +123,13 @@
             value = json.dumps(worker.entry()).encode()
             self.rows.put('servers', '', worker.name, value)
 
-    def configure(self, version: int = 1, keys: tuple[str, ...] = (KEY,)):
-        """Store a configuration."""
+    def configure(
+        self,
+        version: int = 1,
+        keys: tuple[str, ...] = (KEY,),
+        more_routes: int = 0,
+    ) -> None:
+        """Store a configuration, with routes that nobody uses."""
         route = {
             'name': 'field',
             'host': HOST,
@@ -143,7 +148,13 @@
         }
         document = {
             'version': version,
-            'routes': [route],
+            'routes': [
+                route,
+                *(
+                    {**route, 'name': f'q{n}', 'path_prefix': f'/q{n}/'}
+                    for n in range(more_routes)
+                ),
+            ],
             'services': [{'name': UPSTREAM}],
             'limits': {},
             'tenants': [{'name': 'ministry', 'api_keys': list(keys)}],
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,8 +5,9 @@
 submit jobs and repeat each call until the job is accepted. At the end, the
 guarantees are checked against what callers and workers saw: each accepted job
 completes, no task runs twice at once or again after its end was acknowledged,
-a job that was always refused does not run, and one that was cancelled, also
-while it was being stored, does not go on.
+a job that was always refused does not run, one that was cancelled, also while
+it was being stored, does not go on, and the last configuration is in force on
+each node.
 
 To run seeds 1 to 49: ``python -m tests.soak 1 50``. The options of
 ``python -m tests.soak --help`` make runs longer and larger, or let workers
@@ -28,6 +29,7 @@
 
 import aiohttp
 import attrs
+from tests import oddvalues
 from tests import proxies
 from tests import runchecks
 from tests import site
@@ -87,6 +89,11 @@
 LATE_SHARE = 0.3
 WORKER_CORES = 8
 CLOCK_RATES = (siteworker.SLOWEST_CLOCK, siteworker.SLOWEST_CLOCK, 1.0)
+# Configurations of up to 1 MB, and the rate of a slow link.
+MAX_ROUTES = 4000
+SLOW_BYTES_PER_S = 625_000
+# Time within which a configuration is in force after the last fault or start.
+CONFIGURED_S = 4.0
 # Faults of the store, each as the attribute to set and its value: the store
 # refuses all calls, is slow, or commits a share of the transactions without
 # answering in time.
@@ -95,8 +102,10 @@
     'slow': ('latency_s', 0.45),
     'lost': ('lost_share', 0.3),
 }
-# Besides the faults of the store: a new configuration (configure), a data
-# centre that is evacuated for a while (evacuate), silent loss
+# Besides the faults of the store: new configurations, several and large ones
+# (configure, grow), a slow link to the store (slow link), an entry of another
+# writer (odd entry), a data centre that is evacuated for a while (evacuate),
+# silent loss
 # or delay at a proxy (deaf, delay), abort of its connections (reset), SIGKILL
 # and restart of one program (kill) or of all (herd), SIGTERM and restart
 # (term), SIGSTOP for a while (pause), several nodes that freeze or lose power
@@ -107,11 +116,14 @@
     'deaf store',
     'delay',
     'evacuate',
+    'grow',
     'herd',
     'kill',
     'lose nodes',
+    'odd entry',
     'pause',
     'reset',
+    'slow link',
     'term',
 )
 # A worker that is cut off right after a start (cut), or all of its data centre
@@ -342,6 +354,15 @@
         elif kind == 'configure':
             self._version += 1
             self.platform.configure(self._version)
+        elif kind == 'grow':
+            self._schedule(0.0, self._grow())
+        elif kind == 'odd entry':
+            self._schedule(0.0, self._leave_odd_entry(duration_s))
+        elif kind == 'slow link':
+            proxy = self.rng.choice(self.store_proxies)
+            self._set_temporarily(
+                proxy, 'bytes_per_s', float(SLOW_BYTES_PER_S), duration_s
+            )
         elif kind == 'deaf store':
             self._cut_partly(self.rng.choice(self.store_proxies), duration_s)
         elif kind == 'delay':
@@ -366,6 +387,25 @@
             if is_power:
                 self._schedule(duration_s, self._kill(program))
 
+    async def _grow(self) -> None:
+        """Store several configurations with many routes."""
+        for _ in range(self.rng.choice((1, 2, 5))):
+            self._version += 1
+            self.platform.configure(
+                self._version, more_routes=self.rng.randint(0, MAX_ROUTES)
+            )
+            await asyncio.sleep(self.rng.uniform(0.05, 1.0))
+
+    async def _leave_odd_entry(self, duration_s: float) -> None:
+        """Leave an entry of another writer among those of the workers."""
+        entry = self.rng.choice(self.platform.workers).entry()
+        entry['address'] = f'{siteworker.LOOPBACK}:1'
+        fields = {name: json.dumps(value) for name, value in entry.items()}
+        rows, name = self.platform.rows, f'i-odd-{len(self.faults)}'
+        rows.put('servers', '', name, oddvalues.draw(self.rng, fields))
+        await asyncio.sleep(duration_s)
+        rows.remove('servers', '', name)
+
     async def _kill(self, program: processes.Program) -> None:
         self._restart(program, signal.SIGKILL)
 
@@ -544,6 +584,30 @@
         for proxy in (*self.store_proxies, *self.worker_proxies):
             await self._clear_proxy(proxy)
         self._calm_at = time.monotonic()
+        await self._check_configurations()
+
+    async def _check_configurations(self) -> None:
+        """Check that the last configuration is in force on each node."""
+        await processes.until(
+            lambda: all(
+                len(program.decisions('started')) == program.starts
+                for program in self.programs
+            ),
+            processes.START_S,
+        )
+        try:
+            await processes.until(
+                lambda: all(
+                    _version_in_force(program) == self._version
+                    for program in self.programs
+                ),
+                CONFIGURED_S,
+            )
+        except TimeoutError:
+            versions = list(map(_version_in_force, self.programs))
+            raise AssertionError(
+                f'in force are {versions}, not {self._version}'
+            ) from None
 
     async def _check(self) -> None:
         accepted = [j for j, s in self.statuses.items() if ACCEPTED in s]
@@ -621,6 +685,17 @@
         assert not repeated, f'starts after {CRASHES} crashes: {repeated}'
 
 
+def _version_in_force(program: processes.Program) -> int:
+    """Return the version in force in the present process of a program."""
+    version = 0
+    for line in program.lines:
+        if line['decision'] == 'started':
+            version = 0
+        elif line['decision'] == 'configuration':
+            version = line['version']
+    return version
+
+
 def run_seed(seed: int, profile: Profile | None = None) -> Soak:
     """Run one seed; return the run, with its faults and log lines.
 
