celeryshiftd: an odd answer or VM ends no process

An error of an effect stops the node, as a bug of its own. One invalid VM in the list of the platform, an answer nested 1,000 deep or one of another form, from the store, a worker or another node, was such an error: each node that read it ended, and again after its restart.

An invalid VM is left out and logged (vm-unreadable); another answer that can't be decoded counts as none. Amounts in the reports of workers are checked for type and range.

--- a/packages/node/celeryshift_node/_calls.py
+++ b/packages/node/celeryshift_node/_calls.py
@@ -37,7 +37,7 @@
     """Make a call with a JSON body and return its decoded reply.
 
     The outcome is UNSENT only if no byte of the call can have been sent, and
-    UNKNOWN if the reply is missing, incomplete or not JSON.
+    UNKNOWN if the reply is missing, incomplete, not JSON or nested too deeply.
     """
     data = b'' if body is None else json.dumps(body).encode()
     headers = {**exchanges.JSON_HEADERS, **(headers or {})}
@@ -48,5 +48,5 @@
         return Reply(Outcome.OK, status, json.loads(received))
     except exchanges.NotSentError:
         return Reply(Outcome.UNSENT)
-    except (exchanges.NoAnswerError, ValueError):
+    except (exchanges.NoAnswerError, ValueError, RecursionError):
         return Reply(Outcome.UNKNOWN)
--- a/packages/node/celeryshift_node/_peers.py
+++ b/packages/node/celeryshift_node/_peers.py
@@ -55,7 +55,10 @@
         }
         timeout_s = effect.timeout_s + FORWARD_MARGIN_S
         reply = await self._post(effect.address, 'requests', body, timeout_s)
-        return _decode_reply(reply)
+        outcome, refusal, document = _decode_reply(reply)
+        if outcome is Outcome.OK and 'answer' not in document:
+            return Outcome.UNKNOWN, None, None
+        return outcome, refusal, document
 
     async def forward_job(
         self, effect: effects.ForwardJob
@@ -96,6 +99,8 @@
     if reply.outcome is not Outcome.OK:
         return reply.outcome, None, None
     if reply.ok:
+        if not isinstance(reply.body, dict):
+            return Outcome.UNKNOWN, None, None
         return Outcome.OK, None, reply.body
     try:
         return Outcome.REFUSED, _wire.decode_refusal(reply.body), None
--- a/packages/node/celeryshift_node/_platform.py
+++ b/packages/node/celeryshift_node/_platform.py
@@ -1,5 +1,10 @@
 """Client of the platform: transactions, reads and the VM list."""
 
+from typing import Any
+
+import logbook
+
+import celeryshift_core as core
 from celeryshift_core import effects
 from celeryshift_core import events
 from celeryshift_core import schema
@@ -9,9 +14,15 @@
 
 TIMEOUT_S = 2.0
 CONFLICT_STATUS = 409
+# Errors of an answer of another form.
+DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
+# Size of the name of an invalid VM in the log.
+MAX_NAME_CHARS = 100
 
 Outcome = events.Outcome
 
+log = logbook.Logger('celeryshift')
+
 
 class Platform:
     """Client of the platform's services."""
@@ -33,10 +44,15 @@
         reply = await self._post('/v1/transactions', body)
         if reply.outcome is not Outcome.OK:
             return reply.outcome, 0, {}
-        if reply.ok:
-            return Outcome.OK, reply.body['version'], _decode_rows(reply.body)
-        if reply.status == CONFLICT_STATUS:
-            return Outcome.REFUSED, 0, _decode_rows(reply.body)
+        try:
+            if reply.ok:
+                rows = _decode_rows(reply.body)
+                return Outcome.OK, reply.body['version'], rows
+            if reply.status == CONFLICT_STATUS:
+                return Outcome.REFUSED, 0, _decode_rows(reply.body)
+        except DECODE_ERRORS:
+            # The transaction may have been executed.
+            pass
         return Outcome.UNKNOWN, 0, {}
 
     async def read(
@@ -45,7 +61,10 @@
         """Read rows; return None if the service did not answer."""
         body = {'keys': list(effect.keys), 'prefixes': list(effect.prefixes)}
         reply = await self._post('/v1/reads', body)
-        return _decode_rows(reply.body) if reply.ok else None
+        try:
+            return _decode_rows(reply.body) if reply.ok else None
+        except DECODE_ERRORS:
+            return None
 
     async def fetch_vms(
         self, revision: int
@@ -60,8 +79,12 @@
         )
         if not reply.ok:
             return 0, None
-        vms = [_wire.decode_vm(document) for document in reply.body['vms']]
-        return reply.body['revision'], vms
+        try:
+            revision, documents = reply.body['revision'], reply.body['vms']
+            vms = [_decode_vm(document) for document in documents]
+        except DECODE_ERRORS:
+            return 0, None
+        return revision, [vm for vm in vms if vm is not None]
 
     async def _post(self, path: str, body: dict) -> _calls.Reply:
         return await _calls.call(
@@ -69,6 +92,16 @@
         )
 
 
+def _decode_vm(document: Any) -> events.Vm | None:
+    """Return a VM; None for an entry that is invalid, which is logged."""
+    try:
+        return _wire.decode_vm(document)
+    except (core.DocumentError, RecursionError):
+        name = document.get('name') if isinstance(document, dict) else None
+        log.warning('vm-unreadable', extra={'vm': str(name)[:MAX_NAME_CHARS]})
+        return None
+
+
 def _decode_rows(body: dict) -> dict[str, schema.Row]:
     return {
         key: schema.Row(version, value)
--- a/packages/node/celeryshift_node/_wire.py
+++ b/packages/node/celeryshift_node/_wire.py
@@ -6,6 +6,9 @@
 from celeryshift_core import events
 from celeryshift_core import messages
 
+# Largest amount of a resource that is accepted.
+MAX_AMOUNT = 2**53
+
 MESSAGES_BY_NAME: dict[str, type] = {
     kind.__name__: kind for kind in messages.ALL
 }
@@ -23,12 +26,21 @@
         events.TaskPhase(document['phase']),
         document['kind'],
         document['team'],
-        core.Size(**document['size']),
+        _decode_size(document['size']),
         document['request'],
-        core.Size(**{'slots': 0, **document.get('used', {})}),
+        _decode_size({'slots': 0, **document.get('used', {})}),
     )
 
 
+def _decode_size(document: dict[str, Any]) -> core.Size:
+    for amount in document.values():
+        if isinstance(amount, bool) or not isinstance(amount, int | float):
+            raise TypeError(f'{type(amount).__name__} is no amount')
+        if not 0 <= amount <= MAX_AMOUNT:
+            raise ValueError('an amount is out of range')
+    return core.Size(**document)
+
+
 def decode_sync(
     document: dict[str, Any],
 ) -> tuple[str, bool, list[events.TaskReport]]:
--- a/packages/node/celeryshift_node/_workers.py
+++ b/packages/node/celeryshift_node/_workers.py
@@ -91,7 +91,7 @@
             return '', False, None
         try:
             return _wire.decode_sync(reply.body)
-        except (LookupError, TypeError, ValueError):
+        except (LookupError, TypeError, ValueError, AttributeError):
             return '', False, None
 
     async def start(self, effect: effects.StartTask) -> Outcome:
