--- a/tests/configsim.py
+++ b/tests/configsim.py
@@ -1,7 +1,6 @@
 """Nodes that follow the configuration over slow links, in virtual time."""
 
 import asyncio
-import base64
 import contextlib
 import json
 import random
@@ -11,6 +10,7 @@
 
 import orjson
 from tests import linksim
+from tests import site as sites
 from tests import virtualtime
 
 from celeryshift_cellnode import _configurations
@@ -266,7 +266,7 @@
             )
         return 200, orjson.dumps(
             {
-                'rows': [_encode(row) for row in read.rows],
+                'rows': [sites.encode(row) for row in read.rows],
                 'row_version': read.version,
                 'more_pages': read.has_more,
             }
@@ -301,17 +301,6 @@
     )
 
 
-def _encode(row: ports.Row) -> dict[str, Any]:
-    return {
-        'table': row.table,
-        'part': row.part,
-        'key': row.key,
-        'value': base64.b64encode(row.value).decode(),
-        'row_version': row.version,
-        'removed': row.is_removed,
-    }
-
-
 def run(work: Any, limit_s: float = 120.0) -> Any:
     """Run a coroutine in virtual time."""
     return virtualtime.run(work, limit_s)
--- a/tests/site.py
+++ b/tests/site.py
@@ -200,7 +200,7 @@
         if self._random.random() < self.lost_share:
             await asyncio.sleep(LOST_ANSWER_DELAY_S)
         if isinstance(answer, ports.Conflict):
-            rows = [_encode(row) for row in answer.rows.values()]
+            rows = [encode(row) for row in answer.rows.values()]
             return web.json_response({'rows': rows}, status=412)
         return web.json_response({'row_version': answer.version})
 
@@ -216,7 +216,7 @@
                 query.get('from', ''),
                 query.get('to'),
             )
-        rows = [_encode(row) for row in read.rows]
+        rows = [encode(row) for row in read.rows]
         return web.json_response(
             {
                 'rows': rows,
@@ -230,7 +230,8 @@
     return ports.Key(entry['table'], entry['key'])
 
 
-def _encode(row: ports.Row) -> dict[str, Any]:
+def encode(row: ports.Row) -> dict[str, Any]:
+    """Return a row as the store's answers have it."""
     return {
         'table': row.table,
         'part': row.part,
--- a/tests/test_cell_configurations.py
+++ b/tests/test_cell_configurations.py
@@ -1,7 +1,10 @@
 """Configurations of any size come into force in time on slow links."""
 
 import asyncio
+import base64
+import zlib
 
+import orjson
 import pytest
 from tests import configsim
 
@@ -50,3 +53,45 @@
 def test_configurations_are_in_force_in_time_whatever_answer_is_lost(seed):
     site = configsim.run(configsim.play(seed))
     assert site.late() == []
+
+
+def _compress(value):
+    return base64.b64encode(zlib.compress(value)).decode()
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        {'value': 7},
+        {'value': '!'},
+        {'value': base64.b64encode(b'no zlib').decode()},
+        {'value': _compress(b'{"version":9}')},
+        {'value': _compress(configsim.document(9, 1))[:-8]},
+        {'value': _compress(configsim.document(9, 1)), 'read_to': -1},
+        {
+            'value': _compress(configsim.document(9, 1)),
+            'read_to': 1,
+            'evacuations': [7],
+        },
+    ],
+)
+def test_an_odd_configuration_of_another_node_changes_nothing(answer):
+    async def work():
+        site = configsim.Site(fast=2, slow=0)
+        await site.start()
+
+        async def respond(name, method, target, body):
+            return 200, orjson.dumps({'version': 9, **answer})
+
+        first, second = site.nodes
+        site.network.hosts[first.name].handler = respond
+        notice = {'version': 9, 'address': first.node.address}
+        await second.configurations.handlers['configured'](notice)
+        await asyncio.sleep(5.0)
+        assert second.version == 1
+        site.configure(20)
+        await asyncio.sleep(1.0)
+        assert second.version == 2
+        site.stop()
+
+    configsim.run(work())
--- a/tests/test_cell_malformed.py
+++ b/tests/test_cell_malformed.py
@@ -1,18 +1,15 @@
 """Malformed rows, answers and calls: one log line, and no other effect."""
 
 import asyncio
-import base64
 import json
 import os
 import types
-import zlib
 
 import attrs
 import orjson
 import pytest
 from tests import cellnodes
 from tests import cells
-from tests import configsim
 from tests import oddvalues
 from tests import test_cell_journal as journal
 from tests import test_cell_runner as runners
@@ -458,45 +455,3 @@
 
     with pytest.raises(errors.PeerError):
         asyncio.run(call())
-
-
-def _compress(value):
-    return base64.b64encode(zlib.compress(value)).decode()
-
-
-@pytest.mark.parametrize(
-    'answer',
-    [
-        {'value': 7},
-        {'value': '!'},
-        {'value': base64.b64encode(b'no zlib').decode()},
-        {'value': _compress(b'{"version":9}')},
-        {'value': _compress(configsim.document(9, 1))[:-8]},
-        {'value': _compress(configsim.document(9, 1)), 'read_to': -1},
-        {
-            'value': _compress(configsim.document(9, 1)),
-            'read_to': 1,
-            'evacuations': [7],
-        },
-    ],
-)
-def test_an_odd_configuration_of_another_node_changes_nothing(answer):
-    async def work():
-        site = configsim.Site(fast=2, slow=0)
-        await site.start()
-
-        async def respond(name, method, target, body):
-            return 200, orjson.dumps({'version': 9, **answer})
-
-        first, second = site.nodes
-        site.network.hosts[first.name].handler = respond
-        notice = {'version': 9, 'address': first.node.address}
-        await second.configurations.handlers['configured'](notice)
-        await asyncio.sleep(5.0)
-        assert second.version == 1
-        site.configure(20)
-        await asyncio.sleep(1.0)
-        assert second.version == 2
-        site.stop()
-
-    configsim.run(work())
