A notice that comes during the last attempt to fetch is not forgotten

The loop that fetches a configuration ended after its last attempt and forgot the newest version, also one that had been announced during that attempt. Found by reading. The new test failed before (version 1 in force instead of 3); other paths hid it there while an owner was known.

--- a/packages/cellnode/celeryshift_cellnode/_distribution.py
+++ b/packages/cellnode/celeryshift_cellnode/_distribution.py
@@ -187,9 +187,12 @@
     async def _catch_up(self) -> None:
         attempts, wanted = 0, 0
         silent: set[str] = set()
-        while attempts < ATTEMPTS and self._version < self._newest:
-            attempts = attempts + 1 if wanted == self._newest else 1
-            wanted = self._newest
+        while self._version < self._newest:
+            if wanted != self._newest:
+                attempts, wanted = 0, self._newest
+            if attempts == ATTEMPTS:
+                break
+            attempts += 1
             await asyncio.sleep(CATCH_UP_DELAY_S)
             for address in self._sources(silent):
                 if self._version >= self._newest:
--- a/tests/test_cell_configurations.py
+++ b/tests/test_cell_configurations.py
@@ -7,6 +7,9 @@
 import orjson
 import pytest
 from tests import configsim
+from tests import linksim
+
+from celeryshift_cellnode import _distribution
 
 # The size to which the operator's configuration grows on the slowest links.
 MANY_ROUTES = 4000
@@ -55,6 +58,33 @@
     assert site.late() == []
 
 
+def test_a_notice_that_comes_during_the_last_attempt_is_not_forgotten(
+    monkeypatch,
+):
+    monkeypatch.setattr(_distribution, 'ATTEMPTS', 1)
+    monkeypatch.setattr(_distribution, 'MAX_SOURCES', 0)
+
+    async def work():
+        site = configsim.Site(fast=3, slow=0)
+        await site.start()
+        first, second, third = site.nodes
+        site.owner = None
+        for name in (configsim.STORE, second.name):
+            site.network.silent.add((first.name, name))
+        notice = first.configurations.handlers['configured']
+        linksim.caller.set(first.name)
+        await notice({'version': 2, 'address': second.node.address})
+        await asyncio.sleep(0.5)
+        site.configure(20)
+        site.configure(20)
+        await notice({'version': 3, 'address': third.node.address})
+        await asyncio.sleep(1.0)
+        assert first.version == 3
+        site.stop()
+
+    configsim.run(work())
+
+
 def _compress(value):
     return base64.b64encode(zlib.compress(value)).decode()
 
