celeryshiftd logs an invalid VM as a change, and checks versions of answers

Versions and rows of the store's answers that are of another type would have failed in the reducer, which stops the node; they count as no answer.

--- a/packages/node/celeryshift_node/_platform.py
+++ b/packages/node/celeryshift_node/_platform.py
@@ -1,9 +1,8 @@
 """Client of the platform: transactions, reads and the VM list."""
 
+from collections.abc import Callable
 from typing import Any
 
-import logbook
-
 import celeryshift_core as core
 from celeryshift_core import effects
 from celeryshift_core import events
@@ -21,8 +20,6 @@
 
 Outcome = events.Outcome
 
-log = logbook.Logger('celeryshift')
-
 
 class Platform:
     """Client of the platform's services."""
@@ -30,6 +27,8 @@
     def __init__(self, channels: pools.ChannelPool, url: str) -> None:
         self._url = url.rstrip('/')
         self._channel = channels.get(self._url, pools.PLATFORM)
+        # Called with the name of a VM whose entry is invalid.
+        self.on_unreadable: Callable[[str], None] = lambda name: None
 
     async def write(
         self, effect: effects.WriteStore
@@ -47,6 +46,7 @@
         try:
             if reply.ok:
                 rows = _decode_rows(reply.body)
+                _check_version(reply.body['version'])
                 return Outcome.OK, reply.body['version'], rows
             if reply.status == CONFLICT_STATUS:
                 return Outcome.REFUSED, 0, _decode_rows(reply.body)
@@ -81,29 +81,42 @@
             return 0, None
         try:
             revision, documents = reply.body['revision'], reply.body['vms']
-            vms = [_decode_vm(document) for document in documents]
+            vms = [self._decode_vm(document) for document in documents]
+            _check_version(revision)
         except DECODE_ERRORS:
             return 0, None
         return revision, [vm for vm in vms if vm is not None]
 
+    def _decode_vm(self, document: Any) -> events.Vm | None:
+        """Return a VM; None for an entry that is invalid."""
+        try:
+            return _wire.decode_vm(document)
+        except (core.DocumentError, RecursionError):
+            name = document.get('name') if isinstance(document, dict) else ''
+            name = name if isinstance(name, str) else ''
+            self.on_unreadable(name[:MAX_NAME_CHARS])
+            return None
+
     async def _post(self, path: str, body: dict) -> _calls.Reply:
         return await _calls.call(
             self._channel, 'POST', self._url + path, body, TIMEOUT_S
         )
 
 
-def _decode_vm(document: Any) -> events.Vm | None:
-    """Return a VM; None for an entry that is invalid, which is logged."""
-    try:
-        return _wire.decode_vm(document)
-    except (core.DocumentError, RecursionError):
-        name = document.get('name') if isinstance(document, dict) else None
-        log.warning('vm-unreadable', extra={'vm': str(name)[:MAX_NAME_CHARS]})
-        return None
-
-
 def _decode_rows(body: dict) -> dict[str, schema.Row]:
     return {
-        key: schema.Row(version, value)
+        key: _decode_row(version, value)
         for key, (version, value) in body['rows'].items()
     }
+
+
+def _decode_row(version: Any, value: Any) -> schema.Row:
+    _check_version(version)
+    if not isinstance(value, dict):
+        raise TypeError('the value of a row is no object')
+    return schema.Row(version, value)
+
+
+def _check_version(version: Any) -> None:
+    if isinstance(version, bool) or not isinstance(version, int):
+        raise TypeError('a version is no whole number')
--- a/packages/node/celeryshift_node/_runner.py
+++ b/packages/node/celeryshift_node/_runner.py
@@ -51,6 +51,7 @@
         self._answers_by_id: dict[str, Any] = {}
         self._last_id = 0
         self._handlers_by_effect = self._make_effect_handlers()
+        platform.on_unreadable = self._log_unreadable_vm
 
     @property
     def now(self) -> float:
@@ -173,6 +174,9 @@
         self.counters[f'changes.{effect.name}'] += 1
         log.info(effect.name, extra=dict(effect.fields))
 
+    def _log_unreadable_vm(self, name: str) -> None:
+        self._log_change(effects.LogChange('vm-unreadable', {'vm': name}))
+
     def _resolve(self, reply_id: str, value: Any) -> None:
         future = self._reply_futures_by_id.get(reply_id)
         if future is not None and not future.done():
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -28,6 +28,9 @@
     b'null',
     b'{"rows":[1],"version":1}',
     b'{"rows":{"a":1}}',
+    b'{"rows":{"a":[1,2]},"version":1}',
+    b'{"rows":{"a":["x",{}]},"version":1}',
+    b'{"rows":{},"version":"x"}',
     b'{"vms":7,"revision":1}',
     b'{"cursor":"c","whole":true,"tasks":[{"size":[]}]}',
 )
@@ -61,6 +64,8 @@
     body = b'{"revision":5,"vms":[' + odd + b',' + sound + b']}'
     _answer_all_with(body, monkeypatch)
     platform = _platform.Platform(_Channels(), 'http://platform')
+    unreadable = []
+    platform.on_unreadable = unreadable.append
     revision, vms = asyncio.run(platform.fetch_vms(0))
     # Digits or a depth that make the whole answer no JSON count as no answer.
     try:
@@ -70,6 +75,7 @@
     else:
         assert revision == 5
         assert vms[-1].name == 'w1'
+        assert len(vms) + len(unreadable) == 2
 
 
 @pytest.mark.parametrize('body', ANSWERS)
