The soak looks at the present process of each node only

Lines are now counted from the start of the present process, after those of the former one have been read.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -688,13 +688,12 @@
 
 def _version_in_force(program: processes.Program) -> int:
     """Return the version in force in the present process of a program."""
-    version = 0
-    for line in program.lines:
-        if line['decision'] == 'started':
-            version = 0
-        elif line['decision'] == 'configuration':
-            version = line['version']
-    return version
+    versions = [
+        line['version']
+        for line in program.lines[program.former_lines :]
+        if line['decision'] == 'configuration'
+    ]
+    return max(versions, default=0)
 
 
 def run_seed(seed: int, profile: Profile | None = None) -> Soak:
--- a/tests/test_cell_processes.py
+++ b/tests/test_cell_processes.py
@@ -57,6 +57,8 @@
         self.front, ready, self.peer = _free_ports(3)
         self.ready = ready
         self.lines: list[dict[str, Any]] = []
+        # Number of lines that former processes have written.
+        self.former_lines = 0
         self._settings = folder / f'{name}.json'
         self._settings.write_text(
             json.dumps(
@@ -80,6 +82,9 @@
 
     async def start(self) -> None:
         """Start the process."""
+        if self._reader is not None:
+            await self._reader
+        self.former_lines = len(self.lines)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
