--- a/tests/test_cell_configurations.py
+++ b/tests/test_cell_configurations.py
@@ -52,6 +52,23 @@
     assert max(marks) < 0.1
 
 
+def test_versions_stored_during_a_read_do_not_add_up_on_a_lone_node():
+    async def work():
+        site = configsim.Site(fast=0, slow=1)
+        site.owner = None
+        await site.start()
+        site.configure(MANY_ROUTES // 2)
+        await asyncio.sleep(1.1)
+        for _ in range(5):
+            site.configure(MANY_ROUTES // 2)
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(15.0)
+        site.stop()
+        return site
+
+    assert configsim.run(work()).late() == []
+
+
 @pytest.mark.parametrize('seed', (*range(10), 67, 70))
 def test_configurations_are_in_force_in_time_whatever_answer_is_lost(seed):
     site = configsim.run(configsim.play(seed))
