--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A service stays down beside free capacity, since urgent work waits."""
+"""After a cut of some seconds, a healthy worker gets no more work."""
 
 import asyncio
 import pathlib
@@ -7,95 +7,115 @@
 import lab_two as lab
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-WORKERS = 3
-BASE = lab.job_id(0x9001)
-WATCH = lab.job_id(0x9002)
-LARGE = lab.job_id(0x9003)
-# What the rule allows after a run of a task that lasts, and for a standstill.
-AFTER_RUN_S = 6.0
+WORKERS = 7
+# As `node_cut` with `servers` on the sites: share 0.17, for_s 5.5.
+CUT_S = 5.5
+FIRST_S = 1.5
+FIRST = lab.job_id(0x9001)
+SECOND = lab.job_id(0x9002)
+TASKS = 400
+TASK_S = 0.2
+CALM_S = lab.BOUNDS['contact_ms'] / 1000
+# `finish_s` after the end of the traffic, a job may have nothing running for
+# 3 s.
+FINISH_S = lab.BOUNDS['finish_s']
 STANDSTILL_S = 3.0
-OBSERVE_S = 14.0
-# On the sites tasks take up to 9.6 s, and estimates are off by up to 0.9.
-LARGE_S = 9.6
-ESTIMATE_MS = 18_000
-WATCH_CORES = 4
-# More than twice what the tenant has running.
-MAXIMUM_CORES = 200
+
+
+async def wait_for_state(
+    cluster: lab.Lab, job: str, state: str, within_s: float
+) -> bool:
+    """Wait until a job is shown in a state."""
+    until = time.monotonic() + within_s
+    while time.monotonic() < until:
+        _, answer = await cluster.call(
+            cluster.nodes[1], 'GET', 'check', job, is_quiet=True
+        )
+        if answer.get('state') == state:
+            cluster.record.write(f'client: {job} is {state}')
+            return True
+        await asyncio.sleep(0.2)
+    return False
 
 
 async def case(folder: str, record: lab.Record) -> bool:
-    """Return whether a task that lasts was not started again in time."""
-    workers = [lab.Worker(f'i-{number}', record) for number in range(WORKERS)]
+    """Return whether tasks wait beside an idle worker that may run them."""
+    workers = [
+        lab.Worker(f'i-{number}', record, kind='b' if number == 0 else 'a')
+        for number in range(WORKERS)
+    ]
+    chosen = workers[0]
+    await chosen.boot()
+    proxy = lab.Proxy(chosen.port)
+    await proxy.start()
+    chosen.crash()
+    chosen.public_port = proxy.port
     platform = lab.Platform(
-        record,
-        workers,
-        [
-            {'name': 'check', 'priority': 0},
-            {'name': 'watch', 'priority': 1},
-        ],
+        record, workers, [{'name': 'check', 'priority': 0}]
     )
-    platform.maximum = MAXIMUM_CORES * 1000
     async with lab.Lab(folder, record, platform, 3) as cluster:
         node = cluster.nodes[0]
-
-        def lasting(count: int, cores: int) -> dict:
-            return lab.job_body(
-                {'lasts': True},
-                {
-                    'count': count,
-                    'cpu': cores * 1000,
-                    'mem_mb': 8000,
-                    'estimated_ms': 500,
-                    'long_running': True,
-                    **({'anti_affinity': 1} if count > 1 else {}),
-                },
-            )
-
-        await cluster.call(node, 'POST', 'watch', BASE, lasting(WORKERS, 12))
-        await cluster.call(node, 'POST', 'watch', WATCH, lasting(1, 4))
-        await asyncio.sleep(3.0)
-        (run,) = [
-            run
-            for worker in workers
-            for run in worker.running.values()
-            if run.task.startswith(WATCH)
-        ]
+        # One task on each worker.
+        first = lab.job_body(
+            {'took_s': FIRST_S},
+            {
+                'count': WORKERS,
+                'cpu': 2500,
+                'mem_mb': 7200,
+                'estimated_ms': int(FIRST_S * 1000),
+                'anti_affinity': 1,
+            },
+        )
+        await cluster.call(node, 'POST', 'check', FIRST, first)
+        while not chosen.running:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.3)
         if lab.has_trouble():
-            large = lab.job_body(
-                {'took_s': LARGE_S},
-                {
-                    'count': WORKERS,
-                    'cpu': 24_000,
-                    'mem_mb': 16_000,
-                    'estimated_ms': ESTIMATE_MS,
-                },
-            )
-            await cluster.call(node, 'POST', 'check', LARGE, large)
-        await asyncio.sleep(1.0)
-        (worker,) = [w for w in workers if w.id == run.worker]
-        worker.fail(run)
-        ended_at = time.monotonic()
-        waited_s = 0.0
-        while waited_s < OBSERVE_S:
+            record.write(f'worker {chosen.id} is cut off and runs on')
+            proxy.is_cut = True
+            await asyncio.sleep(CUT_S)
+            proxy.heal()
+            record.write(f'worker {chosen.id} is reached again')
+        if not await wait_for_state(cluster, FIRST, 'completed', 10.0):
+            raise RuntimeError('the first job did not complete')
+        await asyncio.sleep(CALM_S)
+        second = lab.job_body(
+            {'took_s': TASK_S},
+            {
+                'count': TASKS,
+                'cpu': 500,
+                'mem_mb': 64,
+                'estimated_ms': int(TASK_S * 1000),
+                'requirements': 'b',
+            },
+        )
+        status, _ = await cluster.call(node, 'POST', 'check', SECOND, second)
+        if status != 200:
+            raise RuntimeError('the second job was not accepted')
+        record.write('the traffic ends')
+        if await wait_for_state(cluster, SECOND, 'completed', FINISH_S):
+            return False
+        idle_since = time.monotonic()
+        until = idle_since + 2 * STANDSTILL_S
+        while time.monotonic() < until:
             await asyncio.sleep(0.05)
-            waited_s = time.monotonic() - ended_at
-            if any(
-                key[0].startswith(WATCH)
-                for worker in workers
-                for key in worker.running
-            ):
-                break
-        free = [
-            worker.cores
-            - 12 * sum(key[0].startswith(BASE) for key in worker.running)
-            for worker in workers
-        ]
+            if any(worker.running for worker in workers):
+                idle_since = time.monotonic()
+        idle_s = time.monotonic() - idle_since
+        _, answer = await cluster.call(node, 'GET', 'check', SECOND)
+        started = sum(
+            run.task.startswith(SECOND) and run.how == 'done'
+            for run in chosen.runs
+        )
         record.write(
-            f'{WATCH} was down for {waited_s:.2f} s; free cores on the '
-            f'workers, of which it needs {WATCH_CORES}: {free}'
+            f'{started} of {TASKS} tasks have run; nothing has run for '
+            f'{idle_s:.1f} s on {chosen.id}, which has {chosen.cores} cores '
+            f'free, lists {len(chosen.ends)} ends, and is up: {chosen.is_up}'
         )
-        return waited_s > AFTER_RUN_S + STANDSTILL_S and all(
-            cores >= 2 * WATCH_CORES for cores in free
+        return (
+            answer.get('state') == 'running'
+            and started < TASKS
+            and idle_s > STANDSTILL_S
         )
 
 
