--- a/packages/cell/celeryshift_cell/_admission.py
+++ b/packages/cell/celeryshift_cell/_admission.py
@@ -13,6 +13,7 @@
 import attrs
 
 from celeryshift_cell import _backlog
+from celeryshift_cell import _footprint
 from celeryshift_cell import _jobs
 from celeryshift_cell import _ordering
 from celeryshift_cell import _shares
@@ -38,6 +39,8 @@
 # Least share of the capacity that is left to jobs that miss their objective.
 MIN_LATE_SHARE = 0.02
 MAX_RETRY_S = 60
+# Key of the jobs that were rejected for want of memory.
+MEMORY_KEY = ('', -1)
 
 
 @attrs.frozen(slots=True)
@@ -61,8 +64,8 @@
 
     reason: str
     retry_after_s: int
-    # Inputs of the decision.
-    prediction: Prediction
+    # Inputs of the decision, unless it is about memory.
+    prediction: Prediction | None = None
 
 
 def decide(cell: _state.Cell, job: model.Job) -> Rejection | None:
@@ -89,6 +92,26 @@
     )
 
 
+def decide_by_memory(
+    cell: _state.Cell, job: model.Job, pending_bytes: int
+) -> Rejection | None:
+    """Return why a job is rejected for want of memory, or None.
+
+    ``pending_bytes`` is the memory of the jobs that are being stored.
+    """
+    footprint = cell.footprint
+    excess = footprint.excess(job, pending_bytes)
+    if not excess:
+        return None
+    rate = max(1.0, footprint.freed_per_s(cell.now))
+    retry_after_s = _take_slot(
+        cell, MEMORY_KEY, excess / rate, _footprint.job_bytes(job), rate
+    )
+    return Rejection(
+        'the accepted jobs take all memory that they may', retry_after_s
+    )
+
+
 def _may_reject(cell: _state.Cell, job: model.Job) -> bool:
     """Return whether the totals are complete, and apply to a job."""
     if not cell.options.rejects_late_jobs:
@@ -287,7 +310,7 @@
 
 def explain(cell: _state.Cell, job: _state.JobRun) -> float | None:
     """Return the predicted age of a waiting job at completion, or None."""
-    waiting = [s for s in job.steps.values() if s.is_ready and s.pending]
+    waiting = [s for s in job.steps.known if s.is_ready and s.pending]
     is_saturated = job.queue.upstream in cell.backlog.saturated
     if not waiting or not is_saturated or job.spec.times:
         return None
--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -72,7 +72,7 @@
     The steps are then queried for other workers at once.
     """
     for job in cell.jobs.values():
-        for step in job.steps.values():
+        for step in job.steps.known:
             named = step.pending_query
             if not named or any(
                 worker is not None and worker.is_usable(cell.now)
@@ -117,8 +117,7 @@
 def _awaits_only(successor: _state.StepRun, step: _state.StepRun) -> bool:
     steps = successor.job.steps
     return all(
-        number == step.number
-        or not steps[successor.occurrence, number].remaining_tasks
+        number == step.number or steps.is_done(successor.occurrence, number)
         for number in successor.spec.after
     )
 
--- a/packages/cell/celeryshift_cell/_answers.py
+++ b/packages/cell/celeryshift_cell/_answers.py
@@ -100,7 +100,7 @@
 def _unblock_reserving(cell: _state.Cell, worker: _state.Worker) -> None:
     """Try to place the steps of the job that a worker is reserved for."""
     job = cell.jobs.get(worker.reserved_for)
-    for step in job.steps.values() if job else ():
+    for step in job.steps.known if job else ():
         _jobs.unblock(cell, step)
 
 
--- a/packages/cell/celeryshift_cell/_backlog.py
+++ b/packages/cell/celeryshift_cell/_backlog.py
@@ -164,13 +164,21 @@
 def remaining_work(cell: _state.Cell, job: _state.JobRun) -> _tallies.Work:
     """Return the work of a job that is left and due."""
     work = _tallies.Work()
-    for step in job.steps.values():
+    for step in job.steps.known:
         is_due = step.is_ready or not job.spec.times
         if step.remaining_tasks and is_due and not _headroom.is_exempt(step):
             waiting = len(step.pending)
             running = max(0, step.remaining_tasks - waiting)
             count = waiting + RUNNING_SHARE * running
             _add_step(cell, work, job.spec.queue, step.spec, count, waiting)
+    for number, spec in enumerate(() if job.spec.times else job.spec.steps):
+        # Steps that wait for others are not in memory.
+        is_left = not job.steps.is_done(0, number) and not (
+            job.steps.get((0, number))
+        )
+        if is_left and not (spec.is_lasting or spec.is_filler):
+            count = spec.count
+            _add_step(cell, work, job.spec.queue, spec, count, count)
     return work
 
 
@@ -190,7 +198,7 @@
 
 def _class_of(cell: _state.Cell, job: _state.JobRun) -> int:
     """Return the class of a job's first step that has not completed."""
-    for step in job.steps.values():
+    for step in job.steps.known:
         if step.is_ready and step.remaining_tasks:
             return _ordering.classify(cell, step)
     return _ordering.IN_TIME
--- a/packages/cell/celeryshift_cell/_completion.py
+++ b/packages/cell/celeryshift_cell/_completion.py
@@ -201,7 +201,11 @@
     """Return whether a step waits for more than copies or its team."""
     if step.spec.is_filler or step.blocked_by_limit:
         return False
-    return not all(step.tasks[index].runs for index in step.pending)
+    copies = sum(
+        bool(task.runs) and task.index in step.pending
+        for task in step.tasks.known
+    )
+    return copies < len(step.pending)
 
 
 def _copy_cost_ms(
@@ -226,7 +230,7 @@
     are few.
     """
     times_ms = list(step.average_run_times_ms)
-    for task in step.tasks:
+    for task in step.tasks.known:
         for run in task.runs.values():
             projected_ms = _projected_ms(run)
             if projected_ms is not None:
--- a/packages/cell/celeryshift_cell/_crashes.py
+++ b/packages/cell/celeryshift_cell/_crashes.py
@@ -57,6 +57,14 @@
     return early >= EARLY_LOSSES or any(loss.is_suspect for loss in losses)
 
 
+def has_suspects(step: _state.StepRun) -> bool:
+    """Return whether workers were lost under tasks of a step that wait."""
+    return bool(step.suspicions) or any(
+        task.losses_by_worker and task.index in step.pending
+        for task in step.tasks.known
+    )
+
+
 def may_start(task: _state.Task) -> bool:
     """Return whether a task may start before its trials are settled.
 
@@ -239,11 +247,49 @@
     It may have died before it stored what ran there.
     """
     for job in cell.jobs.values():
-        if job.state in _jobs.FINAL:
+        if job.state in _jobs.FINAL or not job.occurrences_in_doubt:
             continue
-        for step in job.steps.values():
+        for step in job.steps.known:
             if _in_doubt.may_have_started(step):
                 suspect_step(cell, step)
+        _suspect_others(cell, job)
+
+
+def _suspect_others(cell: _state.Cell, job: _state.JobRun) -> None:
+    """Suspect the steps in doubt that are not in memory."""
+    key = UNKNOWN_WORKER, cell.epoch
+    if key in job.suspicions or len(job.steps.done) == len(job.steps):
+        return
+    job.suspected_occurrences = job.occurrences_in_doubt
+    _add_suspicion(job.suspicions, key, _unknown_loss(cell))
+    require_stored(cell, job)
+
+
+def _unknown_loss(cell: _state.Cell) -> _losses.Loss:
+    """Return a loss that may have been under a former owner."""
+    return _losses.Loss(0, '', cell.now, 0.0, is_suspect=True, is_certain=True)
+
+
+def restore_suspicions(
+    cell: _state.Cell,
+    suspicions: dict[tuple[str, int], _losses.Loss],
+    epochs: list[int],
+) -> None:
+    """Restore the losses that may have been under former owners."""
+    for epoch in epochs:
+        _add_suspicion(
+            suspicions, (UNKNOWN_WORKER, epoch), _unknown_loss(cell)
+        )
+
+
+def _add_suspicion(
+    suspicions: dict[tuple[str, int], _losses.Loss],
+    key: tuple[str, int],
+    loss: _losses.Loss,
+) -> None:
+    if len(suspicions) >= MAX_LOSSES:
+        del suspicions[next(iter(suspicions))]
+    suspicions[key] = loss
 
 
 def suspect_step(cell: _state.Cell, step: _state.StepRun) -> None:
@@ -254,22 +300,25 @@
     key = UNKNOWN_WORKER, cell.epoch
     tasks = [
         task
-        for task in step.tasks
+        for task in step.tasks.known
         if not (task.is_done or task.runs or key in task.losses_by_worker)
     ]
-    if not tasks:
+    others = step.remaining_tasks - sum(
+        not task.is_done for task in step.tasks.known
+    )
+    is_suspected = key in step.suspicions
+    if not tasks and (is_suspected or not others):
         return
     for task in tasks:
-        loss = _losses.Loss(
-            0, '', cell.now, 0.0, is_suspect=True, is_certain=True
-        )
-        add_loss(cell, task, key, loss)
+        add_loss(cell, task, key, _unknown_loss(cell))
+    if not is_suspected:
+        _add_suspicion(step.suspicions, key, _unknown_loss(cell))
     require_stored(cell, step.job)
     cell.log_decision(
         'step_suspected',
         job=step.job.spec.id,
         step=step.name,
-        tasks=len(tasks),
+        tasks=len(tasks) + (0 if is_suspected else others),
     )
 
 
--- a/packages/cell/celeryshift_cell/_explain.py
+++ b/packages/cell/celeryshift_cell/_explain.py
@@ -5,6 +5,7 @@
 
 from celeryshift_cell import _admission
 from celeryshift_cell import _cold
+from celeryshift_cell import _crashes
 from celeryshift_cell import _evacuation
 from celeryshift_cell import _jobs
 from celeryshift_cell import _placement
@@ -24,6 +25,12 @@
         'epoch': cell.epoch,
         'jobs': len(cell.jobs),
         'steps_waiting': len(cell.waiting),
+        'jobs_overdue': len(cell.overdue_jobs),
+        'memory': {
+            'limit': cell.footprint.limit,
+            'accepted': cell.footprint.accepted,
+            'started': cell.footprint.started,
+        },
         'runs': dict(phases),
         'workers': len(cell.workers),
         'workers_usable': sum(w.is_usable(cell.now) for w in workers),
@@ -44,6 +51,10 @@
     return {
         'evacuated_data_centres': len(_evacuation.known(cell)),
         'cold_workers': _cold.count(cell),
+        'memory_limit_bytes': cell.footprint.limit,
+        'memory_accepted_bytes': cell.footprint.accepted,
+        'memory_started_bytes': cell.footprint.started,
+        'jobs_overdue': len(cell.overdue_jobs),
     }
 
 
@@ -60,8 +71,12 @@
         'age_ms': round(_jobs.age_ms(cell, job)),
         'is_surplus': job.spec.is_surplus,
         'predicted_age_ms': _admission.explain(cell, job),
+        'occurrences': job.spec.occurrences,
+        'occurrences_released': job.next_occurrence,
+        'steps_left': job.remaining_steps,
+        # Those in memory; steps that are not ready or done are not.
         'steps': {
-            step.name: _explain_step(cell, step) for step in job.steps.values()
+            step.name: _explain_step(cell, step) for step in job.steps.known
         },
     }
 
@@ -77,7 +92,7 @@
                 run.phase.value,
                 run.percent,
             ]
-            for task in step.tasks
+            for task in step.tasks.known
             for run in task.runs.values()
         },
     }
@@ -100,7 +115,9 @@
         return 'the limit of its team'
     if step.blocked_by_headroom:
         return 'the room that is left is kept for urgent work'
-    if any(step.tasks[index].losses_by_worker for index in step.pending):
+    if step.blocked_by_memory:
+        return 'memory of the owner'
+    if _crashes.has_suspects(step):
         return 'workers were lost under its tasks, which start on trial'
     if step.pending_query:
         return 'the answer of the policy service'
--- a/packages/cell/celeryshift_cell/_fillers.py
+++ b/packages/cell/celeryshift_cell/_fillers.py
@@ -110,8 +110,8 @@
         return True
     if run is not None and run.percent < READY_PERCENT:
         return True
-    down = sum(
-        not any(run.phase is Phase.RUNNING for run in task.runs.values())
-        for task in step.tasks
+    running = sum(
+        any(run.phase is Phase.RUNNING for run in task.runs.values())
+        for task in step.tasks.known
     )
-    return down < step.spec.may_miss
+    return step.spec.count - running < step.spec.may_miss
--- a/packages/cell/celeryshift_cell/_gangs.py
+++ b/packages/cell/celeryshift_cell/_gangs.py
@@ -13,12 +13,17 @@
     """Start all tasks of a gang at once or none, and return their number."""
     if len(step.pending) < step.spec.count:
         return 0
-    if any(task.runs for task in step.tasks):
+    if step.active_runs:
         return 0
     if not _limits.allows(cell, step, _total_size(step.spec)):
         step.blocked_by_limit = True
         return 0
-    if not all(_crashes.may_start(task) for task in step.tasks):
+    tasks = [step.tasks.peek(index) for index in range(step.spec.count)]
+    if not all(_crashes.may_start(task) for task in tasks):
+        return 0
+    is_new = not step.tasks.known
+    if is_new and not cell.footprint.may_start:
+        step.blocked_by_memory = True
         return 0
     workers = [
         (worker, ticket)
@@ -28,12 +33,12 @@
     plan = _plan_warm(cell, step, workers)
     if plan is None:
         plan = _plan(cell, step, workers)
-    if plan is not None and any(map(_crashes.is_suspect, step.tasks)):
+    if plan is not None and any(map(_crashes.is_suspect, tasks)):
         plan = _plan_trial(cell, step, workers, plan)
     if plan is None:
         return 0
-    number = _runs.next_number(cell, step.tasks)
-    for task, (worker, ticket) in zip(step.tasks, plan, strict=True):
+    number = _runs.next_number(cell, tasks)
+    for task, (worker, ticket) in zip(tasks, plan, strict=True):
         _runs.start(cell, task, worker, number, ticket)
     return len(plan)
 
--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -1,6 +1,7 @@
 """Life cycle of jobs: ready steps, completed tasks and final states."""
 
 import heapq
+import itertools
 
 from celeryshift_cell import _headroom
 from celeryshift_cell import _run_times
@@ -10,11 +11,16 @@
 # Bound of the age of a job when it becomes known; a larger one comes from a
 # clock that is wrong.
 MAX_AGE_MS = 7 * 24 * 3_600_000.0
-FINAL = (
-    model.JobState.COMPLETED,
-    model.JobState.FAILED,
-    model.JobState.CANCELLED,
-)
+FINAL = _state.FINAL
+# A job with this many waiting steps gets no further occurrence, even if one is
+# due: they wait for the same workers.
+MAX_WAITING_STEPS = 32
+# Overdue jobs that are examined on a tick.
+MAX_EXAMINED_JOBS = 256
+# Bound of the difference between the clocks of two owners.
+MAX_CLOCK_ERROR_MS = 60_000
+# Completed tasks kept in memory, since a worker may still list a run of them.
+MAX_RETAINED_TASKS = 4096
 
 
 def queue_of(cell: _state.Cell, job: model.Job) -> model.Queue:
@@ -27,39 +33,39 @@
     """Add a stored job to the cell."""
     known_age_ms = min(max(0.0, cell.wall_ms - spec.arrived_ms), MAX_AGE_MS)
     arrived_at = cell.now - known_age_ms / 1000
-    job = _state.JobRun(spec, queue_of(cell, spec), arrived_at=arrived_at)
+    job = _state.JobRun(
+        spec, queue_of(cell, spec), cell.footprint, arrived_at=arrived_at
+    )
     job.is_surplus = spec.is_surplus and cell.shares.is_weighted
     cell.least_urgent = max(cell.least_urgent, job.rank)
-    for occurrence in range(spec.occurrences):
-        for number, step in enumerate(spec.steps):
-            job.steps[occurrence, number] = _make_step(
-                job, occurrence, number, step
-            )
-    job.remaining_steps = len(job.steps)
     job.critical_path_ms = critical_path_ms(cell, spec)
     cell.jobs[spec.id] = job
+    cell.footprint.add_job(spec)
     return job
 
 
+def remove_job(cell: _state.Cell, job: _state.JobRun) -> None:
+    """Remove a job from memory."""
+    del cell.jobs[job.spec.id]
+    cell.overdue_jobs.pop(job.spec.id, None)
+    cell.footprint.remove_job(job.spec, cell.now)
+    for step in job.steps.known:
+        for task in list(step.tasks.known):
+            step.tasks.forget(task)
+        job.steps.forget(step)
+    if len(cell.scheduled_jobs) > 2 * len(cell.jobs) + MAX_WAITING_STEPS:
+        # Most entries are of jobs that have ended before their time.
+        cell.scheduled_jobs = [
+            entry for entry in cell.scheduled_jobs if entry[1] in cell.jobs
+        ]
+        heapq.heapify(cell.scheduled_jobs)
+
+
 def age_ms(cell: _state.Cell, job: _state.JobRun) -> float:
     """Return the age of a job, which does not jump with the wall clock."""
     return (cell.now - job.arrived_at) * 1000
 
 
-def _make_step(
-    job: _state.JobRun, occurrence: int, number: int, spec: model.Step
-) -> _state.StepRun:
-    name = f'{job.spec.id}.{occurrence}.{number}'
-    step = _state.StepRun(job, occurrence, number, spec, name)
-    step.tasks = [
-        _state.Task(step, index, f'{name}.{index}')
-        for index in range(spec.count)
-    ]
-    step.pending = set(range(spec.count))
-    step.remaining_tasks = spec.count
-    return step
-
-
 def critical_path_ms(cell: _state.Cell, spec: model.Job) -> float:
     """Return the expected duration of a job's longest chain of steps."""
     longest_ms: list[float] = []
@@ -75,27 +81,81 @@
     return _run_times.expected_ms(cell, step.job.spec.queue, step.spec)
 
 
+def due_ms(job: _state.JobRun, occurrence: int) -> int:
+    """Return when an occurrence of a scheduled job is due, in Unix ms."""
+    return job.spec.first_due_ms + occurrence * job.spec.every_ms
+
+
+def count_due(job: _state.JobRun, wall_ms: float) -> int:
+    """Return how many of the first occurrences are due by a Unix time."""
+    spec = job.spec
+    if not spec.times:
+        return 1
+    if wall_ms < spec.first_due_ms:
+        return 0
+    if spec.every_ms <= 0:
+        return spec.times
+    elapsed_ms = wall_ms - spec.first_due_ms
+    return min(spec.times, int(elapsed_ms // spec.every_ms) + 1)
+
+
+def count_in_doubt(cell: _state.Cell, job: _state.JobRun) -> int:
+    """Return how many occurrences a former owner may have started."""
+    return count_due(job, cell.wall_ms + MAX_CLOCK_ERROR_MS)
+
+
 def release(cell: _state.Cell, job: _state.JobRun) -> None:
-    """Make the steps without predecessors ready, or schedule them."""
+    """Release the occurrences that are due, as far as there is room.
+
+    The next one is scheduled, or the job is overdue until there is room.
+    """
     spec = job.spec
-    for occurrence in range(spec.occurrences):
-        due_ms = spec.first_due_ms + occurrence * spec.every_ms
-        for number, step in enumerate(spec.steps):
-            if step.after:
-                continue
-            if spec.times and due_ms > cell.wall_ms:
-                cell.schedule(due_ms, job.steps[occurrence, number].name)
-            else:
-                make_ready(cell, job.steps[occurrence, number])
+    cell.overdue_jobs.pop(spec.id, None)
+    if job.state in FINAL:
+        return
+    # Occurrences that have completed under a former owner are passed over.
+    completed = job.steps.done.first_missing // len(spec.steps)
+    job.next_occurrence = max(job.next_occurrence, completed)
+    due = count_due(job, cell.wall_ms)
+    while job.next_occurrence < due:
+        if job.waiting_steps and not _has_room(cell, job):
+            cell.overdue_jobs[spec.id] = None
+            return
+        _release_occurrence(cell, job, job.next_occurrence)
+        job.next_occurrence += 1
+    if job.next_occurrence < spec.occurrences:
+        cell.schedule(due_ms(job, job.next_occurrence), spec.id)
+
+
+def _has_room(cell: _state.Cell, job: _state.JobRun) -> bool:
+    return job.waiting_steps < MAX_WAITING_STEPS and cell.footprint.may_release
+
+
+def _release_occurrence(
+    cell: _state.Cell, job: _state.JobRun, occurrence: int
+) -> None:
+    """Make the steps of an occurrence ready that wait for no other step."""
+    for number, spec in enumerate(job.spec.steps):
+        is_done = job.steps.is_done(occurrence, number)
+        if not is_done and job.steps.are_done(occurrence, spec.after):
+            make_ready(cell, job.steps[occurrence, number])
 
 
 def release_due(cell: _state.Cell) -> None:
-    """Make the scheduled steps ready that are due."""
-    while cell.scheduled_steps and cell.scheduled_steps[0][0] <= cell.wall_ms:
-        _, name = heapq.heappop(cell.scheduled_steps)
-        step = cell.step(name)
-        if step is not None and step.job.state not in FINAL:
-            make_ready(cell, step)
+    """Release the occurrences that are due."""
+    while cell.scheduled_jobs and cell.scheduled_jobs[0][0] <= cell.wall_ms:
+        _, job_id = heapq.heappop(cell.scheduled_jobs)
+        if job_id in cell.jobs:
+            release(cell, cell.jobs[job_id])
+    first = itertools.islice(cell.overdue_jobs, MAX_EXAMINED_JOBS)
+    for job_id in list(first):
+        release(cell, cell.jobs[job_id])
+
+
+def release_more(cell: _state.Cell, job: _state.JobRun) -> None:
+    """Release further occurrences after a step of a job was placed."""
+    if job.spec.id in cell.overdue_jobs:
+        release(cell, job)
 
 
 def make_ready(cell: _state.Cell, step: _state.StepRun) -> None:
@@ -150,7 +210,7 @@
 
 
 def complete_task(
-    cell: _state.Cell, task: _state.Task, was_known: bool
+    cell: _state.Cell, step: _state.StepRun, index: int, was_known: bool
 ) -> None:
     """Mark a task as done; complete its step and job if it was the last.
 
@@ -158,32 +218,59 @@
     its completion and started the steps after it, so these are not in doubt.
     That does not hold if another copy may have completed before.
     """
-    if task.is_done:
+    if index in step.done:
         return
-    task.is_done = True
-    step = task.step
     job = step.job
-    step.pending.discard(task.index)
-    step.remaining_tasks -= 1
+    step.done.add(index)
+    step.pending.discard(index)
     cell.dirty_jobs[job.spec.id] = job
     if step.remaining_tasks:
         return
     cell.steps.remove(step)
-    job.remaining_steps -= 1
+    job.steps.mark_done(step.occurrence, step.number)
     if job.remaining_steps == 0:
         finish(cell, job, model.JobState.COMPLETED)
         return
     for number, spec in enumerate(job.spec.steps):
-        successor = job.steps[step.occurrence, number]
-        if step.number in spec.after and all(
-            job.steps[step.occurrence, i].remaining_tasks == 0
-            for i in spec.after
+        if step.number in spec.after and job.steps.are_done(
+            step.occurrence, spec.after
         ):
+            successor = job.steps[step.occurrence, number]
             if was_known and not step.spec.allows_copies:
                 successor.in_doubt = False
             make_ready(cell, successor)
 
 
+def forget_ended(cell: _state.Cell, task: _state.Task) -> None:
+    """Keep a task in memory no longer that has no runs and starts none.
+
+    A task with a run that was dropped is kept for longer: the worker may list
+    the run as completed, which must not be acknowledged.
+    """
+    if task.runs or not (task.is_done or task.step.job.state in FINAL):
+        return
+    if not task.dropped_runs:
+        _forget(task)
+        return
+    cell.retained_tasks[task.name] = task.step.name
+    if len(cell.retained_tasks) > MAX_RETAINED_TASKS:
+        name, step_name = next(iter(cell.retained_tasks.items()))
+        del cell.retained_tasks[name]
+        step = cell.step(step_name)
+        oldest = step and step.tasks.get(int(name.rpartition('.')[2]))
+        if oldest and oldest.dropped_runs and not oldest.runs:
+            _forget(oldest)
+
+
+def _forget(task: _state.Task) -> None:
+    step = task.step
+    if step.tasks.get(task.index) is task:
+        step.tasks.forget(task)
+    is_over = not step.remaining_tasks or step.job.state in FINAL
+    if is_over and not step.tasks.known:
+        step.job.steps.forget(step)
+
+
 def record_failure(
     cell: _state.Cell, task: _state.Task, run: int, worker_id: str
 ) -> None:
@@ -219,9 +306,14 @@
     """Set the final state of a job; the caller stops its runs."""
     job.state = state
     cell.dirty_jobs[job.spec.id] = job
-    for step in job.steps.values():
+    cell.overdue_jobs.pop(job.spec.id, None)
+    for step in job.steps.known:
         cell.steps.remove(step)
         step.pending.clear()
+        for task in list(step.tasks.known):
+            forget_ended(cell, task)
+        if not step.tasks.known:
+            job.steps.forget(step)
     cell.log_decision('job_ended', job=job.spec.id, state=state.value)
 
 
--- a/packages/cell/celeryshift_cell/_ordering.py
+++ b/packages/cell/celeryshift_cell/_ordering.py
@@ -10,6 +10,7 @@
 """
 
 from celeryshift_cell import _jobs
+from celeryshift_cell import _run_times
 from celeryshift_cell import _state
 from celeryshift_cell import model
 
@@ -65,6 +66,8 @@
 def remaining_path_ms(cell: _state.Cell, step: _state.StepRun) -> float:
     """Return the expected duration of the critical path from a step on."""
     spec = step.job.spec
+    if not any(step.number in other.after for other in spec.steps):
+        return _jobs.expected_ms(cell, step)
     path_by_step = [0.0] * len(spec.steps)
     for number in range(len(spec.steps) - 1, step.number - 1, -1):
         after = [
@@ -72,8 +75,8 @@
             for later in range(number + 1, len(spec.steps))
             if number in spec.steps[later].after
         ]
-        own_ms = _jobs.expected_ms(
-            cell, step.job.steps[step.occurrence, number]
+        own_ms = _run_times.expected_ms(
+            cell, step.job.spec.queue, spec.steps[number]
         )
         path_by_step[number] = own_ms + max(after, default=0.0)
     return path_by_step[step.number]
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -73,6 +73,7 @@
         cell.steps.touch(worker_id)
     step.reserved_workers = frozenset()
     step.blocked_by_limit = step.blocked_by_headroom = False
+    step.blocked_by_memory = False
     if step.spec.is_gang:
         placed = _gangs.place(cell, step)
     else:
@@ -100,6 +101,7 @@
     else:
         step.wait_reason = ''
         _advice.plan_ahead(cell, step)
+        _jobs.release_more(cell, step.job)
     return placed
 
 
@@ -119,6 +121,8 @@
     elif step.blocked_by_limit:
         _reservations.reserve_limit(cell, step)
         reason = 'limit of its team'
+    elif step.blocked_by_memory:
+        reason = 'memory of the owner'
     elif step.blocked_by_headroom:
         reason = 'room kept for urgent work'
         if not step.approvals:
@@ -134,7 +138,7 @@
         reason = 'policy service' if step.pending_query else 'room'
         if reason == 'room' and _cold.holds_back(cell, step):
             reason = 'cold workers'
-        if any(step.tasks[i].losses_by_worker for i in step.pending):
+        if _crashes.has_suspects(step):
             reason = 'workers lost under its tasks'
     if reason == step.wait_reason:
         return
@@ -216,13 +220,19 @@
     # With the run-time model, the cost of a worker changes with the number of
     # waiting tasks: the last ones of a step get faster workers.
     may_rank = not _run_times.is_used(cell)
-    for index in sorted(step.pending):
+    for index in step.pending:
         if placed >= most_starts:
             break
         if not _limits.allows(cell, step, step.spec.size):
             step.blocked_by_limit = True
             break
-        task = step.tasks[index]
+        if not (step.tasks.get(index) or cell.footprint.may_start):
+            # Tasks that have started before may start again.
+            step.blocked_by_memory = True
+            if not step.tasks.known:
+                break
+            continue
+        task = step.tasks.peek(index)
         if may_rank and _has_no_history(task):
             ranking = ranking or _Ranking(cell, step)
             if not ranking.start_next(task):
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -21,6 +21,9 @@
 from celeryshift_cell import model
 
 EMPTY_RECORD = '{}'
+# Between the first and the last position of a range of completed steps. A
+# release that does not know it leaves the job alone.
+RANGE_SEPARATOR = '-'
 
 
 @attrs.define(slots=True)
@@ -59,17 +62,27 @@
 
 def _encode(job: _state.JobRun) -> str:
     has_checkpoints = not job.is_record_reduced
-    done: dict[str, str] = {}
+    # Completed steps as ranges of their positions, and the completed tasks of
+    # the others as masks.
+    done: dict[str, str] = {
+        f'{first}{RANGE_SEPARATOR}{last}': ''
+        for first, last in job.steps.done.ranges()
+    }
     tasks_by_key: dict[str, list[object]] = {}
     losses_by_key: dict[str, list[list[object]]] = {}
-    for (occurrence, number), step in job.steps.items():
-        done_mask = sum(1 << task.index for task in step.tasks if task.is_done)
-        if done_mask:
-            done[f'{occurrence}.{number}'] = f'{done_mask:x}'
-        for task in step.tasks:
+    epochs_by_step: dict[str, list[int]] = {}
+    for step in job.steps.known:
+        if not step.remaining_tasks:
+            continue
+        step_key = f'{step.occurrence}.{step.number}'
+        if step.done:
+            done[step_key] = f'{step.done.bits:x}'
+        if step.suspicions:
+            epochs_by_step[step_key] = _epochs(step.suspicions)
+        for task in step.tasks.known:
             if task.is_done:
                 continue
-            key = f'{occurrence}.{number}.{task.index}'
+            key = f'{step_key}.{task.index}'
             losses = _encode_losses(task)
             if losses:
                 losses_by_key[key] = losses
@@ -81,9 +94,20 @@
     record: dict[str, object] = {'done': done, 'tasks': tasks_by_key}
     if losses_by_key:
         record['losses'] = losses_by_key
+    if epochs_by_step:
+        record['suspected_steps'] = epochs_by_step
+    if job.suspicions:
+        record['suspected'] = [
+            job.suspected_occurrences,
+            _epochs(job.suspicions),
+        ]
     return json.dumps(record, separators=(',', ':'))
 
 
+def _epochs(suspicions: dict[tuple[str, int], _losses.Loss]) -> list[int]:
+    return [epoch for _, epoch in suspicions]
+
+
 def _encode_losses(task: _state.Task) -> list[list[object]]:
     """Return the losses of a task, and its trials as losses in doubt."""
     losses = dict(task.losses_by_worker)
@@ -122,32 +146,54 @@
     """Restore the progress of a newly added job from its record."""
     decoded = json.loads(record)
     for key, hex_mask in decoded.get('done', {}).items():
-        occurrence, number = (int(part) for part in key.split('.'))
-        step = job.steps[occurrence, number]
-        mask = int(hex_mask, 16)
-        for task in step.tasks:
-            if mask >> task.index & 1:
-                task.is_done = True
-                step.pending.discard(task.index)
-                step.remaining_tasks -= 1
-        if step.remaining_tasks == 0:
-            job.remaining_steps -= 1
+        first, separator, last = key.partition(RANGE_SEPARATOR)
+        if separator:
+            if not 0 <= int(first) <= int(last) < len(job.steps):
+                raise ValueError(f'steps {key} of {len(job.steps)}')
+            job.steps.done.add_range(int(first), int(last))
+        else:
+            _restore_done(job, key, int(hex_mask, 16))
         job.state = model.JobState.RUNNING
-    for key, (last, failed, checkpoint) in decoded.get('tasks', {}).items():
-        occurrence, number, index = (int(part) for part in key.split('.'))
-        task = job.steps[occurrence, number].tasks[index]
-        task.last_run = last
+    if 'suspected' in decoded:
+        job.suspected_occurrences, epochs = decoded['suspected']
+        _crashes.restore_suspicions(cell, job.suspicions, epochs)
+    for key, epochs in decoded.get('suspected_steps', {}).items():
+        occurrence, number = (int(part) for part in key.split('.'))
+        suspicions = job.steps[occurrence, number].suspicions
+        _crashes.restore_suspicions(cell, suspicions, epochs)
+    for key, (last_run, failed, checkpoint) in decoded.get(
+        'tasks', {}
+    ).items():
+        task = _restored_task(job, key)
+        task.last_run = last_run
         task.failed_runs.update(failed)
         task.checkpoint = checkpoint
         job.state = model.JobState.RUNNING
     for key, losses in decoded.get('losses', {}).items():
-        occurrence, number, index = (int(part) for part in key.split('.'))
-        task = job.steps[occurrence, number].tasks[index]
+        task = _restored_task(job, key)
         for worker, incarnation, run, address, survived_s, *flags in losses:
             loss = _losses.Loss(run, address, cell.now, survived_s, *flags)
             _crashes.add_loss(cell, task, (worker, incarnation), loss)
 
 
+def _restore_done(job: _state.JobRun, key: str, mask: int) -> None:
+    """Restore the completed tasks of a step from their mask."""
+    occurrence, number = (int(part) for part in key.split('.'))
+    count = job.spec.steps[number].count
+    mask &= (1 << count) - 1
+    if mask.bit_count() == count:
+        job.steps.mark_done(occurrence, number)
+        return
+    step = job.steps[occurrence, number]
+    step.done.bits |= mask
+    step.pending.bits &= ~mask
+
+
+def _restored_task(job: _state.JobRun, key: str) -> _state.Task:
+    occurrence, number, index = (int(part) for part in key.split('.'))
+    return job.steps[occurrence, number].tasks[index]
+
+
 def save_changes(cell: _state.Cell) -> None:
     """Save the changed jobs and workers, one transaction at a time."""
     if not cell.is_restored:
@@ -259,6 +305,7 @@
             continue
         job.is_recorded = True
         job.recorded_at = cell.now
+        cell.recorded_jobs[job_id] = job
         cell.log_decision('end_recorded', job=job_id, state=job.state.value)
     _mark_recorded(cell, cell.saving_records)
     _polls.handle_completions_saved(cell)
@@ -267,7 +314,7 @@
 def _mark_losses_stored(cell: _state.Cell, job: _state.JobRun) -> None:
     """Let the tasks of a job start that wait until its losses are stored."""
     job.stored_loss_version = job.saving_loss_version
-    for step in job.steps.values():
+    for step in job.steps.known:
         _jobs.unblock(cell, step)
 
 
@@ -333,18 +380,23 @@
 
 
 def evict_ended(cell: _state.Cell) -> None:
-    """Evict jobs that have no runs and whose final state is stored."""
+    """Evict jobs that have no runs and whose final state is stored.
+
+    They are in the order in which their final states were stored.
+    """
     keep_s = cell.options.keep_ended_s
-    for job_id, job in list(cell.jobs.items()):
-        if not job.is_recorded or cell.now - job.recorded_at < keep_s:
-            continue
-        if not any(t.runs for s in job.steps.values() for t in s.tasks):
-            del cell.jobs[job_id]
+    for job_id, job in list(cell.recorded_jobs.items()):
+        if cell.now - job.recorded_at < keep_s and cell.footprint.has_room:
+            break
+        if not any(step.active_runs for step in job.steps.known):
+            del cell.recorded_jobs[job_id]
+            _jobs.remove_job(cell, job)
             cell.evicted_at[job_id] = cell.now
     for job_id, evicted_at in list(cell.evicted_at.items()):
         if cell.now - evicted_at < cell.options.remember_ended_s:
             break
         del cell.evicted_at[job_id]
+    cell.footprint.evicted = len(cell.evicted_at)
 
 
 def is_known_job(cell: _state.Cell, job_id: str) -> bool:
@@ -407,7 +459,8 @@
             RecursionError,
         ) as error:
             # Without its progress the job would run again. Its rows remain.
-            cell.jobs.pop(stored.job.id, None)
+            if stored.job.id in cell.jobs:
+                _jobs.remove_job(cell, cell.jobs[stored.job.id])
             cell.evicted_at[stored.job.id] = cell.now
             cell.log_decision(
                 'job_not_restored', job=stored.job.id, error=repr(error)
@@ -435,9 +488,8 @@
     record = event.records_by_job.get(spec.id)
     if record is not None:
         job.progress_parts = event.parts_by_job.get(spec.id, 1)
+    job.occurrences_in_doubt = _jobs.count_in_doubt(cell, job)
     restore(cell, job, EMPTY_RECORD if record is None else record)
-    for step in job.steps.values():
-        step.in_doubt = True
     if spec.id in event.cancelled:
         cancel(cell, spec.id)
         return
@@ -445,12 +497,6 @@
         _jobs.finish(cell, job, model.JobState.COMPLETED)
         return
     _jobs.release(cell, job)
-    for (occurrence, _), step in job.steps.items():
-        predecessors = step.spec.after
-        if predecessors and all(
-            job.steps[occurrence, i].remaining_tasks == 0 for i in predecessors
-        ):
-            _jobs.make_ready(cell, step)
 
 
 def cancel(cell: _state.Cell, job_id: str) -> None:
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -67,6 +67,14 @@
     cell.log_decision('config_applied', version=event.config.version)
 
 
+def _handle_memory_limited(
+    cell: _state.Cell, event: events.MemoryLimited
+) -> None:
+    if event.limit != cell.footprint.limit:
+        cell.footprint.limit = event.limit
+        cell.log_decision('memory_limited', bytes=event.limit)
+
+
 def _handle_job_accepted(cell: _state.Cell, event: events.JobAccepted) -> None:
     spec = event.stored.job
     if not _records.is_new_job(cell, event.stored):
@@ -83,8 +91,7 @@
     )
     if cell.unfenced and cell.now < cell.former_owner_until + LATE_JOB_S:
         # The former owner may have received the job and started tasks.
-        for step in job.steps.values():
-            step.in_doubt = True
+        job.occurrences_in_doubt = _jobs.count_in_doubt(cell, job)
     _reconciliation.reconcile_new_job(cell, job)
     _jobs.release(cell, job)
 
@@ -136,6 +143,7 @@
 
 HANDLERS: dict[type, Callable[[_state.Cell, Any], None]] = {
     events.ConfigChanged: _handle_config_changed,
+    events.MemoryLimited: _handle_memory_limited,
     events.WorkersChanged: _workers.handle_workers_changed,
     events.EvacuationsChanged: _evacuation.handle_evacuations_changed,
     events.JobAccepted: _handle_job_accepted,
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -49,6 +49,7 @@
     ticket: str,
 ) -> None:
     """Order a worker to start a task, or prepare its trial."""
+    task = task.step.tasks.keep(task)
     task.last_run = max(task.last_run, number)
     run = _state.Run(task, number, worker, Phase.SENT, cell.now, ticket=ticket)
     attach(cell, run)
@@ -116,6 +117,7 @@
     if step.spec.allows_copies:
         cell.due.copyable.add(run.worker.id)
     _update_usage(cell, run, 1)
+    step.active_runs += 1
     step.runs_by_worker[run.worker.id] += 1
     step.pending.discard(task.index)
     if not step.pending:
@@ -134,10 +136,14 @@
     worker = run.worker
     worker.runs.pop((task.name, run.number), None)
     _update_usage(cell, run, -1)
+    step.active_runs -= 1
     step.runs_by_worker[worker.id] -= 1
+    if not step.runs_by_worker[worker.id]:
+        del step.runs_by_worker[worker.id]
     _crashes.end_trial(run)
     team = step.job.spec.team
     _unblock_waiting(cell, worker, team)
+    _jobs.forget_ended(cell, task)
 
 
 def _update_usage(cell: _state.Cell, run: _state.Run, sign: int) -> None:
@@ -309,12 +315,14 @@
         detach(cell, run)
     _health.record_result(cell, worker, task, run, completion.result)
     if completion.result is model.RunResult.DONE and not step.spec.is_lasting:
-        members = step.tasks if step.spec.is_gang else [task]
+        members = range(step.spec.count) if step.spec.is_gang else [task.index]
         for member in members:
-            _jobs.complete_task(cell, member, run is not None)
+            _jobs.complete_task(cell, step, member, run is not None)
         for copy in list(task.runs.values()):
             if copy.phase is not Phase.STOPPING:
                 _stops.stop(cell, copy, 'another copy ended')
+        for ended in list(step.tasks.known):
+            _jobs.forget_ended(cell, ended)
         return
     if completion.result is model.RunResult.FAILED:
         _jobs.record_failure(cell, task, completion.run, worker.id)
@@ -322,6 +330,7 @@
             _stops.stop_job(cell, job, 'job failed')
     cell.dirty_jobs[job.spec.id] = job
     _jobs.requeue(cell, task)
+    _jobs.forget_ended(cell, task)
 
 
 def drop_listed_runs(cell: _state.Cell, worker: _state.Worker) -> None:
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -14,6 +14,7 @@
 from celeryshift_cell import _capacity
 from celeryshift_cell import _clocks
 from celeryshift_cell import _due
+from celeryshift_cell import _footprint
 from celeryshift_cell import _histograms
 from celeryshift_cell import _job_state
 from celeryshift_cell import _options
@@ -38,6 +39,7 @@
 Task = _job_state.Task
 StepRun = _job_state.StepRun
 JobRun = _job_state.JobRun
+FINAL = _job_state.FINAL
 Worker = _worker_state.Worker
 
 
@@ -73,8 +75,17 @@
     least_urgent: int = 0
     # Steps with waiting tasks.
     steps: _waiting.WaitingSteps = attrs.field(factory=_waiting.WaitingSteps)
-    # Heap of the steps that start at a set time, as (due Unix ms, name).
-    scheduled_steps: list[tuple[int, str]] = attrs.field(factory=list)
+    # Memory of the jobs.
+    footprint: _footprint.Footprint = attrs.field(factory=_footprint.Footprint)
+    # Heap of the jobs whose next occurrence is due at a set time, as (due Unix
+    # ms, job id), with some that have ended.
+    scheduled_jobs: list[tuple[int, str]] = attrs.field(factory=list)
+    # Ids of the jobs with due occurrences that have not been released, in the
+    # order in which they are examined.
+    overdue_jobs: dict[str, None] = attrs.field(factory=dict)
+    # Names of the tasks that are kept in memory after their end, with those
+    # of their steps, the oldest first.
+    retained_tasks: dict[str, str] = attrs.field(factory=dict)
     # Free capacity that queries to the policy service are sent for, by worker
     # id and step name, as (priority, size).
     claims_by_worker: dict[str, dict[str, tuple[int, model.Size]]] = (
@@ -83,6 +94,8 @@
     # Heap of the steps whose successors the policy service is asked about, as
     # (time, name of the step).
     planned_queries: list[tuple[float, str]] = attrs.field(factory=list)
+    # Ended jobs whose final state is stored, by job id.
+    recorded_jobs: dict[str, JobRun] = attrs.field(factory=dict)
     # When ended jobs were removed from memory, by job id.
     evicted_at: dict[str, float] = attrs.field(factory=dict)
     # Version of the store that this owner restored its state from.
@@ -282,23 +295,38 @@
         return worker if is_current else None
 
     def step(self, name: str) -> StepRun | None:
-        """Return the step of a name, or None if the cell has no such step."""
+        """Return the step of a name if it is in memory."""
+        key = self._find_step(name)
+        return None if key is None else key[0].steps.get(key[1])
+
+    def task(self, name: str) -> Task | None:
+        """Return the task of a name, or None if the cell has no such task.
+
+        A task that is not in memory has not started under this owner, or has
+        completed.
+        """
+        step_name, _, index = name.rpartition('.')
+        key = self._find_step(step_name)
+        if key is None or not index.isdigit():
+            return None
+        job, position = key
+        if int(index) >= job.spec.steps[position[1]].count:
+            return None
+        return job.steps[position].tasks[int(index)]
+
+    def _find_step(self, name: str) -> tuple[JobRun, tuple[int, int]] | None:
+        """Return the job and the key of a step, or None if there is none."""
         job_id, _, rest = name.partition('.')
         job = self.jobs.get(job_id)
         occurrence, _, number = rest.partition('.')
         if job is None or not (occurrence.isdigit() and number.isdigit()):
             return None
-        return job.steps.get((int(occurrence), int(number)))
-
-    def task(self, name: str) -> Task | None:
-        """Return the task of a name, or None if the cell has no such task."""
-        step_name, _, index = name.rpartition('.')
-        step = self.step(step_name)
-        if step is None or not index.isdigit():
-            return None
-        is_known = int(index) < len(step.tasks)
-        return step.tasks[int(index)] if is_known else None
+        key = int(occurrence), int(number)
+        is_known = key[0] < job.spec.occurrences
+        return (
+            (job, key) if is_known and key[1] < len(job.spec.steps) else None
+        )
 
-    def schedule(self, due_ms: int, name: str) -> None:
-        """Schedule a step for a time, in Unix milliseconds."""
-        heapq.heappush(self.scheduled_steps, (due_ms, name))
+    def schedule(self, due_ms: int, job_id: str) -> None:
+        """Schedule the next occurrence of a job, in Unix milliseconds."""
+        heapq.heappush(self.scheduled_jobs, (due_ms, job_id))
--- a/packages/cell/celeryshift_cell/_stops.py
+++ b/packages/cell/celeryshift_cell/_stops.py
@@ -37,8 +37,8 @@
 
 def stop_job(cell: _state.Cell, job: _state.JobRun, reason: str) -> None:
     """Stop all runs of a job."""
-    for step in job.steps.values():
-        for task in step.tasks:
+    for step in job.steps.known:
+        for task in step.tasks.known:
             for run in task.runs.values():
                 if run.phase is not Phase.STOPPING:
                     stop(cell, run, reason)
@@ -46,7 +46,7 @@
 
 def stop_gang(cell: _state.Cell, step: _state.StepRun, number: int) -> None:
     """Stop all runs of a gang that can't be complete any more."""
-    for task in step.tasks:
+    for task in step.tasks.known:
         run = task.runs.get(number)
         if run is not None and run.phase is not Phase.STOPPING:
             stop(cell, run, 'gang incomplete')
--- a/packages/cell/celeryshift_cell/_waiting.py
+++ b/packages/cell/celeryshift_cell/_waiting.py
@@ -58,6 +58,7 @@
         if step.name in self.by_name:
             self.unblock(step)
             return
+        step.job.waiting_steps += 1
         step.waiting_number = next(self._numbers)
         step.blocked_in = None
         self.by_name[step.name] = self.unblocked[step.name] = step
@@ -69,6 +70,7 @@
         """Remove a step that no longer waits, if it does."""
         if self.by_name.pop(step.name, None) is None:
             return
+        step.job.waiting_steps -= 1
         self.unblocked.pop(step.name, None)
         self.touched.pop(step.name, None)
         self._clear_block(step)
--- a/packages/cell/celeryshift_cell/events.py
+++ b/packages/cell/celeryshift_cell/events.py
@@ -45,6 +45,15 @@
     config: model.Config
 
 
+@attrs.frozen(slots=True)
+class MemoryLimited:
+    """The memory for the state of the cell changed, or became known."""
+
+    now: float
+    # In bytes; 0 for no limit.
+    limit: int
+
+
 @attrs.frozen(slots=True)
 class WorkersChanged:
     """Entries of workers were added, changed or removed."""
@@ -254,6 +263,7 @@
 
 Event = (
     ConfigChanged
+    | MemoryLimited
     | WorkersChanged
     | EvacuationsChanged
     | JobAccepted
--- a/packages/cellnode/celeryshift_cellnode/_election.py
+++ b/packages/cellnode/celeryshift_cellnode/_election.py
@@ -40,9 +40,9 @@
 # After this time the leases of an owner's predecessors, and the leases that
 # they granted to workers, have expired. The owner then knows all runs.
 SETTLED_OWNER_S = 10.0
-# A node with less than this fraction of the most cores or the highest
-# bandwidth of any node is weak: it owns the cell only while there is no other
-# node.
+# A node with less than this fraction of the most cores, the highest bandwidth
+# or the most memory of any node is weak: it owns the cell only while there is
+# no other node.
 WEAK_NODE_FRACTION = 0.5
 # Minimum interval at which a node renews its own row and reads those of the
 # others, and maximum rate of the renewals of all nodes together. The interval
@@ -223,9 +223,11 @@
 def _weak_nodes(nodes: dict[str, _schema.Node]) -> frozenset[str]:
     cores = max((node.cores for node in nodes.values()), default=0.0)
     mbps = max((node.link_mbps for node in nodes.values()), default=0.0)
+    memory_mb = max((node.memory_mb for node in nodes.values()), default=0.0)
     return frozenset(
         node.name
         for node in nodes.values()
         if node.cores < WEAK_NODE_FRACTION * cores
         or node.link_mbps < WEAK_NODE_FRACTION * mbps
+        or 0 < node.memory_mb < WEAK_NODE_FRACTION * memory_mb
     )
--- a/packages/cellnode/celeryshift_cellnode/_jobspec.py
+++ b/packages/cellnode/celeryshift_cellnode/_jobspec.py
@@ -12,8 +12,7 @@
 MAX_STEPS = 64
 MAX_TASKS = 1000
 MAX_OCCURRENCES = 10_000
-# Tasks of all occurrences together. The owner keeps all of them in memory, and
-# a transaction has room for their progress.
+# Tasks of all occurrences together: a transaction has room for their progress.
 MAX_TASK_RUNS = 10_000
 
 
@@ -44,6 +43,8 @@
         yield f'it is to run {job.times} times'
     elif job.occurrences * tasks > MAX_TASK_RUNS:
         yield f'there are more than {MAX_TASK_RUNS} tasks in all occurrences'
+    if job.times and job.every_ms < 0:
+        yield f'the interval is {job.every_ms} ms'
     for number, step in enumerate(job.steps):
         if step.count < 1:
             yield f'step {number} has {step.count} tasks'
--- a/packages/cellnode/celeryshift_cellnode/_ownerservice.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownerservice.py
@@ -48,6 +48,8 @@
         self._pending_writes: dict[
             str, asyncio.Future[_groupwriter.Result]
         ] = {}
+        # Memory that these jobs will take.
+        self._pending_bytes = 0
 
     def add_job(self, stored: events.StoredJob) -> None:
         """Pass a stored job to the cell."""
@@ -92,9 +94,9 @@
             cell.count_accepted(self.runner.state, job)
             pending = asyncio.ensure_future(self._store_job(self.runner, job))
             self._pending_writes[job.id] = pending
-            pending.add_done_callback(
-                lambda _: self._pending_writes.pop(job.id)
-            )
+            size = admission.job_bytes(job)
+            self._pending_bytes += size
+            pending.add_done_callback(lambda _: self._settle(job.id, size))
         # A caller that disconnects must not cancel a write that others await.
         result = await asyncio.shield(pending)
         is_withdrawn = _schema.is_withdrawn(result.existing)
@@ -104,17 +106,39 @@
             'reason': result.reason,
         }
 
+    def _settle(self, job_id: str, size: int) -> None:
+        """Note that the write of a job has an outcome."""
+        del self._pending_writes[job_id]
+        self._pending_bytes -= size
+
     def _decide_admission(
         self, runner: _runner.Runner, job: model.Job
     ) -> admission.Rejection | None:
         """Return why a job is rejected that has certainly not been stored."""
-        if job.id in self._in_doubt or self._is_store_impaired():
+        if job.id in self._in_doubt:
+            return None
+        rejection = admission.decide_by_memory(
+            runner.state, job, self._pending_bytes
+        )
+        if rejection is not None:
+            runner.log_decision(
+                'job_rejected',
+                job=job.id,
+                queue=job.queue,
+                team=job.team,
+                why=rejection.reason,
+                retry_after_s=rejection.retry_after_s,
+                accepted_bytes=runner.state.footprint.accepted,
+                pending_bytes=self._pending_bytes,
+            )
+            return rejection
+        if self._is_store_impaired():
             return None
         state = runner.state
         job = cell.mark_surplus(state, job)
         rejection = admission.decide(state, job)
-        if rejection is not None:
-            prediction = rejection.prediction
+        prediction = rejection.prediction if rejection is not None else None
+        if rejection is not None and prediction is not None:
             runner.log_decision(
                 'job_rejected',
                 job=job.id,
--- a/packages/cellnode/celeryshift_cellnode/_records.py
+++ b/packages/cellnode/celeryshift_cellnode/_records.py
@@ -1,8 +1,10 @@
 """Reads and writes the rows of a cell."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import time
 from typing import Any
 
@@ -192,14 +194,13 @@
     Only the owner writes the rows of progress and workers, so the tables need
     not be read at one moment.
     """
-    (jobs_rows, version), *others = await asyncio.gather(
-        read_all(store, _schema.JOBS),
+    (jobs, cancelled, version), (progress, _), *others = await asyncio.gather(
+        _read_jobs(store, log_decision),
         read_all(store, _schema.PROGRESS),
         read_all(store, _schema.WORKERS),
         read_all(store, _schema.CELLS),
     )
-    progress, workers, cells = (rows for rows, _ in others)
-    jobs, cancelled = decode_jobs(jobs_rows, log_decision)
+    workers, cells = (rows for rows, _ in others)
     records, parts_by_job = _decode_records(progress)
     records_by_id: dict[str, tuple[int, str]] = {}
     for row in workers:
@@ -223,6 +224,25 @@
     )
 
 
+async def _read_jobs(
+    store: ports.Store, log_decision: Callable[..., None]
+) -> tuple[dict[str, events.StoredJob], tuple[str, ...], int]:
+    """Read the table of jobs; return what ``decode_jobs`` does, and a version.
+
+    Each page is decoded before the next one is read, so that the rows are not
+    in memory beside all jobs.
+    """
+    jobs: dict[str, events.StoredJob] = {}
+    cancelled: list[str] = []
+    version = 0
+    async for page in _read_pages(store, _schema.JOBS):
+        version = version or page.version
+        found, ids = decode_jobs(page.rows, log_decision)
+        jobs |= found
+        cancelled += ids
+    return jobs, tuple(cancelled), version
+
+
 def _load(kind: Any, row: ports.Row, log_decision: Callable[..., None]) -> Any:
     """Decode a row; log one that is invalid, and return None.
 
@@ -241,7 +261,7 @@
 
 
 def decode_jobs(
-    rows: list[ports.Row], log_decision: Callable[..., None]
+    rows: Sequence[ports.Row], log_decision: Callable[..., None]
 ) -> tuple[dict[str, events.StoredJob], tuple[str, ...]]:
     """Return the jobs in the rows, and the IDs of cancelled jobs."""
     jobs: dict[str, events.StoredJob] = {}
@@ -273,10 +293,23 @@
     """
     rows: list[ports.Row] = []
     version = 0
-    while True:
-        page = await store.read(table, part, first, last, timeout_s)
+    async for page in _read_pages(store, table, part, first, last, timeout_s):
         rows += page.rows
         version = version or page.version
+    return rows, version
+
+
+async def _read_pages(
+    store: ports.Store,
+    table: str,
+    part: str = _schema.CELL,
+    first: str = '',
+    last: str | None = None,
+    timeout_s: float = READ_TIMEOUT_S,
+) -> AsyncIterator[ports.ReadResult]:
+    while True:
+        page = await store.read(table, part, first, last, timeout_s)
+        yield page
         if not page.has_more:
-            return rows, version
+            return
         first = page.rows[-1].key + '\0'
--- a/packages/cellnode/celeryshift_cellnode/_schema.py
+++ b/packages/cellnode/celeryshift_cellnode/_schema.py
@@ -72,6 +72,8 @@
     # Resources of the VM; nodes with more resources are preferred as owners.
     cores: float = 1.0
     link_mbps: float = 0.0
+    # 0 if unknown, as for a node of an earlier release.
+    memory_mb: float = 0.0
 
 
 @attrs.frozen(slots=True)
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import gc
 import signal
 import time
 from typing import Any
@@ -22,6 +23,7 @@
 from celeryshift_cellnode import _logs
 from celeryshift_cellnode import _membership
 from celeryshift_cellnode import _metrics
+from celeryshift_cellnode import _memory
 from celeryshift_cellnode import _ownership
 from celeryshift_cellnode import _peers
 from celeryshift_cellnode import _pruning
@@ -93,6 +95,7 @@
             uuid.uuid4().hex[:12],
             settings.data_centre,
             settings.cores,
+            settings.memory_mb,
             settings.link_mbps,
         )
         self._peers = _peers.Peers(channels)
@@ -153,6 +156,7 @@
             owner_client,
             self._log_decision,
             self._metrics,
+            _memory.Allowance(lambda: self._membership.nodes),
             settings.store_limits.row_bytes,
         )
         self._runner: _runner.Runner | None = None
@@ -216,6 +220,12 @@
         """Apply the settings that may change while the node runs."""
         try:
             changes = self._read_settings()
+            self._runner.enqueue(self._limit_memory())
+
+    def _limit_memory(self) -> events.MemoryLimited:
+        """Return the event that limits the memory of the cell."""
+        limit = _memory.cell_bytes(self._membership.nodes.values())
+        return events.MemoryLimited(time.monotonic(), limit)
         except errors.SettingsError as error:
             self._log_decision('settings_unreadable', error=str(error))
             return
@@ -363,6 +373,7 @@
             runner.enqueue(events.ConfigChanged(now, configuration.cell))
         runner.enqueue(events.WorkersChanged(now, tuple(workers)))
         evacuated = self._evacuations.data_centres
+        runner.enqueue(self._limit_memory())
         runner.enqueue(events.EvacuationsChanged(now, evacuated))
         runner.enqueue(
             restored[0].to_event(in_doubt_until, former_owner_until)
@@ -440,6 +451,9 @@
 
 
 async def _listen(handler: Any, host: str, port: int) -> web.ServerRunner:
+        # The state has cycles. If this node acquires the cell again, both
+        # states would be in memory.
+        gc.collect()
     server = web.Server(handler, access_log=None)
     server_runner = web.ServerRunner(
         server, access_log=None, keepalive_timeout=KEEPALIVE_S
--- a/packages/cellnode/celeryshift_cellnode/ports.py
+++ b/packages/cellnode/celeryshift_cellnode/ports.py
@@ -245,6 +245,10 @@
     # unknown.
     cores: float = 1.0
     link_mbps: float = 0.0
+    # Memory that a process may use; 0 for no limit.
+    memory_mb: float = 0.0
+    # Descriptors that a process may use; 0 for no limit.
+    file_descriptors: int = 0
     # Read from the settings, but not used.
     grace_s: float = 6.0
     # How long the state of a job can be queried after the job has finished.
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -15,6 +15,7 @@
 from celeryshift_cellnode import _groupwriter
 from celeryshift_cellnode import _jobrows
 from celeryshift_cellnode import _jobspec
+from celeryshift_cellnode import _memory
 from celeryshift_cellnode import _metrics
 from celeryshift_cellnode import _ownerservice
 from celeryshift_cellnode import _routing
@@ -141,12 +142,14 @@
     ) -> None:
         self._store = store
         self._owner_client = owner_client
+        allowance: _memory.Allowance | None = None,
         self._log_decision = log_decision
         self._metrics = metrics
         self._row_bytes = row_bytes
         self._job_rows = _jobrows.JobRows(store)
         self.configuration: ports.Configuration | None = None
         self._router = _routing.Router(())
+        self._allowance = allowance or _memory.Allowance()
         # Handles requests to the owner while this node is the owner.
         self.owner_service = _ownerservice.OwnerService(
             lambda: store.is_slow or store.is_unavailable
@@ -259,6 +262,11 @@
             return Answer(Verdict.OK), False
         if written == _ownerservice.WITHDRAWN:
             return _withdrawn(), False
+        if not (in_doubt or self._allowance.take(job)):
+            return _unavailable(
+                'no owner answers, and this node has stored as many jobs '
+                'without one as it may'
+            )
         if written == _ownerservice.IMPOSSIBLE:
             answer = Answer(
                 Verdict.TRY_LATER,
@@ -293,6 +301,8 @@
             {live_key: _schema.dump(job)},
         )
         delay_s = RETRY_DELAY_S
+            if written == STORED:
+                self._allowance.handle_accepted()
         while (remaining_s := deadline - time.monotonic()) > MIN_ATTEMPT_S:
             try:
                 stored = await self._store.transact(
--- a/tests/test_cell_processes.py
+++ b/tests/test_cell_processes.py
@@ -17,6 +17,9 @@
 from tests import site
 
 NODES = 3
+# As on small deployments.
+MEMORY_MB = 300
+DESCRIPTORS = 4100
 START_S = 15.0
 # How long the load balancer keeps sending connections to a stopping node.
 BALANCER_S = 2.0
@@ -72,6 +75,10 @@
                     },
                     'internal_ports': [self.peer, self.peer],
                     'bounds': {'max_hold_ms': 6000, 'grace_s': 6},
+                    'limits': {
+                        'memory_mb': MEMORY_MB,
+                        'file_descriptors': DESCRIPTORS,
+                    },
                     'advice': f'{site.LOOPBACK}:{platform.port}',
                     'platform': {'address': f'{site.LOOPBACK}:{store_port}'},
                 }
@@ -110,6 +117,20 @@
         ends = len(self.decisions('orders_end'))
         return len(self.decisions('cell_restored')) > ends
 
+    def memory_mb(self) -> float:
+        """Return the private memory of the process; 0 if it has ended."""
+        if self.process is None:
+            return 0.0
+        try:
+            path = pathlib.Path(f'/proc/{self.process.pid}/status')
+            for line in path.read_text().splitlines():
+                if line.startswith('RssAnon:'):
+                    return int(line.split()[1]) / 1024
+        except OSError:
+            # The process has ended and was reaped.
+            pass
+        return 0.0
+
     async def end(self) -> None:
         """Kill the process."""
         assert self.process is not None
