Connections, headers and bodies of clients take a bounded memory

Callers: 600 connections, each with 262,000 of 262,144 body bytes, took a node from 31 to 272 MB, also with an unknown key; 1,500 connections with half a header were kept open, and a caller beside them was not served in time. Bodies larger than the configuration's max_body_bytes were accepted.

Cause: the body was read before the key was checked, with no end of the wait and no limit on all bodies; a connection had no limit until its first request was complete; max_body_bytes was decoded and used nowhere.

Change: the key comes first; a body is read until the call's timeout, 10 s at most, up to max_body_bytes (413, or 408), and all bodies have a budget from limits.memory_mb (503 with Retry-After beyond it). The number of connections follows from memory_mb and file_descriptors; beyond it the oldest idle one is closed.

--- a/packages/cellnode/celeryshift_cellnode/errors.py
+++ b/packages/cellnode/celeryshift_cellnode/errors.py
@@ -44,6 +44,14 @@
     """Raised when the description of a job is invalid."""
 
 
+class BodyTooLargeError(CellNodeError):
+    """Raised when the body of a call exceeds the limit."""
+
+
+class BusyError(CellNodeError):
+    """Raised when there is no memory for a call at present."""
+
+
 def describe(value: object) -> str:
     """Return a short text for any value or error, for a message or the log."""
     if isinstance(value, list | dict):
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -15,6 +15,7 @@
 import celeryshift_cell as cell
 from celeryshift_cell import events
 from celeryshift_cellnode import _advicerelay
+from celeryshift_cellnode import _clientserver
 from celeryshift_cellnode import _configurations
 from celeryshift_cellnode import _connectivity
 from celeryshift_cellnode import _evacuations
@@ -22,8 +23,8 @@
 from celeryshift_cellnode import _groupwriter
 from celeryshift_cellnode import _logs
 from celeryshift_cellnode import _membership
-from celeryshift_cellnode import _metrics
 from celeryshift_cellnode import _memory
+from celeryshift_cellnode import _metrics
 from celeryshift_cellnode import _ownership
 from celeryshift_cellnode import _peers
 from celeryshift_cellnode import _pruning
@@ -45,8 +46,6 @@
 LAST_RESPONSES_S = 1.0
 # How long a handover waits for writes in flight.
 FLUSH_TIMEOUT_S = 0.5
-BACKLOG = 512
-KEEPALIVE_S = 75.0
 # Delay before the rows of the cell are read again after a failure.
 RESTORE_RETRY_DELAY_S = 0.2
 # Margin added to the time until which workers may obey a former owner.
@@ -95,8 +94,8 @@
             uuid.uuid4().hex[:12],
             settings.data_centre,
             settings.cores,
-            settings.memory_mb,
             settings.link_mbps,
+            settings.memory_mb,
         )
         self._peers = _peers.Peers(channels)
         self._membership = _membership.Membership(
@@ -156,8 +155,8 @@
             owner_client,
             self._log_decision,
             self._metrics,
-            _memory.Allowance(lambda: self._membership.nodes),
             settings.store_limits.row_bytes,
+            _memory.Allowance(lambda: self._membership.nodes),
         )
         self._runner: _runner.Runner | None = None
         self._followers: list[asyncio.Task[None]] = []
@@ -175,10 +174,16 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         peer_server = await self._serve_peers()
-        readiness_server = await _listen(
+        readiness_server = await _clientserver.listen(
             self._handle_readiness, *readiness_address
         )
-        client_server = await _listen(frontend.handle_request, *client_address)
+        client_server = await _clientserver.listen(
+            frontend.handle_request,
+            *client_address,
+            _clientserver.max_connections(
+                self._settings.memory_mb, self._settings.file_descriptors
+            ),
+        )
         background = [
             loop.create_task(self._restart_on_failure(work))
             for work in (
@@ -215,17 +220,17 @@
     def _handle_nodes_changed(self) -> None:
         if self._runner is not None:
             self._runner.handle_nodes_changed()
-
-    def reload(self) -> None:
-        """Apply the settings that may change while the node runs."""
-        try:
-            changes = self._read_settings()
             self._runner.enqueue(self._limit_memory())
 
     def _limit_memory(self) -> events.MemoryLimited:
         """Return the event that limits the memory of the cell."""
         limit = _memory.cell_bytes(self._membership.nodes.values())
         return events.MemoryLimited(time.monotonic(), limit)
+
+    def reload(self) -> None:
+        """Apply the settings that may change while the node runs."""
+        try:
+            changes = self._read_settings()
         except errors.SettingsError as error:
             self._log_decision('settings_unreadable', error=str(error))
             return
@@ -368,12 +373,12 @@
         lease_s = options.max_lease_s / (1 - options.clock_drift)
         in_doubt_until = former_owner_until + lease_s + CLOCK_MARGIN_S
         now = time.monotonic()
+        runner.enqueue(self._limit_memory())
         configuration = self.service.configuration
         if configuration is not None:
             runner.enqueue(events.ConfigChanged(now, configuration.cell))
         runner.enqueue(events.WorkersChanged(now, tuple(workers)))
         evacuated = self._evacuations.data_centres
-        runner.enqueue(self._limit_memory())
         runner.enqueue(events.EvacuationsChanged(now, evacuated))
         runner.enqueue(
             restored[0].to_event(in_doubt_until, former_owner_until)
@@ -446,19 +451,8 @@
         self._log_decision('orders_end', why=reason, epoch=self._runner.epoch)
         self._runner.close()
         self._runner = self.service.owner_service.runner = None
-        for task in self._followers:
-            task.cancel()
-
-
-async def _listen(handler: Any, host: str, port: int) -> web.ServerRunner:
         # The state has cycles. If this node acquires the cell again, both
         # states would be in memory.
         gc.collect()
-    server = web.Server(handler, access_log=None)
-    server_runner = web.ServerRunner(
-        server, access_log=None, keepalive_timeout=KEEPALIVE_S
-    )
-    await server_runner.setup()
-    site = web.TCPSite(server_runner, host, port, backlog=BACKLOG)
-    await site.start()
-    return server_runner
+        for task in self._followers:
+            task.cancel()
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -60,6 +60,9 @@
     # The store has no such job.
     NO_JOB = 'no job'
     MALFORMED = 'malformed'
+    # The body exceeds the limit, or did not arrive in time.
+    TOO_LARGE = 'too large'
+    INCOMPLETE = 'incomplete'
     # The job was cancelled before it was stored. It is not accepted.
     WITHDRAWN = 'withdrawn'
     # The job is not accepted, because no worker or limit allows it, or because
@@ -139,17 +142,17 @@
         log_decision: Callable[..., None],
         metrics: _metrics.Metrics,
         row_bytes: int,
+        allowance: _memory.Allowance | None = None,
     ) -> None:
         self._store = store
         self._owner_client = owner_client
-        allowance: _memory.Allowance | None = None,
         self._log_decision = log_decision
         self._metrics = metrics
         self._row_bytes = row_bytes
+        self._allowance = allowance or _memory.Allowance()
         self._job_rows = _jobrows.JobRows(store)
         self.configuration: ports.Configuration | None = None
         self._router = _routing.Router(())
-        self._allowance = allowance or _memory.Allowance()
         # Handles requests to the owner while this node is the owner.
         self.owner_service = _ownerservice.OwnerService(
             lambda: store.is_slow or store.is_unavailable
@@ -176,6 +179,40 @@
             return Answer(Verdict.NO_ACCESS)
         return route, team or ''
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the size of the largest body that is accepted."""
+        configuration = self.configuration or ports.Configuration(
+            model.Config()
+        )
+        return configuration.max_body_bytes
+
+    def refuse(self, call: Call) -> Answer | None:
+        """Return the answer to a submission that is not authorized, or None.
+
+        It does not depend on the body, which need not be read for it.
+        """
+        authorized = self.authorize(call)
+        if not isinstance(authorized, Answer):
+            return None
+        return self._record_answer(
+            'submit', call, time.monotonic(), authorized
+        )
+
+    def refuse_body(
+        self, call: Call, started_at: float, error: Exception
+    ) -> Answer:
+        """Return the answer to a submission whose body was not read."""
+        if isinstance(error, errors.BodyTooLargeError):
+            answer = Answer(Verdict.TOO_LARGE, reason=str(error))
+        elif isinstance(error, errors.BusyError):
+            answer = _unavailable(str(error))
+        else:
+            answer = Answer(
+                Verdict.INCOMPLETE, reason='the body did not arrive in time'
+            )
+        return self._record_answer('submit', call, started_at, answer)
+
     async def submit(
         self, call: Call, build_job: Callable[[str, str, str], model.Job]
     ) -> Answer:
@@ -225,6 +262,11 @@
                     return Answer(Verdict.UNKNOWN, reason=reason)
                 return _unavailable(reason)
             await asyncio.sleep(RETRY_DELAY_S)
+        if not (in_doubt or self._allowance.take(job)):
+            return _unavailable(
+                'no owner answers, and this node has stored as many jobs '
+                'without one as it may'
+            )
         answer, version = await self._store_job(job, deadline, in_doubt)
         if version:
             self._notify_owner_of_job(events.StoredJob(job, version))
@@ -259,14 +301,11 @@
         """Return what the owner's reply means, as ``_request_accept`` does."""
         written = reply['written']
         if written in (STORED, EXISTS):
+            if written == STORED:
+                self._allowance.handle_accepted()
             return Answer(Verdict.OK), False
         if written == _ownerservice.WITHDRAWN:
             return _withdrawn(), False
-        if not (in_doubt or self._allowance.take(job)):
-            return _unavailable(
-                'no owner answers, and this node has stored as many jobs '
-                'without one as it may'
-            )
         if written == _ownerservice.IMPOSSIBLE:
             answer = Answer(
                 Verdict.TRY_LATER,
@@ -301,8 +340,6 @@
             {live_key: _schema.dump(job)},
         )
         delay_s = RETRY_DELAY_S
-            if written == STORED:
-                self._allowance.handle_accepted()
         while (remaining_s := deadline - time.monotonic()) > MIN_ATTEMPT_S:
             try:
                 stored = await self._store.transact(
