An owner starts nothing before it knows the configuration

Cause: _start_owning starts the cell whether or not a configuration is known, and a team that is missing from the empty one has no limit. Confirmed by a cell that is restored without a ConfigChanged: it starts all waiting tasks. Ruled out: usage in doubt after the change of owner; with the configuration known at the same moment the limit holds.

Change: the reducer places, copies, moves and interrupts nothing until it is configured; polls, ends, saves and cancels go on. Nodes without a configuration acquire the cell later and are the last choice of a handover. A team that is no longer configured keeps its last limit while it has jobs.

--- a/packages/cell/celeryshift_cell/_in_doubt.py
+++ b/packages/cell/celeryshift_cell/_in_doubt.py
@@ -9,6 +9,7 @@
 import math
 
 from celeryshift_cell import _jobs
+from celeryshift_cell import _limits
 from celeryshift_cell import _state
 from celeryshift_cell import _usage
 from celeryshift_cell import model
@@ -51,7 +52,7 @@
     for name, usage in found.items():
         if total is not None:
             usage.cap(total, NO_USAGE)
-        team = cell.config.teams_by_name.get(name)
+        team = _limits.find_team(cell, name)
         if team is not None:
             usage.cap(team.maximum, cell.adopted_usage(name))
     return found
--- a/packages/cell/celeryshift_cell/_limits.py
+++ b/packages/cell/celeryshift_cell/_limits.py
@@ -17,10 +17,27 @@
 MAX_HEADROOM_SHARE = 0.25
 
 
+def keep_former_teams(cell: _state.Cell, config: model.Config) -> None:
+    """Keep the limits of teams with jobs that a new configuration lacks."""
+    known = cell.former_teams | cell.config.teams_by_name
+    missing = {job.spec.team for job in cell.jobs.values()}.difference(
+        config.teams_by_name
+    )
+    cell.former_teams = {
+        name: known[name] for name in sorted(missing) if name in known
+    }
+
+
+def find_team(cell: _state.Cell, name: str) -> model.Team | None:
+    """Return the limits of a team, as last known; None if it has none."""
+    team = cell.config.teams_by_name.get(name)
+    return team or cell.former_teams.get(name)
+
+
 def allows(cell: _state.Cell, step: _state.StepRun, size: model.Size) -> bool:
     """Return whether a team may start more of a step within its limit."""
     name = step.job.spec.team
-    team = cell.config.teams_by_name.get(name)
+    team = find_team(cell, name)
     if team is None:
         return True
     used = cell.usage(name)
--- a/packages/cell/celeryshift_cell/_preemption.py
+++ b/packages/cell/celeryshift_cell/_preemption.py
@@ -6,6 +6,7 @@
 """
 
 from celeryshift_cell import _headroom
+from celeryshift_cell import _limits
 from celeryshift_cell import _ordering
 from celeryshift_cell import _state
 from celeryshift_cell import _stops
@@ -38,7 +39,7 @@
     cell: _state.Cell, name: str, shortfall: _usage.Usage
 ) -> None:
     """Stop the tasks with the least progress to cover a shortfall."""
-    team = cell.config.teams_by_name.get(name)
+    team = _limits.find_team(cell, name)
     if team is None:
         return
     shortfall.cpu_milli -= _unused(
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -15,6 +15,7 @@
 from celeryshift_cell import _health
 from celeryshift_cell import _interference
 from celeryshift_cell import _jobs
+from celeryshift_cell import _limits
 from celeryshift_cell import _placement
 from celeryshift_cell import _polls
 from celeryshift_cell import _preemption
@@ -46,11 +47,12 @@
 
     With ``may_start`` false, no task is started. Callers use this while they
     don't hold the owner's lease, and for all but the last event of a batch, so
-    that one placement pass serves the whole batch.
+    that one placement pass serves the whole batch. Nor is one started before
+    the configuration is known.
     """
     cell.now = max(cell.now, event.now)
     HANDLERS[type(event)](cell, event)
-    if may_start:
+    if may_start and cell.is_configured:
         _runs.send_trials(cell)
         _placement.place_waiting(cell)
     _records.save_changes(cell)
@@ -61,7 +63,9 @@
 def _handle_config_changed(
     cell: _state.Cell, event: events.ConfigChanged
 ) -> None:
+    _limits.keep_former_teams(cell, event.config)
     cell.config = event.config
+    cell.is_configured = True
     _shares.configure(cell)
     _placement.refresh_policies(cell)
     cell.log_decision('config_applied', version=event.config.version)
@@ -117,20 +121,32 @@
     _polls.poll_due(cell)
     _run_times.update(cell)
     _interference.update(cell)
+    if cell.is_configured:
+        _move_tasks(cell)
+    _headroom.update(cell)
+    _backlog.refresh(cell)
+    _records.evict_ended(cell)
+    if cell.is_configured:
+        _make_room(cell)
+
+
+def _move_tasks(cell: _state.Cell) -> None:
+    """Copy or move tasks that run too long or on the wrong worker."""
     if _run_times.is_used(cell):
         _completion.queue_copies(cell)
     else:
         _health.copy_stragglers(cell)
     _draining.move_tasks(cell)
     _fillers.stop_stalled(cell)
-    _headroom.update(cell)
-    _backlog.refresh(cell)
+
+
+def _make_room(cell: _state.Cell) -> None:
+    """Make room and send queries for the steps that wait."""
     _preemption.preempt(cell)
     _reclaim.reclaim(cell)
-    _records.evict_ended(cell)
     _advice.query_ahead(cell)
-    if event.now >= cell.recheck_at:
-        cell.recheck_at = event.now + cell.options.recheck_s
+    if cell.now >= cell.recheck_at:
+        cell.recheck_at = cell.now + cell.options.recheck_s
         _advice.renew_ahead(cell)
         _placement.recheck_waiting(cell)
 
--- a/packages/cell/celeryshift_cell/_runs.py
+++ b/packages/cell/celeryshift_cell/_runs.py
@@ -6,6 +6,7 @@
 from celeryshift_cell import _health
 from celeryshift_cell import _jobs
 from celeryshift_cell import _leases
+from celeryshift_cell import _limits
 from celeryshift_cell import _state
 from celeryshift_cell import _stops
 from celeryshift_cell import effects
@@ -172,8 +173,8 @@
 ) -> None:
     """Unblock the steps that may start now that a run has ended."""
     used = cell.usage(team)
-    configured = cell.config.teams_by_name.get(team)
-    maximum = configured.maximum if configured else model.Size()
+    limited = _limits.find_team(cell, team)
+    maximum = limited.maximum if limited else model.Size()
     cell.steps.unblock_for(
         worker, team, lambda size: used.allows(size, maximum)
     )
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -60,6 +60,11 @@
     now: float = 0.0
     clocks: _clocks.Clocks = attrs.field(factory=_clocks.Clocks)
     config: model.Config = attrs.field(factory=model.Config)
+    # Whether the configuration is known. Until then, a team or a queue that is
+    # missing from it may have any limit and priority.
+    is_configured: bool = False
+    # Last known limits of teams with jobs that are not configured any more.
+    former_teams: dict[str, model.Team] = attrs.field(factory=dict)
     jobs: dict[str, JobRun] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
     # Workers that ticks examine.
--- a/packages/cellnode/celeryshift_cellnode/_handover.py
+++ b/packages/cellnode/celeryshift_cellnode/_handover.py
@@ -61,7 +61,11 @@
             await self.hand_over(to_strong=True)
 
     async def hand_over(self, to_strong: bool = False) -> None:
-        """Make the first reachable node in takeover order the owner."""
+        """Make the first reachable node in takeover order the owner.
+
+        A node without a configuration would start nothing, so it comes last.
+        """
+        unconfigured = []
         order = self._status.takeover_order
         nodes = sorted(
             (
@@ -79,6 +83,7 @@
                     node.address, 'ping', {}, HANDOVER_TIMEOUT_S
                 )
                 is_leaving = answer['is_leaving']
+                is_configured = answer.get('is_configured', True)
             except errors.PeerError as error:
                 self._log_decision(
                     'no_successor', peer=node.name, error=str(error)
@@ -86,7 +91,12 @@
                 continue
             if is_leaving:
                 continue
-            if await self._transfer_to(node):
+            if not is_configured:
+                unconfigured.append(node)
+            elif await self._transfer_to(node):
+                return
+        for node in [] if to_strong else unconfigured:
+            if self._status.is_owner and await self._transfer_to(node):
                 return
 
     async def _transfer_to(self, node: _schema.Node) -> bool:
--- a/packages/cellnode/celeryshift_cellnode/_ownership.py
+++ b/packages/cellnode/celeryshift_cellnode/_ownership.py
@@ -76,6 +76,9 @@
             self.handover.resign,
         )
         self.is_leaving = False
+        # Whether this node knows its configuration. One that doesn't starts
+        # nothing, so others own the cell rather than this node.
+        self.is_configured: Callable[[], bool] = lambda: True
         # Version of the owner row for which this node last became the owner.
         self._active_version = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -135,6 +138,7 @@
             self._status.rank,
             self._local_node,
             self._store.last_latency_s,
+            self.is_configured(),
         )
         if reason is not None:
             await self.acquire(reason)
@@ -354,8 +358,9 @@
             await self.acquire('owner resigned', time.monotonic())
 
     async def handle_ping(self, body: Any) -> dict[str, Any]:
-        """Return the incarnation of this process and whether it is leaving."""
+        """Return the incarnation of this process, and what it is fit for."""
         return {
             'incarnation': self._local_node.incarnation,
             'is_leaving': self.is_leaving,
+            'is_configured': self.is_configured(),
         }
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -127,6 +127,7 @@
             self._handle_configured,
             self._handle_evacuated,
         )
+        self._ownership.is_configured = lambda: self._configurations.is_known
         self._advice_relay = _advicerelay.AdviceRelay(
             policy_client, self._local_node.address, self._peers
         )
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import enum
 import time
 from typing import Any
 
@@ -11,6 +10,7 @@
 
 from celeryshift_cell import events
 from celeryshift_cell import model
+from celeryshift_cellnode import _answers
 from celeryshift_cellnode import _connectivity
 from celeryshift_cellnode import _groupwriter
 from celeryshift_cellnode import _jobrows
@@ -43,59 +43,14 @@
 # cancellation; the owner also follows the table of jobs.
 NOTIFY_RETRY_DELAY_S = 0.2
 NOTIFY_PERIOD_S = 5.0
-# Clients retry after this time when the store is unavailable.
-STORE_UNAVAILABLE_RETRY_S = 1
 # Clients retry after this time if no worker or limit allows the job; both may
 # change.
 NEVER_FITS_RETRY_S = 60
 
 
-class Verdict(enum.Enum):
-    """Kinds of answers to clients."""
-
-    OK = 'ok'
-    # The queue does not exist.
-    NO_QUEUE = 'no queue'
-    NO_ACCESS = 'no access'
-    # The store has no such job.
-    NO_JOB = 'no job'
-    MALFORMED = 'malformed'
-    # The body exceeds the limit, or did not arrive in time.
-    TOO_LARGE = 'too large'
-    INCOMPLETE = 'incomplete'
-    # The job was cancelled before it was stored. It is not accepted.
-    WITHDRAWN = 'withdrawn'
-    # The job is not accepted, because no worker or limit allows it, or because
-    # it would end too late; the client may retry.
-    TRY_LATER = 'try later'
-    # The store or the owner does not answer. A submitted job is not accepted;
-    # the client may retry.
-    UNAVAILABLE = 'unavailable'
-    # It is not known whether the job is accepted.
-    UNKNOWN = 'unknown'
-
-
-@attrs.frozen(slots=True)
-class Answer:
-    """Answer to a client."""
-
-    verdict: Verdict
-    body: dict[str, Any] | None = None
-    retry_after_s: int | None = None
-    reason: str = ''
-
-
-@attrs.frozen(slots=True)
-class Call:
-    """Properties that all calls of clients have."""
-
-    host: str
-    path: str
-    token: str | None
-    # How long the client waits for the answer.
-    timeout_s: float
-
-
+Verdict = _answers.Verdict
+Answer = _answers.Answer
+Call = _answers.Call
 VERDICT_BY_CANCEL_OUTCOME = {
     _jobrows.CancelOutcome.CANCELLED: Verdict.OK,
     _jobrows.CancelOutcome.ENDED: Verdict.OK,
@@ -109,20 +64,6 @@
 NOT_DELIVERED = (errors.PeerRefusedError, _connectivity.OwnerUnavailableError)
 
 
-def _unavailable(reason: str) -> Answer:
-    return Answer(
-        Verdict.UNAVAILABLE,
-        retry_after_s=STORE_UNAVAILABLE_RETRY_S,
-        reason=reason,
-    )
-
-
-def _withdrawn() -> Answer:
-    return Answer(
-        Verdict.WITHDRAWN, reason='the job was cancelled before it was stored'
-    )
-
-
 def _answer_deadline(call: Call, started_at: float) -> float:
     """Return when the answer must be sent to arrive in time."""
     return started_at + max(call.timeout_s - ANSWER_MARGIN_S, MIN_TIMEOUT_S)
@@ -170,7 +111,7 @@
     def authorize(self, call: Call) -> tuple[ports.Route, str] | Answer:
         """Return the route and the team of a call, or an error answer."""
         if self.configuration is None:
-            return _unavailable('no configuration yet')
+            return _answers.unavailable('no configuration yet')
         route = self._router.find(call.host, call.path)
         if route is None:
             return Answer(Verdict.NO_QUEUE)
@@ -203,14 +144,7 @@
         self, call: Call, started_at: float, error: Exception
     ) -> Answer:
         """Return the answer to a submission whose body was not read."""
-        if isinstance(error, errors.BodyTooLargeError):
-            answer = Answer(Verdict.TOO_LARGE, reason=str(error))
-        elif isinstance(error, errors.BusyError):
-            answer = _unavailable(str(error))
-        else:
-            answer = Answer(
-                Verdict.INCOMPLETE, reason='the body did not arrive in time'
-            )
+        answer = _answers.for_unread_body(error)
         return self._record_answer('submit', call, started_at, answer)
 
     async def submit(
@@ -250,7 +184,9 @@
                 return answer
             in_doubt = in_doubt or may_be_stored
             if self._store.is_unavailable and not in_doubt:
-                return _unavailable('neither the store nor an owner answers')
+                return _answers.unavailable(
+                    'neither the store nor an owner answers'
+                )
             if not (self._store.is_slow or self._store.is_unavailable):
                 break
             # On a slow store, writes of many nodes would delay the next owner.
@@ -260,10 +196,10 @@
                 reason = 'the store is slow or away, and no owner answers'
                 if in_doubt:
                     return Answer(Verdict.UNKNOWN, reason=reason)
-                return _unavailable(reason)
+                return _answers.unavailable(reason)
             await asyncio.sleep(RETRY_DELAY_S)
         if not (in_doubt or self._allowance.take(job)):
-            return _unavailable(
+            return _answers.unavailable(
                 'no owner answers, and this node has stored as many jobs '
                 'without one as it may'
             )
@@ -305,7 +241,7 @@
                 self._allowance.handle_accepted()
             return Answer(Verdict.OK), False
         if written == _ownerservice.WITHDRAWN:
-            return _withdrawn(), False
+            return _answers.withdrawn(), False
         if written == _ownerservice.IMPOSSIBLE:
             answer = Answer(
                 Verdict.TRY_LATER,
@@ -351,7 +287,7 @@
                 break
             except errors.StoreRefusedError as error:
                 if not in_doubt:
-                    return _unavailable(str(error)), 0
+                    return _answers.unavailable(str(error)), 0
             except errors.StoreOutcomeUnknownError:
                 # The write may take effect later, so the job must not be
                 # reported as refused.
@@ -361,7 +297,7 @@
                     return Answer(Verdict.OK), stored.version
                 ended = stored.rows.get(ended_key)
                 if ended is not None and _schema.is_withdrawn(ended.value):
-                    return _withdrawn(), 0
+                    return _answers.withdrawn(), 0
                 # The job or its final state is stored already. The owner need
                 # not be notified, because it follows the table of jobs.
                 return Answer(Verdict.OK), 0
@@ -454,7 +390,7 @@
             reply = await self._call_owner('waiting', {'queue': queue})
             return Answer(Verdict.OK, {'waiting': reply['waiting']})
         except errors.PeerError as error:
-            return _unavailable(str(error))
+            return _answers.unavailable(str(error))
 
     async def _job_state(self, job_id: str) -> Answer:
         try:
@@ -463,11 +399,11 @@
                 return Answer(Verdict.OK, {'state': reply['state']})
         except errors.PeerError as error:
             if self._store.is_unavailable:
-                return _unavailable(str(error))
+                return _answers.unavailable(str(error))
         try:
             state = await self._job_rows.read_state(job_id)
         except errors.StoreError as error:
-            return _unavailable(str(error))
+            return _answers.unavailable(str(error))
         if state is None:
             return Answer(Verdict.NO_JOB)
         return Answer(Verdict.OK, {'state': state})
@@ -490,7 +426,7 @@
                 return Answer(Verdict.OK)
         except errors.PeerError as error:
             if self._store.is_unavailable:
-                return _unavailable(str(error))
+                return _answers.unavailable(str(error))
         outcome, reason = await self._job_rows.cancel(job_id, deadline)
         if outcome is _jobrows.CancelOutcome.CANCELLED:
             self._notify_owner('cancelled', {'job': job_id}, job_id)
--- a/tests/runchecks.py
+++ b/tests/runchecks.py
@@ -150,3 +150,26 @@
         )
     ]
     return sorted(selected, key=lambda line: line['at'])
+
+
+def most_running(
+    workers: list[siteworker.FakeWorker], since: float = 0.0
+) -> int:
+    """Return the largest number of runs at the start of any run.
+
+    Starts that a worker carried out late are not counted as such a start.
+    """
+    changes = []
+    for worker in workers:
+        worker.update_runs()
+        for run in worker.records:
+            changes.append((run.started_at, 1, run.is_late))
+            if run.ended_at is not None:
+                changes.append((run.ended_at, 0, False))
+    running = most = 0
+    # Ends come first.
+    for at, is_start, is_late in sorted(changes):
+        running += 1 if is_start else -1
+        if is_start and not is_late and at >= since:
+            most = max(most, running)
+    return most
--- a/tests/site.py
+++ b/tests/site.py
@@ -34,6 +34,7 @@
 # How long a connection stays open if its answer is lost. No client waits this
 # long.
 LOST_ANSWER_DELAY_S = 8.0
+SILENT_S = 8.0
 
 
 class FakePlatform:
@@ -55,6 +56,10 @@
         self.decision_ms = 5
         # Whether the store refuses all calls.
         self.is_away = False
+        # Whether it answers no call that it receives.
+        self.is_silent = False
+        # Millicores that the team may use; 0 for no limit.
+        self.maximum_cpu = 0
         # This fraction of the transactions is applied but not answered.
         self.lost_share = 0.0
         self._random = random.Random(0)
@@ -157,7 +162,13 @@
             ],
             'services': [{'name': UPSTREAM}],
             'limits': {},
-            'tenants': [{'name': 'ministry', 'api_keys': list(keys)}],
+            'tenants': [
+                {
+                    'name': 'ministry',
+                    'api_keys': list(keys),
+                    'maximum': {'cpu': self.maximum_cpu},
+                }
+            ],
         }
         self.rows.put('op', '', 'config', json.dumps(document).encode())
 
@@ -180,6 +191,10 @@
             return web.json_response({'good': good, 'validity_ms': 2000})
         if self.is_away:
             return web.Response(status=503)
+        if self.is_silent:
+            # Nothing was done, though the caller can't know.
+            await asyncio.sleep(SILENT_S)
+            return web.Response(status=503)
         if name == 'rows-tx':
             return await self._transact(json.loads(await request.read()))
         return await self._read(name, request.query)
