An owner of much accepted work takes short turns, and bounds its queries

Found by a trial with as many jobs as may be accepted (24,774 of 3 tasks): no owner for 25 s, nodes took the cell from each other ("owner silent"). Restoring them is one turn of 0.7 s, 1.4 s with 64 steps a job; a tick takes 0.2 s and 1.3 s for overdue schedules; each first pass tries all steps. With a policy service, steps that wait held 247 MB with their queries and decisions.

Change: jobs are restored 50 a turn (JobsRestored), a pass tries 1,024 steps, of which at most half are of the most urgent rank while there are others, a run that ends retries 256 steps of the same demand, and what visits all of them on a tick is done less often with more than 1,000. Queries in flight and decisions are bounded. Groups of blocked steps for sizes that nobody needs are removed, and the run times of at most 4,096 images are kept.

Below 256 steps of the same demand nothing changes but the groups, which are by rank.

--- a/packages/cell/celeryshift_cell/_advice.py
+++ b/packages/cell/celeryshift_cell/_advice.py
@@ -12,6 +12,7 @@
 import heapq
 
 from celeryshift_cell import _claims
+from celeryshift_cell import _headroom
 from celeryshift_cell import _jobs
 from celeryshift_cell import _named_workers
 from celeryshift_cell import _ordering
@@ -29,6 +30,10 @@
 # time.
 MAX_RENEWED_STEPS = 12
 RENEWED_STEPS_SHARE = 0.15
+# Maximum number of queries in flight, and share of it and of the memory for
+# decisions that steps may use that are not urgent.
+MAX_QUERIES = 1024
+OTHERS_SHARE = 0.5
 # Margin beyond the expected duration of a query that is sent ahead.
 AHEAD_MARGIN_S = 0.1
 
@@ -38,9 +43,25 @@
     service = _requirements.policy_service(step)
     if service is None or step.pending_query or cell.now < step.query_after:
         return
+    if not _has_room(cell, step):
+        return
     _send(cell, step, service, _named_workers.choose(cell, step, service))
 
 
+def _has_room(cell: _state.Cell, step: _state.StepRun) -> bool:
+    """Return whether the memory has room for a first query for a step.
+
+    Urgent steps may use all of it, so that others don't keep them waiting.
+    """
+    if step.approvals or step.ineligible:
+        return True
+    share = 1.0 if _headroom.is_urgent(step) else OTHERS_SHARE
+    return (
+        cell.queries_in_flight < share * MAX_QUERIES
+        and cell.footprint.may_query(share)
+    )
+
+
 def _send(
     cell: _state.Cell,
     step: _state.StepRun,
@@ -54,6 +75,7 @@
         worker.id: worker.entry.incarnation for worker in workers
     }
     _claims.claim(cell, step, workers)
+    cell.queries_in_flight += 1
     job = step.job
     expected_ms = service.decision_ms + service.each_ms * len(workers)
     cell.emit(
@@ -194,6 +216,7 @@
 ) -> None:
     """Store the approvals and tickets of a response."""
     _claims.release(cell, event.step, event.workers)
+    cell.queries_in_flight = max(0, cell.queries_in_flight - 1)
     step = cell.step(event.step)
     if step is None:
         return
@@ -213,6 +236,7 @@
             step.approvals[worker_id] = _tickets.Approval(
                 incarnation, ticket, valid_until
             )
+    step.count_decisions()
     cell.log_decision(
         'advice',
         job=step.job.spec.id,
@@ -229,6 +253,7 @@
 ) -> None:
     """Allow the next query after a pause."""
     _claims.release(cell, event.step, event.workers)
+    cell.queries_in_flight = max(0, cell.queries_in_flight - 1)
     step = cell.step(event.step)
     if step is None or _take_query(step, event.workers) is None:
         return
--- a/packages/cell/celeryshift_cell/_footprint.py
+++ b/packages/cell/celeryshift_cell/_footprint.py
@@ -19,12 +19,16 @@
 STEP_BYTES = 1600
 # A task that has started, with its run and what its worker reports.
 TASK_BYTES = 2400
+# Decision of the policy service on a worker for a step.
+DECISION_BYTES = 250
 # Id of an ended job, which is remembered.
 EVICTED_BYTES = 200
-# Shares of the limit: accepted jobs, and started tasks and further occurrences
-# of scheduled jobs. The rest is left for messages and for a change of owner.
+# Shares of the limit: accepted jobs; started tasks and further occurrences of
+# scheduled jobs; and decisions of the policy service. The rest is left for
+# messages and for a change of owner.
 JOBS_SHARE = 0.35
 STARTED_SHARE = 0.25
+DECISIONS_SHARE = 0.1
 # Part of the first share for jobs that nodes store without the owner.
 RESERVE_SHARE = 0.1
 # Time constant of the mean rate at which memory becomes free.
@@ -61,6 +65,11 @@
     # Numbers of steps and tasks in memory, and of ids of ended jobs.
     steps: int = 0
     tasks: int = 0
+    # Number of those tasks that have ended. Others don't wait for their room,
+    # which is not related to what runs.
+    retained: int = 0
+    # Number of decisions of the policy service.
+    decisions: int = 0
     evicted: int = 0
     # Bytes of removed jobs, which decay exponentially, and as of when.
     freed: float = 0.0
@@ -96,7 +105,8 @@
     def started(self) -> int:
         """Return the bytes of started tasks and further occurrences."""
         further = max(0, self.steps - self.included_steps)
-        return TASK_BYTES * self.tasks + STEP_BYTES * further
+        active = self.tasks - self.retained
+        return TASK_BYTES * active + STEP_BYTES * further
 
     def excess(self, job: model.Job, pending: int = 0) -> int:
         """Return by how many bytes a new job exceeds the limit, or 0.
@@ -113,6 +123,11 @@
         """Return how many bytes the accepted jobs may take."""
         return JOBS_SHARE * (1 - RESERVE_SHARE) * self.limit
 
+    def may_query(self, share: float) -> bool:
+        """Return whether there is room in a share of that for decisions."""
+        used = DECISION_BYTES * self.decisions
+        return not self.limit or used < share * DECISIONS_SHARE * self.limit
+
     @property
     def has_room(self) -> bool:
         """Return whether half of the memory of accepted jobs is free."""
--- a/packages/cell/celeryshift_cell/_health.py
+++ b/packages/cell/celeryshift_cell/_health.py
@@ -18,6 +18,8 @@
 # say nothing about the worker.
 MIN_RATIO = 0.1
 MAX_RATIO = 10.0
+# Images whose run times are kept.
+MAX_IMAGES = 4096
 # Maximum weight of a worker's own mean, as a number of samples. A new worker
 # reaches it after as many tasks.
 MAX_SAMPLES = 12
@@ -82,6 +84,8 @@
         average_ms = cell.ms_by_image.get(spec.image, run_ms)
         average_ms += LEARNING_RATE * (run_ms - average_ms)
         cell.ms_by_image[spec.image] = average_ms
+        if len(cell.ms_by_image) > MAX_IMAGES:
+            del cell.ms_by_image[next(iter(cell.ms_by_image))]
 
 
 def copy_stragglers(cell: _state.Cell) -> None:
--- a/packages/cell/celeryshift_cell/_job_state.py
+++ b/packages/cell/celeryshift_cell/_job_state.py
@@ -115,6 +115,9 @@
         factory=dict
     )
 
+    # The task has ended, and is kept in case its worker reports such a run.
+    is_retained: bool = False
+
     @property
     def is_done(self) -> bool:
         """Return whether the task has completed."""
@@ -168,7 +171,9 @@
     def forget(self, task: Task) -> None:
         """Keep a task no longer."""
         if self._by_index.pop(task.index, None) is not None:
-            self._step.job.footprint.tasks -= 1
+            footprint = self._step.job.footprint
+            footprint.tasks -= 1
+            footprint.retained -= task.is_retained
 
 
 @attrs.define(slots=True, eq=False)
@@ -216,6 +221,8 @@
     # Incarnations of the workers in the query to the policy service in flight,
     # by worker id; empty if none.
     pending_query: dict[str, int] = attrs.field(factory=dict)
+    # Number of decisions that the footprint counts.
+    counted_decisions: int = 0
     # No query is sent before this time.
     query_after: float = 0.0
     # Number of runs of this step, by worker id.
@@ -227,6 +234,12 @@
     # Workers on which no task of lower priority may start before this step.
     reserved_workers: frozenset[str] = frozenset()
 
+    def count_decisions(self) -> None:
+        """Count the decisions of the policy service in the footprint."""
+        count = len(self.approvals) + len(self.ineligible)
+        self.job.footprint.decisions += count - self.counted_decisions
+        self.counted_decisions = count
+
     @property
     def remaining_tasks(self) -> int:
         """Return the number of tasks that have not completed."""
@@ -297,6 +310,8 @@
         """Keep a step no longer."""
         if self._by_key.pop((step.occurrence, step.number), None) is not None:
             self._job.footprint.steps -= 1
+            self._job.footprint.decisions -= step.counted_decisions
+            step.counted_decisions = 0
 
     def is_done(self, occurrence: int, number: int) -> bool:
         """Return whether a step has completed."""
--- a/packages/cell/celeryshift_cell/_jobs.py
+++ b/packages/cell/celeryshift_cell/_jobs.py
@@ -20,7 +20,7 @@
 # Bound of the difference between the clocks of two owners.
 MAX_CLOCK_ERROR_MS = 60_000
 # Completed tasks kept in memory, since a worker may still list a run of them.
-MAX_RETAINED_TASKS = 4096
+MAX_RETAINED_TASKS = 2048
 
 
 def queue_of(cell: _state.Cell, job: model.Job) -> model.Queue:
@@ -253,6 +253,9 @@
         _forget(task)
         return
     cell.retained_tasks[task.name] = task.step.name
+    if not task.is_retained:
+        task.is_retained = True
+        cell.footprint.retained += 1
     if len(cell.retained_tasks) > MAX_RETAINED_TASKS:
         name, step_name = next(iter(cell.retained_tasks.items()))
         del cell.retained_tasks[name]
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -1,6 +1,7 @@
 """Decides which waiting tasks start next, and on which workers."""
 
 import heapq
+import itertools
 
 from celeryshift_cell import _advice
 from celeryshift_cell import _candidates
@@ -24,17 +25,27 @@
 # Maximum number of tasks started in one pass; the event loop reads responses
 # between passes.
 MAX_STARTS = 256
+# Maximum number of steps tried in one pass, of those that have been unblocked
+# for the longest time, and how many of them may be of the most urgent rank
+# while there are others. Further steps are tried in the next passes.
+MAX_TRIED = 1024
+MAX_EXAMINED = 4096
+MAX_TRIED_URGENT = 512
 
 
 def place_waiting(cell: _state.Cell) -> None:
     """Start the tasks that can be started, the most urgent steps first."""
     steps = [
         step
-        for step in cell.steps.unblocked.values()
+        for step in itertools.islice(
+            cell.steps.unblocked.values(), MAX_EXAMINED
+        )
         if not is_blocked_in_doubt(cell, step)
     ]
     if not steps:
         return
+    if len(steps) > MAX_TRIED:
+        steps = _first_by_rank(steps)
     _in_doubt.update(cell)
     _reservations.collect(cell)
     # Steps with equal keys start in the order in which they began to wait.
@@ -52,6 +63,18 @@
         starts += _place_step(cell, step, most_starts)
 
 
+def _first_by_rank(steps: list[_state.StepRun]) -> list[_state.StepRun]:
+    """Return the steps to try in a pass, if there are too many for one."""
+    by_rank = sorted(steps, key=lambda step: step.job.rank)
+    rank = by_rank[0].job.rank
+    urgent = sum(step.job.rank == rank for step in by_rank)
+    # As many others as there are, but at most what is left.
+    others = min(len(by_rank) - urgent, MAX_TRIED - MAX_TRIED_URGENT)
+    first = min(urgent, MAX_TRIED - others)
+    last = urgent + MAX_TRIED - first
+    return by_rank[:first] + by_rank[urgent:last]
+
+
 def is_blocked_in_doubt(cell: _state.Cell, step: _state.StepRun) -> bool:
     """Return whether unfenced workers may still run the tasks of a step.
 
--- a/packages/cell/celeryshift_cell/_records.py
+++ b/packages/cell/celeryshift_cell/_records.py
@@ -447,6 +447,35 @@
             cell.dirty_workers.pop(worker_id, None)
     _learning.restore(cell, event.learned)
     cell.restored_version = event.version
+    restore_jobs(
+        cell,
+        events.JobsRestored(
+            event.now,
+            event.wall_ms,
+            event.jobs,
+            event.records_by_job,
+            frozenset(event.cancelled),
+            event.parts_by_job,
+        ),
+    )
+    for worker in cell.workers.values():
+        # The trials of the former owner are settled as far as workers tell.
+        _stops.give_up(cell, _crashes.confirm_replaced(cell, worker))
+    if any(
+        cell.workers[worker_id].entry.incarnation > incarnation
+        for worker_id, incarnation, _ in event.workers
+    ):
+        _crashes.suspect_in_doubt(cell)
+    cell.log_decision(
+        'cell_restored',
+        epoch=cell.epoch,
+        jobs=len(cell.jobs),
+        unfenced=len(cell.unfenced),
+    )
+
+
+def restore_jobs(cell: _state.Cell, event: events.JobsRestored) -> None:
+    """Restore jobs and their progress."""
     for stored in event.jobs:
         try:
             _restore_job(cell, stored.job, event)
@@ -465,24 +494,10 @@
             cell.log_decision(
                 'job_not_restored', job=stored.job.id, error=repr(error)
             )
-    for worker in cell.workers.values():
-        # The trials of the former owner are settled as far as workers tell.
-        _stops.give_up(cell, _crashes.confirm_replaced(cell, worker))
-    if any(
-        cell.workers[worker_id].entry.incarnation > incarnation
-        for worker_id, incarnation, _ in event.workers
-    ):
-        _crashes.suspect_in_doubt(cell)
-    cell.log_decision(
-        'cell_restored',
-        epoch=cell.epoch,
-        jobs=len(event.jobs),
-        unfenced=len(cell.unfenced),
-    )
 
 
 def _restore_job(
-    cell: _state.Cell, spec: model.Job, event: events.Restored
+    cell: _state.Cell, spec: model.Job, event: events.JobsRestored
 ) -> None:
     job = _jobs.add_job(cell, spec)
     record = event.records_by_job.get(spec.id)
--- a/packages/cell/celeryshift_cell/_reducer.py
+++ b/packages/cell/celeryshift_cell/_reducer.py
@@ -36,6 +36,9 @@
 # have reached that owner too: the table of jobs is polled with a pause of half
 # a second.
 LATE_JOB_S = 2.0
+# With more waiting steps or jobs than this, what visits all of them is done at
+# a multiple of the interval between ticks.
+VISITED_PER_TICK = 1000
 # Decay of the recent lag of the owner at each tick.
 LAG_DECAY = 0.8
 
@@ -123,9 +126,13 @@
     _interference.update(cell)
     if cell.is_configured:
         _move_tasks(cell)
+    _records.evict_ended(cell)
+    cell.ticks += 1
+    visited = len(cell.waiting) + len(cell.jobs)
+    if cell.ticks % (1 + visited // VISITED_PER_TICK):
+        return
     _headroom.update(cell)
     _backlog.refresh(cell)
-    _records.evict_ended(cell)
     if cell.is_configured:
         _make_room(cell)
 
@@ -151,6 +158,13 @@
         _placement.recheck_waiting(cell)
 
 
+def _handle_jobs_restored(
+    cell: _state.Cell, event: events.JobsRestored
+) -> None:
+    cell.clocks.read(cell.now, event.wall_ms)
+    _records.restore_jobs(cell, event)
+
+
 def _handle_restored(cell: _state.Cell, event: events.Restored) -> None:
     cell.clocks.read(cell.now, event.wall_ms)
     _records.take_over(cell, event)
@@ -172,6 +186,7 @@
     events.AdviceFailed: _advice.handle_advice_failed,
     events.RecordsSaved: lambda cell, event: _records.handle_saved(cell),
     events.RecordsFailed: _records.handle_save_failed,
+    events.JobsRestored: _handle_jobs_restored,
     events.Restored: _handle_restored,
     events.Ticked: _handle_ticked,
 }
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -101,6 +101,8 @@
     planned_queries: list[tuple[float, str]] = attrs.field(factory=list)
     # Ended jobs whose final state is stored, by job id.
     recorded_jobs: dict[str, JobRun] = attrs.field(factory=dict)
+    # Queries to the policy service that have not been answered.
+    queries_in_flight: int = 0
     # When ended jobs were removed from memory, by job id.
     evicted_at: dict[str, float] = attrs.field(factory=dict)
     # Version of the store that this owner restored its state from.
@@ -121,6 +123,8 @@
     max_saved: int = effects.MAX_SAVE_ENTRIES
     # Ids of jobs whose records the store rejects even alone.
     rejected_jobs: set[str] = attrs.field(factory=set)
+    # Number of ticks.
+    ticks: int = 0
     # When blocked steps are tried again.
     recheck_at: float = 0.0
     # Ids of workers whose stored record is out of date, in that order.
--- a/packages/cell/celeryshift_cell/_waiting.py
+++ b/packages/cell/celeryshift_cell/_waiting.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import itertools
 from typing import TYPE_CHECKING
 
@@ -19,12 +20,17 @@
     from celeryshift_cell import _worker_state
 
 Steps = dict[str, '_job_state.StepRun']
-# Size of a task, and whether it is a filler.
-Demand = tuple[model.Size, bool]
+# Rank of a step, size of a task, and whether it is a filler.
+Demand = tuple[int, model.Size, bool]
 # With more waiting steps than this, only those that a worker may run are tried
 # at once when a run ends on it. Others whose reservations may have changed are
 # tried on the next tick.
 MAX_RETRIED = 16
+# When a run ends, at most this many steps are tried that need the same: those
+# that were tried the longest time ago. The others are tried again in turn.
+MAX_UNBLOCKED = 256
+# Empty groups of steps are removed once there are this many groups.
+MAX_GROUPS = 64
 IsAllowed = Callable[[model.Size], bool]
 
 
@@ -36,9 +42,7 @@
     # Steps that are tried in the next placement pass.
     unblocked: Steps = attrs.field(factory=dict)
     # Steps blocked by the limit of their team, by team and size of a task.
-    limited_by_team: dict[str, dict[model.Size, Steps]] = attrs.field(
-        factory=dict
-    )
+    limited_by_team: dict[str, dict[Demand, Steps]] = attrs.field(factory=dict)
     # Steps that any worker of their upstream may serve, or for which one may
     # be asked about, by upstream and demand.
     open_by_upstream: dict[str, dict[Demand, Steps]] = attrs.field(
@@ -87,22 +91,17 @@
         self._clear_block(step)
         self.unblocked.pop(step.name, None)
         self.touched.pop(step.name, None)
-        size = step.spec.size
         if step.blocked_by_limit:
-            steps_by_size = self.limited_by_team.setdefault(
-                step.job.spec.team, {}
-            )
-            step.blocked_in = steps_by_size.setdefault(size, {})
+            groups = self.limited_by_team.setdefault(step.job.spec.team, {})
+            step.blocked_in = _group_of(groups, step)
         elif step.blocked_by_headroom or step.pending_query:
             # Each tick, or the answer of the policy service, unblocks it.
             step.blocked_in = {}
         else:
-            steps_by_demand = self.open_by_upstream.setdefault(
+            groups = self.open_by_upstream.setdefault(
                 step.job.queue.upstream, {}
             )
-            step.blocked_in = steps_by_demand.setdefault(
-                (size, step.spec.is_filler), {}
-            )
+            step.blocked_in = _group_of(groups, step)
         step.blocked_in[step.name] = step
 
     def unblock(self, step: '_job_state.StepRun') -> None:
@@ -142,20 +141,18 @@
 
         ``is_allowed`` returns whether a size is within the limit of the team.
         """
-        for size, steps in self.limited_by_team.get(team, {}).items():
+        for (_, size, _), steps in self.limited_by_team.get(team, {}).items():
             if steps and is_allowed(size):
-                self._unblock_each(list(steps.values()))
+                self._unblock_first(steps.values())
         demands = self.open_by_upstream.get(worker.entry.upstream, {})
         incarnation = worker.entry.incarnation
         for steps in demands.values():
             first = next(iter(steps.values()), None)
             if first is not None and worker.has_capacity(first.spec):
-                self._unblock_each(
-                    [
-                        step
-                        for step in steps.values()
-                        if step.ineligible.get(worker.id) != incarnation
-                    ]
+                self._unblock_first(
+                    step
+                    for step in steps.values()
+                    if step.ineligible.get(worker.id) != incarnation
                 )
         is_short = len(self.by_name) <= MAX_RETRIED
         steps = (
@@ -181,8 +178,8 @@
         if not (step.blocked_by_limit or step.blocked_by_headroom):
             self.unblock(step)
 
-    def _unblock_each(self, steps: list['_job_state.StepRun']) -> None:
-        for step in steps:
+    def _unblock_first(self, steps: Iterable['_job_state.StepRun']) -> None:
+        for step in list(itertools.islice(steps, MAX_UNBLOCKED)):
             self.unblock(step)
 
     def _clear_block(self, step: '_job_state.StepRun') -> None:
@@ -198,3 +195,17 @@
             steps.pop(step.name, None)
             if not steps:
                 del self.approved_by_worker[worker_id]
+
+
+def _group_of(
+    groups: dict[Demand, Steps], step: '_job_state.StepRun'
+) -> Steps:
+    """Return the group of the blocked steps that need the same as a step."""
+    demand = step.job.rank, step.spec.size, step.spec.is_filler
+    group = groups.get(demand)
+    if group is None:
+        if len(groups) >= MAX_GROUPS and not all(groups.values()):
+            for empty in [key for key, steps in groups.items() if not steps]:
+                del groups[empty]
+        group = groups[demand] = {}
+    return group
--- a/packages/cell/celeryshift_cell/events.py
+++ b/packages/cell/celeryshift_cell/events.py
@@ -225,9 +225,29 @@
     is_rejected: bool = False
 
 
+@attrs.frozen(slots=True)
+class JobsRestored:
+    """The new owner of a cell read some of the stored jobs.
+
+    It restores them before ``Restored``, and before it knows any worker.
+    """
+
+    now: float
+    # Unix time in milliseconds.
+    wall_ms: int
+    jobs: tuple[StoredJob, ...]
+    records_by_job: dict[str, str]
+    cancelled: frozenset[str]
+    # Number of rows of the stored records, by job id; 1 for others.
+    parts_by_job: dict[str, int] = attrs.field(factory=dict)
+
+
 @attrs.frozen(slots=True)
 class Restored:
-    """The new owner of a cell read the stored state."""
+    """The new owner of a cell read the stored state.
+
+    It has the jobs that no ``JobsRestored`` had.
+    """
 
     now: float
     # Unix time in milliseconds.
@@ -276,6 +296,7 @@
     | AdviceFailed
     | RecordsSaved
     | RecordsFailed
+    | JobsRestored
     | Restored
     | Ticked
 )
--- a/packages/cellnode/celeryshift_cellnode/_records.py
+++ b/packages/cellnode/celeryshift_cellnode/_records.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
 import time
@@ -166,13 +167,19 @@
     learned: str = ''
 
     def to_event(
-        self, in_doubt_until: float, former_owner_until: float
+        self,
+        in_doubt_until: float,
+        former_owner_until: float,
+        has_jobs: bool = True,
     ) -> events.Restored:
-        """Return the event that restores the cell."""
+        """Return the event that restores the cell.
+
+        It is without the jobs if ``job_events`` have restored them.
+        """
         return events.Restored(
             time.monotonic(),
             int(time.time() * 1000),
-            tuple(self.jobs.values()),
+            tuple(self.jobs.values()) if has_jobs else (),
             self.records,
             self.cancelled,
             self.workers,
@@ -183,6 +190,20 @@
             self.learned,
         )
 
+    def job_events(self, most: int) -> Iterator[events.JobsRestored]:
+        """Yield the events that restore the jobs, with some jobs in each."""
+        cancelled = frozenset(self.cancelled)
+        jobs = list(self.jobs.values())
+        for first in range(0, len(jobs), most):
+            yield events.JobsRestored(
+                time.monotonic(),
+                int(time.time() * 1000),
+                tuple(jobs[first : first + most]),
+                self.records,
+                cancelled,
+                self.parts_by_job,
+            )
+
 
 async def restore(
     store: ports.Store,
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -20,6 +20,8 @@
 TICK_INTERVAL_S = 0.1
 # Interval at which an owner without a valid lease checks it again.
 LEASE_POLL_INTERVAL_S = 0.05
+# Jobs that a new owner restores in one turn of the event loop.
+MAX_RESTORED_JOBS = 50
 # Polls that are answered at once and in flight at a time. A new owner polls
 # all workers; more polls than the node can handle within their timeout would
 # all fail, and be repeated together.
@@ -85,6 +87,17 @@
             self._is_scheduled = True
             asyncio.get_running_loop().call_soon(self._drain_queue)
 
+    async def restore(self, restored: _records.Restored) -> None:
+        """Restore the stored jobs, a few in each turn of the event loop.
+
+        Other work of the node, such as its heartbeat, goes on in between.
+        """
+        for event in restored.job_events(MAX_RESTORED_JOBS):
+            self.enqueue(event)
+            await asyncio.sleep(0)
+            while self._is_scheduled and not self._is_closed:
+                await asyncio.sleep(0)
+
     def handle_nodes_changed(self) -> None:
         """Use the present nodes for the queries that wait for one."""
         if not self._is_closed:
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -373,8 +373,12 @@
         # restarted, it has read the deadline on a clock that started anew.
         lease_s = options.max_lease_s / (1 - options.clock_drift)
         in_doubt_until = former_owner_until + lease_s + CLOCK_MARGIN_S
-        now = time.monotonic()
         runner.enqueue(self._limit_memory())
+        await runner.restore(restored[0])
+        if not self._owns_version(version):
+            runner.close()
+            return
+        now = time.monotonic()
         configuration = self.service.configuration
         if configuration is not None:
             runner.enqueue(events.ConfigChanged(now, configuration.cell))
@@ -382,7 +386,9 @@
         evacuated = self._evacuations.data_centres
         runner.enqueue(events.EvacuationsChanged(now, evacuated))
         runner.enqueue(
-            restored[0].to_event(in_doubt_until, former_owner_until)
+            restored[0].to_event(
+                in_doubt_until, former_owner_until, has_jobs=False
+            )
         )
         self._runner = self.service.owner_service.runner = runner
         loop = asyncio.get_running_loop()
