The rigs draw large work, late configurations and incomplete calls

The soak submits such jobs too, sends incomplete calls, restarts all nodes while the store is silent, reads the private memory of each node against limits.memory_mb, and checks the limit of the team.

--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -15,6 +15,7 @@
 from tests import simnodes
 
 import celeryshift_cell as cell
+from celeryshift_cell import _footprint
 from celeryshift_cell import effects
 from celeryshift_cell import events
 from celeryshift_cell import model
@@ -51,6 +52,8 @@
 # the platform, and one report of the worker.
 RESIZE_NOTICE_S = 4.5
 NEVER = float('inf')
+# Share of the changes of owner after which the configuration is late.
+UNCONFIGURED_SHARE = 0.5
 # Default resource limit of the team.
 MAXIMUM = model.Size(cpu_milli=60_000)
 
@@ -297,9 +300,21 @@
         self.known_evacuated: frozenset[str] = frozenset()
         self.owner_lease_until = sim.now + OWNER_LEASE_S
         sim.owner = self
-        self.feed(events.ConfigChanged(sim.now, sim.config))
+        self.is_configured = False
+        if sim.memory_limit:
+            self.feed(events.MemoryLimited(sim.now, sim.memory_limit))
+        if sim.unconfigured_s and sim.random.random() < UNCONFIGURED_SHARE:
+            sim.schedule(
+                sim.random.uniform(0.0, sim.unconfigured_s), self._configure
+            )
+        else:
+            self._configure()
         self._tick()
 
+    def _configure(self) -> None:
+        self.is_configured = True
+        self.feed(events.ConfigChanged(self.sim.now, self.sim.config))
+
     def _tick(self) -> None:
         if not self.is_alive:
             return
@@ -322,11 +337,36 @@
             self.known_evacuated = event.data_centres
         for effect in cell.reduce(self.state, event, self.may_act):
             self._carry_out(effect)
+        if self.sim.memory_limit:
+            self._check_memory()
+
+    def _check_memory(self) -> None:
+        """Check that what has started is within the limit of the memory.
+
+        One more step may start, as a gang does, and each job may have one
+        occurrence that waits.
+        """
+        footprint = self.state.footprint
+        allowed = _footprint.STARTED_SHARE * footprint.limit
+        widths = (s.count for j in self.sim.specs.values() for s in j.steps)
+        most = max(widths, default=0)
+        allowed += most * _footprint.TASK_BYTES
+        if footprint.started > allowed + self.adopted_bytes():
+            raise InvariantError(
+                f'{footprint.tasks} tasks and {footprint.steps} steps'
+            )
+
+    def adopted_bytes(self) -> int:
+        """Return the memory of what former owners have started."""
+        runs = sum(len(w.running) for w in self.sim.workers.values())
+        return runs * (_footprint.TASK_BYTES + _footprint.STEP_BYTES)
 
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
             case effects.StartRun():
                 self._check_evacuations(effect)
+                if not self.is_configured:
+                    raise InvariantError(f'{effect.task} before the limits')
                 self._send_order(effect, Worker.start, events.StartAnswered)
             case effects.StopRun():
                 self._send_order(effect, Worker.stop, events.StopAnswered)
@@ -478,6 +518,10 @@
         self.store_open = True
         self.store_write_s = STORE_WRITE_S
         self.maximum = maximum
+        # Memory for the state of the cell; 0 for no limit.
+        self.memory_limit = 0
+        # Longest time for which a new owner does not know the configuration.
+        self.unconfigured_s = 0.0
         # Range of the factor between estimates and run times.
         self.duration_range = (0.5, 2.0)
         # Run times by step, where they differ from the estimate; speeds by
@@ -705,10 +749,14 @@
             raise InvariantError(
                 f'{context}: its team uses {team_cpu} millicores'
             )
-        job = self.specs[order.task.split('.')[0]]
+        job_id, occurrence, *_ = order.task.split('.')
+        job = self.specs[job_id]
+        due_ms = job.first_due_ms + int(occurrence) * job.every_ms
+        if job.times and due_ms > self.now * 1000:
+            raise InvariantError(f'{context}: it is due at {due_ms} ms')
         for number in step.after:
             for index in range(job.steps[number].count):
-                if not self.done[f'{job.id}.0.{number}.{index}']:
+                if not self.done[f'{job.id}.{occurrence}.{number}.{index}']:
                     raise InvariantError(
                         f'{context}: step {number} has not completed'
                     )
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,8 +6,8 @@
 guarantees are checked against what callers and workers saw: each accepted job
 completes, no task runs twice at once or again after its end was acknowledged,
 a job that was always refused does not run, one that was cancelled, also while
-it was being stored, does not go on, and the last configuration is in force on
-each node.
+it was being stored, does not go on, the last configuration is in force on each
+node, the team stays within its limit, and no node exceeds its memory.
 
 To run seeds 1 to 49: ``python -m tests.soak 1 50``. The options of
 ``python -m tests.soak --help`` make runs longer and larger, or let workers
@@ -102,12 +102,29 @@
     'slow': ('latency_s', 0.45),
     'lost': ('lost_share', 0.3),
 }
+# Seconds between readings of the memory of the nodes.
+MEMORY_INTERVAL_S = 0.05
+# Millicores that the team may use, of those of each worker, and of a task.
+TEAM_SHARE = 0.7
+TASK_CPU = 500
+# Large jobs, which nobody waits for: chance that one is submitted with another
+# job, and numbers of their tasks and occurrences, most of which are not due.
+LARGE_SHARE = 0.4
+LARGE_TASKS = (1, 6, 300, 1000)
+MAX_LARGE_RUNS = 9000
+LARGE_DUE_MS = (3_600_000, -3_600_000)
+LARGE_NUMBER = 5 * 10**6
+# Connections that each send a part of a request, and its bytes.
+INCOMPLETE_CALLS = 100
+INCOMPLETE_BYTES = 200_000
 # Besides the faults of the store: new configurations, several and large ones
 # (configure, grow), a slow link to the store (slow link), an entry of another
 # writer (odd entry), a data centre that is evacuated for a while (evacuate),
 # silent loss
 # or delay at a proxy (deaf, delay), abort of its connections (reset), SIGKILL
-# and restart of one program (kill) or of all (herd), SIGTERM and restart
+# and restart of one program (kill) or of all (herd), also while the store is
+# silent (herd away), incomplete calls of clients (incomplete), SIGTERM and
+# restart
 # (term), SIGSTOP for a while (pause), several nodes that freeze or lose power
 # at once (lose nodes), and a worker whose runs make no progress (sick).
 PROGRAM_FAULTS = (
@@ -118,6 +135,8 @@
     'evacuate',
     'grow',
     'herd',
+    'herd away',
+    'incomplete',
     'kill',
     'lose nodes',
     'odd entry',
@@ -182,6 +201,9 @@
             worker.cores = WORKER_CORES
             worker.clock_rate = self.rng.choice(CLOCK_RATES)
             worker.on_crash = self._crash
+        self.platform.maximum_cpu = int(
+            TEAM_SHARE * WORKER_CORES * 1000 * profile.workers
+        )
         self.platform.decision_ms = self.rng.choice(DECISIONS_MS)
         self._decides_fast = self.platform.decision_ms == min(DECISIONS_MS)
         self.programs: list[processes.Program] = []
@@ -190,12 +212,15 @@
         self.statuses: dict[str, list[int]] = collections.defaultdict(list)
         self.crashing_jobs: set[str] = set()
         self._last_fault_at = 0.0
+        self._large_jobs: list[str] = []
         # Data centre, and from when to when nothing may start there.
         self.evacuations: list[tuple[str, float, float]] = []
         self.faults: list[str] = []
         self._restarting: set[str] = set()
         self._version = 1
         self._pending: list[asyncio.Task[None]] = []
+        # Most memory of each node, in MB.
+        self.memory_mb: collections.Counter[str] = collections.Counter()
 
     @property
     def lines(self) -> list[dict[str, Any]]:
@@ -222,10 +247,12 @@
                 )
                 await self._idle()
                 submissions = asyncio.create_task(self._submit_jobs())
+                measuring = asyncio.create_task(self._measure_memory())
                 await self._inject_faults()
                 await self._clear_faults()
                 await submissions
                 await self._check()
+                measuring.cancel()
         finally:
             for program in self.programs:
                 if program.process is not None:
@@ -271,6 +298,46 @@
     def _long_s(self) -> float:
         return self.rng.uniform(MIN_LONG_S, MAX_LONG_S)
 
+    async def _measure_memory(self) -> None:
+        while True:
+            for program in self.programs:
+                self.memory_mb[program.name] = max(
+                    self.memory_mb[program.name], round(program.memory_mb())
+                )
+            await asyncio.sleep(MEMORY_INTERVAL_S)
+
+    async def _submit_large(self, number: int) -> None:
+        """Submit a job of many tasks, and cancel it in the end."""
+        tasks = self.rng.choice(LARGE_TASKS)
+        due_ms = int(time.time() * 1000) + self.rng.choice(LARGE_DUE_MS)
+        body = processes.job_body(tasks, 1.0)
+        body['steps'] = body['steps'][:1]
+        body |= {
+            'repetitions': MAX_LARGE_RUNS // tasks,
+            'start_time_ms': due_ms,
+            'interval_ms': 1000,
+        }
+        job = processes.job_id(LARGE_NUMBER + number)
+        program = self.rng.choice(self.programs)
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with asyncio.timeout(4.0):
+                await processes.call(self._session, program, 'POST', job, body)
+        self._large_jobs.append(job)
+
+    async def _cancel_large(self) -> None:
+        """Cancel the large jobs, which would delay the others for long."""
+        for job in self._large_jobs:
+            status = 0
+            while status not in (200, 410):
+                program = self.rng.choice(self.programs)
+                with contextlib.suppress(
+                    aiohttp.ClientError, OSError, TimeoutError
+                ):
+                    async with asyncio.timeout(4.0):
+                        status, _ = await processes.call(
+                            self._session, program, 'DELETE', job
+                        )
+
     async def _submit_jobs(self) -> None:
         calls = []
         jobs_per_s = JOBS_PER_S
@@ -286,8 +353,13 @@
                 else self._submit(number, took_s)
             )
             calls.append(asyncio.create_task(call))
+            # With long decisions, the policy service is the bottleneck.
+            if self._decides_fast and self.rng.random() < LARGE_SHARE:
+                large = self._submit_large(number)
+                calls.append(asyncio.create_task(large))
             await asyncio.sleep(1 / jobs_per_s)
         await asyncio.gather(*calls)
+        await self._cancel_large()
 
     async def _submit(self, number: int, took_s: float) -> None:
         job = processes.job_id(number)
@@ -341,6 +413,12 @@
         elif kind == 'herd':
             for each in self.programs:
                 self._restart(each, signal.SIGKILL)
+        elif kind == 'herd away':
+            self._set_temporarily(self.platform, 'is_silent', True, duration_s)
+            for each in self.programs:
+                self._restart(each, signal.SIGKILL)
+        elif kind == 'incomplete':
+            self._schedule(0.0, self._send_incomplete(program, duration_s))
         elif kind == 'pause':
             self._pause(program, duration_s)
         elif kind == 'lose nodes':
@@ -387,6 +465,28 @@
             if is_power:
                 self._schedule(duration_s, self._kill(program))
 
+    async def _send_incomplete(
+        self, program: processes.Program, duration_s: float
+    ) -> None:
+        """Send parts of requests on connections that are kept open."""
+        head = (
+            f'POST {site.PREFIX}{processes.job_id(0)} HTTP/1.1\r\n'
+            f'Host: {site.HOST}\r\nAuthorization: Token {site.KEY}\r\n'
+            f'Content-Length: {INCOMPLETE_BYTES + 1}\r\n\r\n'
+        ).encode()
+        writers = []
+        for _ in range(INCOMPLETE_CALLS):
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection(
+                    site.LOOPBACK, program.front
+                )
+                length = self.rng.randint(1, INCOMPLETE_BYTES)
+                writer.write((head + b' ' * INCOMPLETE_BYTES)[:length])
+                writers.append(writer)
+        await asyncio.sleep(duration_s)
+        for writer in writers:
+            writer.close()
+
     async def _grow(self) -> None:
         """Store several configurations with many routes."""
         for _ in range(self.rng.choice((1, 2, 5))):
@@ -649,6 +749,7 @@
         assert not repetitions, runchecks.report(repetitions, self.lines)
         self._check_crashes()
         self._check_evacuations()
+        self._check_limits()
         done = [t for w in self.platform.workers for t in w.done]
         for job, statuses in self.statuses.items():
             if ACCEPTED in statuses or IN_DOUBT in statuses:
@@ -656,6 +757,18 @@
             ran = [task for task in done if task.startswith(job)]
             assert not ran, f'{job} was refused but ran'
 
+    def _check_limits(self) -> None:
+        """Check the limits of the team and of the memory of the nodes."""
+        most = runchecks.most_running(self.platform.workers)
+        allowed = self.platform.maximum_cpu // TASK_CPU
+        assert most <= allowed, f'{most} tasks of {allowed} ran'
+        exceeding = {
+            name: size
+            for name, size in self.memory_mb.items()
+            if size > processes.MEMORY_MB
+        }
+        assert not exceeding, f'memory in MB: {exceeding}'
+
     def _check_evacuations(self) -> None:
         """Check that nothing started in evacuated data centres."""
         for zone, since, until in self.evacuations:
