--- a/packages/cellnode/celeryshift_cellnode/_election.py
+++ b/packages/cellnode/celeryshift_cellnode/_election.py
@@ -33,7 +33,8 @@
 SLOW_STORE_CALLS = 3.0
 # Delay per rank, so that candidates try to acquire the cell one by one.
 RANK_DELAY_S = 0.3
-# Further delay of a node that doesn't know its configuration yet.
+# Further delay of a node that doesn't know its configuration yet, before it
+# replaces an owner.
 UNCONFIGURED_DELAY_S = 0.6
 # This many candidates read the owner row often; the others do so rarely.
 STANDBY_COUNT = 2
@@ -149,11 +150,11 @@
         if now < self.promised_until and not has_ended:
             return None
         delay = rank * RANK_DELAY_S + SLOW_STORE_CALLS * store_latency_s
-        if not is_configured:
-            delay += UNCONFIGURED_DELAY_S
         if self.owner is None:
             is_due = now - self.heartbeat_seen_at >= delay
             return 'no owner' if is_due else None
+        if not is_configured:
+            delay += UNCONFIGURED_DELAY_S
         if self.owner.is_process(local_node):
             is_deposed = self.deposed_version == self.owner_version
             return 'deposed without successor' if is_deposed else None
--- a/tests/test_cell_unconfigured.py
+++ b/tests/test_cell_unconfigured.py
@@ -110,6 +110,10 @@
         for is_configured in (True, False)
     )
     assert configured_at < unconfigured_at < configured_at + 1.0
+    # The first owner of all replaces none.
+    view = _election.OwnerView()
+    view.update(1.0, None, 0, 0)
+    assert view.takeover_reason(1.0, 0, node, 0.0, False) == 'no owner'
 
 
 def test_the_cell_is_handed_to_a_node_with_a_configuration():
