The owner decodes no job again that it knows

Cause: the feed of the table of jobs brings each job that the owner itself has stored, and all of them after a pause or once the store has lost its history. Decoding them takes as much memory as the accepted jobs, beside these.

Change: rows of known jobs are skipped before they are decoded.

Measured: test_the_owner_does_not_decode_the_jobs_that_it_knows_again; the peak of an answer after a pause was not measured with real nodes.

--- a/packages/cellnode/celeryshift_cellnode/_followers.py
+++ b/packages/cellnode/celeryshift_cellnode/_followers.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+import celeryshift_cell as cell
 from celeryshift_cell import events
 from celeryshift_cell import model
 from celeryshift_cellnode import _distribution
@@ -298,7 +299,12 @@
                 await asyncio.sleep(JOBS_BATCH_DELAY_S)
 
     def _enqueue_events(self, rows: list[ports.Row]) -> None:
-        jobs, cancelled = _records.decode_jobs(rows, self._log_decision)
+        state = self._runner.state
+        jobs, cancelled = _records.decode_jobs(
+            rows,
+            self._log_decision,
+            lambda job_id: cell.is_known_job(state, job_id),
+        )
         now = time.monotonic()
         for job in jobs.values():
             self._runner.enqueue(events.JobAccepted(now, job))
--- a/packages/cellnode/celeryshift_cellnode/_records.py
+++ b/packages/cellnode/celeryshift_cellnode/_records.py
@@ -282,9 +282,15 @@
 
 
 def decode_jobs(
-    rows: Sequence[ports.Row], log_decision: Callable[..., None]
+    rows: Sequence[ports.Row],
+    log_decision: Callable[..., None],
+    is_known: Callable[[str], bool] = lambda job_id: False,
 ) -> tuple[dict[str, events.StoredJob], tuple[str, ...]]:
-    """Return the jobs in the rows, and the IDs of cancelled jobs."""
+    """Return the jobs in the rows, and the IDs of cancelled jobs.
+
+    Jobs that the caller knows are not decoded: after a pause, or when the
+    store has lost its history, these may be all that it has accepted.
+    """
     jobs: dict[str, events.StoredJob] = {}
     cancelled: list[str] = []
     for row in rows:
@@ -292,7 +298,7 @@
             jobs.pop(row.key, None)
         elif row.key.endswith(_schema.CANCEL_SUFFIX):
             cancelled.append(row.key.removesuffix(_schema.CANCEL_SUFFIX))
-        else:
+        elif not is_known(row.key):
             job = _load(model.Job, row, log_decision)
             if job is not None:
                 jobs[row.key] = events.StoredJob(job, row.version)
--- a/tests/test_cell_footprint.py
+++ b/tests/test_cell_footprint.py
@@ -25,7 +25,9 @@
 from celeryshift_cellnode import _groupwriter
 from celeryshift_cellnode import _memory
 from celeryshift_cellnode import _ownerservice
+from celeryshift_cellnode import _records as _stored
 from celeryshift_cellnode import _schema
+from celeryshift_cellnode import ports
 
 MINUTE_MS = 60_000
 DAY_MS = 1440 * MINUTE_MS
@@ -453,6 +455,23 @@
     assert descriptions[0] == descriptions[1]
 
 
+def test_the_owner_does_not_decode_the_jobs_that_it_knows_again():
+    # After a pause, the feed may have all that it has accepted.
+    job = cells.job('1')
+    rows = [
+        ports.Row(_schema.JOBS, _schema.CELL, name, value, 1)
+        for name, value in (('known', b'invalid'), (job.id, _schema.dump(job)))
+    ]
+    logged: list[str] = []
+    jobs, _ = _stored.decode_jobs(
+        rows,
+        lambda decision, **fields: logged.append(decision),
+        lambda job_id: job_id == 'known',
+    )
+    assert list(jobs) == [job.id]
+    assert not logged
+
+
 def test_queries_to_the_policy_service_have_a_bound():
     bench = cells.Bench((cells.entry('w1', 2000),))
     for number in range(1500):
