--- a/tests/test_cell_footprint.py
+++ b/tests/test_cell_footprint.py
@@ -14,6 +14,7 @@
 from tests import virtualtime
 
 import celeryshift_cell as cell
+from celeryshift_cell import _crashes
 from celeryshift_cell import _footprint
 from celeryshift_cell import _indices
 from celeryshift_cell import _job_state
@@ -216,6 +217,27 @@
     assert run.next_occurrence == 1
 
 
+def test_suspicion_after_a_crash_does_not_grow_with_the_job():
+    # The record of one scheduled job outgrew a transaction, and while it was
+    # rejected no completion was acknowledged (review/6).
+    jobs = [_scheduled('1', 6, 1440, -DAY_MS // 2), cells.job('2')]
+    bench = cells.Bench()
+    bench.state = cell.Cell(2)
+    bench.send(_restored(*jobs))
+    before = bench.state.footprint.tasks
+    _crashes.suspect_in_doubt(bench.state)
+    for job in bench.state.jobs.values():
+        record = _records.encode(job)
+        assert len(record) < 2000
+        # The next owner starts the same tasks on trial.
+        other = cells.Bench()
+        other.state = cell.Cell(3)
+        other.send(_restored(job.spec, records_by_job={job.spec.id: record}))
+        task = other.state.task(f'{job.spec.id}.0.0.0')
+        assert _crashes.is_suspect(task)
+    assert bench.state.footprint.tasks == before
+
+
 def test_a_cancelled_schedule_leaves_nothing():
     bench = cells.Bench()
     for number in range(300):
