Calls between nodes and names of failed jobs take a bounded memory

Change: the owner reads 32 calls of more than 4 KB at a time, each within 2 s; smaller ones, such as a ping, never wait. At most as many names are kept as lead to a quarantine.

--- a/packages/cell/celeryshift_cell/_health.py
+++ b/packages/cell/celeryshift_cell/_health.py
@@ -46,7 +46,8 @@
                 _interference.learn_run_time(cell, run)
                 _run_times.learn(cell, worker, run)
     elif result is model.RunResult.FAILED:
-        worker.failed_jobs.add(task.step.job.spec.id)
+        if len(worker.failed_jobs) < cell.options.quarantine_failures:
+            worker.failed_jobs.add(task.step.job.spec.id)
         if len(worker.failed_jobs) >= cell.options.quarantine_failures:
             quarantine(
                 cell,
--- a/packages/cellnode/celeryshift_cellnode/_peers.py
+++ b/packages/cellnode/celeryshift_cellnode/_peers.py
@@ -1,5 +1,6 @@
 """Calls between nodes: JSON over persistent HTTP connections."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -11,6 +12,11 @@
 from celeryshift_net import exchanges
 from celeryshift_net import pools
 
+# Calls with larger bodies are read this many at a time, each within a time:
+# every node may submit jobs to the owner, but a ping never waits.
+SMALL_BODY_BYTES = 4096
+MAX_LARGE_READS = 32
+READ_TIMEOUT_S = 2.0
 # Nodes usually answer within milliseconds; one second means a fault.
 CALL_TIMEOUT_S = 1.0
 
@@ -81,6 +87,7 @@
         self._handlers: dict[str, Handler] = {}
         self._metrics = metrics
         self._log_decision = log_decision
+        self._large_reads = asyncio.Semaphore(MAX_LARGE_READS)
 
     def add_handler(self, name: str, handler: Handler) -> None:
         """Register the handler of a function."""
@@ -89,12 +96,23 @@
     async def start(self, host: str, port: int) -> web.ServerRunner:
         """Listen for calls of other nodes."""
         runner = web.ServerRunner(
-            web.Server(self._handle_request, access_log=None), access_log=None
+            web.Server(
+                self._handle_request,
+                access_log=None,
+                read_bufsize=SMALL_BODY_BYTES,
+            ),
+            access_log=None,
         )
         await runner.setup()
         await web.TCPSite(runner, host, port, backlog=256).start()
         return runner
 
+    async def _read(self, request: web.BaseRequest) -> bytes:
+        if (request.content_length or 0) <= SMALL_BODY_BYTES:
+            return await request.read()
+        async with self._large_reads, asyncio.timeout(READ_TIMEOUT_S):
+            return await request.read()
+
     async def _handle_request(self, request: web.BaseRequest) -> web.Response:
         if request.path == '/metrics':
             body, content_type = self._metrics()
@@ -104,7 +122,7 @@
         if handler is None:
             return web.Response(status=404)
         try:
-            result = await handler(orjson.loads(await request.read()))
+            result = await handler(orjson.loads(await self._read(request)))
         except Exception as error:
             # Another release or a fault may send anything; the caller treats
             # the status as no answer.
--- a/tests/test_client_bytes.py
+++ b/tests/test_client_bytes.py
@@ -15,6 +15,7 @@
 from tests import test_cell_processes as processes
 
 from celeryshift_cellnode import _clientserver
+from celeryshift_cellnode import _peers
 from celeryshift_cellnode import errors
 
 CONNECTIONS = 600
@@ -186,6 +187,37 @@
     assert _read(_Content([b'x']), budget, length=1) == b'x'
 
 
+def test_large_calls_between_nodes_hold_up_no_small_ones():
+    async def scenario() -> None:
+        server = _peers.PeerServer(lambda: (b'', ''), lambda *_, **__: None)
+
+        async def ping(body: object) -> dict[str, bool]:
+            return {'answered': True}
+
+        server.add_handler('ping', ping)
+        runner = await server.start(site.LOOPBACK, 0)
+        port = runner.addresses[0][1]
+        head = 'POST /v1/ping HTTP/1.1\r\nHost: n\r\nContent-Length: '
+        large = f'{head}60000\r\n\r\n'.encode() + b' ' * 50_000
+        writers = []
+        for _ in range(2 * _peers.MAX_LARGE_READS):
+            _, writer = await asyncio.open_connection(site.LOOPBACK, port)
+            writer.write(large)
+            writers.append(writer)
+        await asyncio.sleep(0.3)
+        assert server._large_reads.locked()
+        reader, writer = await asyncio.open_connection(site.LOOPBACK, port)
+        writers.append(writer)
+        writer.write(f'{head}2\r\n\r\n{{}}'.encode())
+        async with asyncio.timeout(1.0):
+            assert b'200' in await reader.readline()
+        for writer in writers:
+            writer.close()
+        await runner.cleanup()
+
+    asyncio.run(scenario())
+
+
 def test_the_number_of_connections_follows_from_the_settings():
     assert _clientserver.max_connections(0, 0) > 1000
     assert _clientserver.max_connections(0, 100) == 50
