Jobs are decoded and restored by their number of steps

Cause: 50 jobs of 64 steps are a turn of up to 185 ms, and a page of the store was decoded in one.

Change: 25 rows are decoded and 200 steps restored in a turn.

--- a/packages/cellnode/celeryshift_cellnode/_records.py
+++ b/packages/cellnode/celeryshift_cellnode/_records.py
@@ -20,6 +20,8 @@
 from celeryshift_cellnode import ports
 
 READ_TIMEOUT_S = 2.0
+# Rows of jobs that are decoded in one turn of the event loop.
+DECODED_ROWS = 25
 # Row of what the owner has learned.
 LEARNED = ports.Key(_schema.CELLS, _schema.LEARNED_KEY)
 
@@ -190,19 +192,35 @@
             self.learned,
         )
 
-    def job_events(self, most: int) -> Iterator[events.JobsRestored]:
-        """Yield the events that restore the jobs, with some jobs in each."""
+    def job_events(self, most_steps: int) -> Iterator[events.JobsRestored]:
+        """Yield the events that restore the jobs.
+
+        Each has one job, or several with this many steps at most.
+        """
         cancelled = frozenset(self.cancelled)
-        jobs = list(self.jobs.values())
-        for first in range(0, len(jobs), most):
-            yield events.JobsRestored(
-                time.monotonic(),
-                int(time.time() * 1000),
-                tuple(jobs[first : first + most]),
-                self.records,
-                cancelled,
-                self.parts_by_job,
-            )
+        batch: list[events.StoredJob] = []
+        steps = 0
+        for stored in self.jobs.values():
+            count = len(stored.job.steps)
+            if batch and steps + count > most_steps:
+                yield self._to_jobs_event(batch, cancelled)
+                batch, steps = [], 0
+            batch.append(stored)
+            steps += count
+        if batch:
+            yield self._to_jobs_event(batch, cancelled)
+
+    def _to_jobs_event(
+        self, jobs: list[events.StoredJob], cancelled: frozenset[str]
+    ) -> events.JobsRestored:
+        return events.JobsRestored(
+            time.monotonic(),
+            int(time.time() * 1000),
+            tuple(jobs),
+            self.records,
+            cancelled,
+            self.parts_by_job,
+        )
 
 
 async def restore(
@@ -258,9 +276,13 @@
     version = 0
     async for page in _read_pages(store, _schema.JOBS):
         version = version or page.version
-        found, ids = decode_jobs(page.rows, log_decision)
-        jobs |= found
-        cancelled += ids
+        for first in range(0, len(page.rows), DECODED_ROWS):
+            rows = page.rows[first : first + DECODED_ROWS]
+            found, ids = decode_jobs(rows, log_decision)
+            jobs |= found
+            cancelled += ids
+            # The heartbeat of the owner goes on.
+            await asyncio.sleep(0)
     return jobs, tuple(cancelled), version
 
 
--- a/packages/cellnode/celeryshift_cellnode/_runner.py
+++ b/packages/cellnode/celeryshift_cellnode/_runner.py
@@ -20,8 +20,8 @@
 TICK_INTERVAL_S = 0.1
 # Interval at which an owner without a valid lease checks it again.
 LEASE_POLL_INTERVAL_S = 0.05
-# Jobs that a new owner restores in one turn of the event loop.
-MAX_RESTORED_JOBS = 50
+# Steps of jobs that a new owner restores in one turn of the event loop.
+MAX_RESTORED_STEPS = 200
 # Polls that are answered at once and in flight at a time. A new owner polls
 # all workers; more polls than the node can handle within their timeout would
 # all fail, and be repeated together.
@@ -92,7 +92,7 @@
 
         Other work of the node, such as its heartbeat, goes on in between.
         """
-        for event in restored.job_events(MAX_RESTORED_JOBS):
+        for event in restored.job_events(MAX_RESTORED_STEPS):
             self.enqueue(event)
             await asyncio.sleep(0)
             while self._is_scheduled and not self._is_closed:
