--- a/packages/cell/celeryshift_cell/_footprint.py
+++ b/packages/cell/celeryshift_cell/_footprint.py
@@ -13,8 +13,8 @@
 
 from celeryshift_cell import model
 
-# Estimates in bytes, measured by ``bench/cell_memory.py``. A job includes its
-# row, its decoded form and its entry in the tables of the cell.
+# Sizes in bytes. That of a job includes its row, its decoded form and its
+# entries in the tables of the cell.
 JOB_BYTES = 1600
 STEP_BYTES = 1600
 # A task that has started, with its run and what its worker reports.
@@ -65,8 +65,7 @@
     # Numbers of steps and tasks in memory, and of ids of ended jobs.
     steps: int = 0
     tasks: int = 0
-    # Number of those tasks that have ended. Others don't wait for their room,
-    # which is not related to what runs.
+    # Number of those tasks that have ended, which no other task waits for.
     retained: int = 0
     # Number of decisions of the policy service.
     decisions: int = 0
--- a/packages/cell/celeryshift_cell/_placement.py
+++ b/packages/cell/celeryshift_cell/_placement.py
@@ -25,12 +25,12 @@
 # Maximum number of tasks started in one pass; the event loop reads responses
 # between passes.
 MAX_STARTS = 256
-# Maximum number of steps tried in one pass, of those that have been unblocked
-# for the longest time, and how many of them may be of the most urgent rank
-# while there are others. Further steps are tried in the next passes.
-MAX_TRIED = 1024
+# Bounds of a pass: the steps that it examines, those unblocked first; the
+# steps that it places; and how many of these may be of the most urgent rank
+# while there are others. Further passes place the rest.
 MAX_EXAMINED = 4096
-MAX_TRIED_URGENT = 512
+MAX_STEPS = 1024
+MAX_URGENT_STEPS = 512
 
 
 def place_waiting(cell: _state.Cell) -> None:
@@ -44,7 +44,7 @@
     ]
     if not steps:
         return
-    if len(steps) > MAX_TRIED:
+    if len(steps) > MAX_STEPS:
         steps = _first_by_rank(steps)
     _in_doubt.update(cell)
     _reservations.collect(cell)
@@ -64,14 +64,14 @@
 
 
 def _first_by_rank(steps: list[_state.StepRun]) -> list[_state.StepRun]:
-    """Return the steps to try in a pass, if there are too many for one."""
+    """Return the steps of a pass, if there are too many for one."""
     by_rank = sorted(steps, key=lambda step: step.job.rank)
     rank = by_rank[0].job.rank
     urgent = sum(step.job.rank == rank for step in by_rank)
     # As many others as there are, but at most what is left.
-    others = min(len(by_rank) - urgent, MAX_TRIED - MAX_TRIED_URGENT)
-    first = min(urgent, MAX_TRIED - others)
-    last = urgent + MAX_TRIED - first
+    others = min(len(by_rank) - urgent, MAX_STEPS - MAX_URGENT_STEPS)
+    first = min(urgent, MAX_STEPS - others)
+    last = urgent + MAX_STEPS - first
     return by_rank[:first] + by_rank[urgent:last]
 
 
--- a/packages/cell/celeryshift_cell/_state.py
+++ b/packages/cell/celeryshift_cell/_state.py
@@ -305,8 +305,11 @@
 
     def step(self, name: str) -> StepRun | None:
         """Return the step of a name if it is in memory."""
-        key = self._find_step(name)
-        return None if key is None else key[0].steps.get(key[1])
+        found = self._find_step(name)
+        if found is None:
+            return None
+        job, key = found
+        return job.steps.get(key)
 
     def task(self, name: str) -> Task | None:
         """Return the task of a name, or None if the cell has no such task.
@@ -315,13 +318,13 @@
         completed.
         """
         step_name, _, index = name.rpartition('.')
-        key = self._find_step(step_name)
-        if key is None or not index.isdigit():
+        found = self._find_step(step_name)
+        if found is None or not index.isdigit():
             return None
-        job, position = key
-        if int(index) >= job.spec.steps[position[1]].count:
+        job, (occurrence, number) = found
+        if int(index) >= job.spec.steps[number].count:
             return None
-        return job.steps[position].tasks[int(index)]
+        return job.steps[occurrence, number].tasks[int(index)]
 
     def _find_step(self, name: str) -> tuple[JobRun, tuple[int, int]] | None:
         """Return the job and the key of a step, or None if there is none."""
@@ -331,10 +334,9 @@
         if job is None or not (occurrence.isdigit() and number.isdigit()):
             return None
         key = int(occurrence), int(number)
-        is_known = key[0] < job.spec.occurrences
-        return (
-            (job, key) if is_known and key[1] < len(job.spec.steps) else None
-        )
+        if key[0] >= job.spec.occurrences or key[1] >= len(job.spec.steps):
+            return None
+        return job, key
 
     def schedule(self, due_ms: int, job_id: str) -> None:
         """Schedule the next occurrence of a job, in Unix milliseconds."""
--- a/packages/cell/celeryshift_cell/_waiting.py
+++ b/packages/cell/celeryshift_cell/_waiting.py
@@ -26,8 +26,8 @@
 # at once when a run ends on it. Others whose reservations may have changed are
 # tried on the next tick.
 MAX_RETRIED = 16
-# When a run ends, at most this many steps are tried that need the same: those
-# that were tried the longest time ago. The others are tried again in turn.
+# Maximum number of steps with the same demand that a run's end unblocks, the
+# ones blocked first.
 MAX_UNBLOCKED = 256
 # Empty groups of steps are removed once there are this many groups.
 MAX_GROUPS = 64
--- a/tests/test_cell_unconfigured.py
+++ b/tests/test_cell_unconfigured.py
@@ -12,6 +12,7 @@
 import pytest
 from tests import cellnodes
 from tests import cells
+from tests import configsim
 from tests import runchecks
 from tests import test_cell_processes as processes
 from tests import virtualtime
@@ -137,6 +138,36 @@
     virtualtime.run(scenario())
 
 
+@pytest.mark.parametrize('silence_s', [0.2, 0.7, 1.3, 1.9])
+def test_the_first_configuration_follows_soon_after_the_store(silence_s):
+    async def scenario() -> None:
+        simulated = configsim.Site(fast=1, slow=0)
+        (node,) = simulated.nodes
+        simulated.cut([(node.name, configsim.STORE)], silence_s)
+        started_at = time.monotonic()
+        await simulated.start(settle_s=4.0)
+        known_at, _ = node.in_force[0]
+        assert known_at - started_at - silence_s < 0.6
+        node.stop()
+
+    configsim.run(scenario())
+
+
+def test_the_first_configuration_comes_from_another_node():
+    async def scenario() -> None:
+        simulated = configsim.Site(fast=2, slow=0)
+        first, second = simulated.nodes
+        simulated.cut([(second.name, configsim.STORE)], 9.0)
+        started_at = time.monotonic()
+        await simulated.start(settle_s=4.0)
+        known_at, _ = second.in_force[0]
+        assert known_at - started_at < 1.5
+        first.stop()
+        second.stop()
+
+    configsim.run(scenario())
+
+
 @pytest.mark.parametrize('silence_s', SILENCES_S)
 def test_limits_hold_after_a_restart_without_the_store(tmp_path, silence_s):
     async def work(cluster: processes.Cluster) -> None:
