--- a/tests/cellsim.py
+++ b/tests/cellsim.py
@@ -12,10 +12,11 @@
 
 import attrs
 from tests import cells
+from tests import simchecks
 from tests import simnodes
+from tests import simworkers
 
 import celeryshift_cell as cell
-from celeryshift_cell import _footprint
 from celeryshift_cell import effects
 from celeryshift_cell import events
 from celeryshift_cell import model
@@ -29,264 +30,15 @@
 STORE_WRITE_S = 0.015
 TICK_S = 0.1
 OWNER_LEASE_S = 0.8
-# Maximum lease that a worker grants and clock drift of workers, equal to the
-# defaults of ``Options``.
-MAX_HOLD_S = 6.0
-DRIFT = 0.02
-# Time from the start of a task to the crash that it causes.
-CRASH_DELAY_S = 0.01
-CRASHED_RANGE_S = (0.2, 5.0)
-# Time after a crash in which the owner dies too.
-OWNER_LOST_S = 0.02
-# Share of the crashes that end the process only.
-REFUSING_SHARE = 0.7
 # Run time of the runs in the tail, as a multiple of the others.
 TAIL_FACTOR = 7
-# The entry of a worker that left expires after this.
-ENTRY_EXPIRY_S = 4.5
-# Workers that crash under a task, and starts of it after that many crashes
-# that break the promise.
-CRASHES = 3
-STARTS_AFTER_CRASHES = 3
-# A capacity that has shrunk binds the owner after this time: its contact with
-# the platform, and one report of the worker.
-RESIZE_NOTICE_S = 4.5
-NEVER = float('inf')
 # Share of the changes of owner after which the configuration is late.
 UNCONFIGURED_SHARE = 0.5
 # Default resource limit of the team.
 MAXIMUM = model.Size(cpu_milli=60_000)
 
 
-class InvariantError(AssertionError):
-    """Violation of an invariant of the cell."""
-
-
-class Worker:
-    """Worker that follows the platform's protocol on a clock of its own."""
-
-    def __init__(self, sim: 'Sim', entry: model.WorkerEntry) -> None:
-        self.sim = sim
-        self.entry = entry
-        self.clock_rate = 1 - sim.random.random() * DRIFT
-        self.is_reachable = True
-        # The machine is up without the process, so that connections break.
-        self.is_refusing = False
-        # Callbacks that fail the polls in progress.
-        self.breaking: list[Any] = []
-        # Capacities and when each was replaced by the next one.
-        self.former_cpu: list[tuple[float, int]] = []
-        # The worker's entry is missing before this time. Once the worker is
-        # cut off, it remains until the second one.
-        self.entry_from = 0.0
-        self.entry_until = 0.0
-        self.reset(1)
-
-    def reset(self, incarnation: int) -> None:
-        """Start a new incarnation without any state of the previous one."""
-        self.entry = attrs.evolve(self.entry, incarnation=incarnation)
-        self.started_at = self.sim.now
-        self.fence = 0
-        self.lease_until_ms = 0.0
-        self.running: dict[tuple[str, int], float] = {}
-        # Start and planned end of each run.
-        self.run_times: dict[tuple[str, int], tuple[float, float]] = {}
-        self.highest_run: dict[str, int] = {}
-        self.ended: list[events.RunCompletion] = []
-        self.last_completion = 0
-        # Callbacks that answer the polls in progress.
-        self.waiting: list[Any] = []
-
-    @property
-    def has_entry(self) -> bool:
-        """Return whether the store has the worker's entry."""
-        now = self.sim.now
-        is_alive = self.is_reachable or now < self.entry_until
-        return is_alive and now >= self.entry_from
-
-    def crash(self, down_s: float, is_renamed: bool) -> None:
-        """End all runs; a new incarnation follows, perhaps by another id.
-
-        Some crashes take the machine along, so that nothing answers.
-        """
-        self.reset(self.entry.incarnation + 1)
-        self.is_reachable = False
-        self.is_refusing = self.sim.random.random() < REFUSING_SHARE
-        breaking, self.breaking = self.breaking, []
-        for fail in breaking if self.is_refusing else ():
-            fail()
-        if is_renamed:
-            self.entry_from = NEVER
-            self.sim.schedule(down_s, self._hand_over_address)
-        else:
-            self.sim.schedule(down_s, self._come_back)
-
-    def _come_back(self) -> None:
-        self.is_reachable, self.is_refusing = True, False
-        self.publish()
-
-    def _hand_over_address(self) -> None:
-        """Let a worker with another id answer at this address."""
-        successor = self.sim.add_worker(self.entry)
-        # Orders to the former id are refused.
-        self.entry = attrs.evolve(self.entry, address='')
-        self.is_reachable, self.is_refusing = True, False
-        successor.publish()
-        self.sim.schedule(
-            ENTRY_EXPIRY_S,
-            lambda: self.sim.owner.feed(
-                events.WorkersChanged(0.0, (), (self.entry.id,))
-            ),
-        )
-
-    def publish(self) -> None:
-        """Send the entry to the owner, if it has not expired."""
-        if self.has_entry:
-            self.sim.owner.feed(events.WorkersChanged(0.0, (self.entry,)))
-
-    def resize(self, cpu_milli: int) -> None:
-        """Change the capacity; the entry follows within a report interval."""
-        capacity = self.entry.capacity
-        self.former_cpu.append((self.sim.now, capacity.cpu_milli))
-        self.entry = attrs.evolve(
-            self.entry, capacity=attrs.evolve(capacity, cpu_milli=cpu_milli)
-        )
-        self.sim.schedule(self.sim.random.uniform(0, 1.5), self.publish)
-
-    @property
-    def counted_cpu(self) -> int:
-        """Return the largest capacity that a start may still rely on."""
-        noticed_at = self.sim.now - RESIZE_NOTICE_S
-        former = [cpu for until, cpu in self.former_cpu if until > noticed_at]
-        return max(self.entry.capacity.cpu_milli, *former, 0)
-
-    @property
-    def clock_ms(self) -> float:
-        """Return the worker's clock."""
-        return (self.sim.now - self.started_at) * self.clock_rate * 1000
-
-    def _check_order(self, order: Any, fence: int) -> Outcome | None:
-        """Return why an order is rejected; otherwise store its fence."""
-        if order.address != self.entry.address:
-            # Another worker has taken over the address.
-            return Outcome.OTHER_INCARNATION
-        is_current = order.incarnation == self.entry.incarnation
-        if self.sim.orders_name_incarnation and not is_current:
-            return Outcome.OTHER_INCARNATION
-        if fence < self.fence:
-            return Outcome.FENCED
-        self.fence = fence
-        return None
-
-    def start(self, order: effects.StartRun, fence: int) -> Outcome:
-        """Carry out a start order."""
-        rejection = self._check_order(order, fence)
-        if rejection is not None:
-            return rejection
-        key = (order.task, order.run)
-        if key in self.running:
-            return Outcome.DONE
-        if order.run <= self.highest_run.get(order.task, 0):
-            return Outcome.STALE_RUN
-        if order.deadline_ms < self.clock_ms:
-            return Outcome.DEADLINE_PASSED
-        self._extend_lease(order.deadline_ms)
-        self.sim.check_start(self, order)
-        run_s = self.sim.duration_s(order.task, self.entry.kind)
-        self.running[key] = self.sim.now + run_s
-        self.run_times[key] = (self.sim.now, self.sim.now + run_s)
-        incarnation = self.entry.incarnation
-        self.sim.schedule(run_s, lambda: self._finish(key, incarnation))
-        if order.task in self.sim.crashing_tasks:
-            self.sim.schedule(
-                CRASH_DELAY_S, lambda: self._crash_by(key, incarnation)
-            )
-        return Outcome.DONE
-
-    def _crash_by(self, key: tuple[str, int], incarnation: int) -> None:
-        if incarnation == self.entry.incarnation and key in self.running:
-            self.sim.crashes[key[0]] += 1
-            if self.sim.random.random() < self.sim.owner_lost_share:
-                self.sim.schedule(
-                    self.sim.random.uniform(0, OWNER_LOST_S),
-                    lambda: self.sim.take_over(is_dead=True),
-                )
-            self.crash(
-                self.sim.random.uniform(*CRASHED_RANGE_S),
-                self.sim.random.random() < 0.5,
-            )
-
-    def run_status(self, task: str, run: int) -> events.RunStatus:
-        """Return the status of a run; half-way through, progress is 50 %."""
-        started, due = self.run_times[task, run]
-        share = (self.sim.now - started) / max(due - started, 0.001)
-        return events.RunStatus(task, run, '', min(99, int(100 * share)))
-
-    def _finish(self, key: tuple[str, int], incarnation: int) -> None:
-        self.expire_lease()
-        if incarnation != self.entry.incarnation or key not in self.running:
-            return
-        failed = self.sim.fails(key[0])
-        result = model.RunResult.FAILED if failed else model.RunResult.DONE
-        if not failed:
-            self.sim.done[key[0]] += 1
-        self._end_run(key, result)
-
-    def _end_run(self, key: tuple[str, int], result: model.RunResult) -> None:
-        del self.running[key]
-        self.last_completion += 1
-        self.highest_run[key[0]] = max(self.highest_run.get(key[0], 0), key[1])
-        completion = events.RunCompletion(
-            self.last_completion, *key, result, ''
-        )
-        self.ended.append(completion)
-        waiting, self.waiting = self.waiting, []
-        for answer in waiting:
-            answer()
-
-    def _extend_lease(self, deadline_ms: float) -> None:
-        granted_ms = min(deadline_ms, self.clock_ms + MAX_HOLD_S * 1000)
-        self.lease_until_ms = max(self.lease_until_ms, granted_ms)
-
-    def expire_lease(self) -> None:
-        """End all runs if the lease has expired."""
-        if self.clock_ms > self.lease_until_ms:
-            # Ending a run answers polls, which expires the lease again.
-            while self.running:
-                key = next(iter(self.running))
-                self._end_run(key, model.RunResult.LEASE_EXPIRED)
-
-    def stop(self, order: effects.StopRun, fence: int) -> Outcome:
-        """Carry out a stop order."""
-        rejection = self._check_order(order, fence)
-        if rejection is not None:
-            return rejection
-        self.expire_lease()
-        key = (order.task, order.run)
-        if key in self.running:
-            self._end_run(key, model.RunResult.STOPPED)
-        self.highest_run[order.task] = max(
-            self.highest_run.get(order.task, 0), order.run
-        )
-        return Outcome.DONE
-
-    def poll(self, order: effects.PollWorker, fence: int) -> Outcome:
-        """Extend the lease and discard the completions that are stored."""
-        rejection = self._check_order(order, fence)
-        if rejection is not None:
-            return rejection
-        self.expire_lease()
-        if order.deadline_ms is not None:
-            self._extend_lease(order.deadline_ms)
-        # A late poll may acknowledge the ends of another incarnation.
-        is_current = order.incarnation == self.entry.incarnation
-        for completion in self.ended:
-            if is_current and completion.number <= order.stored_completion:
-                self.sim.record_stored(completion)
-        self.ended = [
-            e for e in self.ended if e.number > order.stored_completion
-        ]
-        return Outcome.DONE
+InvariantError = simchecks.InvariantError
 
 
 class Owner:
@@ -338,28 +90,7 @@
         for effect in cell.reduce(self.state, event, self.may_act):
             self._carry_out(effect)
         if self.sim.memory_limit:
-            self._check_memory()
-
-    def _check_memory(self) -> None:
-        """Check that what has started is within the limit of the memory.
-
-        One more step may start, as a gang does, and each job may have one
-        occurrence that waits.
-        """
-        footprint = self.state.footprint
-        allowed = _footprint.STARTED_SHARE * footprint.limit
-        widths = (s.count for j in self.sim.specs.values() for s in j.steps)
-        most = max(widths, default=0)
-        allowed += most * _footprint.TASK_BYTES
-        if footprint.started > allowed + self.adopted_bytes():
-            raise InvariantError(
-                f'{footprint.tasks} tasks and {footprint.steps} steps'
-            )
-
-    def adopted_bytes(self) -> int:
-        """Return the memory of what former owners have started."""
-        runs = sum(len(w.running) for w in self.sim.workers.values())
-        return runs * (_footprint.TASK_BYTES + _footprint.STEP_BYTES)
+            simchecks.check_memory(self)
 
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
@@ -367,9 +98,13 @@
                 self._check_evacuations(effect)
                 if not self.is_configured:
                     raise InvariantError(f'{effect.task} before the limits')
-                self._send_order(effect, Worker.start, events.StartAnswered)
+                self._send_order(
+                    effect, simworkers.Worker.start, events.StartAnswered
+                )
             case effects.StopRun():
-                self._send_order(effect, Worker.stop, events.StopAnswered)
+                self._send_order(
+                    effect, simworkers.Worker.stop, events.StopAnswered
+                )
             case effects.PollWorker():
                 self._poll(effect)
             case effects.RequestAdvice():
@@ -533,7 +268,9 @@
         self.fail_share = 0.025
         self.config = cells.config(maximum=self.maximum)
         self.workers = {
-            f'w{number}': Worker(self, cells.entry(f'w{number}', cores=16))
+            f'w{number}': simworkers.Worker(
+                self, cells.entry(f'w{number}', cores=16)
+            )
             for number in range(workers)
         }
         # Tasks that crash each worker that starts them; their crashes, and
@@ -568,10 +305,10 @@
         self.owner: Owner
         self._start_owner(1, self.now)
 
-    def add_worker(self, former: model.WorkerEntry) -> Worker:
+    def add_worker(self, former: model.WorkerEntry) -> simworkers.Worker:
         """Add a worker at the address of a former one, by another id."""
         entry = attrs.evolve(former, id=f'w{len(self.workers)}')
-        worker = self.workers[entry.id] = Worker(self, entry)
+        worker = self.workers[entry.id] = simworkers.Worker(self, entry)
         return worker
 
     def schedule(self, delay_s: float, work: Any) -> None:
@@ -627,7 +364,7 @@
         owner = Owner(self, epoch)
         owner.feed(self.listing())
         self.evacuate(self.evacuated)
-        lease_s = MAX_HOLD_S / (1 - DRIFT)
+        lease_s = simworkers.MAX_HOLD_S / (1 - simworkers.DRIFT)
         owner.feed(
             events.Restored(
                 0.0,
@@ -693,13 +430,14 @@
             heapq.heappush(self.policy_nodes, answered_at)
         self.schedule(answered_at - self.now, lambda: owner.feed(event))
 
-    def _step_of(self, task: str) -> model.Step:
+    def step_of(self, task: str) -> model.Step:
+        """Return the specification of the step of a task."""
         job_id, _, number, _ = task.split('.')
         return self.specs[job_id].steps[int(number)]
 
     def duration_s(self, task: str, kind: str) -> float:
         """Return the run time of a task on a kind of worker."""
-        estimate_ms = self._step_of(task).estimate_ms
+        estimate_ms = self.step_of(task).estimate_ms
         run_ms = self.run_ms_by_step.get(task.rpartition('.')[0], estimate_ms)
         run_ms *= self.random.uniform(*self.duration_range)
         if self.tail_share and self.random.random() < self.tail_share:
@@ -714,59 +452,3 @@
         """Record that the completion of a run was acknowledged as stored."""
         if completion.result is model.RunResult.DONE:
             self.stored_done.add(completion.task)
-
-    def check_start(self, worker: Worker, order: effects.StartRun) -> None:
-        """Check the invariants for a run that a worker is about to start."""
-        worker.expire_lease()
-        step = self._step_of(order.task)
-        other_workers = []
-        worker_cpu = step.size.cpu_milli
-        team_cpu = step.size.cpu_milli
-        for other in self.workers.values():
-            other.expire_lease()
-            for task, _ in other.running:
-                size = self._step_of(task).size.cpu_milli
-                team_cpu += size
-                worker_cpu += size if other is worker else 0
-                if task == order.task:
-                    other_workers.append(other.entry.id)
-        context = f'{order.task} run {order.run} at {self.now:.3f} s'
-        if other_workers and not step.allows_copies:
-            raise InvariantError(
-                f'{context} on {worker.entry.id}: runs on {other_workers}'
-            )
-        if order.task in self.stored_done and not step.allows_copies:
-            raise InvariantError(
-                f'{context}: its completion was already stored'
-            )
-        self._check_crashes(order.task, context)
-        if worker_cpu > worker.counted_cpu:
-            raise InvariantError(
-                f'{context}: {worker.entry.id} exceeds its capacity'
-            )
-        limit = self.maximum.cpu_milli
-        if limit and team_cpu > limit + step.size.cpu_milli:
-            raise InvariantError(
-                f'{context}: its team uses {team_cpu} millicores'
-            )
-        job_id, occurrence, *_ = order.task.split('.')
-        job = self.specs[job_id]
-        due_ms = job.first_due_ms + int(occurrence) * job.every_ms
-        if job.times and due_ms > self.now * 1000:
-            raise InvariantError(f'{context}: it is due at {due_ms} ms')
-        for number in step.after:
-            for index in range(job.steps[number].count):
-                if not self.done[f'{job.id}.{occurrence}.{number}.{index}']:
-                    raise InvariantError(
-                        f'{context}: step {number} has not completed'
-                    )
-
-    def _check_crashes(self, task: str, context: str) -> None:
-        """Check that a task does not crash one worker after the other."""
-        if self.crashes[task] < CRASHES:
-            return
-        self.starts_after_crashes[task] += 1
-        if self.starts_after_crashes[task] >= STARTS_AFTER_CRASHES:
-            raise InvariantError(
-                f'{context}: {self.crashes[task]} workers crashed under it'
-            )
--- a/tests/test_cell_admission.py
+++ b/tests/test_cell_admission.py
@@ -8,6 +8,7 @@
 import pytest
 from tests import cells
 from tests import cellsim
+from tests import simworkers
 from tests import virtualtime
 
 import celeryshift_cell as cell
@@ -63,7 +64,7 @@
         sim.config = _load_config(weight_by_team)
         for number in range(workers):
             entry = cells.entry(f'w{number}', self.random.choice(CORES))
-            sim.workers[entry.id] = cellsim.Worker(sim, entry)
+            sim.workers[entry.id] = simworkers.Worker(sim, entry)
         sim.owner.feed(events.ConfigChanged(0.0, sim.config))
         sim.owner.feed(sim.listing())
         self.calls: list[_Call] = []
--- a/tests/test_cell_odd_entries.py
+++ b/tests/test_cell_odd_entries.py
@@ -6,6 +6,7 @@
 import pytest
 from tests import cellsim
 from tests import oddvalues
+from tests import simworkers
 from tests import test_cell_malformed as malformed
 from tests import test_cell_random as faults
 
@@ -33,7 +34,7 @@
         return
     sound = next(iter(sim.workers.values())).entry
     entry = attrs.evolve(entry, upstream=sound.upstream)
-    worker = cellsim.Worker(sim, entry)
+    worker = simworkers.Worker(sim, entry)
     worker.entry = entry
     worker.is_refusing, worker.is_reachable = True, False
     sim.workers[name] = worker
--- a/tests/test_cell_random.py
+++ b/tests/test_cell_random.py
@@ -11,6 +11,7 @@
 import pytest
 from tests import cells
 from tests import cellsim
+from tests import simworkers
 
 from celeryshift_cell import model
 
@@ -52,7 +53,7 @@
 # Range of the write times of a slow store.
 SLOW_STORE_WRITE_S = (0.2, 1.5)
 # The entry of a worker that doesn't reach the store is removed after this.
-ENTRY_EXPIRY_S = cellsim.ENTRY_EXPIRY_S
+ENTRY_EXPIRY_S = simworkers.ENTRY_EXPIRY_S
 # Time within which the entries that a store lost are back.
 ENTRIES_BACK_S = 2.0
 # Share of the jobs with a task that crashes its workers.
@@ -194,7 +195,7 @@
     sim = cellsim.Sim(seed)
     sim.duration_range = LONG_RUN_RANGE
     for worker in sim.workers.values():
-        worker.clock_rate = sim.random.choice((1.0, 1 - cellsim.DRIFT))
+        worker.clock_rate = sim.random.choice((1.0, 1 - simworkers.DRIFT))
     for number in range(IDLE_PHASES):
         sim.run(sim.now + sim.random.uniform(*IDLE_RANGE_S))
         sim.submit(random_job(sim, number))
--- a/tests/test_cell_speeds.py
+++ b/tests/test_cell_speeds.py
@@ -11,6 +11,7 @@
 import pytest
 from tests import cells
 from tests import cellsim
+from tests import simworkers
 
 from celeryshift_cell import _run_times
 from celeryshift_cell import effects
@@ -42,7 +43,7 @@
             entry = cells.entry(
                 name, cores=SIZES[number % len(SIZES)], kind=kind
             )
-            sim.workers[name] = cellsim.Worker(sim, entry)
+            sim.workers[name] = simworkers.Worker(sim, entry)
         sim.owner.feed(sim.listing())
         sim.duration_range = (0.9, 1.1)
         sim.tail_share = 0.03
