A node with less memory than another owns the cell only alone

Cause, found by the review of the diff: the limit of what is accepted is that of the smallest node at that time, so that a smaller one that joins later, with more than half of the memory, could take over what it can't hold.

Change: such a node is weak, as one with few cores is.

Measured: test_a_node_with_less_memory_owns_the_cell_only_alone fails before (no node is weak). Where all nodes have the same memory nothing changes.

--- a/packages/cellnode/celeryshift_cellnode/_election.py
+++ b/packages/cellnode/celeryshift_cellnode/_election.py
@@ -43,9 +43,10 @@
 # After this time the leases of an owner's predecessors, and the leases that
 # they granted to workers, have expired. The owner then knows all runs.
 SETTLED_OWNER_S = 10.0
-# A node with less than this fraction of the most cores, the highest bandwidth
-# or the most memory of any node is weak: it owns the cell only while there is
-# no other node.
+# A node with less than this fraction of the most cores or the highest
+# bandwidth of any node is weak: it owns the cell only while there is no other
+# node. So is one with less memory than another: the owner may have accepted
+# more before it joined.
 WEAK_NODE_FRACTION = 0.5
 # Minimum interval at which a node renews its own row and reads those of the
 # others, and maximum rate of the renewals of all nodes together. The interval
@@ -235,5 +236,5 @@
         for node in nodes.values()
         if node.cores < WEAK_NODE_FRACTION * cores
         or node.link_mbps < WEAK_NODE_FRACTION * mbps
-        or 0 < node.memory_mb < WEAK_NODE_FRACTION * memory_mb
+        or 0 < node.memory_mb < memory_mb
     )
--- a/tests/test_cell_acceptance.py
+++ b/tests/test_cell_acceptance.py
@@ -9,6 +9,7 @@
 from celeryshift_cell import _footprint
 from celeryshift_cell import events
 from celeryshift_cell import model
+from celeryshift_cellnode import _election
 from celeryshift_cellnode import _groupwriter
 from celeryshift_cellnode import _memory
 from celeryshift_cellnode import _ownerservice
@@ -96,6 +97,15 @@
     assert _memory.cell_bytes([_node('d', 1)]) > 0
 
 
+def test_a_node_with_less_memory_owns_the_cell_only_alone():
+    # It may be killed by what was accepted before it joined.
+    nodes = {name: _node(name, mb) for name, mb in (('a', 200), ('b', 300))}
+    order = _election.takeover_order(nodes, None)
+    assert order.weak == {'a'}
+    assert order.rank('b') < order.rank('a')
+    assert not _election.takeover_order({'a': nodes['a']}, None).weak
+
+
 def test_jobs_stored_without_the_owner_share_the_reserve():
     nodes = {name: _node(name, 300) for name in 'ab'}
     allowance = _memory.Allowance(lambda: nodes)
