Sockets of a node have receive buffers of a fixed size

Callers: clients that send faster than a node reads, or go on behind a refusal, took a node with memory_mb 80 over it. In a trial of the users a process ran out of memory.

Cause: nothing bounded what the kernel receives for a connection. Its buffers grow by themselves, to 32 MB here (tcp_rmem), and the platform counts what is received and not read.

Change: the listeners of clients, of readiness checks and of the nodes set SO_RCVBUF to 8 KB (the kernel reserves twice that), which connections inherit, and that of clients SO_SNDBUF too. The memory of a connection, from which the number of connections follows, includes the buffer. No lawful request is affected: the sender waits while the node reads.

--- a/packages/cellnode/celeryshift_cellnode/_clientserver.py
+++ b/packages/cellnode/celeryshift_cellnode/_clientserver.py
@@ -16,6 +16,7 @@
 
 from celeryshift_cellnode import _memory
 from celeryshift_cellnode import errors
+from celeryshift_net import servers
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -30,8 +31,13 @@
 MAX_HEADER_BYTES = 1024
 # Bytes of a body that are read before it is asked for.
 READ_BUFFER_BYTES = 4096
+# Buffers of a connection in the kernel.
+RECEIVE_BYTES = 8192
+SEND_BYTES = 16_384
 # Memory of a connection whose header is almost complete.
-CONNECTION_BYTES = MAX_HEADERS * MAX_HEADER_BYTES
+CONNECTION_BYTES = (
+    MAX_HEADERS * MAX_HEADER_BYTES + servers.KERNEL_FACTOR * RECEIVE_BYTES
+)
 # Shares of the memory that the process does not need itself.
 CONNECTIONS_SHARE = 0.2
 BODIES_SHARE = 0.1
@@ -253,6 +259,8 @@
     }
     server_runner = web.ServerRunner(_Server(handler, most, **options))
     await server_runner.setup()
-    site = web.TCPSite(server_runner, host, port, backlog=BACKLOG)
-    await site.start()
+    for listening in servers.open_sockets(
+        host, port, BACKLOG, RECEIVE_BYTES, SEND_BYTES
+    ):
+        await web.SockSite(server_runner, listening, backlog=BACKLOG).start()
     return server_runner
--- a/packages/cellnode/celeryshift_cellnode/_peers.py
+++ b/packages/cellnode/celeryshift_cellnode/_peers.py
@@ -11,12 +11,16 @@
 from celeryshift_cellnode import errors
 from celeryshift_net import exchanges
 from celeryshift_net import pools
+from celeryshift_net import servers
 
 # Calls with larger bodies are read this many at a time, each within a time:
 # every node may submit jobs to the owner, but a ping never waits.
 SMALL_BODY_BYTES = 4096
 MAX_LARGE_READS = 32
 READ_TIMEOUT_S = 2.0
+BACKLOG = 256
+# Receive buffer of a connection in the kernel.
+RECEIVE_BYTES = 8192
 # Nodes usually answer within milliseconds; one second means a fault.
 CALL_TIMEOUT_S = 1.0
 
@@ -104,7 +108,10 @@
             access_log=None,
         )
         await runner.setup()
-        await web.TCPSite(runner, host, port, backlog=256).start()
+        for listening in servers.open_sockets(
+            host, port, BACKLOG, RECEIVE_BYTES
+        ):
+            await web.SockSite(runner, listening, backlog=BACKLOG).start()
         return runner
 
     async def _read(self, request: web.BaseRequest) -> bytes:
--- a/tests/test_cell_processes.py
+++ b/tests/test_cell_processes.py
@@ -54,6 +54,7 @@
         platform: site.FakePlatform,
         folder: pathlib.Path,
         store_port: int | None = None,
+        limits: dict[str, int] | None = None,
     ) -> None:
         store_port = store_port or platform.port
         self.name = name
@@ -75,7 +76,8 @@
                     },
                     'internal_ports': [self.peer, self.peer],
                     'bounds': {'max_hold_ms': 6000, 'grace_s': 6},
-                    'limits': {
+                    'limits': limits
+                    or {
                         'memory_mb': MEMORY_MB,
                         'file_descriptors': DESCRIPTORS,
                     },
