A guard bounds what clients send before a parser keeps it

Callers: beside a crowd that sends request lines, header fields, empty lines, trailers or chunk extensions without end, or goes on behind CONNECT, an upgrade or a refusal, ordinary calls were late or not answered, and the node took gigabytes.

Cause: aiohttp receives and keeps what follows an error: each further read is one more error to answer, with its bytes. Nothing bounds the bytes before a request is complete, or the framing of a body. A read takes as much as there is, so that one connection may hold the event loop for megabytes. Errors were printed with a traceback to standard error, outside the log. A header of more than 1 KB and a head with more than 32 fields were refused, which lawful clients send.

Change: celeryshift_net.servers. A guard is the protocol of each connection of clients and of readiness checks. It receives 8 KB at a time, hands the library at most one complete request, counts what comes to no request and no data, and reads no further once it refuses (400, 431). A turn of the event loop parses 8 KB of a connection and 32 KB in all, small requests first. Large heads have a budget of their own; heads have 16 KB a field, 100 fields and 32 KB in all. Closed for another connection is one that was refused, is slow to send, or is idle, never one that waits for its answer. An answer that is not read has 10 s. Closed connections are counted by listener and reason, and logged each 10 s. Bodies are kept as one object, also in chunks of a byte.

--- a/packages/cellnode/celeryshift_cellnode/clientserver.py
+++ b/packages/cellnode/celeryshift_cellnode/clientserver.py
@@ -2,5 +2,6 @@
 
 from celeryshift_cellnode._clientserver import Body
 from celeryshift_cellnode._clientserver import BodyBudget
+from celeryshift_cellnode._clientserver import client_budget
 
-__all__ = ['Body', 'BodyBudget']
+__all__ = ['Body', 'BodyBudget', 'client_budget']
--- a/packages/cellnode/celeryshift_cellnode/errors.py
+++ b/packages/cellnode/celeryshift_cellnode/errors.py
@@ -1,5 +1,7 @@
 """Errors of a node; each class states what is known of the failed call."""
 
+from celeryshift_net import servers
+
 # Size of a value or an error in a message.
 MAX_DESCRIPTION_CHARS = 200
 
@@ -44,16 +46,11 @@
     """Raised when the description of a job is invalid."""
 
 
-class BodyTooLargeError(CellNodeError):
-    """Raised when the body of a call exceeds the limit."""
-
-
-class IncompleteBodyError(CellNodeError):
-    """Raised when a body does not arrive in time, or is malformed."""
-
-
-class BusyError(CellNodeError):
-    """Raised when there is no memory for a call at present."""
+# Errors of the body of a call; the first is the base class of the others.
+BodyError = servers.BodyError
+BodyTooLargeError = servers.BodyTooLargeError
+BusyError = servers.BusyError
+IncompleteBodyError = servers.IncompleteBodyError
 
 
 def describe(value: object) -> str:
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -37,6 +37,7 @@
 from celeryshift_cellnode import ports
 from celeryshift_cellnode import service
 from celeryshift_net import exchanges
+from celeryshift_net import servers
 
 # How long a node still accepts connections after it starts to shut down. The
 # load balancer needs two failed readiness checks, a second apart, to stop
@@ -86,6 +87,7 @@
         self._log_decision = self._log.write
         self._store = _watchedstore.WatchedStore(store, self._log_decision)
         self._metrics = _metrics.Metrics()
+        self._servers = _clientserver.Servers(self._log_decision)
         self._decoder = make_decoder(self._log_decision)
         self._evacuations = _evacuations.Evacuations(tables, self._decoder)
         self._local_node = _schema.Node(
@@ -175,15 +177,23 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         peer_server = await self._serve_peers()
-        readiness_server = await _clientserver.listen(
-            self._handle_readiness, *readiness_address
+        readiness_server = await servers.listen(
+            self._servers.make(
+                'readiness',
+                self._handle_readiness,
+                _clientserver.readiness_limits(),
+            ),
+            *readiness_address,
         )
-        client_server = await _clientserver.listen(
-            frontend.handle_request,
-            *client_address,
-            _clientserver.max_connections(
-                self._settings.memory_mb, self._settings.file_descriptors
+        client_server = await servers.listen(
+            self._servers.make(
+                'clients',
+                frontend.handle_request,
+                _clientserver.client_limits(
+                    self._settings.memory_mb, self._settings.file_descriptors
+                ),
             ),
+            *client_address,
         )
         background = [
             loop.create_task(self._restart_on_failure(work))
@@ -192,6 +202,7 @@
                 self._membership.run,
                 self._ownership.run,
                 self._connectivity.run,
+                self._servers.run,
             )
         ]
         await self._stopping.wait()
@@ -308,6 +319,8 @@
     def _render_metrics(self) -> tuple[bytes, str]:
         for name, count in self._log.counters.items():
             self._metrics.set_gauge(name, count)
+        for name, count in self._servers.gauges().items():
+            self._metrics.set_gauge(name, count)
         if self._runner is not None:
             for name, value in self._runner.gauges().items():
                 self._metrics.set_gauge(name, value)
--- a/packages/cellnode/celeryshift_cellnode/ports.py
+++ b/packages/cellnode/celeryshift_cellnode/ports.py
@@ -10,6 +10,9 @@
 from celeryshift_cell import events
 from celeryshift_cell import model
 
+# Size of a client's request body if the configuration sets none.
+MAX_BODY_BYTES = 262_144
+
 
 @attrs.frozen(slots=True)
 class Row:
@@ -195,7 +198,7 @@
     cell: model.Config
     routes: tuple[Route, ...] = ()
     team_by_key: Mapping[str, str] = attrs.field(factory=dict)
-    max_body_bytes: int = 262_144
+    max_body_bytes: int = MAX_BODY_BYTES
 
     @property
     def version(self) -> int:
--- a/packages/cellnode/celeryshift_cellnode/service.py
+++ b/packages/cellnode/celeryshift_cellnode/service.py
@@ -46,6 +46,8 @@
 # Clients retry after this time if no worker or limit allows the job; both may
 # change.
 NEVER_FITS_RETRY_S = 60
+# A client chooses its path, which may be as long as a request line.
+MAX_LOGGED_CHARS = 200
 
 
 Verdict = _answers.Verdict
@@ -445,7 +447,7 @@
         if is_logged:
             self._log_decision(
                 f'{operation}_answered',
-                path=call.path,
+                path=call.path[:MAX_LOGGED_CHARS],
                 verdict=answer.verdict.value,
                 reason=answer.reason,
                 team=team,
