Bodies with a content coding are refused, not decoded

Callers: beside clients that send gzip bodies of 200 KB for 200 MB, ordinary calls were not answered, also after the crowd had gone.

Change: nothing is decoded; a body with another coding than identity gets 400 and is not read.

--- a/packages/cellnode/celeryshift_cellnode/_answers.py
+++ b/packages/cellnode/celeryshift_cellnode/_answers.py
@@ -79,4 +79,6 @@
         return Answer(Verdict.TOO_LARGE, reason=str(error))
     if isinstance(error, errors.BusyError):
         return unavailable(str(error))
+    if isinstance(error, errors.EncodedBodyError):
+        return Answer(Verdict.MALFORMED, reason=str(error))
     return Answer(Verdict.INCOMPLETE, reason=f'incomplete body: {error}')
--- a/packages/cellnode/celeryshift_cellnode/errors.py
+++ b/packages/cellnode/celeryshift_cellnode/errors.py
@@ -50,6 +50,7 @@
 BodyError = servers.BodyError
 BodyTooLargeError = servers.BodyTooLargeError
 BusyError = servers.BusyError
+EncodedBodyError = servers.EncodedBodyError
 IncompleteBodyError = servers.IncompleteBodyError
 
 
--- a/packages/net/celeryshift_net/_bodies.py
+++ b/packages/net/celeryshift_net/_bodies.py
@@ -28,6 +28,10 @@
     """Raised when a body does not arrive in time, or is malformed."""
 
 
+class EncodedBodyError(BodyError):
+    """Raised when a body has a content coding, which is not decoded."""
+
+
 class BusyError(BodyError):
     """Raised when there is no memory for a call at present."""
 
@@ -77,8 +81,11 @@
         """Read the body.
 
         Raises ``BodyTooLargeError``, ``BusyError`` if the budget is used up,
-        or ``IncompleteBodyError``.
+        ``EncodedBodyError`` or ``IncompleteBodyError``.
         """
+        coding = self._request.headers.get('Content-Encoding', 'identity')
+        if coding.strip().lower() != 'identity':
+            raise EncodedBodyError(f'content coding {coding[:40]!r}')
         declared = self._request.content_length
         if declared is not None and declared > max_bytes:
             raise BodyTooLargeError(f'a body of {declared} bytes')
--- a/packages/net/celeryshift_net/_servers.py
+++ b/packages/net/celeryshift_net/_servers.py
@@ -85,6 +85,7 @@
         'max_field_size': limits.max_line_bytes,
         'max_headers': limits.max_fields,
         'read_bufsize': _limits.BODY_BUFFER_BYTES,
+        'auto_decompress': False,
     }
 
 
--- a/packages/net/celeryshift_net/servers.py
+++ b/packages/net/celeryshift_net/servers.py
@@ -10,6 +10,7 @@
 from celeryshift_net._bodies import BodyTooLargeError
 from celeryshift_net._bodies import budget_bytes
 from celeryshift_net._bodies import BusyError
+from celeryshift_net._bodies import EncodedBodyError
 from celeryshift_net._bodies import IncompleteBodyError
 from celeryshift_net._connectiontable import ConnectionTable
 from celeryshift_net._guard import Guard
@@ -31,6 +32,7 @@
     'BodyTooLargeError',
     'BusyError',
     'ConnectionTable',
+    'EncodedBodyError',
     'Guard',
     'IncompleteBodyError',
     'Limits',
--- a/tests/test_client_bytes.py
+++ b/tests/test_client_bytes.py
@@ -152,6 +152,7 @@
 class _Request:
     def __init__(self, content: _Content, length: int | None = None) -> None:
         self.content, self.content_length = content, length
+        self.headers: dict[str, str] = {}
 
 
 def _read(content: _Content, budget, length=None, limit=100, timeout_s=1.0):
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -155,6 +155,7 @@
     (CHUNKED + b'nonsense\r\n', 408),
     (PLAIN % (MAX_BODY_BYTES + 1, BODY), 413),
     (CHUNKED + _chunks(BODY * 2, 8192), 413),
+    (HEAD + b'Content-Encoding: gzip\r\nContent-Length: 9\r\n\r\n', 408),
 ]
 
 
