The port of the nodes has the same guard, and a budget for bodies

Callers: whoever reaches the port of the nodes, which needs no key, could take a node over its memory: 300 connections with calls of 1 MB in chunks took 335 MB of the 300 MB of a node (trial with small receive buffers, 4 s).

Cause: the port had a server of its own, with the defaults of aiohttp and no limit of connections. Only calls with a declared length counted as large; a body in chunks was read up to 1 MB, without the limit of 32 at a time and without end.

Change: the listener of the nodes and of the metrics is one of the guarded ones, of 512 connections at most. A call whose length is unknown counts as large; all calls that are read have a budget, of at least two of the largest size. It is given back once a call is decoded, so that calls that wait for the store do not use it.

--- a/packages/cellnode/celeryshift_cellnode/_clientserver.py
+++ b/packages/cellnode/celeryshift_cellnode/_clientserver.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from celeryshift_cellnode import _memory
+from celeryshift_cellnode import _peers
 from celeryshift_cellnode import ports
 from celeryshift_net import servers
 
@@ -19,10 +20,14 @@
 CONNECTIONS_SHARE = 0.18
 HEADS_SHARE = 0.02
 BODIES_SHARE = 0.07
+PEER_BODIES_SHARE = 0.03
 # Shares of the file descriptors.
 DESCRIPTORS_SHARE = 0.5
+PEER_DESCRIPTORS_SHARE = 0.2
 # Connections if neither memory nor descriptors are limited.
 MAX_CONNECTIONS = 10_000
+# The memory of these is part of what the process needs itself.
+MAX_PEER_CONNECTIONS = 512
 READINESS_CONNECTIONS = 16
 # Room for one large head.
 MIN_HEADS_BYTES = 65_536
@@ -56,6 +61,18 @@
     )
 
 
+def peer_limits(descriptors: int) -> servers.Limits:
+    """Return the limits of the connections of other nodes."""
+    most = MAX_PEER_CONNECTIONS
+    if descriptors > 0:
+        most = min(most, int(PEER_DESCRIPTORS_SHARE * descriptors))
+    return servers.Limits(
+        max_connections=max(1, most),
+        heads_bytes=MIN_HEADS_BYTES,
+        head_timeout_s=HEADER_TIMEOUT_S,
+    )
+
+
 def readiness_limits() -> servers.Limits:
     """Return the limits of the connections of readiness checks."""
     return servers.Limits(
@@ -71,6 +88,11 @@
     return _budget(memory_mb, BODIES_SHARE, ports.MAX_BODY_BYTES)
 
 
+def peer_budget(memory_mb: float) -> BodyBudget:
+    """Return the budget of the bodies of calls of other nodes."""
+    return _budget(memory_mb, PEER_BODIES_SHARE, _peers.MAX_BODY_BYTES)
+
+
 def _budget(memory_mb: float, share: float, max_bytes: int) -> BodyBudget:
     if memory_mb <= 0:
         return BodyBudget()
--- a/packages/cellnode/celeryshift_cellnode/_peers.py
+++ b/packages/cellnode/celeryshift_cellnode/_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import time
 from typing import Any
 
 from aiohttp import web
@@ -18,9 +19,8 @@
 SMALL_BODY_BYTES = 4096
 MAX_LARGE_READS = 32
 READ_TIMEOUT_S = 2.0
-BACKLOG = 256
-# Receive buffer of a connection in the kernel.
-RECEIVE_BYTES = 8192
+# Largest call: a job, whose row the store limits.
+MAX_BODY_BYTES = 1_048_576
 # Nodes usually answer within milliseconds; one second means a fault.
 CALL_TIMEOUT_S = 1.0
 
@@ -86,11 +86,15 @@
     """Server for calls of other nodes, and for the metrics."""
 
     def __init__(
-        self, metrics: Callable[[], tuple[bytes, str]], log_decision: Callable
+        self,
+        metrics: Callable[[], tuple[bytes, str]],
+        log_decision: Callable,
+        budget: servers.BodyBudget | None = None,
     ) -> None:
         self._handlers: dict[str, Handler] = {}
         self._metrics = metrics
         self._log_decision = log_decision
+        self._budget = budget or servers.BodyBudget()
         self._large_reads = asyncio.Semaphore(MAX_LARGE_READS)
 
     def add_handler(self, name: str, handler: Handler) -> None:
@@ -98,45 +102,48 @@
         self._handlers[name] = handler
 
     async def start(self, host: str, port: int) -> web.ServerRunner:
-        """Listen for calls of other nodes."""
-        runner = web.ServerRunner(
-            web.Server(
-                self._handle_request,
-                access_log=None,
-                read_bufsize=SMALL_BODY_BYTES,
-            ),
-            access_log=None,
-        )
-        await runner.setup()
-        for listening in servers.open_sockets(
-            host, port, BACKLOG, RECEIVE_BYTES
-        ):
-            await web.SockSite(runner, listening, backlog=BACKLOG).start()
-        return runner
-
-    async def _read(self, request: web.BaseRequest) -> bytes:
-        if (request.content_length or 0) <= SMALL_BODY_BYTES:
-            return await request.read()
-        async with self._large_reads, asyncio.timeout(READ_TIMEOUT_S):
-            return await request.read()
-
-    async def _handle_request(self, request: web.BaseRequest) -> web.Response:
+        """Listen for calls of other nodes, with the default limits."""
+
+        def report(error: str, where: str) -> None:
+            self._log_decision('request_failed', error=error, where=where)
+
+        server = servers.Server(self.handle_request, servers.Limits(), report)
+        return await servers.listen(server, host, port)
+
+    async def _read(
+        self, request: web.BaseRequest, body: servers.Body
+    ) -> bytes:
+        length = request.content_length
+        if length is not None and length <= SMALL_BODY_BYTES:
+            return await body.read(
+                SMALL_BODY_BYTES, time.monotonic() + READ_TIMEOUT_S
+            )
+        # Bodies in chunks have an unknown length.
+        async with self._large_reads:
+            return await body.read(
+                MAX_BODY_BYTES, time.monotonic() + READ_TIMEOUT_S
+            )
+
+    async def handle_request(self, request: web.BaseRequest) -> web.Response:
+        """Answer a call of another node, or a request of the metrics."""
         if request.path == '/metrics':
-            body, content_type = self._metrics()
+            content, content_type = self._metrics()
             headers = {'Content-Type': content_type}
-            return web.Response(body=body, headers=headers)
-        handler = self._handlers.get(request.path.removeprefix('/v1/'))
+            return web.Response(body=content, headers=headers)
+        name = request.path.removeprefix('/v1/')
+        handler = self._handlers.get(name)
         if handler is None:
             return web.Response(status=404)
         try:
-            result = await handler(orjson.loads(await self._read(request)))
+            with servers.Body(request, self._budget) as body:
+                call = orjson.loads(await self._read(request, body))
+            # Calls that wait are limited by the number of connections.
+            result = await handler(call)
         except Exception as error:
             # Another release or a fault may send anything; the caller treats
             # the status as no answer.
             self._log_decision(
-                'peer_call_failed',
-                call=request.path,
-                error=errors.describe(error),
+                'peer_call_failed', call=name, error=errors.describe(error)
             )
             return web.Response(status=503)
         return web.Response(
--- a/packages/cellnode/celeryshift_cellnode/node.py
+++ b/packages/cellnode/celeryshift_cellnode/node.py
@@ -300,7 +300,12 @@
         return web.Response(status=200 if is_ready else 503)
 
     async def _serve_peers(self) -> web.ServerRunner:
-        server = _peers.PeerServer(self._render_metrics, self._log_decision)
+        settings = self._settings
+        server = _peers.PeerServer(
+            self._render_metrics,
+            self._log_decision,
+            _clientserver.peer_budget(settings.memory_mb),
+        )
         for name, handler in self.service.owner_service.handlers.items():
             server.add_handler(name, handler)
         for name, handler in self._configurations.handlers.items():
@@ -313,8 +318,15 @@
         server.add_handler('left', self._membership.handle_leave)
         server.add_handler('show', self._handle_show)
         server.add_handler('explain', self._handle_explain)
-        settings = self._settings
-        return await server.start(settings.host, settings.peer_port)
+        return await servers.listen(
+            self._servers.make(
+                'nodes',
+                server.handle_request,
+                _clientserver.peer_limits(settings.file_descriptors),
+            ),
+            settings.host,
+            settings.peer_port,
+        )
 
     def _render_metrics(self) -> tuple[bytes, str]:
         for name, count in self._log.counters.items():
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -39,6 +39,7 @@
     ('peer', 'short bodies'),
     ('peer', 'small chunks'),
     ('peer', 'metrics'),
+    ('peer', 'node calls'),
 ]
 
 
