celeryshiftd has the guard in front of its listener

Callers: crowds of 100 to 300 connections took a node of celeryshiftd over the 128 MB of its page, up to gigabytes, and memory never came back.

Nothing limited the number of connections. Bodies of callers, whose keys are checked after them, had a limit each but none together. Bodies were decoded by their content coding. The timers of first requests kept each connection that had closed for 10 s or more.

Change: the listener uses celeryshift_net.servers: receive buffers, heads, framing, turns, and which connection is closed for another. Settings, all checked: max_connections, max_head_bytes, max_heads_bytes, max_bodies_bytes, write_timeout_s; 100 header lines instead of 64. Bodies of operators and peers are read after their token is checked, and don't count. Counters http.closed.<reason>, gauge http.connections.

--- a/packages/client/celeryshift_client/_api.py
+++ b/packages/client/celeryshift_client/_api.py
@@ -25,6 +25,7 @@
         core.Reason.DRAINING,
         core.Reason.NOT_READY,
         core.Reason.KEYS_UNCONFIRMED,
+        core.Reason.TOO_MANY_BODIES,
         core.Reason.UNKNOWN_REQUEST,
     )
 )
--- a/packages/core/celeryshift_core/_refusals.py
+++ b/packages/core/celeryshift_core/_refusals.py
@@ -42,6 +42,7 @@
     CONFIGURATION_CONFLICT = 'configuration-conflict'
     TOO_LARGE = 'too-large'
     SLOW_CALLER = 'slow-caller'
+    TOO_MANY_BODIES = 'too-many-bodies'
     INTERNAL = 'internal-error'
 
 
--- a/packages/node/celeryshift_node/_bodies.py
+++ b/packages/node/celeryshift_node/_bodies.py
@@ -1,9 +1,9 @@
 """Request bodies: reading within limits, and validation."""
 
-import asyncio
 from collections.abc import Iterator
 import json
 import re
+import time
 from typing import Any
 import uuid
 
@@ -12,8 +12,11 @@
 
 import celeryshift_core as core
 from celeryshift_core import events
+from celeryshift_net import servers
 
 NAME = re.compile(r'[A-Za-z0-9._-]{1,128}')
+# Callers retry after this time if the bodies of other calls take all memory.
+BUSY_RETRY_S = 1.0
 SIZE_MINIMA = {'slots': 1, 'cpu_milli': 0, 'memory_mb': 0, 'accelerators': 0}
 
 Reason = core.Reason
@@ -98,23 +101,31 @@
 
 
 async def read_json(
-    request: web.Request, max_bytes: int, timeout_s: float
+    body: servers.Body, max_bytes: int, timeout_s: float
 ) -> tuple[Any, int]:
     """Read a JSON body; return the document and its length in bytes.
 
-    Raises RefusedError for a body that is too long, too slow or not JSON.
+    Raises RefusedError for a body that is too long, too slow or not JSON, and
+    if the bodies of other calls take all memory.
     """
-    limited_request = request.clone(client_max_size=max_bytes)
     try:
-        async with asyncio.timeout(timeout_s):
-            raw = await limited_request.read()
+        raw = await body.read(max_bytes, time.monotonic() + timeout_s)
         return json.loads(raw, parse_constant=_reject_constant), len(raw)
-    except TimeoutError as error:
-        detail = f'the body did not arrive within {timeout_s} s'
+    except servers.IncompleteBodyError as error:
+        detail = f'the body did not arrive within {timeout_s} s: {error}'
         raise refusal_error(Reason.SLOW_CALLER, detail) from error
-    except web.HTTPRequestEntityTooLarge as error:
+    except servers.BodyTooLargeError as error:
         detail = f'a body has {max_bytes} bytes at most'
         raise refusal_error(Reason.TOO_LARGE, detail) from error
+    except servers.BusyError as error:
+        refusal = core.Refusal(
+            Reason.TOO_MANY_BODIES,
+            retry_after_s=BUSY_RETRY_S,
+            detail=str(error),
+        )
+        raise RefusedError(refusal) from error
+    except servers.EncodedBodyError as error:
+        raise refusal_error(Reason.BAD_REQUEST, str(error)) from error
     except RecursionError as error:
         detail = 'the body is nested too deeply'
         raise refusal_error(Reason.BAD_REQUEST, detail) from error
--- a/packages/node/celeryshift_node/_http.py
+++ b/packages/node/celeryshift_node/_http.py
@@ -9,21 +9,26 @@
 
 import celeryshift_core as core
 from celeryshift_core import events
+from celeryshift_net import servers
 from celeryshift_node import _auth
 from celeryshift_node import _bodies
-from celeryshift_node import _listener
 from celeryshift_node import _problems
 from celeryshift_node import _runner
 from celeryshift_node import _settings
-from celeryshift_node import _tls
 from celeryshift_node import _wire
 
 MAX_ENVELOPE_BYTES = 65_536
 AUDIT_PAGE_SIZE = 20
 # Refusals that are sent before the whole body of the request is read.
 UNREAD_BODY_REASONS = frozenset(
-    (core.Reason.SLOW_CALLER, core.Reason.TOO_LARGE)
+    (
+        core.Reason.SLOW_CALLER,
+        core.Reason.TOO_LARGE,
+        core.Reason.TOO_MANY_BODIES,
+    )
 )
+# Key of the body of a request.
+BODY = web.RequestKey('body', servers.Body)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 Reason = core.Reason
@@ -36,10 +41,12 @@
 
     def __init__(self, settings: _settings.Settings) -> None:
         self._settings = settings
-        self._bounds = settings.bounds
-        handshake_timeout_s = _tls.HANDSHAKE_TIMEOUT_S if settings.tls else 0.0
-        self.first_request_timeouts = _listener.FirstRequestTimeouts(
-            settings.bounds.header_timeout_s + handshake_timeout_s
+        self._bounds = bounds = settings.bounds
+        # Of the bodies of callers, whose keys are checked later.
+        self._budget = servers.BodyBudget(
+            servers.budget_bytes(
+                bounds.max_bodies_bytes, bounds.max_body_bytes
+            )
         )
 
     def app(self) -> web.Application:
@@ -76,9 +83,11 @@
     async def _convert_errors(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
-        self.first_request_timeouts.cancel(request.protocol)
         try:
-            response = await handler(request)
+            with servers.Body(request, self._budget) as body:
+                request[BODY] = body
+                # The body stays in memory until the call is answered.
+                response = await handler(request)
         except _bodies.RefusedError as error:
             response = self._refusal_response(error.refusal)
             # The rest of the body is not read, so close the connection.
@@ -201,8 +210,12 @@
 
     async def _submit_config(self, request: web.Request) -> web.Response:
         operator = self._authenticate_operator(request)
-        document = await self._read_json(
-            request, self._bounds.max_config_bytes
+        bounds = self._bounds
+        # Operators and peers are authenticated before their bodies are read.
+        document, _ = await _bodies.read_json(
+            servers.Body(request, servers.BodyBudget()),
+            bounds.max_config_bytes,
+            bounds.read_timeout_s,
         )
         body = _bodies.validate(document, _bodies.ConfigBody)
         reply = await self.runner.get_reply(
@@ -333,12 +346,10 @@
     async def _read_body(self, request: web.Request, kind: type) -> Any:
         return _bodies.validate(await self._read_json(request), kind)
 
-    async def _read_json(
-        self, request: web.Request, max_bytes: int | None = None
-    ) -> Any:
+    async def _read_json(self, request: web.Request) -> Any:
         bounds = self._bounds
         document, _ = await _bodies.read_json(
-            request, max_bytes or bounds.max_body_bytes, bounds.read_timeout_s
+            request[BODY], bounds.max_body_bytes, bounds.read_timeout_s
         )
         return document
 
@@ -348,7 +359,9 @@
         # A peer wraps the forwarded body in a document with more fields.
         max_bytes = bounds.max_body_bytes + MAX_ENVELOPE_BYTES
         document, length = await _bodies.read_json(
-            request, max_bytes, bounds.read_timeout_s
+            servers.Body(request, servers.BodyBudget()),
+            max_bytes,
+            bounds.read_timeout_s,
         )
         counters = self.runner.counters
         counters['control.received'] += 1
--- a/packages/node/celeryshift_node/_listener.py
+++ b/packages/node/celeryshift_node/_listener.py
@@ -1,78 +1,82 @@
 """HTTP listener that closes slow and idle connections."""
 
-import asyncio
+import ssl
 from typing import Any
 
 from aiohttp import web
-from aiohttp import web_protocol
 
+from celeryshift_net import servers
+from celeryshift_node import _runner
 from celeryshift_node import _settings
 
-LINGERING_TIME_S = 1.0
 
+def _limits(bounds: _settings.Bounds) -> servers.Limits:
+    return servers.Limits(
+        max_connections=bounds.max_connections,
+        max_line_bytes=bounds.max_header_bytes,
+        max_fields=bounds.max_headers,
+        max_head_bytes=bounds.max_head_bytes,
+        heads_bytes=bounds.max_heads_bytes,
+        first_head_timeout_s=bounds.header_timeout_s,
+        head_timeout_s=bounds.header_timeout_s,
+        idle_timeout_s=bounds.idle_timeout_s,
+        write_timeout_s=bounds.write_timeout_s,
+    )
 
-class FirstRequestTimeouts:
-    """Timeouts for the first request on each new connection.
 
-    Between requests the keep-alive timeout of aiohttp applies.
-    """
-
-    def __init__(self, timeout_s: float) -> None:
-        self._timeout_s = timeout_s
-        self._timers_by_connection: dict[Any, asyncio.TimerHandle] = {}
-
-    def start(self, connection: web_protocol.RequestHandler) -> None:
-        """Start the timeout of a new connection."""
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(self._timeout_s, self._abort, connection)
-        self._timers_by_connection[connection] = timer
-
-    def cancel(self, connection: web_protocol.RequestHandler) -> None:
-        """Cancel the timeout of a connection that got a request."""
-        timer = self._timers_by_connection.pop(connection, None)
-        if timer is not None:
-            timer.cancel()
-
-    def _abort(self, connection: web_protocol.RequestHandler) -> None:
-        self._timers_by_connection.pop(connection, None)
-        if connection.transport is not None:
-            connection.transport.abort()
+def _report_error(error: str, where: str) -> None:
+    _runner.log.error('request failed: {} at {}', error, where)
 
 
 class Listener(web.AppRunner):
     """Application runner that limits connections in time and size."""
 
-    def __init__(
-        self,
-        app: web.Application,
-        first_request_timeouts: FirstRequestTimeouts,
-        bounds: _settings.Bounds,
-    ) -> None:
+    def __init__(self, app: web.Application, bounds: _settings.Bounds) -> None:
+        limits = _limits(bounds)
+        self._options = servers.handler_options(limits, _report_error)
         super().__init__(
             app,
-            access_log=None,
             handler_cancellation=True,
             shutdown_timeout=bounds.drain_timeout_s,
-            keepalive_timeout=bounds.idle_timeout_s,
-            lingering_time=LINGERING_TIME_S,
-            max_line_size=bounds.max_header_bytes,
-            max_field_size=bounds.max_header_bytes,
-            max_headers=bounds.max_headers,
+            **self._options,
         )
-        self._first_request_timeouts = first_request_timeouts
+        self._guarded = servers.Listener(limits)
 
     @property
     def server(self) -> Any:
-        """Return the factory of connection handlers, for use by sites."""
+        """Return the factory of connection protocols, for use by sites."""
         return self._make_connection
 
+    @property
+    def connections(self) -> servers.ConnectionTable:
+        """Return the open connections, and counters of the closed ones."""
+        return self._guarded.table
+
+    async def listen(
+        self,
+        host: str,
+        port: int,
+        backlog: int,
+        context: ssl.SSLContext | None,
+    ) -> None:
+        """Accept connections at all addresses of a host."""
+        limits = self._guarded.limits
+        for listening in servers.open_sockets(
+            host, port, backlog, limits.receive_bytes
+        ):
+            site = web.SockSite(
+                self, listening, ssl_context=context, backlog=backlog
+            )
+            await site.start()
+
     async def stop_accepting(self) -> None:
         """Stop accepting connections; open ones remain in use."""
         for site in list(self.sites):
             await site.stop()
 
-    def _make_connection(self) -> web_protocol.RequestHandler:
+    def _make_connection(self) -> servers.Guard:
+        return servers.Guard(self._guarded, self._make_handler)
+
+    def _make_handler(self, guard: servers.Guard) -> servers.RequestHandler:
         assert self._server is not None
-        connection = self._server()
-        self._first_request_timeouts.start(connection)
-        return connection
+        return servers.RequestHandler(self._server, guard, **self._options)
--- a/packages/node/celeryshift_node/_metrics.py
+++ b/packages/node/celeryshift_node/_metrics.py
@@ -10,6 +10,7 @@
 import statsd
 
 import celeryshift_core as core
+from celeryshift_net import servers
 from celeryshift_node import _runner
 from celeryshift_node import _settings
 
@@ -27,9 +28,11 @@
         runner: _runner.Runner,
         traffic: collections.Counter[str],
         settings: _settings.Statsd,
+        connections: servers.ConnectionTable | None = None,
     ) -> None:
         self._runner = runner
         self._traffic = traffic
+        self._connections = connections
         self._flush_s = settings.flush_s
         self._client = statsd.StatsClient(
             settings.host, settings.port, settings.prefix
@@ -53,10 +56,15 @@
             for iterate_gauges in GAUGE_SOURCES:
                 for name, value in iterate_gauges(self._runner.state):
                     pipe.gauge(name, value)
+            if self._connections is not None:
+                pipe.gauge('http.connections', len(self._connections))
 
     def _send_counters(self, pipe: statsd.StatsClient) -> None:
         counts = self._runner.state.counters + self._runner.counters
         counts += self._traffic
+        if self._connections is not None:
+            for reason, count in self._connections.counters.items():
+                counts[f'http.closed.{reason}'] = count
         counts['process.cpu_ms'] = int(time.process_time() * 1000)
         for name, count in counts.items():
             if count != self._sent_counters[name]:
--- a/packages/node/celeryshift_node/_service.py
+++ b/packages/node/celeryshift_node/_service.py
@@ -4,7 +4,6 @@
 import sys
 from typing import Any
 
-from aiohttp import web
 import aiomisc
 
 import celeryshift_core as core
@@ -43,7 +42,10 @@
         metrics_task = None
         if settings.statsd is not None:
             sender = _metrics.Metrics(
-                self._runner, self._channels.counters, settings.statsd
+                self._runner,
+                self._channels.counters,
+                settings.statsd,
+                self._listener.connections,
             )
             metrics_task = asyncio.create_task(sender.run())
         self.start_event.set()
@@ -74,20 +76,14 @@
     async def _listen(self) -> tuple[_listener.Listener, str]:
         listen = self.settings.listen
         self._api = _http.Api(self.settings)
-        listener = _listener.Listener(
-            self._api.app(),
-            self._api.first_request_timeouts,
-            self.settings.bounds,
-        )
+        listener = _listener.Listener(self._api.app(), self.settings.bounds)
         await listener.setup()
-        site = web.TCPSite(
-            listener,
+        await listener.listen(
             listen.host,
             listen.port,
-            backlog=LISTEN_BACKLOG,
-            ssl_context=_tls.server_context(self.settings.tls),
+            LISTEN_BACKLOG,
+            _tls.server_context(self.settings.tls),
         )
-        await site.start()
         port = listener.addresses[0][1]
         host = listen.advertise_host or listen.host
         return listener, f'{host}:{port}'
--- a/packages/node/celeryshift_node/_settings.py
+++ b/packages/node/celeryshift_node/_settings.py
@@ -56,12 +56,21 @@
 
     max_body_bytes: int = 262_144
     max_config_bytes: int = 4_194_304
+    # Request line, or header field.
     max_header_bytes: int = 8190
-    max_headers: int = 64
+    max_headers: int = 100
+    # Request line and all header fields.
+    max_head_bytes: int = 32_768
+    max_connections: int = 1000
+    # Memory of the large heads, and of the bodies, of all calls in progress.
+    max_heads_bytes: int = 1_048_576
+    max_bodies_bytes: int = 16_777_216
     # Time until the header of the first request on a connection is complete.
     header_timeout_s: float = 10.0
     # Time to receive the body of a request.
     read_timeout_s: float = 10.0
+    # Time for which a caller may leave an answer unread.
+    write_timeout_s: float = 10.0
     # Time for which a connection is kept open between requests.
     idle_timeout_s: float = 75.0
     # Maximum time for which a stopping node waits until it is drained, and
--- a/packages/node/celeryshift_node/_tls.py
+++ b/packages/node/celeryshift_node/_tls.py
@@ -5,10 +5,6 @@
 import celeryshift_core as core
 from celeryshift_node import _settings
 
-# asyncio limits the TLS handshake to this time. It precedes the first request,
-# so it is added to the timeout of that request.
-HANDSHAKE_TIMEOUT_S = 60.0
-
 
 def server_context(tls: _settings.Tls | None) -> ssl.SSLContext | None:
     """Return the TLS context of a listener, or None without TLS.
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -4,7 +4,6 @@
 import contextlib
 import hashlib
 
-from aiohttp import web
 import attrs
 import builders
 
@@ -98,9 +97,7 @@
         }
     )
     api = _http.Api(settings)
-    listener = _listener.Listener(
-        api.app(), api.first_request_timeouts, settings.bounds
-    )
+    listener = _listener.Listener(api.app(), settings.bounds)
     platform = Platform()
     fleet = builders.fleet()
     # For calls with a key that has been withdrawn.
@@ -111,8 +108,7 @@
     api.runner = runner
     await listener.setup()
     context = _tls.server_context(settings.tls)
-    site = web.TCPSite(listener, '127.0.0.1', 0, ssl_context=context)
-    await site.start()
+    await listener.listen('127.0.0.1', 0, 128, context)
     runner.start()
     while not (runner.state.config.version and runner.state.vm_revision):
         await asyncio.sleep(0.001)
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -16,6 +16,8 @@
 from tests import test_cell_processes as processes
 from tests import usage
 
+from celeryshift_standins import bed as beds
+
 CONNECTIONS = 100
 FLOOD_S = 4.0
 # Of a node. Its connections may take 20 % of the 16 MB that it does not need
@@ -23,6 +25,9 @@
 MEMORY_MB = 80
 DESCRIPTORS = 400
 NODE_BOUNDS = usage.Bounds(MEMORY_MB, 0.2 * 16, DESCRIPTORS)
+# Of a node of celeryshiftd, as documented; it has no setting for its memory.
+DAEMON_CONNECTIONS = 300
+DAEMON_BOUNDS = usage.Bounds(128, 128, 1500)
 # The others are for the port of the nodes.
 CLIENT_KINDS = [
     kind
@@ -127,3 +132,33 @@
                     return
                 assert status in (429, 503, 504)
             await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize('kind', CLIENT_KINDS)
+def test_a_crowd_takes_a_bounded_memory_of_a_daemon(kind):
+    async def scenario() -> None:
+        async with beds.Bed() as bed:
+            node = await bed.add_node('node0', 'dc1')
+            port = int(node.address.rpartition(':')[2])
+            await _flood(
+                node.process.pid,
+                port,
+                kind,
+                DAEMON_CONNECTIONS,
+                [port],
+                DAEMON_BOUNDS,
+            )
+            assert node.process.returncode is None
+            async with aiohttp.ClientSession() as session:
+                while True:
+                    with contextlib.suppress(aiohttp.ClientError, OSError):
+                        async with session.get(f'{node.url}/healthz') as got:
+                            assert got.status == 200
+                            return
+                    await asyncio.sleep(0.1)
+
+    async def limited() -> None:
+        async with asyncio.timeout(90):
+            await scenario()
+
+    asyncio.run(limited())
