TLS handshakes count as connections of celeryshiftd

Callers: clients that open TLS connections and send a part of a handshake took descriptors and memory without a limit, for 60 s each.

Cause: a connection was counted once its handshake was complete.

Change: connections are accepted as plain ones, count from then on, and the handshake (10 s) is made on them.

--- a/packages/net/celeryshift_net/_guard.py
+++ b/packages/net/celeryshift_net/_guard.py
@@ -155,6 +155,8 @@
                 self._limits.first_head_timeout_s, 'head_too_slow'
             )
         self._listener.table.add(self, asyncio.get_running_loop().time())
+        # With TLS, bytes may come before.
+        self._continue()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection."""
@@ -162,6 +164,8 @@
         self._pending = b''
         self._release_head()
         self._listener.table.remove(self)
+        if self._transport is None:
+            return
         self._transport = None
         self._handler.connection_lost(exc)
 
--- a/packages/net/celeryshift_net/_limits.py
+++ b/packages/net/celeryshift_net/_limits.py
@@ -32,6 +32,8 @@
     max_head_bytes: int = 32_768
     # Memory of the large heads of all connections; 0 for no limit.
     heads_bytes: int = 0
+    # Time for the TLS handshake, if there is one.
+    handshake_timeout_s: float = 10.0
     # Time for the first head of a connection; 0 to wait as between requests.
     first_head_timeout_s: float = 0.0
     # Time for the rest of a head once it has begun.
--- a/packages/net/celeryshift_net/servers.py
+++ b/packages/net/celeryshift_net/servers.py
@@ -15,6 +15,7 @@
 from celeryshift_net._connectiontable import ConnectionTable
 from celeryshift_net._guard import Guard
 from celeryshift_net._guard import Listener
+from celeryshift_net._handshakes import Handshake
 from celeryshift_net._limits import connection_bytes
 from celeryshift_net._limits import Limits
 from celeryshift_net._servers import handler_options
@@ -34,6 +35,7 @@
     'ConnectionTable',
     'EncodedBodyError',
     'Guard',
+    'Handshake',
     'IncompleteBodyError',
     'Limits',
     'Listener',
--- a/packages/node/celeryshift_node/_listener.py
+++ b/packages/node/celeryshift_node/_listener.py
@@ -1,5 +1,6 @@
 """HTTP listener that closes slow and idle connections."""
 
+import asyncio
 import ssl
 from typing import Any
 
@@ -41,6 +42,7 @@
             **self._options,
         )
         self._guarded = servers.Listener(limits)
+        self._context: ssl.SSLContext | None = None
 
     @property
     def server(self) -> Any:
@@ -61,20 +63,25 @@
     ) -> None:
         """Accept connections at all addresses of a host."""
         limits = self._guarded.limits
+        self._context = context
         for listening in servers.open_sockets(
             host, port, backlog, limits.receive_bytes
         ):
-            site = web.SockSite(
-                self, listening, ssl_context=context, backlog=backlog
-            )
-            await site.start()
+            await web.SockSite(self, listening, backlog=backlog).start()
 
     async def stop_accepting(self) -> None:
         """Stop accepting connections; open ones remain in use."""
         for site in list(self.sites):
             await site.stop()
 
-    def _make_connection(self) -> servers.Guard:
+    def _make_connection(self) -> asyncio.BaseProtocol:
+        if self._context is None:
+            return self._make_guard()
+        return servers.Handshake(
+            self._guarded, self._context, self._make_guard
+        )
+
+    def _make_guard(self) -> servers.Guard:
         return servers.Guard(self._guarded, self._make_handler)
 
     def _make_handler(self, guard: servers.Guard) -> servers.RequestHandler:
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -70,3 +70,28 @@
         _tls.server_context(tls)
         _tls.client_context(tls)
     assert f'$.tls.{field}' in caught.value.mistakes[0]
+
+
+def test_handshakes_count_as_connections():
+    async def connect(port):
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        # A part of a message that begins a handshake.
+        writer.write(b'\x16\x03\x01\x02\x00\x01')
+        return reader, writer
+
+    async def crowd():
+        async with entries.node(tls=TLS, max_connections=10) as entry:
+            port = int(entry.url.rpartition(':')[2])
+            opened = [await connect(port) for _ in range(30)]
+            async with asyncio.timeout(5.0):
+                while sum(reader.at_eof() for reader, _ in opened) < 20:
+                    await asyncio.sleep(0.01)
+            async with celeryshift_client.Client(
+                entry.url, entries.OPERATOR, ca=CERTIFICATE
+            ) as operator:
+                document = await operator.configuration()
+            for _, writer in opened:
+                writer.close()
+            return document['version']
+
+    assert asyncio.run(crowd()) == 1
