--- a/tests/soak.py
+++ b/tests/soak.py
@@ -35,6 +35,7 @@
 from tests import soakfaults
 from tests import soakload
 from tests import test_cell_processes as processes
+from tests import usage
 
 # Within this time leases expire, in-doubt runs are settled and the remaining
 # work completes.
@@ -206,9 +207,14 @@
 
     async def _measure_memory(self) -> None:
         while True:
+            unread_mb = usage.unread_mb_by_port()
             for program in self.programs:
+                ports = (program.front, program.ready, program.peer)
+                used_mb = program.memory_mb() + sum(
+                    unread_mb.get(port, 0.0) for port in ports
+                )
                 self.memory_mb[program.name] = max(
-                    self.memory_mb[program.name], round(program.memory_mb())
+                    self.memory_mb[program.name], round(used_mb)
                 )
             await asyncio.sleep(MEMORY_INTERVAL_S)
 
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -52,7 +52,8 @@
 # silent loss or delay at a proxy (deaf, delay), abort of its connections
 # (reset), SIGKILL and restart of one program (kill) or of all (herd), also
 # while the store is silent (herd away), incomplete calls of clients
-# (incomplete), SIGTERM and restart (term), SIGSTOP for a while (pause),
+# (incomplete), or a crowd of them that sends without end (misbehave), SIGTERM
+# and restart (term), SIGSTOP for a while (pause),
 # several nodes that freeze or lose power at once (lose nodes), and a worker
 # whose runs make no progress (sick).
 PROGRAM_FAULTS = (
@@ -67,6 +68,7 @@
     'incomplete',
     'kill',
     'lose nodes',
+    'misbehave',
     'odd entry',
     'pause',
     'reset',
@@ -155,6 +157,10 @@
             self._schedule(
                 0.0, soakload.send_incomplete(self.rng, program, duration_s)
             )
+        elif kind == 'misbehave':
+            self._schedule(
+                0.0, soakload.misbehave(self.rng, program, duration_s)
+            )
         elif kind == 'pause':
             self._pause(program, duration_s)
         elif kind == 'lose nodes':
--- a/tests/soakload.py
+++ b/tests/soakload.py
@@ -1,11 +1,13 @@
-"""Load of the soak test that takes memory: large jobs, incomplete calls."""
+"""Load of the soak test that takes memory: large jobs, odd clients."""
 
 import asyncio
 import contextlib
 import random
+import sys
 import time
 
 import aiohttp
+from tests import floods
 from tests import site
 from tests import test_cell_processes as processes
 
@@ -20,6 +22,9 @@
 INCOMPLETE_CALLS = 100
 INCOMPLETE_BYTES = 200_000
 CALL_TIMEOUT_S = 4.0
+# Connections of a crowd that sends as much as it can, and its ports.
+CROWD = 100
+CROWD_PORTS = ('front', 'front', 'front', 'ready', 'peer')
 
 
 class LargeJobs:
@@ -95,3 +100,17 @@
     await asyncio.sleep(duration_s)
     for writer in writers:
         writer.close()
+
+
+async def misbehave(
+    rng: random.Random, program: processes.Program, duration_s: float
+) -> None:
+    """Let a crowd send to a node as fast as it reads, or faster."""
+    port = getattr(program, rng.choice(CROWD_PORTS))
+    kind = rng.choice(sorted(floods.BLOCKS_BY_KIND))
+    crowd = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *('-m', 'tests.floods'),
+        *(str(port), kind, str(CROWD), str(duration_s)),
+    )
+    await crowd.wait()
