Guard: limits hold within a turn, answers that are read slowly are sent

Cause and change:

- Connections that come in one turn of the event loop chose the same connection to close again and again, so that the table grew by the backlog.
It forgets a connection once it is chosen.
- A client that read a large answer slowly, but steadily, was cut off after 10 s, and a connection that its handler closes could wait for an unread answer for ever.
The timeout now starts again while the client reads, and covers both.
- A connection that closes parses nothing more.
- An unexpected error of the parser left other connections without their turn.

Measured: test_many_connections_at_once_stay_within_the_limit fails before; the others have no test of their own.

--- a/packages/net/celeryshift_net/_connectiontable.py
+++ b/packages/net/celeryshift_net/_connectiontable.py
@@ -52,7 +52,10 @@
         connection.since = now
         self._by_phase[connection.phase][connection] = None
         if len(self) > self._most:
-            self._choose(connection, now).abort('crowded')
+            chosen = self._choose(connection, now)
+            # It is closed in the next turn, and must not be chosen again.
+            self.remove(chosen)
+            chosen.abort('crowded')
 
     def remove(self, connection: Connection) -> None:
         """Remove a connection."""
--- a/packages/net/celeryshift_net/_guard.py
+++ b/packages/net/celeryshift_net/_guard.py
@@ -12,7 +12,6 @@
 from typing import Any
 from typing import Protocol
 
-from aiohttp import http_exceptions
 from aiohttp import streams
 from aiohttp import web
 
@@ -84,6 +83,7 @@
         '_credit',
         '_handler',
         '_head_bytes',
+        '_is_closing',
         '_is_held',
         '_is_paused',
         '_is_queued',
@@ -137,6 +137,8 @@
         self._is_paused = False
         self._is_writing_paused = False
         self._is_refused = False
+        # Whether the handler closes the connection after its last answer.
+        self._is_closing = False
         self._is_queued = False
         # Closes a connection that makes no progress.
         self._timer: asyncio.TimerHandle | None = None
@@ -173,13 +175,14 @@
         """Give the client a time to read its answers."""
         self._is_writing_paused = True
         self._handler.pause_writing()
-        self._start_timer(self._limits.write_timeout_s, 'answer_unread')
+        self._watch_answer()
         self._update_phase()
 
     def resume_writing(self) -> None:
         """Continue after the client has read its answers."""
         self._is_writing_paused = False
-        self._stop_timer()
+        if not (self._is_refused or self._is_closing):
+            self._stop_timer()
         self._handler.resume_writing()
         self._update_phase()
         self._continue()
@@ -190,7 +193,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes in this turn if it has room, or later."""
-        if self._is_refused:
+        if self._is_refused or self._is_closing:
             return
         self._pending += bytes(self._listener.buffer[:nbytes])
         if self._can_parse() and self._listener.turns.take(nbytes):
@@ -262,11 +265,18 @@
         if self._is_refused:
             self._linger()
         elif not keeps_open:
-            # The handler closes the connection once the answer is sent.
-            self._start_timer(self._limits.write_timeout_s, 'answer_unread')
+            self.close()
         self._update_phase()
         self._continue()
 
+    def close(self) -> None:
+        """Receive no more, and give the client a time to read the answer."""
+        if not self._is_closing:
+            self._is_closing = True
+            self._pending = b''
+            if not self._is_refused:
+                self._watch_answer()
+
     def refuse(self, reason: str, status: str, text: str) -> None:
         """Receive no more, and answer a request that has begun."""
         if self._is_refused:
@@ -310,7 +320,9 @@
     def _can_parse(self) -> bool:
         if not self._pending or self._is_held or self._is_refused:
             return False
-        if self._is_writing_paused or self._transport is None:
+        if self._is_writing_paused or self._is_closing:
+            return False
+        if self._transport is None:
             return False
         # The next request is parsed once this one is answered.
         return not self._unanswered or self._payload is not None
@@ -344,7 +356,7 @@
             )
             if payload.is_eof():
                 self._payload = None
-            elif self._answers_all():
+            elif not self._unanswered:
                 self._rest_bytes += size
                 if self._rest_bytes > _limits.LINGERING_BYTES:
                     self.abort('rest_too_large')
@@ -358,9 +370,6 @@
         elif self._timer is None and self._head_bytes:
             self._start_timer(self._limits.head_timeout_s, 'head_too_slow')
 
-    def _answers_all(self) -> bool:
-        return not self._unanswered
-
     def _take_head(self) -> None:
         """Take memory for a large head, or close if there is none."""
         limit = self._limits.heads_bytes
@@ -417,6 +426,19 @@
     def _is_open(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
 
+    def _watch_answer(self, unsent_bytes: int | None = None) -> None:
+        """Close the connection unless its client reads its answers."""
+        if self._transport is None:
+            return
+        size = self._transport.get_write_buffer_size()
+        if unsent_bytes is not None and size >= unsent_bytes:
+            self.abort('answer_unread')
+            return
+        self._stop_timer()
+        self._timer = asyncio.get_running_loop().call_later(
+            self._limits.write_timeout_s, self._watch_answer, size
+        )
+
     def _start_timer(self, delay_s: float, reason: str) -> None:
         self._stop_timer()
         loop = asyncio.get_running_loop()
@@ -445,7 +467,8 @@
         """Parse bytes, and return complete heads with their bodies."""
         try:
             parsed, _, _ = self._parser.feed_data(data)
-        except http_exceptions.HttpProcessingError as error:
+        except Exception as error:
+            # For some bytes the parser raises other errors than its own.
             text = f'malformed request: {type(error).__name__}'
             self._guard.refuse('malformed', MALFORMED, text)
             return (), False, b''
--- a/packages/net/celeryshift_net/_servers.py
+++ b/packages/net/celeryshift_net/_servers.py
@@ -43,6 +43,11 @@
     def _resume_transport_reading(self) -> None:
         self._guard.release()
 
+    def force_close(self) -> None:
+        """Close the connection once its last answer is sent."""
+        self._guard.close()
+        super().force_close()
+
     async def finish_response(
         self,
         request: web.BaseRequest,
--- a/packages/net/celeryshift_net/_turns.py
+++ b/packages/net/celeryshift_net/_turns.py
@@ -61,6 +61,13 @@
 
     def _run(self) -> None:
         self._is_scheduled = False
+        try:
+            self._serve()
+        finally:
+            if self._small or self._large:
+                self._schedule()
+
+    def _serve(self) -> None:
         left = TURN_BYTES
         # What is added meanwhile has its turn later.
         large, small = len(self._large), len(self._small)
@@ -74,5 +81,3 @@
             else:
                 large -= 1
             left -= max(queue.popleft().parse(), MIN_BYTES)
-        if self._small or self._large:
-            self._schedule()
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -196,6 +196,15 @@
         assert not newest.aborted
 
 
+def test_many_connections_at_once_stay_within_the_limit():
+    table = _connectiontable.ConnectionTable(3)
+    connections = [_Connection() for _ in range(9)]
+    for connection in connections:
+        table.add(connection, 10.0)
+    assert len(table) == 3
+    assert sum(bool(connection.aborted) for connection in connections) == 6
+
+
 def test_an_incomplete_request_is_given_up_before_idle_connections():
     members, _ = _crowd(Phase.IDLE, Phase.INCOMPLETE)
     assert members[0].aborted
