A body that is alone may have any size that the configuration allows

Callers: with a max_body_bytes above the default, a single large body got 503 again and again on a node with little memory, also in calm (by reading).

Cause: bodies have a share of the memory, and large ones half of it, whatever the largest body is that the configuration allows.

Change: a body takes more than that while no other one is read. celeryshiftd checks that max_head_bytes is max_header_bytes at least.

Measured: test_a_body_that_is_alone_has_any_size_that_is_allowed fails before.

--- a/packages/net/celeryshift_net/_bodies.py
+++ b/packages/net/celeryshift_net/_bodies.py
@@ -43,10 +43,14 @@
     limit: int = 0
     used: int = 0
 
-    def take(self, size: int, is_large: bool) -> bool:
-        """Use a part of the budget, and return whether there was enough."""
+    def take(self, size: int, is_large: bool, taken: int = 0) -> bool:
+        """Use a part of the budget, and return whether there was enough.
+
+        A body that has taken all that is used is alone, and may take more.
+        """
         limit = self.limit * (LARGE_BODIES_SHARE if is_large else 1.0)
-        if self.limit and self.used + size > limit:
+        is_alone = self.used == taken
+        if self.limit and self.used + size > limit and not is_alone:
             return False
         self.used += size
         return True
@@ -113,6 +117,6 @@
         return bytes(content)
 
     def _take(self, size: int, is_large: bool) -> None:
-        if not self._budget.take(size, is_large):
+        if not self._budget.take(size, is_large, self._taken):
             raise BusyError('the bodies of other calls take all memory')
         self._taken += size
--- a/packages/node/celeryshift_node/_settings.py
+++ b/packages/node/celeryshift_node/_settings.py
@@ -166,6 +166,8 @@
             yield 'must be above 0 @ $.statsd.flush_s'
     yield from _check_positive(settings.timing, '$.timing')
     yield from _check_positive(settings.bounds, '$.bounds')
+    if settings.bounds.max_head_bytes < settings.bounds.max_header_bytes:
+        yield 'must be max_header_bytes at least @ $.bounds.max_head_bytes'
     if settings.timing.node_renew_s * 2 > settings.timing.node_lease_s:
         yield 'must be half of node_lease_s at most @ $.timing.node_renew_s'
 
--- a/tests/test_client_bytes.py
+++ b/tests/test_client_bytes.py
@@ -180,6 +180,15 @@
     assert budget.used == 99_000
 
 
+def test_a_body_that_is_alone_has_any_size_that_is_allowed():
+    budget = _clientserver.BodyBudget(10_000)
+    body = _Content([b'x' * 50_000] * 4)
+    assert len(_read(body, budget, limit=200_000)) == 200_000
+    budget.used = 1
+    with pytest.raises(errors.BusyError):
+        _read(_Content([b'x' * 50_000]), budget, limit=200_000)
+
+
 def test_large_bodies_leave_room_for_small_ones():
     budget = _clientserver.BodyBudget(200_000, used=100_000)
     large = _Content([b'x' * 9000])
