--- a/tests/test_node_reports.py
+++ b/tests/test_node_reports.py
@@ -53,6 +53,13 @@
     ]
 
 
+def test_a_head_has_room_for_the_longest_line():
+    with pytest.raises(core.SettingsError) as caught:
+        _settings.parse({**SETTINGS, 'bounds': {'max_head_bytes': 8000}})
+    (mistake,) = caught.value.mistakes
+    assert mistake.endswith(' @ $.bounds.max_head_bytes')
+
+
 @pytest.mark.parametrize('text', ['', '{', '[]', '{"listen": 3}'])
 def test_a_node_with_bad_settings_says_so_and_ends(capsys, tmp_path, text):
     path = tmp_path / 'node.json'
