A refused head counts until its connection is closed

Found by adding up what the connections may hold. Cause: the memory of a large head was given back when it was refused, but the parser keeps it for the second in which the client may read the answer, so that many such connections could exceed the share of the large heads.

Change: it is given back when the connection is closed.

Measured: test_a_refused_head_counts_until_its_connection_is_closed fails before.

--- a/packages/net/celeryshift_net/_guard.py
+++ b/packages/net/celeryshift_net/_guard.py
@@ -295,7 +295,7 @@
     def _refuse(self) -> None:
         self._is_refused = True
         self._pending = b''
-        self._release_head()
+        # The parser keeps the head until the connection is closed.
         self._pause()
         self._update_phase()
 
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -165,6 +165,27 @@
     assert received == status
 
 
+def test_a_refused_head_counts_until_its_connection_is_closed():
+    async def work():
+        limits = servers.Limits(heads_bytes=1_000_000)
+        server = servers.Server(_answer, limits, lambda *_: None)
+        runner = await servers.listen(server, LOOPBACK, 0)
+        port = runner.addresses[0][1]
+        reader, writer = await asyncio.open_connection(LOOPBACK, port)
+        writer.write(GET + MANY_FIELDS)
+        status, _ = await _read_answer(reader)
+        assert status == 431
+        assert 0 < server.listener.heads_bytes < limits.max_head_bytes
+        writer.close()
+        async with asyncio.timeout(10):
+            while len(server.listener.table):
+                await asyncio.sleep(0.01)
+        assert server.listener.heads_bytes == 0
+        await runner.cleanup()
+
+    asyncio.run(work())
+
+
 class _Connection:
     def __init__(self, phase: Phase = Phase.INCOMPLETE) -> None:
         self.phase, self.since = phase, 0.0
