--- a/packages/net/celeryshift_net/_connectiontable.py
+++ b/packages/net/celeryshift_net/_connectiontable.py
@@ -53,7 +53,7 @@
         self._by_phase[connection.phase][connection] = None
         if len(self) > self._most:
             chosen = self._choose(connection, now)
-            # It is closed in the next turn, and must not be chosen again.
+            # It is closed in the next turn; others may come before that.
             self.remove(chosen)
             chosen.abort('crowded')
 
