Test of malformed calls of nodes follows the server's new interface

The test calls it by that name with a request that has a content, and checks in addition that the body was read; the other checks are the same.

--- a/tests/test_cell_malformed.py
+++ b/tests/test_cell_malformed.py
@@ -180,14 +180,28 @@
 
 @attrs.define
 class Request:
-    """Request of another node."""
+    """Request of another node, whose content is its own."""
 
     path: str
     body: bytes
+    headers: dict[str, str] = attrs.field(factory=dict)
+    is_read: bool = False
 
-    async def read(self) -> bytes:
-        """Return the body."""
-        return self.body
+    @property
+    def content_length(self) -> int:
+        """Return the length of the body."""
+        return len(self.body)
+
+    @property
+    def content(self) -> 'Request':
+        """Return what the body is read from."""
+        return self
+
+    async def readany(self) -> bytes:
+        """Return the body, then nothing."""
+        body = b'' if self.is_read else self.body
+        self.is_read = True
+        return body
 
 
 @pytest.mark.parametrize('name', ['resigned', 'owner', 'promise'])
@@ -206,7 +220,9 @@
         )
         handler = network.handlers[other.node.address][name]
         server.add_handler(name, handler)
-        response = await server._handle_request(Request(f'/v1/{name}', body))
+        request = Request(f'/v1/{name}', body)
+        response = await server.handle_request(request)
+        assert request.is_read
         assert response.status in (200, 503)
         assert (lines == ['peer_call_failed']) == (response.status == 503)
         await asyncio.sleep(2.0)
