--- a/review/lab_three.py
+++ b/review/lab_three.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import json
@@ -114,6 +115,19 @@
             return port
 
 
+def free_ports(count: int) -> int:
+    """Return the first of so many free ports in a row."""
+    while True:
+        first = free_port()
+        try:
+            for port in range(first, first + count):
+                with socket.socket() as probe:
+                    probe.bind(('', port))
+        except OSError:
+            continue
+        return first
+
+
 class Listener:
     """HTTP server that can go away as a process that is killed does."""
 
@@ -367,6 +381,67 @@
         return self._respond({'rows': rows})
 
 
+class Policy:
+    """Policy service: decides by a hash which workers may run a step.
+
+    It takes one call at a time for each node; as all nodes call from the same
+    address here, it takes as many at a time as there are nodes.
+    """
+
+    def __init__(self, nodes: int = 3) -> None:
+        self._listener = Listener(self._answer)
+        self._turns = asyncio.Semaphore(nodes)
+        self._waiting = 0
+        self.decision_s, self.each_s = 0.0, 0.0
+        self.validity_ms = 0
+        # Share of the workers that may run a step.
+        self.good = 1.0
+        # Number of decisions by step.
+        self.decided: collections.Counter[str] = collections.Counter()
+        self._valid_until: dict[tuple[str, str, str], float] = {}
+
+    @property
+    def address(self) -> str:
+        """Return host and port."""
+        return self._listener.address
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._listener.start()
+
+    def kill(self) -> None:
+        """Stop listening."""
+        self._listener.kill()
+
+    def is_valid(self, step: str, life: str, ticket: str) -> bool:
+        """Return whether a ticket is valid for a step and a life."""
+        until = self._valid_until.get((step, life, ticket), 0.0)
+        return time.monotonic() < until
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
+        body = json.loads(await request.read())
+        step, workers = body['step'], body['workers']
+        if len(workers) > 100:
+            return web.json_response({}, status=400)
+        if self._waiting >= 32:
+            return web.json_response({}, status=429)
+        self._waiting += 1
+        async with self._turns:
+            self._waiting -= 1
+            await asyncio.sleep(self.decision_s + self.each_s * len(workers))
+        good = []
+        for worker in workers:
+            self.decided[step] += 1
+            if random.Random(f'{step} {worker}').random() < self.good:
+                ticket = f'{random.getrandbits(64):016x}'
+                until = time.monotonic() + self.validity_ms / 1000
+                self._valid_until[step, worker, ticket] = until
+                good.append([worker, ticket])
+        return web.json_response(
+            {'good': good, 'validity_ms': self.validity_ms}
+        )
+
+
 class Run:
     """A run of a task on a worker; its spec says how it behaves."""
 
@@ -430,6 +505,7 @@
         record: Record,
         capacity: dict[str, int] | None = None,
         labels: tuple[str, ...] = ('a', 'r1-1'),
+        policy: Policy | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -446,6 +522,8 @@
         self.is_unhealthy = False
         self._store = store
         self._record = record
+        # For tasks whose spec says that they need a ticket.
+        self._policy = policy
         self._sequence = 0
         self._reported_at = 0.0
         self._begin()
@@ -610,8 +688,16 @@
             return self._refuse('old')
         if body['deadline_ms'] <= self.clock_ms:
             return self._refuse('late')
-        self._extend(body['deadline_ms'])
         run = Run(self, body)
+        if (
+            self._policy is not None
+            and run.spec.get('asks')
+            and not self._policy.is_valid(
+                run.step, self.name, body.get('ticket', '')
+            )
+        ):
+            return self._refuse('ticket')
+        self._extend(body['deadline_ms'])
         self.runs[task, number] = run
         self.history.append(run)
         self._record.write(
@@ -665,7 +751,6 @@
         self.process: asyncio.subprocess.Process | None = None
         self._site = site
         self._path = site.folder / f'{self.name}.json'
-        seeds = [f'127.0.{n + 1}.1:{ports["control"]}' for n in range(3)]
         self._path.write_text(
             json.dumps(
                 {
@@ -679,7 +764,8 @@
                     'zones': dict.fromkeys(ZONES, 'region-one'),
                     'listen': {'front': self.front, 'ready': self.ready},
                     'internal_ports': [ports['peer'], ports['peer'] + 15],
-                    'seeds': seeds,
+                    # No role serves `control`.
+                    'seeds': [],
                     'bootstrap': True,
                     'limits': {
                         'cpu_share': 0.537,
@@ -695,7 +781,7 @@
                     'heartbeat_ms': HEARTBEAT_MS,
                     'bounds': BOUNDS,
                     'orders': 'call',
-                    'advice': None,
+                    'advice': site.policy.address,
                     'platform': {
                         'address': site.store.address,
                         'form': 'table',
@@ -740,6 +826,10 @@
 
     async def end(self) -> None:
         """Kill the process, if it runs."""
+        if self.process is not None and self.process.returncode is not None:
+            self._site.record.write(
+                f'node {self.name} had ended: {self.process.returncode}'
+            )
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
@@ -752,6 +842,7 @@
         self.folder = folder
         self.record = record
         self.store = Store()
+        self.policy = Policy()
         self.workers: list[Worker] = []
         self.nodes: list[Node] = []
         self.session: aiohttp.ClientSession
@@ -766,6 +857,7 @@
             ZONES[number % 3],
             self.store,
             self.record,
+            policy=self.policy,
             **options,
         )
         self.workers.append(worker)
@@ -774,11 +866,16 @@
     async def start(self, queues: dict[str, dict[str, Any]]) -> None:
         """Start everything, and wait until all nodes are ready."""
         await self.store.start()
+        await self.policy.start()
         await self.configure(queues)
         for worker in self.workers:
             await worker.boot()
-        ports = {name: free_port() for name in ('front', 'ready', 'control')}
-        ports['peer'] = free_port()
+        first = free_ports(20)
+        ports = {
+            'front': first,
+            'ready': first + 1,
+            'peer': first + 2,
+        }
         self.nodes = [Node(n, ports, self) for n in range(3)]
         self.session = aiohttp.ClientSession()
         self._tasks = [
@@ -791,6 +888,7 @@
             for node in self.nodes:
                 while not await self._is_ready(node):
                     await asyncio.sleep(0.2)
+                self.record.write(f'node {node.name} is ready')
             # Traffic starts some time after the machines do.
             await asyncio.sleep(6.0)
 
@@ -936,6 +1034,7 @@
             worker.link.close()
             if worker.is_up:
                 worker.listener.kill()
+        self.policy.kill()
         self.store.kill()
 
 
